Add the base libraries, the module interfaces and the build

Cause: the programs need a shared runtime, framing, HTTP and settings, and the modules need agreed interfaces before they are built side by side. Conclusion: the base the programs are built on.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+# Builds, checks and measures godwitline. See README.md.
+TOP = .
+VARIANT ?= release
+JOBS ?= $(shell nproc)
+export VARIANT
+
+LIBS = $(patsubst %/Makefile,%,$(wildcard lib/*/Makefile))
+PROGS = $(patsubst %/Makefile,%,$(wildcard gw*/Makefile tools/*/Makefile \
+	policy/Makefile policy/*/Makefile bench/Makefile bench/*/Makefile))
+REGRESS = $(patsubst %/Makefile,%,$(wildcard regress/*/Makefile))
+C_FILES = $(shell git ls-files '*.c' '*.h' | grep -v '\.pb-c\.')
+
+all: libs progs
+
+libs: $(LIBS)
+
+progs: $(PROGS)
+
+$(LIBS):
+	@$(MAKE) --no-print-directory -C $@
+
+$(PROGS): libs
+	@$(MAKE) --no-print-directory -C $@
+
+$(REGRESS): libs progs
+	@$(MAKE) --no-print-directory -C $@
+
+regress-programs: $(REGRESS)
+
+# Runs every test; the last line counts them.
+test: regress-programs
+	@regress/run
+
+# What CI runs: lint, then the tests in both build variants.
+check:
+	$(MAKE) --no-print-directory lint
+	$(MAKE) --no-print-directory -j$(JOBS) VARIANT=asan regress-programs
+	$(MAKE) --no-print-directory -j$(JOBS) regress-programs
+	VARIANT=asan regress/run
+	regress/run
+
+# Rewrites the sources in the project's format.
+fmt:
+	@clang-format -i $(C_FILES)
+
+# Checks format, static analysis, manual pages and the event catalogue.
+lint:
+	@mk/lint $(C_FILES)
+
+clean:
+	rm -rf build
+
+include $(wildcard mk/targets/*.mk)
+
+.PHONY: all libs progs regress-programs test check fmt lint clean \
+	$(LIBS) $(PROGS) $(REGRESS)
--- /dev/null
+++ b/lib/gw/clock.c
@@ -0,0 +1,61 @@
+#include <glib.h>
+#include <uv.h>
+
+#include "gw/clock.h"
+
+#define NS_PER_US 1000
+
+static uint64_t
+system_now_us(const gw_clock_t *clock)
+{
+	(void)clock;
+	return uv_hrtime() / NS_PER_US;
+}
+
+static uint64_t
+paused_now_us(const gw_clock_t *clock)
+{
+	return clock->paused_us;
+}
+
+static const gw_clock_ops_t system_ops = {.now_us = system_now_us};
+static const gw_clock_ops_t paused_ops = {.now_us = paused_now_us};
+
+/*
+ * Makes the clock read the system's monotonic clock.
+ */
+void
+gw_clock_init_system(gw_clock_t *clock)
+{
+	clock->ops = &system_ops;
+	clock->paused_us = 0;
+}
+
+/*
+ * Makes a clock that stands still at now_us until it is advanced.
+ */
+void
+gw_clock_init_paused(gw_clock_t *clock, uint64_t now_us)
+{
+	clock->ops = &paused_ops;
+	clock->paused_us = now_us;
+}
+
+/*
+ * Advances a paused clock by delta_us. The clock must be a paused one.
+ */
+void
+gw_clock_advance(gw_clock_t *clock, uint64_t delta_us)
+{
+	g_assert(clock->ops == &paused_ops);
+	clock->paused_us += delta_us;
+}
+
+/*
+ * Returns the clock's reading in microseconds since an arbitrary start.
+ */
+uint64_t
+gw_clock_now_us(const gw_clock_t *clock)
+{
+	return clock->ops->now_us(clock);
+}
--- /dev/null
+++ b/lib/gw/setting.h
@@ -0,0 +1,38 @@
+#ifndef GW_SETTING_H
+#define GW_SETTING_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "gw/addr.h"
+#include "gw/err.h"
+
+typedef enum {
+	GW_SETTING_TEXT,  /* dest: char **, owned by the caller */
+	GW_SETTING_U32,	  /* dest: uint32_t *, between min and max */
+	GW_SETTING_ADDR,  /* dest: gw_addr_t *, IP:PORT */
+	GW_SETTING_ADDRS, /* dest: GArray ** of gw_addr_t, comma-separated */
+	GW_SETTING_FLAG	  /* dest: bool *; no argument */
+} gw_setting_kind_t;
+
+/*
+ * One setting: --name VALUE on the command line, or the environment variable
+ * GW_NAME (upper case, '-' as '_'); the flag wins. A setting whose initial
+ * value is NULL must be given.
+ */
+typedef struct {
+	const char *name;
+	gw_setting_kind_t kind;
+	void *dest;
+	const char *initial;
+	const char *help;
+	uint32_t min; /* for GW_SETTING_U32 */
+	uint32_t max;
+} gw_setting_t;
+
+int gw_settings_load(const gw_setting_t *, size_t count, int argc, char **argv,
+    const char *doc, gw_err_t *);
+
+#endif
--- /dev/null
+++ b/lib/http/httpc.h
@@ -0,0 +1,50 @@
+#ifndef HTTP_HTTPC_H
+#define HTTP_HTTPC_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <h2o.h>
+
+#include "gw/addr.h"
+#include "gw/err.h"
+#include "gw/runtime.h"
+
+/*
+ * An HTTP/1.1 client of one server, for the store and the platform: whole
+ * bodies, a total time-out, and no automatic retry.
+ */
+typedef struct gw_httpc gw_httpc_t;
+typedef struct gw_httpc_call gw_httpc_call_t;
+
+typedef struct {
+	int status;
+	const char *body; /* NUL-terminated */
+	size_t size_bytes;
+} gw_http_response_t;
+
+/*
+ * Called once. With a response, err is NULL. Without, err tells whether the
+ * request was surely not sent (GW_ERR_UNAVAILABLE) or may have taken effect
+ * (GW_ERR_UNKNOWN, GW_ERR_TIMEOUT).
+ */
+typedef void (*gw_httpc_done_t)(
+    const gw_http_response_t *, const gw_err_t *, void *arg);
+
+/*
+ * Called for each piece of a streamed body. Return non-zero to end the call.
+ */
+typedef int (*gw_httpc_chunk_t)(const char *, size_t size_bytes, void *arg);
+
+gw_httpc_t *gw_httpc_new(gw_rt_t *, const gw_addr_t *);
+void gw_httpc_free(gw_httpc_t *);
+const char *gw_httpc_peer(const gw_httpc_t *);
+gw_httpc_call_t *gw_httpc_call(gw_httpc_t *, const char *method,
+    const char *path, const char *body, uint64_t timeout_ms, gw_httpc_done_t,
+    void *arg);
+gw_httpc_call_t *gw_httpc_stream(gw_httpc_t *, const char *method,
+    const char *path, const char *body, gw_httpc_chunk_t, gw_httpc_done_t,
+    void *arg);
+void gw_httpc_cancel(gw_httpc_call_t *);
+
+#endif
--- /dev/null
+++ b/lib/http/httpd.c
@@ -0,0 +1,251 @@
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "gw/log.h"
+#include "http/httpd.h"
+
+#define BACKLOG 1024
+
+/* libh2o's handler with a link to the server. */
+typedef struct {
+	h2o_handler_t super;
+	gw_httpd_t *httpd;
+} handler_t;
+
+struct gw_httpd {
+	gw_rt_t *rt;
+	gw_httpd_limits_t limits;
+	gw_http_handler_t on_request;
+	void *arg;
+	h2o_globalconf_t config;
+	h2o_context_t context;
+	h2o_accept_ctx_t accept;
+	uv_tcp_t listener;
+	bool listening;
+	bool accept_waits; /* a connection waits for a free place */
+	uint32_t connections;
+};
+
+/* One accepted connection; libh2o owns the stream. */
+typedef struct {
+	uv_tcp_t tcp;
+	gw_httpd_t *httpd;
+} http_conn_t;
+
+static int
+on_req(h2o_handler_t *self, h2o_req_t *req)
+{
+	gw_httpd_t *httpd = ((handler_t *)self)->httpd;
+
+	return httpd->on_request(req, httpd->arg);
+}
+
+/*
+ * Returns a server that is not listening yet.
+ */
+gw_httpd_t *
+gw_httpd_new(gw_rt_t *rt, const gw_httpd_limits_t *limits,
+    gw_http_handler_t on_request, void *arg)
+{
+	gw_httpd_t *httpd;
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	handler_t *handler;
+
+	httpd = g_new0(gw_httpd_t, 1);
+	httpd->rt = rt;
+	httpd->limits = *limits;
+	httpd->on_request = on_request;
+	httpd->arg = arg;
+	h2o_config_init(&httpd->config);
+	httpd->config.server_name = (h2o_iovec_t){H2O_STRLIT("godwitline")};
+	httpd->config.max_request_entity_size = limits->body_max_bytes;
+	httpd->config.http1.req_timeout = limits->idle_timeout_ms;
+	httpd->config.http2.idle_timeout = limits->idle_timeout_ms;
+	host = h2o_config_register_host(
+	    &httpd->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+	path = h2o_config_register_path(host, "/", 0);
+	handler = (handler_t *)h2o_create_handler(path, sizeof(*handler));
+	handler->super.on_req = on_req;
+	handler->httpd = httpd;
+	h2o_context_init(&httpd->context, gw_rt_loop(rt), &httpd->config);
+	httpd->accept.ctx = &httpd->context;
+	httpd->accept.hosts = httpd->config.hosts;
+	return httpd;
+}
+
+static void accept_one(gw_httpd_t *);
+
+static void
+on_conn_closed(uv_handle_t *handle)
+{
+	http_conn_t *conn = (http_conn_t *)handle;
+	gw_httpd_t *httpd = conn->httpd;
+
+	g_free(conn);
+	httpd->connections--;
+	if (httpd->accept_waits && httpd->listening) {
+		httpd->accept_waits = false;
+		accept_one(httpd);
+	}
+}
+
+static void
+on_rejected_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+static void
+accept_one(gw_httpd_t *httpd)
+{
+	http_conn_t *conn;
+	h2o_socket_t *sock;
+
+	conn = g_new0(http_conn_t, 1);
+	conn->httpd = httpd;
+	(void)uv_tcp_init(gw_rt_loop(httpd->rt), &conn->tcp);
+	if (uv_accept((uv_stream_t *)&httpd->listener,
+		(uv_stream_t *)&conn->tcp) != 0) {
+		uv_close((uv_handle_t *)&conn->tcp, on_rejected_closed);
+		return;
+	}
+	(void)uv_tcp_nodelay(&conn->tcp, 1);
+	httpd->connections++;
+	sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp, on_conn_closed);
+	h2o_accept(&httpd->accept, sock);
+}
+
+/*
+ * Accepts a connection, unless the limit is reached: then libuv stops to poll
+ * the listener until uv_accept() is called.
+ */
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+	gw_httpd_t *httpd = listener->data;
+
+	if (status != 0)
+		return;
+	if (httpd->connections >= httpd->limits.connections_max) {
+		httpd->accept_waits = true;
+		return;
+	}
+	accept_one(httpd);
+}
+
+/*
+ * Listens on addr; port 0 takes a free one. The bound address goes to bound
+ * unless that is NULL. Returns 0, or -1 with GW_ERR_SYSTEM.
+ */
+int
+gw_httpd_listen(
+    gw_httpd_t *httpd, const gw_addr_t *addr, gw_addr_t *bound, gw_err_t *err)
+{
+	char text[GW_ADDR_TEXT_BYTES];
+	gw_addr_t own;
+	int len = sizeof(own.sa), rc;
+
+	(void)uv_tcp_init(gw_rt_loop(httpd->rt), &httpd->listener);
+	httpd->listener.data = httpd;
+	httpd->listening = true;
+	rc = uv_tcp_bind(
+	    &httpd->listener, (const struct sockaddr *)&addr->sa, 0);
+	if (rc == 0)
+		rc = uv_listen(
+		    (uv_stream_t *)&httpd->listener, BACKLOG, on_connection);
+	if (rc == 0)
+		rc = uv_tcp_getsockname(
+		    &httpd->listener, (struct sockaddr *)&own.sa, &len);
+	if (rc != 0) {
+		gw_err_set(err, GW_ERR_SYSTEM, "listen",
+		    gw_addr_text(addr, text), "%s", uv_strerror(rc));
+		return -1;
+	}
+	own.len_bytes = (socklen_t)len;
+	if (bound != NULL)
+		*bound = own;
+	gw_log(
+	    GW_EV_LISTEN, "protocol=http address=%s", gw_addr_text(&own, text));
+	return 0;
+}
+
+/*
+ * Stops accepting connections; open ones end after their current request.
+ */
+void
+gw_httpd_shutdown(gw_httpd_t *httpd)
+{
+	if (httpd->listening)
+		uv_close((uv_handle_t *)&httpd->listener, NULL);
+	httpd->listening = false;
+	h2o_context_request_shutdown(&httpd->context);
+}
+
+/*
+ * Returns the number of open connections, idle ones included.
+ */
+uint32_t
+gw_httpd_connections(const gw_httpd_t *httpd)
+{
+	return httpd->connections;
+}
+
+/*
+ * Frees the server after gw_httpd_shutdown() once no connection is open. With
+ * connections still open it leaves the memory to the end of the process, since
+ * libh2o offers no way to close them.
+ */
+void
+gw_httpd_free(gw_httpd_t *httpd)
+{
+	if (httpd == NULL || httpd->connections > 0)
+		return;
+	(void)uv_run(gw_rt_loop(httpd->rt), UV_RUN_NOWAIT);
+	h2o_context_dispose(&httpd->context);
+	h2o_config_dispose(&httpd->config);
+	g_free(httpd);
+}
+
+/*
+ * Answers with a whole body, which is copied. content_type must be a constant.
+ */
+void
+gw_http_reply(h2o_req_t *req, int status, const char *content_type,
+    const void *body, size_t size_bytes)
+{
+	static h2o_generator_t generator = {NULL, NULL};
+	h2o_iovec_t buf;
+
+	buf = h2o_strdup(&req->pool, body, size_bytes);
+	req->res.status = status;
+	req->res.reason = "";
+	req->res.content_length = size_bytes;
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+	    NULL, content_type, strlen(content_type));
+	h2o_start_response(req, &generator);
+	h2o_send(req, &buf, 1, 1);
+}
+
+/*
+ * Answers with problem details (RFC 9457).
+ */
+void
+gw_http_reply_error(
+    h2o_req_t *req, int status, const char *title, const char *detail)
+{
+	json_t *problem;
+	char *body;
+
+	problem = json_pack("{s:s, s:i, s:s}", "title", title, "status", status,
+	    "detail", detail);
+	body = json_dumps(problem, JSON_COMPACT);
+	json_decref(problem);
+	if (body == NULL)
+		body = strdup("{}");
+	gw_http_reply(
+	    req, status, "application/problem+json", body, strlen(body));
+	free(body);
+}
--- /dev/null
+++ b/lib/http/httpd.h
@@ -0,0 +1,42 @@
+#ifndef HTTP_HTTPD_H
+#define HTTP_HTTPD_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <h2o.h>
+
+#include "gw/addr.h"
+#include "gw/err.h"
+#include "gw/runtime.h"
+
+/* An HTTP/1.1 and HTTP/2 (prior knowledge) server on libh2o. */
+typedef struct gw_httpd gw_httpd_t;
+
+/*
+ * Handles one request whose body has been read whole. Returns 0 when it
+ * answered or will answer, -1 for "not found". Memory of the request lives in
+ * req->pool; a destructor there tells that the caller is gone.
+ */
+typedef int (*gw_http_handler_t)(h2o_req_t *, void *arg);
+
+typedef struct {
+	uint64_t body_max_bytes;  /* larger bodies are answered with 413 */
+	uint64_t idle_timeout_ms; /* for a connection without a request */
+	uint32_t connections_max; /* further ones wait in the backlog */
+} gw_httpd_limits_t;
+
+gw_httpd_t *gw_httpd_new(
+    gw_rt_t *, const gw_httpd_limits_t *, gw_http_handler_t, void *arg);
+int gw_httpd_listen(
+    gw_httpd_t *, const gw_addr_t *, gw_addr_t *bound, gw_err_t *);
+void gw_httpd_shutdown(gw_httpd_t *);
+uint32_t gw_httpd_connections(const gw_httpd_t *);
+void gw_httpd_free(gw_httpd_t *);
+
+void gw_http_reply(h2o_req_t *, int status, const char *content_type,
+    const void *body, size_t size_bytes);
+void gw_http_reply_error(
+    h2o_req_t *, int status, const char *title, const char *detail);
+
+#endif
--- /dev/null
+++ b/lib/manifest/manifest.h
@@ -0,0 +1,135 @@
+#ifndef MANIFEST_MANIFEST_H
+#define MANIFEST_MANIFEST_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "gw/err.h"
+
+#define MANIFEST_NAME_BYTES 64
+#define MANIFEST_VERSION 1
+
+typedef enum {
+	CLASS_QUICK = 0,
+	CLASS_SETTLEMENT,
+	CLASS_ARCHIVE,
+	CLASS_COUNT
+} request_class_t;
+
+typedef struct {
+	char name[MANIFEST_NAME_BYTES];
+	uint32_t weight; /* 1 .. 1000 */
+	uint64_t quota_cpu_millis;
+	uint64_t quota_memory_mib;
+	uint64_t quota_accelerators;
+} manifest_team_t;
+
+/* A pool's part in one data centre. */
+typedef struct {
+	char data_centre[MANIFEST_NAME_BYTES];
+	uint32_t instances;
+	uint32_t minimum;
+} manifest_place_t;
+
+typedef struct {
+	char name[MANIFEST_NAME_BYTES];
+	char team[MANIFEST_NAME_BYTES];
+	char service[MANIFEST_NAME_BYTES]; /* empty for a spare pool */
+	bool spare;
+	uint32_t slots_per_instance;
+	GArray *places; /* manifest_place_t */
+} manifest_pool_t;
+
+typedef struct {
+	char team[MANIFEST_NAME_BYTES];
+	char pool[MANIFEST_NAME_BYTES];
+	uint32_t max_unavailable; /* instances over the whole fleet */
+} manifest_budget_t;
+
+typedef struct {
+	char from[MANIFEST_NAME_BYTES];
+	char to[MANIFEST_NAME_BYTES];
+	uint32_t max_instances;
+	uint32_t return_after_ms;
+} manifest_loan_rule_t;
+
+typedef struct {
+	char host[256];	       /* empty: any */
+	char path_prefix[256]; /* empty: any */
+	char pool[MANIFEST_NAME_BYTES];
+	request_class_t request_class;
+	uint32_t deadline_ms;
+	bool idempotent_set; /* the route overrides the method's semantics */
+	bool idempotent;
+} manifest_route_t;
+
+typedef struct {
+	char name[MANIFEST_NAME_BYTES];
+	GPtrArray *pools; /* char *, in order */
+	uint32_t concurrency;
+	uint32_t domain_limit;
+} manifest_wave_t;
+
+/* One whole, checked manifest. */
+typedef struct {
+	uint64_t generation; /* 0 before it is applied */
+	GArray *teams;	     /* manifest_team_t */
+	GArray *pools;	     /* manifest_pool_t */
+	GArray *budgets;     /* manifest_budget_t */
+	GArray *lending;     /* manifest_loan_rule_t */
+	GArray *routes;	     /* manifest_route_t */
+	GArray *waves;	     /* manifest_wave_t */
+} manifest_t;
+
+/* One finding of the check: where in the document, and what is wrong. */
+typedef struct {
+	char path[160]; /* JSON path such as $.pools[3].team */
+	char reason[200];
+} manifest_problem_t;
+
+/* A piece of the manifest that is stored and sent by content hash. */
+typedef struct {
+	char name[MANIFEST_NAME_BYTES + 8]; /* "teams", "pool/<name>", ... */
+	char hash[33];
+	char *body; /* compact JSON; NULL when not loaded */
+	uint32_t size_bytes;
+} manifest_section_t;
+
+/* The root record: what the compare-and-swap is done on. */
+typedef struct {
+	uint64_t generation;
+	char apply_id[33];
+	char applied_by[MANIFEST_NAME_BYTES];
+	GPtrArray *sections; /* manifest_section_t */
+} manifest_root_t;
+
+/* Parses and checks; NULL with at least one problem (manifest_problem_t). */
+manifest_t *manifest_parse(
+    const char *json, uint64_t size_bytes, GArray *problems);
+void manifest_free(manifest_t *);
+
+/* Whole manifest <-> root and sections. */
+manifest_root_t *manifest_split(const manifest_t *);
+manifest_t *manifest_join(const manifest_root_t *, gw_err_t *);
+char *manifest_root_encode(const manifest_root_t *);
+manifest_root_t *manifest_root_decode(
+    const char *json, uint64_t size_bytes, gw_err_t *);
+void manifest_root_free(manifest_root_t *);
+manifest_section_t *manifest_root_find(
+    const manifest_root_t *, const char *name);
+char *manifest_to_json(const manifest_t *);
+
+/* Look-ups. */
+const manifest_team_t *manifest_team(const manifest_t *, const char *name);
+const manifest_pool_t *manifest_pool(const manifest_t *, const char *name);
+const manifest_place_t *manifest_place(
+    const manifest_pool_t *, const char *data_centre);
+const manifest_budget_t *manifest_budget(const manifest_t *, const char *pool);
+const manifest_route_t *manifest_match(
+    const manifest_t *, const char *host, const char *path);
+const char *request_class_name(request_class_t);
+bool request_class_parse(const char *, request_class_t *);
+
+#endif
--- /dev/null
+++ b/lib/wire/frame.c
@@ -0,0 +1,98 @@
+#include <arpa/inet.h>
+
+#include <string.h>
+
+#include "wire/frame.h"
+
+/*
+ * Starts with an empty buffer.
+ */
+void
+gw_frame_reader_init(gw_frame_reader_t *reader)
+{
+	reader->buf = g_byte_array_new();
+}
+
+/*
+ * Frees the buffer.
+ */
+void
+gw_frame_reader_clear(gw_frame_reader_t *reader)
+{
+	if (reader->buf != NULL)
+		g_byte_array_unref(reader->buf);
+	reader->buf = NULL;
+}
+
+/*
+ * Adds bytes from the stream.
+ */
+void
+gw_frame_reader_feed(
+    gw_frame_reader_t *reader, const void *data, size_t size_bytes)
+{
+	g_byte_array_append(reader->buf, data, (guint)size_bytes);
+}
+
+/*
+ * Takes the next whole frame. Returns 1 with an envelope that the caller frees
+ * with gw__envelope__free_unpacked(), 0 when more bytes are needed, or -1 when
+ * the stream is not valid; then the connection must be closed.
+ */
+int
+gw_frame_reader_next(
+    gw_frame_reader_t *reader, Gw__Envelope **envelope, gw_err_t *err)
+{
+	uint32_t size_bytes;
+
+	if (reader->buf->len < GW_FRAME_HEAD_BYTES)
+		return 0;
+	memcpy(&size_bytes, reader->buf->data, sizeof(size_bytes));
+	size_bytes = ntohl(size_bytes);
+	if (size_bytes > GW_FRAME_MAX_BYTES) {
+		gw_err_set(err, GW_ERR_LIMIT, "read frame", "",
+		    "frame of %u bytes exceeds %u", size_bytes,
+		    GW_FRAME_MAX_BYTES);
+		return -1;
+	}
+	if (reader->buf->len - GW_FRAME_HEAD_BYTES < size_bytes)
+		return 0;
+	*envelope = gw__envelope__unpack(
+	    NULL, size_bytes, reader->buf->data + GW_FRAME_HEAD_BYTES);
+	if (*envelope == NULL ||
+	    (*envelope)->body_case == GW__ENVELOPE__BODY__NOT_SET) {
+		if (*envelope != NULL)
+			gw__envelope__free_unpacked(*envelope, NULL);
+		*envelope = NULL;
+		gw_err_set(err, GW_ERR_INVALID, "read frame", "",
+		    "frame of %u bytes is not a known message", size_bytes);
+		return -1;
+	}
+	g_byte_array_remove_range(
+	    reader->buf, 0, GW_FRAME_HEAD_BYTES + size_bytes);
+	return 1;
+}
+
+/*
+ * Encodes one frame, or returns NULL when it would exceed the limit.
+ */
+GBytes *
+gw_frame_encode(const Gw__Envelope *envelope, gw_err_t *err)
+{
+	size_t size_bytes;
+	uint32_t head;
+	uint8_t *data;
+
+	size_bytes = gw__envelope__get_packed_size(envelope);
+	if (size_bytes > GW_FRAME_MAX_BYTES) {
+		gw_err_set(err, GW_ERR_LIMIT, "encode frame", "",
+		    "message of %zu bytes exceeds %u", size_bytes,
+		    GW_FRAME_MAX_BYTES);
+		return NULL;
+	}
+	data = g_malloc(GW_FRAME_HEAD_BYTES + size_bytes);
+	head = htonl((uint32_t)size_bytes);
+	memcpy(data, &head, sizeof(head));
+	gw__envelope__pack(envelope, data + GW_FRAME_HEAD_BYTES);
+	return g_bytes_new_take(data, GW_FRAME_HEAD_BYTES + size_bytes);
+}
--- /dev/null
+++ b/regress/base/http_test.c
@@ -0,0 +1,89 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "http/httpc.h"
+#include "http/httpd.h"
+
+typedef struct {
+	int calls;
+	int status;
+	char body[64];
+	gw_errc_t code;
+	gw_rt_t *rt;
+} result_t;
+
+static int
+echo(h2o_req_t *req, void *arg)
+{
+	(void)arg;
+	if (h2o_memis(req->path.base, req->path.len, H2O_STRLIT("/hang")))
+		return 0;
+	gw_http_reply(
+	    req, 200, "text/plain", req->entity.base, req->entity.len);
+	return 0;
+}
+
+static void
+on_done(const gw_http_response_t *response, const gw_err_t *err, void *arg)
+{
+	result_t *result = arg;
+
+	result->calls++;
+	result->code = err == NULL ? GW_OK : err->code;
+	if (response != NULL) {
+		result->status = response->status;
+		g_strlcpy(result->body, response->body, sizeof(result->body));
+	}
+	gw_rt_stop(result->rt);
+}
+
+/*
+ * Guards against a client that loses a response, reports a request that may
+ * have run as not sent, or calls back twice.
+ */
+static void
+test_call_outcomes(void)
+{
+	gw_httpd_limits_t limits = {1024, 1000, 16};
+	gw_rt_t *rt = gw_rt_new();
+	result_t result = {.rt = rt};
+	gw_addr_t addr, bound;
+	gw_httpd_t *httpd;
+	gw_httpc_t *client, *nobody;
+	gw_err_t err;
+
+	httpd = gw_httpd_new(rt, &limits, echo, NULL);
+	g_assert_cmpint(gw_addr_parse(&addr, "127.0.0.1:0", &err), ==, 0);
+	g_assert_cmpint(gw_httpd_listen(httpd, &addr, &bound, &err), ==, 0);
+	client = gw_httpc_new(rt, &bound);
+
+	gw_httpc_call(client, "POST", "/echo", "hello", 2000, on_done, &result);
+	gw_rt_run(rt);
+	g_assert_cmpint(result.calls, ==, 1);
+	g_assert_cmpint(result.status, ==, 200);
+	g_assert_cmpstr(result.body, ==, "hello");
+
+	gw_httpc_call(client, "POST", "/hang", "x", 100, on_done, &result);
+	gw_rt_run(rt);
+	g_assert_cmpint(result.calls, ==, 2);
+	g_assert_cmpint(result.code, ==, GW_ERR_TIMEOUT);
+
+	gw_httpd_shutdown(httpd);
+	gw_rt_poll(rt);
+	nobody = gw_httpc_new(rt, &bound);
+	gw_httpc_call(nobody, "GET", "/", NULL, 1000, on_done, &result);
+	gw_rt_run(rt);
+	g_assert_cmpint(result.calls, ==, 3);
+	g_assert_cmpint(result.code, ==, GW_ERR_UNAVAILABLE);
+	gw_httpc_free(nobody);
+	gw_httpc_free(client);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http/call", test_call_outcomes);
+	return g_test_run();
+}
