Add the step functions of the core protocol

Cause: gwfleetd and gwrouted share one protocol of leases, contact, membership steps, slot grants, sponsorship and at-most-once sending.

--- /dev/null
+++ b/lib/member/leave.c
@@ -0,0 +1,113 @@
+#include "member/member.h"
+
+/*
+ * Sets an error about an instance in the wrong state and returns -1.
+ */
+static int
+wrong_state(gw_err_t *err, const char *step, const member_instance_t *instance)
+{
+	gw_err_set(err, GW_ERR_CONFLICT, step, instance->id,
+	    "instance is %s, not active", member_state_name(instance->state));
+	return -1;
+}
+
+/*
+ * Starts taking an active instance out of its pool: for a move or a return to
+ * target_pool, or for a reboot (target_pool is NULL). Returns -1 with an error
+ * when the instance is not active or the target is missing or its own pool.
+ */
+int
+member_begin_leave(member_table_t *table, member_instance_t *instance,
+    member_purpose_t purpose, const char *target_pool, gw_err_t *err)
+{
+	bool has_target;
+
+	if (instance->state != MEMBER_ACTIVE)
+		return wrong_state(err, "leave", instance);
+	has_target = target_pool != NULL && target_pool[0] != '\0';
+	if (purpose == MEMBER_FOR_NONE ||
+	    has_target != (purpose != MEMBER_FOR_REBOOT) ||
+	    (has_target && g_str_equal(target_pool, instance->pool))) {
+		gw_err_set(err, GW_ERR_INVALID, "leave", instance->id,
+		    "purpose %s does not fit target pool '%s'",
+		    member_purpose_name(purpose),
+		    has_target ? target_pool : "");
+		return -1;
+	}
+	table->version++;
+	instance->state = MEMBER_LEAVING;
+	instance->state_version = table->version;
+	instance->purpose = purpose;
+	g_strlcpy(instance->target_pool, has_target ? target_pool : "",
+	    sizeof(instance->target_pool));
+	return 0;
+}
+
+/*
+ * Makes an active instance time-bound; member_step() confirms it once every
+ * admitted router acknowledged. No change when it is time-bound.
+ */
+int
+member_bind_time(
+    member_table_t *table, member_instance_t *instance, gw_err_t *err)
+{
+	if (instance->state != MEMBER_ACTIVE)
+		return wrong_state(err, "bind", instance);
+	if (instance->time_bound)
+		return 0;
+	table->version++;
+	instance->time_bound = true;
+	instance->bound_confirmed = false;
+	instance->bound_version = table->version;
+	return 0;
+}
+
+/*
+ * Clears the time bound of an active instance, so that it stays usable without
+ * contact. It can't be cleared on the way out: routers may be waited out.
+ */
+int
+member_unbind_time(
+    member_table_t *table, member_instance_t *instance, gw_err_t *err)
+{
+	if (instance->state != MEMBER_ACTIVE)
+		return wrong_state(err, "unbind", instance);
+	if (!instance->time_bound)
+		return 0;
+	table->version++;
+	instance->time_bound = false;
+	instance->bound_confirmed = false;
+	instance->bound_version = 0;
+	return 0;
+}
+
+/*
+ * Tells whether every admitted router has put the time bound in force and has
+ * no request in flight that began before it: such a request is not subject to
+ * the hard deadline, so the router could not be waited out.
+ */
+bool
+member_bound_everywhere(const member_table_t *table,
+    const member_instance_t *instance, const GPtrArray *contacts)
+{
+	const member_router_t *router;
+	const member_contact_t *contact;
+	guint i;
+
+	if (!instance->time_bound)
+		return false;
+	for (i = 0; i < table->routers->len; i++) {
+		router = g_ptr_array_index(table->routers, i);
+		contact = member_contact_find(
+		    contacts, router->node_id, router->boot_id);
+		if (contact == NULL)
+			return false;
+		if (contact->ended)
+			continue;
+		if (contact->acked_version < instance->bound_version)
+			return false;
+		if (g_hash_table_contains(contact->in_flight, instance->id))
+			return false;
+	}
+	return true;
+}
