Fix lint and leak findings in the fair queue and its tests

The tests freed only part of their items, which AddressSanitizer reported, and clang-tidy reported a parameter name and a division that it could not prove safe. The items of a test now live until the queue is freed.

--- a/lib/policy/fairq.c
+++ b/lib/policy/fairq.c
@@ -63,7 +63,8 @@
 }
 
 /*
- * Frees the queue. Items that still wait or run are detached from it.
+ * Frees the queue. Items that still wait or run are detached from it, so
+ * they must still exist.
  */
 void
 fairq_free(fairq_t *q)
@@ -99,16 +100,16 @@
  * to the common team of unknown ones, and it is forgotten once it is idle.
  */
 void
-fairq_set_team(fairq_t *q, const char *name, uint32_t weight)
+fairq_set_team(fairq_t *q, const char *team, uint32_t weight)
 {
-	fairq_team_t *team = g_hash_table_lookup(q->teams, name);
+	fairq_team_t *found = g_hash_table_lookup(q->teams, team);
 
-	if (team == NULL) {
-		team = team_new(name, weight);
-		g_hash_table_insert(q->teams, team->name, team);
+	if (found == NULL) {
+		found = team_new(team, weight);
+		g_hash_table_insert(q->teams, found->name, found);
 	}
-	if (team != q->other)
-		team->weight = weight;
+	if (found != q->other)
+		found->weight = weight;
 	g_hash_table_foreach_remove(q->teams, idle_and_unset, q->other);
 }
 
--- a/lib/policy/fairq_fair.c
+++ b/lib/policy/fairq_fair.c
@@ -122,7 +122,7 @@
 	g_hash_table_iter_init(&iter, q->teams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team))
 		sum += team->weight;
-	return sum;
+	return MAX(sum, 1);
 }
 
 /*
--- a/regress/policy/choice_test.c
+++ b/regress/policy/choice_test.c
@@ -16,7 +16,9 @@
 		    .granted = 64, .recent_us = 1000, .usable = true};
 	for (int i = 0; i < 4 * COUNT; i++) {
 		choice_t *c = &all[ops->pick(all, COUNT, rand)];
-		most = MAX(most, ++c->in_flight);
+
+		c->in_flight++;
+		most = MAX(most, c->in_flight);
 	}
 	g_rand_free(rand);
 	g_free(all);
--- a/regress/policy/fairq_test.c
+++ b/regress/policy/fairq_test.c
@@ -8,6 +8,7 @@
 typedef struct {
 	gw_clock_t clock;
 	fairq_t *q;
+	GPtrArray *items; /* all items ever made */
 	uint32_t slots;
 	fairq_item_t *running[MAX_SLOTS];
 	uint64_t end_us[MAX_SLOTS];
@@ -20,6 +21,7 @@
 {
 	memset(pool, 0, sizeof(*pool));
 	gw_clock_init_paused(&pool->clock, GW_US_PER_S);
+	pool->items = g_ptr_array_new_with_free_func(g_free);
 	pool->q = fairq_new(ops, &pool->clock, max);
 	pool->slots = slots;
 	fairq_set_slots(pool->q, slots);
@@ -31,8 +33,7 @@
 pool_clear(pool_t *pool)
 {
 	fairq_free(pool->q);
-	for (uint32_t i = 0; i < pool->slots; i++)
-		g_free(pool->running[i]);
+	g_ptr_array_free(pool->items, TRUE);
 }
 
 /* Makes an item whose real run time is service_us. */
@@ -43,6 +44,7 @@
 	fairq_item_t *item = g_new0(fairq_item_t, 1);
 	uint64_t now_us = gw_clock_now_us(&pool->clock);
 
+	g_ptr_array_add(pool->items, item);
 	g_strlcpy(item->team, team, sizeof(item->team));
 	item->request_class = c;
 	item->arrived_us = now_us;
@@ -55,12 +57,8 @@
 push(pool_t *pool, const char *team, request_class_t c, uint64_t service_us,
     uint64_t wait_us)
 {
-	fairq_item_t *item = item_new(pool, team, c, service_us, wait_us);
-	fairq_verdict_t verdict = fairq_push(pool->q, item);
-
-	if (verdict != FAIRQ_ADMITTED)
-		g_free(item);
-	return verdict;
+	return fairq_push(
+	    pool->q, item_new(pool, team, c, service_us, wait_us));
 }
 
 static void
@@ -68,8 +66,8 @@
 {
 	pool_t *pool = arg;
 
+	g_assert_false(item->queued);
 	pool->expired++;
-	g_free(item);
 }
 
 /* Ends work that is due, then fills the free slots. */
@@ -87,7 +85,6 @@
 			uint64_t used_us = GPOINTER_TO_SIZE(item->owner);
 			pool->used_us[item->team[0] == 'b'] += used_us;
 			fairq_done(pool->q, item, used_us);
-			g_free(item);
 			pool->running[i] = item = NULL;
 		}
 		if (item != NULL)
@@ -183,10 +180,8 @@
 	    FAIRQ_REFUSED_DEADLINE);
 	g_assert_cmpint(push(&pool, "b", CLASS_SETTLEMENT, 1, 10000000), ==,
 	    FAIRQ_ADMITTED);
-	for (int i = 0; i < 900; i++) {
+	for (int i = 0; i < 900; i++)
 		fairq_remove(pool.q, items[i]);
-		g_free(items[i]);
-	}
 	rest_us = fairq_wait_us(pool.q, "a", CLASS_SETTLEMENT, 0);
 	g_assert_cmpuint(rest_us, <=, full_us / 9);
 	for (int i = 0; i < 20; i++)
@@ -239,7 +234,6 @@
 	g_assert_cmpuint(pool.expired, ==, 1);
 	g_assert_cmpstr(item->team, ==, "b");
 	fairq_done(pool.q, item, 1000);
-	g_free(item);
 	pool_step(&pool, 1000);
 	g_assert_cmpuint(fairq_length(pool.q), ==, 0);
 	pool_clear(&pool);
