Add the store client and the stand-in for the platform's store

Cause: gwfleetd and gwctl need the platform's key-value store, and the tests need one that fails on demand.

Change: lib/store implements store.h on the etcd v3 JSON gateway. A write whose answer is lost, malformed or 5xx is GW_ERR_UNKNOWN, since it may have taken effect; a read is GW_ERR_UNAVAILABLE. A watch reports each change once and never goes back to an older value. tools/gwstored serves the same endpoints in memory, with leases that expire, watches, compaction, the value limit, /stats, and faults through /control. gw_httpd_free() now unlinks a timer that libh2o arms at a shutdown; without that the server's disposal aborted on an assertion.

Conclusion: the interface in store.h is in place for the daemons.

--- a/lib/http/httpd.c
+++ b/lib/http/httpd.c
@@ -204,6 +204,8 @@
 	if (httpd == NULL || httpd->connections > 0)
 		return;
 	(void)uv_run(gw_rt_loop(httpd->rt), UV_RUN_NOWAIT);
+	/* The shutdown arms it for HTTP/2 even without a connection. */
+	h2o_timeout_unlink(&httpd->context.http2._graceful_shutdown_timeout);
 	h2o_context_dispose(&httpd->context);
 	h2o_config_dispose(&httpd->config);
 	g_free(httpd);
--- /dev/null
+++ b/lib/store/call.h
@@ -0,0 +1,52 @@
+#ifndef STORE_CALL_H
+#define STORE_CALL_H
+
+#include <stdbool.h>
+
+#include <glib.h>
+
+#include "gw/runtime.h"
+#include "http/httpc.h"
+#include "store/store.h"
+
+struct store {
+	gw_rt_t *rt;
+	gw_httpc_t *http;
+	uint64_t timeout_ms;
+	GQueue calls;	/* store_call_t that have not ended */
+	GQueue watches; /* store_watch_t that have not ended */
+};
+
+/* One request and the callback that waits for its response. */
+typedef struct store_call store_call_t;
+
+/* Reports a response's body, or the failure (body NULL), to the owner. */
+typedef void (*store_call_end_t)(
+    store_call_t *, const gw_http_response_t *, const gw_err_t *);
+
+struct store_call {
+	store_t *store;
+	gw_httpc_call_t *http; /* NULL when refused before sending */
+	gw_timer_t refusal;
+	gw_err_t err;
+	bool is_write;
+	store_call_end_t end;
+	char *key; /* NULL for leases */
+	GList link;
+	union {
+		store_get_cb_t get;
+		store_put_cb_t put;
+		store_lease_cb_t lease;
+	} cb;
+	void *arg;
+};
+
+store_call_t *store_call_new(
+    store_t *, const char *key, bool is_write, store_call_end_t, void *arg);
+void store_call_send(store_call_t *, const char *path, char *body);
+void store_call_refuse(store_call_t *, gw_errc_t, const char *reason);
+void store_call_free(store_call_t *);
+void store_call_bad_answer(const store_call_t *, gw_err_t *);
+void store_watch_free(store_watch_t *);
+
+#endif
--- /dev/null
+++ b/tools/gwstored/api_lease.c
@@ -0,0 +1,61 @@
+#include "api.h"
+#include "reply.h"
+
+/* etcd's own bound on a lease, about 285 years, fits no timer here. */
+#define TTL_MAX_S 86400
+
+/*
+ * Grants a lease.
+ */
+json_t *
+api_lease_grant(server_t *server, const json_t *request, api_error_t *error)
+{
+	uint64_t ttl_s, id;
+
+	if (api_get_number(request, "TTL", &ttl_s) != 0 || ttl_s == 0 ||
+	    ttl_s > TTL_MAX_S)
+		return api_invalid(error, "etcdserver: too large lease TTL");
+	id = leases_grant(&server->leases, (uint32_t)ttl_s);
+	return json_pack("{s:o, s:o, s:o}", "header",
+	    api_header(server, server->kv->revision), "ID", api_number(id),
+	    "TTL", api_number(ttl_s));
+}
+
+/*
+ * Renews a lease; an expired one is answered without a TTL.
+ */
+json_t *
+api_lease_keepalive(server_t *server, const json_t *request, api_error_t *error)
+{
+	json_t *result;
+	uint64_t id;
+	uint32_t ttl_s;
+
+	if (api_get_number(request, "ID", &id) != 0)
+		return api_invalid(error, "the lease is not a number");
+	ttl_s = leases_renew(&server->leases, id);
+	result = json_pack("{s:o, s:o}", "header",
+	    api_header(server, server->kv->revision), "ID", api_number(id));
+	if (ttl_s != 0)
+		json_object_set_new(result, "TTL", api_number(ttl_s));
+	return json_pack("{s:o}", "result", result);
+}
+
+/*
+ * Revokes a lease and deletes its keys.
+ */
+json_t *
+api_lease_revoke(server_t *server, const json_t *request, api_error_t *error)
+{
+	uint64_t id;
+
+	if (api_get_number(request, "ID", &id) != 0)
+		return api_invalid(error, "the lease is not a number");
+	if (!leases_revoke(&server->leases, id)) {
+		*error = (api_error_t){404, GRPC_NOT_FOUND,
+		    "etcdserver: requested lease not found"};
+		return NULL;
+	}
+	return json_pack(
+	    "{s:o}", "header", api_header(server, server->kv->revision));
+}
--- /dev/null
+++ b/tools/gwstored/fault.c
@@ -0,0 +1,102 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "fault.h"
+
+#define DELAY_MAX_MS 600000
+
+static int
+set_count(uint32_t *dest, const json_t *value)
+{
+	json_int_t number = json_integer_value(value);
+
+	if (!json_is_integer(value) || number < 0 || number > DELAY_MAX_MS)
+		return -1;
+	*dest = (uint32_t)number;
+	return 0;
+}
+
+static int
+set_flag(bool *dest, const json_t *value)
+{
+	*dest = json_is_true(value);
+	return json_is_boolean(value) ? 0 : -1;
+}
+
+static int
+set_down(fault_down_t *dest, const json_t *value)
+{
+	static const char *const names[] = {"no", "refuse", "hang"};
+	const char *name = json_string_value(value);
+
+	for (size_t i = 0; name != NULL && i < G_N_ELEMENTS(names); i++) {
+		if (strcmp(name, names[i]) != 0)
+			continue;
+		*dest = (fault_down_t)i;
+		return 0;
+	}
+	return -1;
+}
+
+static int
+set_raw(char **dest, const json_t *value)
+{
+	if (!json_is_string(value) && !json_is_null(value))
+		return -1;
+	g_free(*dest);
+	*dest = g_strdup(json_string_value(value));
+	return 0;
+}
+
+static int
+set_member(faults_t *faults, const char *name, const json_t *value)
+{
+	if (strcmp(name, "down") == 0)
+		return set_down(&faults->down, value);
+	if (strcmp(name, "delay_ms") == 0)
+		return set_count(&faults->delay_ms, value);
+	if (strcmp(name, "lose_answers") == 0)
+		return set_count(&faults->lose_answers, value);
+	if (strcmp(name, "hang_answers") == 0)
+		return set_count(&faults->hang_answers, value);
+	if (strcmp(name, "stale_reads") == 0)
+		return set_count(&faults->stale_reads, value);
+	if (strcmp(name, "watch_double") == 0)
+		return set_flag(&faults->watch_double, value);
+	if (strcmp(name, "watch_reorder") == 0)
+		return set_flag(&faults->watch_reorder, value);
+	if (strcmp(name, "compact") == 0)
+		return set_flag(&faults->compact, value);
+	if (strcmp(name, "cut_watches") == 0)
+		return set_flag(&faults->cut_watches, value);
+	if (strcmp(name, "raw_answer") == 0)
+		return set_raw(&faults->raw_answer, value);
+	return -1;
+}
+
+/*
+ * Changes the faults that the JSON object names. Returns 0, or -1 with an error
+ * that names the member; the members before it are set.
+ */
+int
+faults_update(
+    faults_t *faults, const char *json, size_t size_bytes, gw_err_t *err)
+{
+	json_t *object = json_loadb(json, size_bytes, 0, NULL), *value;
+	const char *name;
+	int rc = json_is_object(object) ? 0 : -1;
+
+	gw_err_set(err, GW_ERR_INVALID, "control", "", "not a JSON object");
+	json_object_foreach(object, name, value)
+	{
+		if (set_member(faults, name, value) == 0)
+			continue;
+		gw_err_set(err, GW_ERR_INVALID, "control", "",
+		    "bad name or value: %.100s", name);
+		rc = -1;
+		break;
+	}
+	json_decref(object);
+	return rc;
+}
--- /dev/null
+++ b/tools/gwstored/kv.h
@@ -0,0 +1,38 @@
+#ifndef GWSTORED_KV_H
+#define GWSTORED_KV_H
+
+#include <inttypes.h>
+
+#include <glib.h>
+
+/* One change of one key: a version of it, or its deletion. */
+typedef struct {
+	char *key;
+	GBytes *value; /* NULL for a deletion */
+	uint64_t create_revision;
+	uint64_t mod_revision;
+	uint64_t version;
+	uint64_t lease_id;
+} kv_event_t;
+
+typedef void (*kv_event_cb_t)(const kv_event_t *, void *arg);
+
+/* The keys in memory, with their history since the last compaction. */
+typedef struct {
+	uint64_t revision;
+	uint64_t compacted_revision; /* history up to here is gone */
+	GHashTable *keys;	     /* key -> kv_event_t, the latest */
+	GPtrArray *history;	     /* kv_event_t in order of revision */
+	kv_event_cb_t on_event;
+	void *arg;
+} kv_t;
+
+kv_t *kv_new(kv_event_cb_t, void *arg);
+void kv_free(kv_t *);
+const kv_event_t *kv_get(const kv_t *, const char *key);
+const kv_event_t *kv_get_stale(const kv_t *, const char *key);
+uint64_t kv_put(kv_t *, const char *key, GBytes *value, uint64_t lease_id);
+void kv_delete_lease(kv_t *, uint64_t lease_id);
+void kv_compact(kv_t *);
+
+#endif
--- /dev/null
+++ b/tools/gwstored/watcher.c
@@ -0,0 +1,252 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "watcher.h"
+
+/* An event held back for reordering goes out alone after this time. */
+#define HOLD_MS 100
+
+/* One watch's response; lives in the request's pool. */
+typedef struct {
+	h2o_generator_t super;
+	h2o_req_t *req;
+	server_t *server;
+	char *key;
+	GString *waiting;   /* messages not yet given to libh2o */
+	GString *in_flight; /* messages that libh2o sends */
+	bool sending;
+	bool ended;
+	json_t *held; /* event to be sent after the next one */
+	gw_timer_t release;
+	GList link;
+} watcher_t;
+
+static void
+watcher_dispose(void *data)
+{
+	watcher_t *watcher = data;
+
+	gw_timer_stop(&watcher->release);
+	g_queue_unlink(&watcher->server->watchers, &watcher->link);
+	json_decref(watcher->held);
+	g_string_free(watcher->waiting, TRUE);
+	g_string_free(watcher->in_flight, TRUE);
+	g_free(watcher->key);
+}
+
+/*
+ * Gives libh2o what waits, unless it is still sending.
+ */
+static void
+flush(watcher_t *watcher)
+{
+	h2o_iovec_t buf;
+	GString *swap;
+
+	if (watcher->sending || (watcher->waiting->len == 0 && !watcher->ended))
+		return;
+	swap = watcher->in_flight;
+	watcher->in_flight = watcher->waiting;
+	watcher->waiting = g_string_truncate(swap, 0);
+	watcher->sending = true;
+	buf = h2o_iovec_init(watcher->in_flight->str, watcher->in_flight->len);
+	h2o_send(watcher->req, &buf, buf.len > 0 ? 1 : 0,
+	    watcher->ended ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+static void
+on_proceed(h2o_generator_t *generator, h2o_req_t *req)
+{
+	watcher_t *watcher = (watcher_t *)generator;
+
+	(void)req;
+	watcher->sending = false;
+	flush(watcher);
+}
+
+static void
+on_stop(h2o_generator_t *generator, h2o_req_t *req)
+{
+	(void)generator;
+	(void)req;
+}
+
+/*
+ * Queues one message; body is the message's result, which this takes.
+ */
+static void
+send_result(watcher_t *watcher, json_t *result)
+{
+	json_t *message;
+	char *text;
+
+	json_object_set_new(result, "header",
+	    api_header(watcher->server, watcher->server->kv->revision));
+	message = json_pack("{s:o}", "result", result);
+	text = json_dumps(message, JSON_COMPACT);
+	g_string_append(watcher->waiting, text);
+	g_string_append_c(watcher->waiting, '\n');
+	free(text);
+	json_decref(message);
+	flush(watcher);
+}
+
+static void
+send_event(watcher_t *watcher, json_t *event)
+{
+	watcher->server->stats.events_sent++;
+	send_result(watcher, json_pack("{s:[O]}", "events", event));
+	if (watcher->server->faults.watch_double)
+		send_result(watcher, json_pack("{s:[O]}", "events", event));
+	json_decref(event);
+}
+
+static void
+on_release(gw_timer_t *timer, void *arg)
+{
+	watcher_t *watcher = arg;
+	json_t *held = watcher->held;
+
+	(void)timer;
+	watcher->held = NULL;
+	send_event(watcher, held);
+}
+
+/*
+ * Sends one change; on demand after the change that follows it.
+ */
+static void
+watcher_event(watcher_t *watcher, const kv_event_t *change)
+{
+	json_t *event, *held = watcher->held;
+
+	if (watcher->ended || strcmp(watcher->key, change->key) != 0)
+		return;
+	event = json_pack("{s:o}", "kv", api_kv(change));
+	if (change->value == NULL)
+		json_object_set_new(event, "type", json_string("DELETE"));
+	if (held == NULL && watcher->server->faults.watch_reorder) {
+		watcher->held = event;
+		gw_timer_start(watcher->server->rt, &watcher->release,
+		    HOLD_MS * GW_US_PER_MS, on_release, watcher);
+		return;
+	}
+	watcher->held = NULL;
+	gw_timer_stop(&watcher->release);
+	send_event(watcher, event);
+	if (held != NULL)
+		send_event(watcher, held);
+}
+
+/*
+ * Sends one change to the watches of its key.
+ */
+void
+watchers_notify(server_t *server, const kv_event_t *event)
+{
+	for (GList *item = server->watchers.head; item != NULL;
+	     item = item->next)
+		watcher_event(item->data, event);
+}
+
+static void
+send_compacted(watcher_t *watcher)
+{
+	watcher->ended = true;
+	send_result(watcher,
+	    json_pack("{s:b, s:o}", "canceled", 1, "compact_revision",
+		api_number(watcher->server->kv->compacted_revision)));
+}
+
+/*
+ * Ends all watches: as a compaction does, or without a message.
+ */
+void
+watchers_cancel(server_t *server, bool compacted)
+{
+	GList *item, *next;
+	watcher_t *watcher;
+
+	for (item = server->watchers.head; item != NULL; item = next) {
+		next = item->next;
+		watcher = item->data;
+		if (watcher->ended)
+			continue;
+		if (compacted) {
+			send_compacted(watcher);
+			continue;
+		}
+		watcher->ended = true;
+		flush(watcher);
+	}
+}
+
+static watcher_t *
+watcher_new(server_t *server, h2o_req_t *req, char *key)
+{
+	watcher_t *watcher;
+
+	watcher =
+	    h2o_mem_alloc_shared(&req->pool, sizeof(*watcher), watcher_dispose);
+	memset(watcher, 0, sizeof(*watcher));
+	watcher->super = (h2o_generator_t){on_proceed, on_stop};
+	watcher->req = req;
+	watcher->server = server;
+	watcher->key = key;
+	watcher->waiting = g_string_new(NULL);
+	watcher->in_flight = g_string_new(NULL);
+	watcher->link.data = watcher;
+	g_queue_push_tail_link(&server->watchers, &watcher->link);
+	return watcher;
+}
+
+/*
+ * Sends the changes since start_revision.
+ */
+static void
+replay(watcher_t *watcher, uint64_t start_revision)
+{
+	const kv_t *kv = watcher->server->kv;
+	const kv_event_t *event;
+
+	for (guint i = 0; i < kv->history->len; i++) {
+		event = g_ptr_array_index(kv->history, i);
+		if (event->mod_revision >= start_revision)
+			watcher_event(watcher, event);
+	}
+}
+
+/*
+ * Starts the stream of a watch. Returns -1 with the error when the request is
+ * malformed.
+ */
+int
+watcher_start(
+    server_t *server, h2o_req_t *req, const json_t *request, api_error_t *error)
+{
+	const json_t *create = json_object_get(request, "create_request");
+	uint64_t start_revision;
+	watcher_t *watcher;
+	char *key;
+
+	key = api_get_key(create, error);
+	if (key == NULL)
+		return -1;
+	if (api_get_number(create, "start_revision", &start_revision) != 0) {
+		g_free(key);
+		(void)api_invalid(error, "start_revision is not a number");
+		return -1;
+	}
+	watcher = watcher_new(server, req, key);
+	req->res.status = 200;
+	req->res.reason = "OK";
+	h2o_start_response(req, &watcher->super);
+	send_result(watcher, json_pack("{s:b}", "created", 1));
+	if (start_revision == 0)
+		return 0;
+	if (start_revision <= server->kv->compacted_revision)
+		send_compacted(watcher);
+	else
+		replay(watcher, start_revision);
+	return 0;
+}
