--- /dev/null
+++ b/lib/http/exchange.c
@@ -0,0 +1,385 @@
+#include <string.h>
+
+#include "http/exchange.h"
+
+/* The owner's timers end an exchange; libh2o's own is only a backstop. */
+#define IO_TIMEOUT_MS 3600000
+#define POOL_CAPACITY 64
+
+struct gw_target {
+	gw_rt_t *rt;
+	h2o_socketpool_t pool;
+	h2o_timeout_t io_timeout;
+	h2o_http1client_ctx_t ctx;
+	uint64_t connect_us;
+	uint32_t refs; /* the owner and each exchange */
+	char peer[GW_ADDR_TEXT_BYTES];
+};
+
+struct gw_exchange {
+	gw_target_t *target;
+	h2o_http1client_t *http; /* NULL once it has ended */
+	gw_timer_t timer;	 /* connect time-out, or a failure at once */
+	const gw_exchange_ops_t *ops;
+	void *arg;
+	GBytes *head;
+	GBytes *body; /* may be NULL */
+	h2o_iovec_t bufs[2];
+	h2o_socket_cb paused_read; /* libh2o's reader while paused */
+	bool is_head_method;
+	bool sent;
+	bool starting;
+	const char *broken_text; /* why it failed inside start */
+};
+
+/* Frees the target after libuv has closed the handles embedded in it. */
+typedef struct {
+	uv_timer_t first;
+	uv_timer_t second;
+	gw_target_t *target;
+} reaper_t;
+
+/*
+ * Returns a target at addr. A connection that is idle for idle_ms is closed.
+ */
+gw_target_t *
+gw_target_new(
+    gw_rt_t *rt, const gw_addr_t *addr, uint64_t connect_ms, uint64_t idle_ms)
+{
+	gw_target_t *target;
+	gw_addr_t copy = *addr;
+
+	target = g_new0(gw_target_t, 1);
+	target->rt = rt;
+	target->refs = 1;
+	target->connect_us = connect_ms * GW_US_PER_MS;
+	(void)gw_addr_text(addr, target->peer);
+	h2o_socketpool_init_by_address(&target->pool,
+	    (struct sockaddr *)&copy.sa, copy.len_bytes, 0, POOL_CAPACITY);
+	h2o_socketpool_set_timeout(&target->pool, gw_rt_loop(rt), idle_ms);
+	h2o_timeout_init(gw_rt_loop(rt), &target->io_timeout, IO_TIMEOUT_MS);
+	target->ctx.loop = gw_rt_loop(rt);
+	target->ctx.io_timeout = &target->io_timeout;
+	return target;
+}
+
+static void
+on_second_closed(uv_handle_t *handle)
+{
+	reaper_t *reaper = handle->data;
+
+	g_free(reaper->target);
+	g_free(reaper);
+}
+
+static void
+on_first_closed(uv_handle_t *handle)
+{
+	reaper_t *reaper = handle->data;
+
+	uv_close((uv_handle_t *)&reaper->second, on_second_closed);
+}
+
+/*
+ * Closes the idle connections. The second handle's close callback runs one
+ * round of the loop after those of the handles in the target.
+ */
+static void
+target_dispose(gw_target_t *target)
+{
+	uv_loop_t *loop = gw_rt_loop(target->rt);
+	reaper_t *reaper;
+
+	reaper = g_new0(reaper_t, 1);
+	reaper->target = target;
+	(void)uv_timer_init(loop, &reaper->first);
+	(void)uv_timer_init(loop, &reaper->second);
+	reaper->first.data = reaper;
+	reaper->second.data = reaper;
+	h2o_socketpool_dispose(&target->pool);
+	h2o_timeout_dispose(loop, &target->io_timeout);
+	uv_close((uv_handle_t *)&reaper->first, on_first_closed);
+}
+
+/*
+ * Gives the target up. Its idle connections are closed after the last exchange.
+ */
+void
+gw_target_unref(gw_target_t *target)
+{
+	if (target != NULL && --target->refs == 0)
+		target_dispose(target);
+}
+
+/*
+ * Returns the server's address as text.
+ */
+const char *
+gw_target_peer(const gw_target_t *target)
+{
+	return target->peer;
+}
+
+/*
+ * Returns the number of connections, idle ones included.
+ */
+uint32_t
+gw_target_connections(const gw_target_t *target)
+{
+	return (uint32_t)target->pool._shared.count;
+}
+
+static void
+exchange_free(gw_exchange_t *exchange)
+{
+	gw_timer_stop(&exchange->timer);
+	g_bytes_unref(exchange->head);
+	if (exchange->body != NULL)
+		g_bytes_unref(exchange->body);
+	gw_target_unref(exchange->target);
+	g_free(exchange);
+}
+
+static void
+finish(gw_exchange_t *exchange, const char *text)
+{
+	gw_err_t err;
+
+	exchange->http = NULL;
+	gw_timer_stop(&exchange->timer);
+	if (text != NULL)
+		gw_err_set(&err,
+		    exchange->sent ? GW_ERR_UNKNOWN : GW_ERR_UNAVAILABLE,
+		    exchange->sent ? "read response" : "connect",
+		    exchange->target->peer, "%s", text);
+	exchange->ops->on_end(text == NULL ? NULL : &err, exchange->arg);
+	exchange_free(exchange);
+}
+
+static void
+on_failed_at_once(gw_timer_t *timer, void *arg)
+{
+	gw_exchange_t *exchange = arg;
+
+	(void)timer;
+	finish(exchange, exchange->broken_text);
+}
+
+/*
+ * Reports a failure; from the loop when the owner does not have the pointer
+ * yet.
+ */
+static void
+finish_broken(gw_exchange_t *exchange, const char *text)
+{
+	exchange->http = NULL;
+	if (!exchange->starting) {
+		finish(exchange, text);
+		return;
+	}
+	exchange->broken_text = text;
+	gw_timer_start(exchange->target->rt, &exchange->timer, 0,
+	    on_failed_at_once, exchange);
+}
+
+static void
+on_connect_timeout(gw_timer_t *timer, void *arg)
+{
+	gw_exchange_t *exchange = arg;
+
+	(void)timer;
+	h2o_http1client_cancel(exchange->http);
+	finish(exchange, "connect time-out");
+}
+
+/*
+ * Hands the received piece to the owner. Returns non-zero to end the exchange.
+ */
+static int
+take_body(gw_exchange_t *exchange)
+{
+	h2o_buffer_t **input = &exchange->http->sock->input;
+	size_t size_bytes = (*input)->size;
+	int rc;
+
+	if (size_bytes == 0)
+		return 0;
+	rc =
+	    exchange->ops->on_body((*input)->bytes, size_bytes, exchange->arg);
+	h2o_buffer_consume(input, size_bytes);
+	return rc;
+}
+
+static int
+on_body(h2o_http1client_t *http, const char *errstr)
+{
+	gw_exchange_t *exchange = http->data;
+	bool is_last = errstr == h2o_http1client_error_is_eos;
+
+	if (errstr != NULL && !is_last) {
+		finish_broken(exchange, errstr);
+		return 0;
+	}
+	if (take_body(exchange) != 0) {
+		finish_broken(exchange, "response given up");
+		return -1;
+	}
+	if (is_last)
+		finish(exchange, NULL);
+	return 0;
+}
+
+/*
+ * Takes the connection from libh2o and closes it, so that it is not reused.
+ */
+static void
+drop_connection(h2o_http1client_t *http)
+{
+	h2o_socket_t *sock;
+
+	sock = h2o_http1client_steal_socket(http);
+	h2o_socket_close(sock);
+}
+
+/*
+ * Ends an exchange whose response has no body. libh2o would reuse the
+ * connection even if bytes follow the head.
+ */
+static void
+finish_at_head(
+    gw_exchange_t *exchange, h2o_http1client_t *http, int rlen, int rc)
+{
+	if (rc != 0 || http->sock->input->size > (size_t)rlen)
+		drop_connection(http);
+	finish(exchange, rc == 0 ? NULL : "response given up");
+}
+
+static h2o_http1client_body_cb
+on_head(h2o_http1client_t *http, const char *errstr, int minor_version,
+    int status, h2o_iovec_t msg, h2o_header_t *headers, size_t num_headers,
+    int rlen)
+{
+	gw_exchange_t *exchange = http->data;
+	gw_exchange_head_t head = {status, headers, num_headers,
+	    errstr == h2o_http1client_error_is_eos};
+	int rc;
+
+	(void)minor_version;
+	(void)msg;
+	if (errstr != NULL && !head.is_last) {
+		finish_broken(exchange, errstr);
+		return NULL;
+	}
+	rc = exchange->ops->on_head(&head, exchange->arg);
+	if (head.is_last) {
+		finish_at_head(exchange, http, rlen, rc);
+		return NULL;
+	}
+	if (rc != 0) {
+		finish_broken(exchange, "response given up");
+		return NULL;
+	}
+	return on_body;
+}
+
+static h2o_http1client_head_cb
+on_connect(h2o_http1client_t *http, const char *errstr, h2o_iovec_t **reqbufs,
+    size_t *reqbufcnt, int *method_is_head)
+{
+	gw_exchange_t *exchange = http->data;
+
+	if (errstr != NULL) {
+		finish_broken(exchange, errstr);
+		return NULL;
+	}
+	gw_timer_stop(&exchange->timer);
+	exchange->sent = true;
+	if (exchange->ops->on_send != NULL)
+		exchange->ops->on_send(exchange->arg);
+	*reqbufs = exchange->bufs;
+	*reqbufcnt = exchange->bufs[1].len > 0 ? 2 : 1;
+	*method_is_head = exchange->is_head_method;
+	return on_head;
+}
+
+static h2o_iovec_t
+bytes_iovec(GBytes *bytes)
+{
+	gsize size_bytes = 0;
+	const void *data;
+
+	if (bytes == NULL)
+		return h2o_iovec_init(NULL, 0);
+	data = g_bytes_get_data(bytes, &size_bytes);
+	return h2o_iovec_init(data, size_bytes);
+}
+
+/*
+ * Sends head (request line and headers up to the empty line) and body (may be
+ * NULL) on an idle or a new connection. Takes its own references.
+ */
+gw_exchange_t *
+gw_exchange_start(gw_target_t *target, GBytes *head, GBytes *body,
+    bool is_head_method, const gw_exchange_ops_t *ops, void *arg)
+{
+	gw_exchange_t *exchange;
+
+	exchange = g_new0(gw_exchange_t, 1);
+	exchange->target = target;
+	target->refs++;
+	exchange->ops = ops;
+	exchange->arg = arg;
+	exchange->head = g_bytes_ref(head);
+	exchange->body = body == NULL ? NULL : g_bytes_ref(body);
+	exchange->bufs[0] = bytes_iovec(head);
+	exchange->bufs[1] = bytes_iovec(body);
+	exchange->is_head_method = is_head_method;
+	exchange->starting = true;
+	gw_timer_start(target->rt, &exchange->timer, target->connect_us,
+	    on_connect_timeout, exchange);
+	h2o_http1client_connect_with_pool(&exchange->http, exchange,
+	    &target->ctx, &target->pool, on_connect);
+	exchange->starting = false;
+	return exchange;
+}
+
+/*
+ * Ends the exchange without a callback and closes its connection, so that a
+ * late response is never read.
+ */
+void
+gw_exchange_cancel(gw_exchange_t *exchange)
+{
+	if (exchange->http != NULL)
+		h2o_http1client_cancel(exchange->http);
+	exchange_free(exchange);
+}
+
+/*
+ * Stops reading the response body. Called from on_body only.
+ */
+void
+gw_exchange_pause(gw_exchange_t *exchange)
+{
+	h2o_socket_t *sock;
+
+	if (exchange->http == NULL || exchange->paused_read != NULL)
+		return;
+	sock = exchange->http->sock;
+	exchange->paused_read = sock->_cb.read;
+	h2o_socket_read_stop(sock);
+}
+
+/*
+ * Goes on reading after gw_exchange_pause().
+ */
+void
+gw_exchange_resume(gw_exchange_t *exchange)
+{
+	h2o_socket_cb read_cb = exchange->paused_read;
+
+	if (exchange->http == NULL || read_cb == NULL)
+		return;
+	exchange->paused_read = NULL;
+	h2o_socket_read_start(exchange->http->sock, read_cb);
+}
--- a/lib/http/httpd.c
+++ b/lib/http/httpd.c
@@ -1,3 +1,4 @@
+#include <poll.h>
 #include <string.h>
 
 #include <glib.h>
@@ -209,6 +210,34 @@
 	g_free(httpd);
 }
 
+/*
+ * Returns the descriptor of the caller's HTTP/1 connection, to watch for the
+ * caller's end: libh2o does not read while a request is handled. Returns -1
+ * for HTTP/2, where the request's memory is released when the caller goes.
+ */
+int
+gw_http_caller_fd(h2o_req_t *req)
+{
+	h2o_socket_t *sock;
+
+	if (req->version >= 0x200)
+		return -1;
+	sock = req->conn->callbacks->get_socket(req->conn);
+	return sock == NULL ? -1 : h2o_socket_get_fd(sock);
+}
+
+/*
+ * Tells whether the caller of an HTTP/1 request has closed its connection.
+ */
+bool
+gw_http_caller_gone(h2o_req_t *req)
+{
+	struct pollfd pfd = {.events = POLLRDHUP};
+
+	pfd.fd = gw_http_caller_fd(req);
+	return pfd.fd >= 0 && poll(&pfd, 1, 0) == 1;
+}
+
 /*
  * Answers with a whole body, which is copied. content_type must be a constant.
  */
--- a/lib/http/httpd.h
+++ b/lib/http/httpd.h
@@ -1,6 +1,7 @@
 #ifndef HTTP_HTTPD_H
 #define HTTP_HTTPD_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -34,6 +35,8 @@
 uint32_t gw_httpd_connections(const gw_httpd_t *);
 void gw_httpd_free(gw_httpd_t *);
 
+int gw_http_caller_fd(h2o_req_t *);
+bool gw_http_caller_gone(h2o_req_t *);
 void gw_http_reply(h2o_req_t *, int status, const char *content_type,
     const void *body, size_t size_bytes);
 void gw_http_reply_error(
