--- a/tools/gwendpoint/service.h
+++ b/tools/gwendpoint/service.h
@@ -22,6 +22,6 @@
 	uint32_t served;
 } service_t;
 
-int service_handle(h2o_req_t *, void *service);
+int service_handle(h2o_req_t *, void *arg);
 
 #endif
