Add budgets, waves and lending

The planner needs to know what it may take out of service. A data centre's share of a budget is computed from the manifest by largest remainder; room for the largest failure domain is kept in each share, or once in the whole budget when pools have few instances per data centre. Waves and lending work on one index per round in which earlier actions count as carried out.

--- a/lib/policy/plan.h
+++ b/lib/policy/plan.h
@@ -17,6 +17,8 @@
 	uint32_t in_flight;
 	uint32_t slots_wanted; /* demand in slots, as the routers report it */
 	uint32_t refused;      /* since the last round */
+	/* Idle slots of the pool in other data centres that can be reached. */
+	uint32_t slots_elsewhere;
 } plan_demand_t;
 
 typedef enum {
@@ -67,6 +69,13 @@
 
 plan_lending_t *plan_lending_new(void);
 void plan_lending_free(plan_lending_t *);
+/* Instances of the data centre to hold idle, as of the last round. */
+uint32_t plan_lending_buffer(const plan_lending_t *);
+/*
+ * Instances of the pool to hold for requests, busy ones included. Those
+ * beyond may run work that can be stopped at once.
+ */
+uint32_t plan_lending_hold(const plan_lending_t *, const char *pool);
 
 /*
  * How many more instances of the pool may be taken out of service now, in this
@@ -74,6 +83,10 @@
  */
 uint32_t plan_budget_left(const plan_input_t *, const char *pool);
 
+/* True when the wave's failures call for a halt; writes the reason. */
+bool plan_wave_must_halt(
+    const plan_wave_t *, char *reason, uint32_t size_bytes);
+
 /* Adds the reboots that the waves want now, as wide as budgets allow. */
 void plan_waves(const plan_input_t *, uint64_t now_us, GPtrArray *actions);
 
--- /dev/null
+++ b/lib/policy/plan_index.c
@@ -0,0 +1,256 @@
+#include <string.h>
+
+#include "policy/budget.h"
+#include "policy/plan_index.h"
+
+static void
+pool_free(gpointer data)
+{
+	plan_pool_t *pool = data;
+
+	g_array_free(pool->domains, TRUE);
+	g_ptr_array_free(pool->active, TRUE);
+	g_free(pool);
+}
+
+static plan_pool_t *
+pool_get(plan_index_t *index, const char *name)
+{
+	plan_pool_t *pool = g_hash_table_lookup(index->pools, name);
+
+	if (pool != NULL)
+		return pool;
+	pool = g_new0(plan_pool_t, 1);
+	pool->name = name;
+	pool->domains = g_array_new(FALSE, TRUE, sizeof(plan_domain_t));
+	pool->active = g_ptr_array_new();
+	g_hash_table_insert(index->pools, (gpointer)name, pool);
+	g_ptr_array_add(index->ordered, pool);
+	return pool;
+}
+
+static plan_floor_t
+floor_of(const manifest_t *manifest, const manifest_pool_t *pool,
+    const char *data_centre)
+{
+	budget_share_t share = budget_share(manifest, pool, data_centre);
+	plan_floor_t result = {.bounded = true};
+
+	result.instances = share.instances;
+	result.minimum = share.minimum;
+	if (share.limited) {
+		result.floor =
+		    share.instances - MIN(share.instances, share.share);
+		result.keep_domain = !share.domain_reserved;
+	}
+	return result;
+}
+
+static void
+add_manifest(plan_index_t *index, const manifest_t *manifest, bool in_force)
+{
+	const char *data_centre = index->input->data_centre;
+
+	for (uint32_t i = 0; manifest != NULL && i < manifest->pools->len;
+	     i++) {
+		const manifest_pool_t *source =
+		    &g_array_index(manifest->pools, manifest_pool_t, i);
+		plan_pool_t *pool = pool_get(index, source->name);
+
+		if (in_force) {
+			pool->pool = source;
+			pool->now = floor_of(manifest, source, data_centre);
+		} else {
+			pool->before = floor_of(manifest, source, data_centre);
+		}
+	}
+}
+
+static plan_domain_t *
+domain_of(plan_pool_t *pool, const char *name)
+{
+	plan_domain_t fresh = {.name = name};
+
+	for (uint32_t i = 0; i < pool->domains->len; i++) {
+		plan_domain_t *domain =
+		    &g_array_index(pool->domains, plan_domain_t, i);
+		if (strcmp(domain->name, name) == 0)
+			return domain;
+	}
+	g_array_append_val(pool->domains, fresh);
+	return &g_array_index(
+	    pool->domains, plan_domain_t, pool->domains->len - 1);
+}
+
+/*
+ * True while maintenance has the instance out of service.
+ */
+bool
+plan_in_service(const member_instance_t *inst)
+{
+	switch (inst->state) {
+	case MEMBER_REBOOTING:
+	case MEMBER_CHECKING:
+		return true;
+	case MEMBER_LEAVING:
+	case MEMBER_DRAINED:
+		return inst->purpose == MEMBER_FOR_REBOOT;
+	default:
+		return false;
+	}
+}
+
+static void
+add_instance(plan_index_t *index, member_instance_t *inst)
+{
+	plan_pool_t *pool = pool_get(index, inst->pool);
+
+	if (inst->state == MEMBER_ACTIVE) {
+		pool->available++;
+		domain_of(pool, inst->failure_domain)->available++;
+		g_ptr_array_add(pool->active, inst);
+	} else if (plan_in_service(inst)) {
+		pool->serviced++;
+	} else if (inst->state == MEMBER_JOINING) {
+		pool->inbound++;
+	} else if (inst->state != MEMBER_ENDED &&
+	    inst->target_pool[0] != '\0') {
+		pool_get(index, inst->target_pool)->inbound++;
+	}
+}
+
+/*
+ * Indexes the input for one round. Instances with an action in actions count
+ * as taken out already, so that several policies add to one list.
+ */
+plan_index_t *
+plan_index_new(const plan_input_t *input, const GPtrArray *actions)
+{
+	plan_index_t *index = g_new0(plan_index_t, 1);
+
+	index->input = input;
+	index->pools =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+	index->ordered = g_ptr_array_new();
+	index->taken = g_hash_table_new(g_str_hash, g_str_equal);
+	add_manifest(index, input->manifest, true);
+	add_manifest(index, input->previous, false);
+	for (uint32_t i = 0; actions != NULL && i < actions->len; i++) {
+		const plan_action_t *action = actions->pdata[i];
+
+		if (action->kind == PLAN_BIND)
+			continue;
+		g_hash_table_add(index->taken, (gpointer)action->instance_id);
+		if (action->kind == PLAN_MOVE)
+			pool_get(index, action->target_pool)->inbound++;
+	}
+	for (uint32_t i = 0; i < input->table->instances->len; i++) {
+		member_instance_t *inst = input->table->instances->pdata[i];
+
+		if (!plan_index_taken(index, inst))
+			add_instance(index, inst);
+	}
+	return index;
+}
+
+void
+plan_index_free(plan_index_t *index)
+{
+	g_hash_table_destroy(index->pools);
+	g_hash_table_destroy(index->taken);
+	g_ptr_array_free(index->ordered, TRUE);
+	g_free(index);
+}
+
+plan_pool_t *
+plan_index_pool(const plan_index_t *index, const char *name)
+{
+	return g_hash_table_lookup(index->pools, name);
+}
+
+bool
+plan_index_taken(const plan_index_t *index, const member_instance_t *inst)
+{
+	return g_hash_table_size(index->taken) > 0 &&
+	    g_hash_table_contains(index->taken, inst->id);
+}
+
+void
+plan_index_take(plan_index_t *index, const member_instance_t *inst)
+{
+	plan_pool_t *pool = plan_index_pool(index, inst->pool);
+
+	if (!g_hash_table_add(index->taken, (gpointer)inst->id) ||
+	    inst->state != MEMBER_ACTIVE)
+		return;
+	pool->available--;
+	domain_of(pool, inst->failure_domain)->available--;
+	g_ptr_array_remove(pool->active, (gpointer)inst);
+}
+
+uint32_t
+plan_pool_largest_domain(const plan_pool_t *pool)
+{
+	uint32_t largest = 0;
+
+	for (uint32_t i = 0; i < pool->domains->len; i++)
+		largest = MAX(largest,
+		    g_array_index(pool->domains, plan_domain_t, i).available);
+	return largest;
+}
+
+static uint32_t
+left_by(const plan_pool_t *pool, const plan_floor_t *floor)
+{
+	uint32_t keep = floor->floor;
+
+	if (!floor->bounded)
+		return pool->available;
+	if (floor->keep_domain)
+		keep += plan_pool_largest_domain(pool);
+	keep = MAX(keep, floor->minimum);
+	return pool->available - MIN(pool->available, keep);
+}
+
+/*
+ * While two generations are in use, the smaller of the two results holds.
+ */
+uint32_t
+plan_pool_left(const plan_pool_t *pool)
+{
+	uint32_t left = left_by(pool, &pool->now);
+
+	return MIN(left, left_by(pool, &pool->before));
+}
+
+plan_action_t *
+plan_action_add(GPtrArray *actions, plan_action_kind_t kind,
+    const char *instance_id, const char *target_pool)
+{
+	plan_action_t *action = g_new0(plan_action_t, 1);
+
+	action->kind = kind;
+	g_strlcpy(
+	    action->instance_id, instance_id, sizeof(action->instance_id));
+	if (target_pool != NULL)
+		g_strlcpy(action->target_pool, target_pool,
+		    sizeof(action->target_pool));
+	g_ptr_array_add(actions, action);
+	return action;
+}
+
+/*
+ * Instances of the pool that may still be taken out of service in this data
+ * centre: neither the budget's share nor the pool's minimum is undercut, even
+ * if the largest failure domain is lost right after.
+ */
+uint32_t
+plan_budget_left(const plan_input_t *input, const char *pool)
+{
+	plan_index_t *index = plan_index_new(input, NULL);
+	const plan_pool_t *found = plan_index_pool(index, pool);
+	uint32_t left = found != NULL ? plan_pool_left(found) : 0;
+
+	plan_index_free(index);
+	return left;
+}
