Add the first form of the policies' measurement

Drives queues, choice, outlier detection, lending and waves of both users' fleets from a seeded arrival process, with baselines and some of the faults.

--- a/lib/http/exchange.c
+++ b/lib/http/exchange.c
@@ -204,8 +204,7 @@
 
 	if (size_bytes == 0)
 		return 0;
-	rc =
-	    exchange->ops->on_body((*input)->bytes, size_bytes, exchange->arg);
+	rc = exchange->ops->on_body((*input)->bytes, size_bytes, exchange->arg);
 	h2o_buffer_consume(input, size_bytes);
 	return rc;
 }
@@ -337,8 +336,8 @@
 	exchange->starting = true;
 	gw_timer_start(target->rt, &exchange->timer, target->connect_us,
 	    on_connect_timeout, exchange);
-	h2o_http1client_connect_with_pool(&exchange->http, exchange,
-	    &target->ctx, &target->pool, on_connect);
+	h2o_http1client_connect_with_pool(
+	    &exchange->http, exchange, &target->ctx, &target->pool, on_connect);
 	exchange->starting = false;
 	return exchange;
 }
--- a/lib/policy/buffer.c
+++ b/lib/policy/buffer.c
@@ -60,22 +60,35 @@
 	return (x > y) - (x < y);
 }
 
+static uint32_t
+nearly_highest(const uint32_t *samples, uint32_t count)
+{
+	uint32_t sorted[BUFFER_ROUNDS];
+
+	memcpy(sorted, samples, count * sizeof(sorted[0]));
+	qsort(sorted, count, sizeof(sorted[0]), by_size);
+	return sorted[count - 1 - count / EXCEED_ONE_IN];
+}
+
 /*
  * Idle instances to hold: the rise of demand that 99 of 100 rounds stayed
- * below, the failures seen lately, and the instances in maintenance.
+ * below, the failures seen lately, and the instances in maintenance. Demand
+ * that is near its highest level already is not expected to rise as far: the
+ * pools surge in turn.
  */
 uint32_t
 buffer_instances(
     const buffer_t *buffer, uint32_t slots_per_instance, uint32_t serviced)
 {
 	uint32_t kept = (uint32_t)MIN(buffer->rounds, BUFFER_ROUNDS);
-	uint32_t sorted[BUFFER_ROUNDS], rise;
+	uint32_t rise, highest, now;
 
 	if (kept == 0)
 		return 0;
-	memcpy(sorted, buffer->rises, kept * sizeof(sorted[0]));
-	qsort(sorted, kept, sizeof(sorted[0]), by_size);
-	rise = sorted[kept - 1 - kept / EXCEED_ONE_IN];
+	rise = nearly_highest(buffer->rises, kept);
+	highest = nearly_highest(buffer->slots, kept);
+	now = buffer->slots[(buffer->rounds - 1) % BUFFER_ROUNDS];
+	rise = MIN(rise, highest - MIN(highest, now));
 	slots_per_instance = MAX(slots_per_instance, 1);
 	return (rise + slots_per_instance - 1) / slots_per_instance +
 	    buffer->failed + serviced;
--- a/lib/policy/fairq.c
+++ b/lib/policy/fairq.c
@@ -139,6 +139,7 @@
 	item->queued = true;
 	q->queued++;
 	team->queued++;
+	team->queued_of[item->request_class]++;
 	q->ops->queued(q, entry);
 	return FAIRQ_ADMITTED;
 }
@@ -150,6 +151,7 @@
 	entry->item->queued = false;
 	q->queued--;
 	entry->team->queued--;
+	entry->team->queued_of[entry->item->request_class]--;
 }
 
 static void
@@ -236,6 +238,27 @@
 	return q->queued;
 }
 
+/*
+ * Slots in use, and those that would finish the queued work within a second,
+ * by learned costs. Demand in this unit tells a burst of short requests from
+ * a surge.
+ */
+uint32_t
+fairq_slots_wanted(const fairq_t *q)
+{
+	const fairq_team_t *team;
+	GHashTableIter iter;
+	uint64_t work_us = 0;
+
+	g_hash_table_iter_init(&iter, q->teams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team))
+		for (int i = 0; i < CLASS_COUNT; i++)
+			work_us +=
+			    team->queued_of[i] * cost_class_us(&q->cost, i);
+	return q->running.length +
+	    (uint32_t)((work_us + GW_US_PER_S - 1) / GW_US_PER_S);
+}
+
 /*
  * Estimated wait of a new item of the team and class. Costs of the queued
  * items are those learned for the team and class, so the route does not
--- a/lib/policy/fairq_impl.h
+++ b/lib/policy/fairq_impl.h
@@ -26,6 +26,7 @@
 	char name[MANIFEST_NAME_BYTES];
 	uint32_t weight;
 	uint32_t queued;
+	uint32_t queued_of[CLASS_COUNT];
 	uint32_t running;
 	uint64_t tag;
 	uint64_t line_clock; /* virtual time among the team's classes */
--- a/lib/policy/lending_adaptive.c
+++ b/lib/policy/lending_adaptive.c
@@ -88,8 +88,8 @@
  * of the pool's own first, then the spare pool, then the pool whose next
  * surge is farthest away.
  */
-static bool
-help(lending_round_t *round, lending_pool_t *to, const char *why)
+bool
+lending_help(lending_round_t *round, lending_pool_t *to, const char *why)
 {
 	lending_pool_t *best = NULL;
 	member_instance_t *found = NULL;
@@ -100,7 +100,8 @@
 		member_instance_t *inst;
 		uint64_t rank;
 
-		if (from == to || spare_of(from) == 0)
+		if (from == to || spare_of(from) == 0 ||
+		    (to->to_maintain > 0 && from->to_maintain > 0))
 			continue;
 		inst = movable(round, from, to);
 		if (inst == NULL)
@@ -164,7 +165,8 @@
 	for (uint32_t i = 0; i < round->pools->len; i++) {
 		lending_pool_t *pool = round->pools->pdata[i];
 
-		while (below_budget(pool) > 0 && help(round, pool, "repair"))
+		while (below_budget(pool) > 0 &&
+		    lending_help(round, pool, "repair"))
 			;
 	}
 }
@@ -204,14 +206,14 @@
 			pool->short_rounds = 0;
 	}
 	while ((pool = shortest(round, given_up)) != NULL)
-		if (!help(round, pool, "demand"))
+		if (!lending_help(round, pool, "demand"))
 			g_hash_table_add(given_up, pool);
 	g_hash_table_destroy(given_up);
 }
 
 /*
  * Returns a lent instance that its borrower has not needed for the rule's
- * time. An owner's need is served earlier, by help().
+ * time. An owner's need is served earlier, by lending_help().
  */
 static void
 return_idle(lending_round_t *round, lending_pool_t *at)
@@ -257,6 +259,7 @@
 	lending_observe(&round);
 	repair(&round);
 	serve_demand(&round);
+	lending_cover(&round);
 	for (uint32_t i = 0; i < round.pools->len; i++)
 		return_idle(&round, round.pools->pdata[i]);
 	lending_hold(&round);
--- a/lib/policy/lending_impl.h
+++ b/lib/policy/lending_impl.h
@@ -16,10 +16,11 @@
 	uint32_t hold;
 	/* Of the present round: */
 	plan_pool_t *pool;
-	uint32_t slots;	    /* per instance */
-	uint32_t need;	    /* instances */
-	uint32_t have;	    /* instances, those on their way included */
-	uint32_t elsewhere; /* instances' worth of slots elsewhere */
+	uint32_t slots;	      /* per instance */
+	uint32_t need;	      /* instances */
+	uint32_t have;	      /* instances, those on their way included */
+	uint32_t elsewhere;   /* instances' worth of slots elsewhere */
+	uint32_t to_maintain; /* active instances that a wave waits for */
 } lending_pool_t;
 
 /* A lending rule with the loans that it covers now. */
@@ -57,6 +58,9 @@
 void lending_rules_open(lending_round_t *);
 lending_rule_t *lending_rule(
     const lending_round_t *, const char *from, const char *to);
+/* Lets a pool lend to another while its own needs are met. */
+bool lending_help(lending_round_t *, lending_pool_t *to, const char *why);
+void lending_cover(lending_round_t *);
 void lending_observe(lending_round_t *);
 void lending_hold(lending_round_t *);
 /* How long an instance stays where it was moved to, unless it is recalled. */
--- a/lib/policy/lending_observe.c
+++ b/lib/policy/lending_observe.c
@@ -123,6 +123,7 @@
 		pool->slots = MAX(indexed->pool->slots_per_instance, 1);
 		pool->need = 0;
 		pool->elsewhere = 0;
+		pool->to_maintain = 0;
 		pool->have = indexed->available + indexed->inbound;
 		pool->seen_us = round->now_us;
 		g_ptr_array_add(round->pools, pool);
--- /dev/null
+++ b/policy/fleet.h
@@ -0,0 +1,145 @@
+#ifndef POLICY_FLEET_H
+#define POLICY_FLEET_H
+
+#include <stdio.h>
+
+#include "policy/choice.h"
+#include "policy/outlier.h"
+#include "fixture.h"
+#include "histogram.h"
+#include "traffic.h"
+
+#define STEP_US 5000
+#define UPKEEP_US (100 * GW_US_PER_MS)
+#define PLAN_US (500 * GW_US_PER_MS)
+#define RUN_US (280 * GW_US_PER_S)
+#define WHEEL_STEPS 65536
+#define WINDOW_US (10 * GW_US_PER_S)
+#define MAX_WINDOWS 40
+#define MAX_HOSTS 32 /* of one pool in one data centre */
+#define MAX_WAVES 2
+#define LATE_ROUNDS 20 /* usage reports late by 10 s */
+
+/* Durations of the platform, as the measurement assumes them. */
+#define ACK_US (600 * GW_US_PER_MS)  /* all routers know of a leave */
+#define JOIN_US (400 * GW_US_PER_MS) /* all routers know of a join */
+#define REBOOT_US (20 * GW_US_PER_S)
+#define CHECK_US (3 * GW_US_PER_S)
+#define RECLAIM_US GW_US_PER_S	    /* other work gives way */
+#define NOTICE_US (2 * GW_US_PER_S) /* the platform reports a loss */
+
+/* What goes wrong in a run; times are in fleet_faults.c. */
+typedef struct {
+	const char *name;
+	uint32_t waves; /* 0, 1 or 2 overlapping ones */
+	bool rack_loss, dc_loss, late_usage, broken, cancel, change;
+	double turn_factor; /* of settlement run times, 0 none */
+} scenario_t;
+
+/* One instance as it really is; the planner sees inst. */
+typedef struct {
+	member_instance_t *inst;
+	uint32_t dc;
+	uint32_t pool; /* that it serves */
+	uint32_t in_flight;
+	uint32_t recent_us;
+	GQueue running;	   /* request_t */
+	uint64_t ready_us; /* end of the present state's fixed time */
+	uint64_t leave_us; /* when it began to leave */
+	bool lost, broken, held;
+	uint64_t lost_us;
+	uint64_t held_from_us;
+} host_t;
+
+/* A caller's request, at one router. */
+typedef struct {
+	fairq_item_t item;
+	GList queue_link, host_link;
+	uint32_t pool, dc, team;
+	uint32_t starts;
+	uint64_t service_us;
+	uint64_t first_us; /* arrival of the first attempt */
+	bool idempotent, orphan;
+	host_t *host;
+} request_t;
+
+/* A pool in one data centre, with its router's queue. */
+typedef struct {
+	fairq_t *q;
+	outlier_t *outlier;
+	GQueue queued; /* request_t, for cancellations */
+	plan_demand_t demand[LATE_ROUNDS + 1];
+	choice_t choices[MAX_HOSTS];
+	uint32_t choice_count;
+	uint32_t free_slots;
+} site_t;
+
+typedef struct {
+	char name[8];
+	bool alive;
+	member_table_t *table;
+	plan_lending_t *lending;
+	GPtrArray *waves;  /* plan_wave_t */
+	GPtrArray *demand; /* plan_demand_t */
+	uint64_t wave_done_us[MAX_WAVES];
+	bool changed; /* the new generation is in force here */
+	site_t sites[USER_MAX_POOLS];
+} dc_t;
+
+/* What a run yields. */
+typedef struct {
+	double idle_s; /* held idle instance-seconds */
+	double wave_s, wave_bound_s;
+	uint64_t moves, requests, refused, errors, unknown, cancelled;
+	uint64_t admitted, completed, expired;
+	uint64_t violations, excused, double_runs, losses, late_work;
+	uint64_t drains, drain_us;
+	double min_share;
+	double offered[MAX_WINDOWS][USER_SERVICES][USER_TEAMS];
+	double done[MAX_WINDOWS][USER_SERVICES][USER_TEAMS];
+	double capacity[MAX_WINDOWS][USER_SERVICES];
+	histogram_t waits[CLASS_COUNT];
+} result_t;
+
+typedef struct {
+	const user_t *user;
+	const variant_t *variant;
+	const scenario_t *scenario;
+	gw_clock_t clock;
+	uint64_t now_us;
+	GRand *rand;
+	traffic_t traffic;
+	manifest_t *manifest, *changed; /* changed: the newer generation */
+	dc_t dcs[USER_MAX_DCS];
+	GPtrArray *hosts; /* host_t */
+	GPtrArray *wheel[WHEEL_STEPS];
+	uint64_t retries;
+	FILE *trace; /* one line per 100 ms, or NULL */
+	result_t *result;
+} fleet_t;
+
+fleet_t *fleet_new(
+    const user_t *, const variant_t *, const scenario_t *, uint32_t seed);
+void fleet_free(fleet_t *);
+const manifest_t *fleet_manifest(const fleet_t *, const dc_t *);
+const manifest_t *fleet_previous(const fleet_t *, const dc_t *);
+bool fleet_available(const host_t *);
+
+void fleet_arrivals(fleet_t *);
+void fleet_complete(fleet_t *);
+void fleet_dispatch(fleet_t *);
+void fleet_lose_host(fleet_t *, host_t *);
+void fleet_upkeep(fleet_t *);
+void fleet_plan(fleet_t *);
+void fleet_faults(fleet_t *);
+void fleet_account(fleet_t *);
+/* Checks a planned action against the whole fleet's budget. */
+void fleet_check_budget(fleet_t *, uint32_t dc, uint32_t pool);
+void fleet_check_held(fleet_t *);
+double fleet_wave_bound_s(const fleet_t *);
+
+/* Runs the whole scenario; result is cleared first. */
+void fleet_run(const user_t *, const variant_t *, const scenario_t *,
+    uint32_t seed, const char *trace_path, result_t *);
+
+#endif
--- /dev/null
+++ b/policy/fleet_faults.c
@@ -0,0 +1,169 @@
+#include <string.h>
+
+#include "fleet.h"
+
+#define WAVE_AT_US (40 * GW_US_PER_S)
+#define SECOND_WAVE_AT_US (50 * GW_US_PER_S)
+#define RACK_AT_US (70 * GW_US_PER_S)
+#define RACK_BACK_US (130 * GW_US_PER_S)
+#define DC_AT_US (80 * GW_US_PER_S)
+#define DC_BACK_US (120 * GW_US_PER_S)
+#define BROKEN_AT_US (60 * GW_US_PER_S)
+#define BROKEN_END_US (140 * GW_US_PER_S)
+#define CANCEL_AFTER_US (80 * GW_US_PER_S)
+#define CHANGE_AT_US (75 * GW_US_PER_S)
+/* A generation is in force everywhere within 12 s. */
+#define CHANGE_STEP_US (4 * GW_US_PER_S)
+#define TURN_AT_US (60 * GW_US_PER_S)
+#define BROKEN_PERCENT 30
+
+static bool
+now_at(const fleet_t *fleet, uint64_t at_us)
+{
+	return fleet->now_us == at_us;
+}
+
+static void
+start_wave(fleet_t *fleet, uint32_t number)
+{
+	const char *name =
+	    g_array_index(fleet->manifest->waves, manifest_wave_t, number).name;
+
+	if (number == 0)
+		fleet->result->wave_bound_s = fleet_wave_bound_s(fleet);
+	for (uint32_t d = 0; d < fleet->user->data_centres; d++)
+		g_ptr_array_add(fleet->dcs[d].waves, fixture_progress(name));
+}
+
+static void
+lose(fleet_t *fleet, const char *prefix, bool back)
+{
+	for (uint32_t i = 0; i < fleet->hosts->len; i++) {
+		host_t *host = fleet->hosts->pdata[i];
+		member_instance_t *inst = host->inst;
+
+		if (!g_str_has_prefix(inst->failure_domain, prefix))
+			continue;
+		if (!back) {
+			fleet_lose_host(fleet, host);
+			continue;
+		}
+		host->lost = false;
+		host->ready_us = fleet->now_us + JOIN_US;
+		inst->state = MEMBER_JOINING;
+		inst->purpose = MEMBER_FOR_NONE;
+		inst->target_pool[0] = '\0';
+	}
+}
+
+/*
+ * The routers go with the data centre: callers see broken connections.
+ */
+static void
+lose_queues(fleet_t *fleet, dc_t *dc)
+{
+	for (uint32_t p = 0; p < USER_SERVICES; p++) {
+		site_t *site = &dc->sites[p];
+		GList *link;
+
+		while ((link = g_queue_pop_head_link(&site->queued)) != NULL) {
+			request_t *request = link->data;
+
+			fairq_remove(site->q, &request->item);
+			fleet->result->unknown++;
+			g_free(request);
+		}
+	}
+}
+
+static void
+break_workers(fleet_t *fleet, bool broken)
+{
+	for (uint32_t i = 0; i < fleet->hosts->len; i++) {
+		host_t *host = fleet->hosts->pdata[i];
+		host->broken = broken &&
+		    g_rand_int_range(fleet->rand, 0, 100) < BROKEN_PERCENT;
+	}
+}
+
+/*
+ * Nine tenths of the queued requests of one pool are cancelled at once. Work
+ * that stays behind counts as lost.
+ */
+static void
+cancel(fleet_t *fleet, uint32_t pool)
+{
+	for (uint32_t d = 0; d < fleet->user->data_centres; d++) {
+		site_t *site = &fleet->dcs[d].sites[pool];
+		uint32_t keep = site->queued.length / 10;
+
+		while (site->queued.length > keep) {
+			GList *link = g_queue_pop_tail_link(&site->queued);
+			request_t *request = link->data;
+
+			fairq_remove(site->q, &request->item);
+			fleet->result->cancelled++;
+			g_free(request);
+		}
+		if (fairq_length(site->q) != keep)
+			fleet->result->losses++;
+	}
+}
+
+static void
+adopt(fleet_t *fleet)
+{
+	for (uint32_t d = 0; d < fleet->user->data_centres; d++)
+		if (now_at(fleet, CHANGE_AT_US + d * CHANGE_STEP_US))
+			fleet->dcs[d].changed = true;
+}
+
+static void
+fault_dc(fleet_t *fleet)
+{
+	dc_t *dc = &fleet->dcs[1];
+
+	if (now_at(fleet, DC_AT_US)) {
+		dc->alive = false;
+		lose(fleet, "dc1-", false);
+		lose_queues(fleet, dc);
+	}
+	if (now_at(fleet, DC_BACK_US)) {
+		dc->alive = true;
+		lose(fleet, "dc1-", true);
+	}
+}
+
+/*
+ * Starts and ends the faults of the scenario at their times.
+ */
+void
+fleet_faults(fleet_t *fleet)
+{
+	const scenario_t *s = fleet->scenario;
+
+	if (s->waves > 0 && now_at(fleet, WAVE_AT_US))
+		start_wave(fleet, 0);
+	if (s->waves > 1 && now_at(fleet, SECOND_WAVE_AT_US))
+		start_wave(fleet, 1);
+	if (s->rack_loss && now_at(fleet, RACK_AT_US))
+		lose(fleet, "dc0-r1", false);
+	if (s->rack_loss && now_at(fleet, RACK_BACK_US))
+		lose(fleet, "dc0-r1", true);
+	if (s->dc_loss)
+		fault_dc(fleet);
+	if (s->broken && now_at(fleet, BROKEN_AT_US))
+		break_workers(fleet, true);
+	if (s->broken && now_at(fleet, BROKEN_END_US))
+		break_workers(fleet, false);
+	if (s->cancel && fleet->now_us > CANCEL_AFTER_US &&
+	    fleet->result->cancelled == 0 &&
+	    fairq_length(fleet->dcs[0].sites[0].q) > 20)
+		cancel(fleet, 0);
+	if (s->change)
+		adopt(fleet);
+	if (s->turn_factor > 0 && now_at(fleet, TURN_AT_US)) {
+		fleet->traffic.turn_us = fleet->now_us;
+		fleet->traffic.turn_factor = s->turn_factor;
+	}
+}
--- /dev/null
+++ b/policy/fleet_plan.c
@@ -0,0 +1,164 @@
+#include <math.h>
+#include <string.h>
+
+#include "fleet.h"
+
+static uint32_t
+idle_elsewhere(const fleet_t *fleet, uint32_t d, uint32_t p)
+{
+	uint32_t sum = 0, others = fleet->user->data_centres - 1;
+
+	for (uint32_t o = 0; o < fleet->user->data_centres; o++)
+		if (o != d && fleet->dcs[o].alive)
+			sum += fleet->dcs[o].sites[p].free_slots;
+	return others > 0 ? sum / others : 0;
+}
+
+/*
+ * Collects the reports of the data centre; a late one is ten seconds old.
+ */
+static void
+report(fleet_t *fleet, uint32_t d)
+{
+	dc_t *dc = &fleet->dcs[d];
+
+	g_ptr_array_set_size(dc->demand, 0);
+	for (uint32_t p = 0; p < USER_SERVICES; p++) {
+		site_t *site = &dc->sites[p];
+		plan_demand_t *latest = &site->demand[0];
+
+		memmove(&site->demand[1], &site->demand[0],
+		    LATE_ROUNDS * sizeof(site->demand[0]));
+		g_strlcpy(latest->pool, user_pool_names[p], GW_NAME_BYTES);
+		latest->queued = fairq_length(site->q);
+		latest->slots_wanted = fairq_slots_wanted(site->q);
+		latest->slots_elsewhere = idle_elsewhere(fleet, d, p);
+		if (fleet->scenario->late_usage)
+			latest = &site->demand[LATE_ROUNDS];
+		if (latest->pool[0] != '\0')
+			g_ptr_array_add(dc->demand, latest);
+	}
+}
+
+static host_t *
+find_host(fleet_t *fleet, const char *id)
+{
+	for (uint32_t i = 0; i < fleet->hosts->len; i++) {
+		host_t *host = fleet->hosts->pdata[i];
+		if (strcmp(host->inst->id, id) == 0)
+			return host;
+	}
+	g_assert_not_reached();
+}
+
+/*
+ * Carries out an action of the planner.
+ */
+static void
+carry_out(fleet_t *fleet, const plan_action_t *action)
+{
+	host_t *host = find_host(fleet, action->instance_id);
+	member_instance_t *inst = host->inst;
+
+	if (action->kind == PLAN_BIND) {
+		inst->time_bound = true;
+		return;
+	}
+	g_assert(inst->state == MEMBER_ACTIVE);
+	inst->state = MEMBER_LEAVING;
+	host->leave_us = fleet->now_us;
+	host->ready_us = fleet->now_us + ACK_US;
+	if (action->kind == PLAN_MOVE) {
+		inst->purpose = MEMBER_FOR_MOVE;
+		g_strlcpy(inst->target_pool, action->target_pool,
+		    sizeof(inst->target_pool));
+		fleet->result->moves++;
+	} else {
+		inst->purpose = MEMBER_FOR_REBOOT;
+	}
+	fleet_check_budget(fleet, host->dc, host->pool);
+}
+
+static void
+plan_dc(fleet_t *fleet, uint32_t d)
+{
+	dc_t *dc = &fleet->dcs[d];
+	GPtrArray *actions = g_ptr_array_new_with_free_func(g_free);
+	plan_input_t input = {.manifest = fleet_manifest(fleet, dc),
+	    .previous = fleet_previous(fleet, dc),
+	    .table = dc->table,
+	    .demand = dc->demand,
+	    .waves = dc->waves,
+	    .data_centre = dc->name};
+
+	report(fleet, d);
+	fleet->variant->lending->decide(
+	    dc->lending, &input, fleet->now_us, actions);
+	plan_waves(&input, fleet->now_us, actions);
+	for (uint32_t i = 0; i < actions->len; i++)
+		carry_out(fleet, actions->pdata[i]);
+	g_ptr_array_free(actions, TRUE);
+}
+
+void
+fleet_plan(fleet_t *fleet)
+{
+	for (uint32_t d = 0; d < fleet->user->data_centres; d++)
+		if (fleet->dcs[d].alive)
+			plan_dc(fleet, d);
+}
+
+/*
+ * Lower bound of a wave in one data centre. At no moment can more instances
+ * be out than the budgets allow with every spare instance lent; each takes at
+ * least the acknowledgement, the reboot and the check.
+ */
+static double
+bound_dc(const fleet_t *fleet, const dc_t *dc, const manifest_wave_t *wave)
+{
+	const plan_input_t input = {.manifest = fleet->manifest,
+	    .table = dc->table,
+	    .data_centre = dc->name};
+	double cycle_s = (double)(ACK_US + REBOOT_US + CHECK_US) / GW_US_PER_S;
+	uint32_t spares = plan_budget_left(&input, "spare"), all = 0;
+	uint32_t slots = spares;
+	double rounds = 0;
+
+	for (uint32_t p = 0; p < wave->pools->len; p++) {
+		const char *name = wave->pools->pdata[p];
+		uint32_t count = 0, left = plan_budget_left(&input, name);
+
+		for (uint32_t i = 0; i < dc->table->instances->len; i++)
+			count += strcmp(((member_instance_t *)
+						dc->table->instances->pdata[i])
+					    ->home_pool,
+				     name) == 0;
+		all += count;
+		if (strcmp(name, "spare") == 0)
+			continue;
+		slots += left;
+		if (left + spares > 0)
+			rounds = MAX(rounds,
+			    ceil((double)count /
+				MIN(left + spares, wave->concurrency)));
+	}
+	slots = MIN(slots, wave->concurrency);
+	if (slots > 0)
+		rounds = MAX(rounds, ceil((double)all / slots));
+	return rounds * cycle_s;
+}
+
+/*
+ * Lower bound of the first wave over the fleet, taken before it starts.
+ */
+double
+fleet_wave_bound_s(const fleet_t *fleet)
+{
+	const manifest_wave_t *wave =
+	    &g_array_index(fleet->manifest->waves, manifest_wave_t, 0);
+	double bound_s = 0;
+
+	for (uint32_t d = 0; d < fleet->user->data_centres; d++)
+		bound_s = MAX(bound_s, bound_dc(fleet, &fleet->dcs[d], wave));
+	return bound_s;
+}
--- /dev/null
+++ b/policy/fleet_serve.c
@@ -0,0 +1,324 @@
+#include <string.h>
+
+#include "fleet.h"
+
+#define FAILURE_US 5000 /* a broken worker's answer */
+#define RETRY_PART 10	/* retries are at most a tenth of the requests */
+
+static site_t *
+site_of(fleet_t *fleet, const request_t *request)
+{
+	return &fleet->dcs[request->dc].sites[request->pool];
+}
+
+static uint32_t
+window_of(uint64_t at_us)
+{
+	return (uint32_t)MIN(at_us / WINDOW_US, MAX_WINDOWS - 1);
+}
+
+static bool
+admit(fleet_t *fleet, request_t *request)
+{
+	site_t *site = site_of(fleet, request);
+
+	request->item.arrived_us = fleet->now_us;
+	if (fairq_push(site->q, &request->item) != FAIRQ_ADMITTED)
+		return false;
+	g_queue_push_tail_link(&site->queued, &request->queue_link);
+	return true;
+}
+
+static request_t *
+request_new(fleet_t *fleet, uint32_t pool, uint32_t team, request_class_t c)
+{
+	request_t *request = g_new0(request_t, 1);
+
+	g_snprintf(request->item.team, sizeof(request->item.team), "t%u", team);
+	request->item.request_class = c;
+	request->item.route = pool * CLASS_COUNT + c;
+	request->item.deadline_us = fleet->now_us + traffic_wait_us[c];
+	request->item.owner = request;
+	request->queue_link.data = request;
+	request->host_link.data = request;
+	request->pool = pool;
+	request->team = team;
+	request->first_us = fleet->now_us;
+	request->service_us =
+	    traffic_draw_service_us(&fleet->traffic, c, fleet->now_us);
+	request->idempotent = g_rand_int_range(fleet->rand, 0, 2) == 0;
+	return request;
+}
+
+/*
+ * Picks a data centre that is alive; one without a free slot passes the
+ * request on to one that has some, one hop at most.
+ */
+static bool
+place(fleet_t *fleet, request_t *request)
+{
+	uint32_t count = fleet->user->data_centres;
+	uint32_t first = (uint32_t)g_rand_int_range(fleet->rand, 0, count);
+
+	for (uint32_t i = 0; i < count; i++) {
+		request->dc = (first + i) % count;
+		if (fleet->dcs[request->dc].alive)
+			break;
+	}
+	if (!fleet->dcs[request->dc].alive)
+		return false;
+	first = request->dc;
+	if (site_of(fleet, request)->free_slots > 0)
+		return true;
+	for (uint32_t i = 1; i < count; i++) {
+		request->dc = (first + i) % count;
+		if (fleet->dcs[request->dc].alive &&
+		    site_of(fleet, request)->free_slots > 0) {
+			site_of(fleet, request)->free_slots--;
+			return true;
+		}
+	}
+	request->dc = first;
+	return true;
+}
+
+static void
+arrive(fleet_t *fleet, uint32_t pool, uint32_t team, request_class_t c)
+{
+	request_t *request = request_new(fleet, pool, team, c);
+	result_t *result = fleet->result;
+	uint32_t window = window_of(fleet->now_us);
+
+	result->requests++;
+	result->offered[window][pool][team] += (double)request->service_us;
+	if (place(fleet, request) && admit(fleet, request)) {
+		result->admitted++;
+		return;
+	}
+	result->refused++;
+	g_free(request);
+}
+
+void
+fleet_arrivals(fleet_t *fleet)
+{
+	for (uint32_t p = 0; p < USER_SERVICES; p++)
+		for (uint32_t t = 0; t < USER_TEAMS; t++)
+			for (int c = 0; c < CLASS_COUNT; c++) {
+				uint32_t n = traffic_arrivals(&fleet->traffic,
+				    p, t, c, fleet->now_us, STEP_US);
+				for (; n > 0; n--)
+					arrive(fleet, p, t, c);
+			}
+}
+
+static void
+start(fleet_t *fleet, request_t *request, host_t *host)
+{
+	uint64_t run_us = host->broken ? FAILURE_US : request->service_us;
+	uint64_t steps = MIN(run_us / STEP_US + 1, WHEEL_STEPS - 1);
+	GPtrArray **slot =
+	    &fleet->wheel[(fleet->now_us / STEP_US + steps) % WHEEL_STEPS];
+
+	request->starts++;
+	if (request->starts > 1 && !request->idempotent)
+		fleet->result->double_runs++;
+	request->host = host;
+	host->in_flight++;
+	g_queue_push_tail_link(&host->running, &request->host_link);
+	if (*slot == NULL)
+		*slot = g_ptr_array_new();
+	g_ptr_array_add(*slot, request);
+	histogram_add(&fleet->result->waits[request->item.request_class],
+	    fleet->now_us - request->first_us);
+}
+
+static void
+on_expired(fairq_item_t *item, void *arg)
+{
+	request_t *request = item->owner;
+	fleet_t *fleet = arg;
+
+	g_queue_unlink(&site_of(fleet, request)->queued, &request->queue_link);
+	fleet->result->expired++;
+	fleet->result->refused++;
+	g_free(request);
+}
+
+/*
+ * Lists the pool's instances for the choice, and counts free slots.
+ */
+static void
+open_site(fleet_t *fleet, uint32_t d, uint32_t p)
+{
+	site_t *site = &fleet->dcs[d].sites[p];
+	uint32_t slots = 0;
+
+	site->choice_count = 0;
+	site->free_slots = 0;
+	for (uint32_t i = 0; i < fleet->hosts->len; i++) {
+		host_t *host = fleet->hosts->pdata[i];
+		outlier_state_t state;
+		choice_t *c;
+
+		if (host->dc != d || host->pool != p ||
+		    !fleet_available(host) || !host->held ||
+		    fleet->now_us < host->held_from_us)
+			continue;
+		state = outlier_state(site->outlier, host->inst->id);
+		g_assert(site->choice_count < MAX_HOSTS);
+		c = &site->choices[site->choice_count++];
+		*c = (choice_t){.in_flight = host->in_flight,
+		    .granted = USER_SLOTS,
+		    .recent_us = host->recent_us,
+		    .usable = state == OUTLIER_IN,
+		    .owner = host};
+		if (state == OUTLIER_PROBATION) {
+			c->granted = 1;
+			c->usable = host->in_flight == 0;
+		}
+		if (!c->usable)
+			continue;
+		slots += c->granted;
+		site->free_slots += c->granted - MIN(c->granted, c->in_flight);
+	}
+	fairq_set_slots(site->q, slots);
+	fleet->result->capacity[window_of(fleet->now_us)][p] +=
+	    slots * (double)STEP_US;
+}
+
+static void
+serve_site(fleet_t *fleet, site_t *site)
+{
+	while (site->free_slots > 0) {
+		fairq_item_t *item = fairq_pop(site->q, on_expired, fleet);
+		int32_t at;
+
+		if (item == NULL)
+			return;
+		at = choice_power_two.pick(
+		    site->choices, site->choice_count, fleet->rand);
+		g_assert(at >= 0);
+		g_queue_unlink(
+		    &site->queued, &((request_t *)item->owner)->queue_link);
+		site->choices[at].in_flight++;
+		site->free_slots--;
+		start(fleet, item->owner, site->choices[at].owner);
+	}
+}
+
+void
+fleet_dispatch(fleet_t *fleet)
+{
+	for (uint32_t d = 0; d < fleet->user->data_centres; d++) {
+		for (uint32_t p = 0; p < USER_SERVICES; p++) {
+			if (!fleet->dcs[d].alive)
+				continue;
+			open_site(fleet, d, p);
+			serve_site(fleet, &fleet->dcs[d].sites[p]);
+		}
+	}
+}
+
+static void
+release(request_t *request)
+{
+	request->host->in_flight--;
+	g_queue_unlink(&request->host->running, &request->host_link);
+	request->host = NULL;
+}
+
+/*
+ * Starts an idempotent request once more, as a new record: the old one may
+ * still be in the wheel.
+ */
+static bool
+retry(fleet_t *fleet, const request_t *request)
+{
+	request_t *again;
+
+	if (!request->idempotent ||
+	    fleet->retries * RETRY_PART >= fleet->result->requests)
+		return false;
+	again = g_new0(request_t, 1);
+	*again = *request;
+	again->queue_link = (GList){.data = again};
+	again->host_link = (GList){.data = again};
+	again->host = NULL;
+	again->orphan = false;
+	again->item.impl = NULL;
+	again->item.queued = false;
+	again->item.owner = again;
+	if (place(fleet, again) && admit(fleet, again)) {
+		fleet->retries++;
+		return true;
+	}
+	g_free(again);
+	return false;
+}
+
+static void
+finish(fleet_t *fleet, request_t *request)
+{
+	site_t *site = site_of(fleet, request);
+	host_t *host = request->host;
+	bool failed = host->broken;
+	uint64_t used_us = failed ? FAILURE_US : request->service_us;
+
+	fairq_done(site->q, &request->item, used_us);
+	outlier_report(site->outlier, host->inst->id,
+	    failed ? OUTLIER_FAILURE : OUTLIER_SUCCESS);
+	host->recent_us = host->recent_us == 0
+	    ? (uint32_t)used_us
+	    : (uint32_t)((7 * (uint64_t)host->recent_us + used_us) / 8);
+	release(request);
+	if (!failed) {
+		fleet->result->completed++;
+		fleet->result->done[window_of(request->first_us)][request->pool]
+				   [request->team] +=
+		    (double)request->service_us;
+	} else if (!retry(fleet, request)) {
+		fleet->result->errors++;
+	}
+}
+
+void
+fleet_complete(fleet_t *fleet)
+{
+	GPtrArray **slot = &fleet->wheel[fleet->now_us / STEP_US % WHEEL_STEPS];
+
+	for (uint32_t i = 0; *slot != NULL && i < (*slot)->len; i++) {
+		request_t *request = (*slot)->pdata[i];
+
+		if (!request->orphan)
+			finish(fleet, request);
+		g_free(request);
+	}
+	if (*slot != NULL)
+		g_ptr_array_free(*slot, TRUE);
+	*slot = NULL;
+}
+
+/*
+ * The instance is gone with the requests in flight: idempotent ones run
+ * again, the outcome of the others is unknown.
+ */
+void
+fleet_lose_host(fleet_t *fleet, host_t *host)
+{
+	GList *link;
+
+	host->lost = true;
+	host->lost_us = fleet->now_us;
+	while ((link = host->running.head) != NULL) {
+		request_t *request = link->data;
+		site_t *site = site_of(fleet, request);
+
+		fairq_done(site->q, &request->item,
+		    fleet->now_us - request->item.started_us);
+		release(request);
+		request->orphan = true;
+		if (!retry(fleet, request))
+			fleet->result->unknown++;
+	}
+}
--- a/tools/gwload/load.h
+++ b/tools/gwload/load.h
@@ -22,7 +22,7 @@
 	char *headers; /* further header lines, each with CRLF; may be empty */
 	char *id_prefix;
 	uint32_t seed;
-	uint32_t mean_per_s; /* per route; 0 for a closed loop */
+	uint32_t mean_per_s;  /* per route; 0 for a closed loop */
 	uint32_t concurrency; /* requests in flight of a closed loop */
 	uint32_t surge_ms;
 	uint32_t duration_ms;
--- a/tools/gwload/main.c
+++ b/tools/gwload/main.c
@@ -36,8 +36,8 @@
 	"most requests to send", 1, 10000000},
     {"in-flight", GW_SETTING_U32, &plan.in_flight_max, "10000",
 	"most requests under way", 1, 100000},
-    {"body-bytes", GW_SETTING_U32, &plan.body_bytes, "64",
-	"size of the body", 16, 1048576},
+    {"body-bytes", GW_SETTING_U32, &plan.body_bytes, "64", "size of the body",
+	16, 1048576},
     {"timeout-ms", GW_SETTING_U32, &plan.timeout_ms, "10000",
 	"time after which a request counts as broken", 1, 600000},
     {"spin", GW_SETTING_FLAG, &plan.spin, "false",
@@ -70,8 +70,7 @@
 
 	for (uint32_t i = 0; plan.routes[i] != NULL; i++)
 		(void)json_array_append_new(rows,
-		    stats_json(
-			load_stats(load, i), plan.routes[i], elapsed_s));
+		    stats_json(load_stats(load, i), plan.routes[i], elapsed_s));
 	root = stats_json(all, "all", elapsed_s);
 	(void)json_object_set_new(root, "routes", rows);
 	(void)json_object_set_new(root, "elapsed_s", json_real(elapsed_s));
--- a/tools/gwload/stats.c
+++ b/tools/gwload/stats.c
@@ -36,8 +36,8 @@
 	stats->mismatched += other->mismatched;
 	for (int i = 0; i < OUTCOME_COUNT; i++)
 		stats->outcomes[i] += other->outcomes[i];
-	g_array_append_vals(stats->latency_us, other->latency_us->data,
-	    other->latency_us->len);
+	g_array_append_vals(
+	    stats->latency_us, other->latency_us->data, other->latency_us->len);
 }
 
 /*
