--- a/lib/policy/fairq.c
+++ b/lib/policy/fairq.c
@@ -2,6 +2,8 @@
 
 /* Team that requests of unknown teams are accounted to. */
 #define OTHER_TEAM ""
+/* Queued work should start within this part of the wait callers allow. */
+#define PATIENCE_PART 4
 
 static fairq_team_t *
 team_new(const char *name, uint32_t weight)
@@ -137,6 +139,9 @@
 	entry->link.data = entry;
 	item->impl = entry;
 	item->queued = true;
+	if (item->deadline_us > item->arrived_us)
+		cost_mean_add(&q->patience[item->request_class],
+		    item->deadline_us - item->arrived_us);
 	q->queued++;
 	team->queued++;
 	team->queued_of[item->request_class]++;
@@ -238,25 +243,38 @@
 	return q->queued;
 }
 
+/* Time in which queued work of the class should start. */
+static uint64_t
+drain_us(const fairq_t *q, request_class_t request_class)
+{
+	const cost_mean_t *patience = &q->patience[request_class];
+
+	if (patience->samples == 0)
+		return GW_US_PER_S;
+	return MAX(patience->mean_us / PATIENCE_PART, 1);
+}
+
 /*
- * Slots in use, and those that would finish the queued work within a second,
- * by learned costs. Demand in this unit tells a burst of short requests from
- * a surge.
+ * Slots in use, and those that would finish the queued work within a quarter
+ * of the time that its callers allow. By learned costs and allowed waits, a
+ * burst that the queue can absorb does not look like a lasting surge.
  */
 uint32_t
 fairq_slots_wanted(const fairq_t *q)
 {
 	const fairq_team_t *team;
 	GHashTableIter iter;
-	uint64_t work_us = 0;
+	uint64_t work_us;
+	double slots = q->running.length;
 
 	g_hash_table_iter_init(&iter, q->teams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team))
-		for (int i = 0; i < CLASS_COUNT; i++)
-			work_us +=
+		for (int i = 0; i < CLASS_COUNT; i++) {
+			work_us =
 			    team->queued_of[i] * cost_class_us(&q->cost, i);
-	return q->running.length +
-	    (uint32_t)((work_us + GW_US_PER_S - 1) / GW_US_PER_S);
+			slots += (double)work_us / drain_us(q, i);
+		}
+	return (uint32_t)(slots + 1 - 1e-9);
 }
 
 /*
--- a/lib/policy/fairq.h
+++ b/lib/policy/fairq.h
@@ -54,7 +54,7 @@
 /* The item's work ended; its real slot time corrects the shares. */
 void fairq_done(fairq_t *, fairq_item_t *, uint64_t service_us);
 uint32_t fairq_length(const fairq_t *);
-/* Slots in use, and those that would finish the queue within a second. */
+/* Slots in use, and those that would serve the queue in good time. */
 uint32_t fairq_slots_wanted(const fairq_t *);
 /* Estimated wait of a new item of the team and class. */
 uint64_t fairq_wait_us(
--- a/lib/policy/fairq_impl.h
+++ b/lib/policy/fairq_impl.h
@@ -51,6 +51,7 @@
 	uint64_t quick_work_us;
 	uint32_t quick_slots; /* slots left to quick work */
 	cost_t cost;
+	cost_mean_t patience[CLASS_COUNT]; /* waits that callers allow */
 };
 
 struct fairq_ops {
--- a/lib/policy/lending_observe.c
+++ b/lib/policy/lending_observe.c
@@ -241,7 +241,7 @@
 		lending_pool_t *pool = round->pools->pdata[i];
 		uint32_t base = MAX(pool->peak, pool->pool->now.minimum);
 		uint32_t idle = pool->have - MIN(pool->have, base);
-		uint32_t part = MIN(rest, idle);
+		uint32_t part = pool->surge.surging ? 0 : MIN(rest, idle);
 
 		pool->hold = base + part;
 		rest -= part;
--- a/regress/policy/plan_test.c
+++ b/regress/policy/plan_test.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "../../policy/fixture.h"
+#include "../../policy/measure/fixture.h"
 
 #define RACKS 3
 #define ROUND_US (GW_US_PER_S / 2)
