Add the manifest parser, its checks, sections and look-ups

Cause: gwfleetd and gwrouted need a checked manifest and its sections.

Change: lib/manifest implements manifest.h. The root record lists the last 16 generations (who, when, how many sections changed), so manifest.h has manifest_change_t and manifest_root_succeed().

--- /dev/null
+++ b/lib/manifest/check_lending.c
@@ -0,0 +1,94 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "manifest/check.h"
+#include "manifest/problem.h"
+
+/*
+ * Returns how many instances the lender has above its minimum in data centres
+ * where the borrower is too; instances never leave their data centre.
+ */
+static uint64_t
+lendable(const manifest_pool_t *from, const manifest_pool_t *to)
+{
+	const manifest_place_t *place;
+	uint64_t sum = 0;
+
+	for (guint i = 0; i < from->places->len; i++) {
+		place = &g_array_index(from->places, manifest_place_t, i);
+		if (manifest_place(to, place->data_centre) != NULL &&
+		    place->instances > place->minimum)
+			sum += place->instances - place->minimum;
+	}
+	return sum;
+}
+
+static const manifest_pool_t *
+check_pool_name(const manifest_t *manifest, const char *name, guint index,
+    const char *member, GArray *problems)
+{
+	const manifest_pool_t *pool = manifest_pool(manifest, name);
+	char path[64];
+
+	if (pool != NULL || *name == '\0')
+		return pool;
+	(void)snprintf(path, sizeof(path), "$.lending[%u].%s", index, member);
+	manifest_problem_add(
+	    problems, path, "pool \"%s\" is not defined", name);
+	return NULL;
+}
+
+static void
+check_repetition(const manifest_t *manifest, guint index, GArray *problems)
+{
+	const manifest_loan_rule_t *rules =
+	    (const manifest_loan_rule_t *)(void *)manifest->lending->data;
+	char path[64];
+
+	for (guint i = 0; i < index; i++) {
+		if (strcmp(rules[i].from, rules[index].from) != 0 ||
+		    strcmp(rules[i].to, rules[index].to) != 0)
+			continue;
+		(void)snprintf(path, sizeof(path), "$.lending[%u]", index);
+		manifest_problem_add(problems, path,
+		    "$.lending[%u] already lends from \"%s\" to \"%s\"", i,
+		    rules[i].from, rules[i].to);
+		return;
+	}
+}
+
+static void
+check_rule(const manifest_t *manifest, guint index, GArray *problems)
+{
+	const manifest_loan_rule_t *rule =
+	    &g_array_index(manifest->lending, manifest_loan_rule_t, index);
+	const manifest_pool_t *from, *to;
+	char path[64];
+
+	from = check_pool_name(manifest, rule->from, index, "from", problems);
+	to = check_pool_name(manifest, rule->to, index, "to", problems);
+	if (from == NULL || to == NULL)
+		return;
+	check_repetition(manifest, index, problems);
+	(void)snprintf(path, sizeof(path), "$.lending[%u].to", index);
+	if (from == to)
+		manifest_problem_add(
+		    problems, path, "a pool cannot lend to itself");
+	(void)snprintf(
+	    path, sizeof(path), "$.lending[%u].max_instances", index);
+	if (rule->max_instances > lendable(from, to))
+		manifest_problem_add(problems, path,
+		    "pool \"%s\" has %" PRIu64 " instances above its minimum "
+		    "in data centres of pool \"%s\"",
+		    from->name, lendable(from, to), to->name);
+}
+
+/*
+ * Checks the lending rules.
+ */
+void
+manifest_check_lending(const manifest_t *manifest, GArray *problems)
+{
+	for (guint i = 0; i < manifest->lending->len; i++)
+		check_rule(manifest, i, problems);
+}
--- a/lib/manifest/manifest.h
+++ b/lib/manifest/manifest.h
@@ -2,7 +2,7 @@
 #define MANIFEST_MANIFEST_H
 
 #include <stdbool.h>
-#include <stdint.h>
+#include <inttypes.h>
 
 #include <glib.h>
 
@@ -97,12 +97,27 @@
 	uint32_t size_bytes;
 } manifest_section_t;
 
+/* Earlier generations that a root record lists, to keep it small. */
+#define MANIFEST_HISTORY_MAX 16
+
+/* One generation in the root record's history. */
+typedef struct {
+	uint64_t generation;
+	char apply_id[33];
+	char applied_by[MANIFEST_NAME_BYTES];
+	uint64_t applied_at_s;	   /* since 1970, on the operator's clock */
+	uint32_t sections_changed; /* against the generation before */
+} manifest_change_t;
+
 /* The root record: what the compare-and-swap is done on. */
 typedef struct {
 	uint64_t generation;
 	char apply_id[33];
 	char applied_by[MANIFEST_NAME_BYTES];
+	uint64_t applied_at_s;
+	uint32_t sections_changed;
 	GPtrArray *sections; /* manifest_section_t */
+	GArray *history;     /* manifest_change_t, latest first */
 } manifest_root_t;
 
 /* Parses and checks; NULL with at least one problem (manifest_problem_t). */
@@ -117,6 +132,9 @@
 manifest_root_t *manifest_root_decode(
     const char *json, uint64_t size_bytes, gw_err_t *);
 void manifest_root_free(manifest_root_t *);
+/* Makes root the successor of before (NULL: of generation 0). */
+void manifest_root_succeed(
+    manifest_root_t *root, const manifest_root_t *before);
 manifest_section_t *manifest_root_find(
     const manifest_root_t *, const char *name);
 char *manifest_to_json(const manifest_t *);
--- /dev/null
+++ b/lib/manifest/problem.c
@@ -0,0 +1,41 @@
+#include <stdarg.h>
+#include <stdio.h>
+
+#include "manifest/problem.h"
+
+/*
+ * Cuts a text at the first byte that is not UTF-8, such as a character that
+ * the end of the buffer has cut in two.
+ */
+static void
+cut_invalid(char *text)
+{
+	const char *end;
+
+	if (!g_utf8_validate(text, -1, &end))
+		text[end - text] = '\0';
+}
+
+/*
+ * Adds one finding. The last place in the list says that there are more.
+ */
+void
+manifest_problem_add(GArray *problems, const char *path, const char *fmt, ...)
+{
+	manifest_problem_t problem;
+	va_list ap;
+
+	if (problems->len >= MANIFEST_PROBLEMS_MAX)
+		return;
+	if (problems->len == MANIFEST_PROBLEMS_MAX - 1) {
+		path = "$";
+		fmt = "there are further problems";
+	}
+	g_strlcpy(problem.path, path, sizeof(problem.path));
+	va_start(ap, fmt);
+	(void)vsnprintf(problem.reason, sizeof(problem.reason), fmt, ap);
+	va_end(ap);
+	cut_invalid(problem.path);
+	cut_invalid(problem.reason);
+	g_array_append_val(problems, problem);
+}
--- /dev/null
+++ b/lib/manifest/problem.h
@@ -0,0 +1,12 @@
+#ifndef MANIFEST_PROBLEM_H
+#define MANIFEST_PROBLEM_H
+
+#include "manifest/manifest.h"
+
+/* A broken generator can cause one problem per line; the rest are counted. */
+#define MANIFEST_PROBLEMS_MAX 1000
+
+void manifest_problem_add(GArray *problems, const char *path, const char *fmt,
+    ...) __attribute__((format(printf, 3, 4)));
+
+#endif
