Add gwctl and the example manifests

Cause: operators need to check, apply and inspect manifests.

Sections are written first, then the root by compare-and-swap. A lost answer is resolved by the apply id in the root and its history; a root that looks unchanged may be a stale read, so the compare-and-swap is repeated. gw_clock_wall_s() gives the time of an apply for the history.

--- /dev/null
+++ b/gwctl/options.h
@@ -0,0 +1,13 @@
+#ifndef GWCTL_OPTIONS_H
+#define GWCTL_OPTIONS_H
+
+#include "ctl.h"
+
+/*
+ * Reads options and environment; returns the number of arguments that are not
+ * options, which are moved to args. Ends the program on a usage error.
+ */
+int options_parse(ctl_t *, int argc, char **argv, char **args);
+bool options_apply_given(const ctl_t *);
+
+#endif
--- /dev/null
+++ b/gwctl/wait.h
@@ -0,0 +1,8 @@
+#ifndef GWCTL_WAIT_H
+#define GWCTL_WAIT_H
+
+#include "ctl.h"
+
+int wait_everywhere(ctl_t *, const manifest_t *, uint64_t generation);
+
+#endif
--- a/lib/gw/clock.c
+++ b/lib/gw/clock.c
@@ -59,3 +59,15 @@
 {
 	return clock->ops->now_us(clock);
 }
+
+/*
+ * Returns the seconds since 1970 on the system's clock, which may be set back.
+ */
+uint64_t
+gw_clock_wall_s(void)
+{
+	struct timespec ts;
+
+	(void)clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec;
+}
