Add gwrouted, the request path

Callers need their requests routed to endpoint instances without a loss, a double run or a mixed-up answer. gwrouted takes manifest and view from every gwfleetd of its data centre, queues fairly per pool, chooses the endpoint by power of two choices, retries only what surely did not run or may run twice, and closes every connection whose response it gave up.

--- /dev/null
+++ b/gwrouted/caller.c
@@ -0,0 +1,280 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "caller.h"
+#include "headers.h"
+#include "http/httpd.h"
+
+static void flush(caller_t *);
+
+static void
+on_proceed(h2o_generator_t *generator, h2o_req_t *req)
+{
+	caller_t *caller = (caller_t *)generator;
+
+	(void)req;
+	caller->in_progress = false;
+	g_byte_array_set_size(caller->sending, 0);
+	flush(caller);
+	if (!caller->finished && caller->arg != NULL &&
+	    caller->waiting->len < CALLER_WAITING_MAX_BYTES / 2)
+		caller->ops->on_drained(caller->arg);
+}
+
+static void
+on_stop(h2o_generator_t *generator, h2o_req_t *req)
+{
+	(void)req;
+	((caller_t *)generator)->finished = true;
+}
+
+/*
+ * Called when libh2o releases the request's memory: after the response, or
+ * because the caller has gone.
+ */
+static void
+on_disposed(void *arg)
+{
+	caller_t *caller = arg;
+
+	(*caller->open)--;
+	if (caller->arg != NULL)
+		caller->ops->on_gone(caller->arg);
+	g_byte_array_unref(caller->waiting);
+	g_byte_array_unref(caller->sending);
+}
+
+/*
+ * Returns the caller's side of req. open counts it until its memory is
+ * released.
+ */
+caller_t *
+caller_new(h2o_req_t *req, const caller_ops_t *ops, void *arg, uint32_t *open)
+{
+	caller_t *caller;
+
+	caller = h2o_mem_alloc_shared(&req->pool, sizeof(*caller), on_disposed);
+	*caller = (caller_t){.generator = {on_proceed, on_stop},
+	    .req = req,
+	    .ops = ops,
+	    .arg = arg,
+	    .open = open,
+	    .size_bytes = SIZE_MAX};
+	caller->waiting = g_byte_array_new();
+	caller->sending = g_byte_array_new();
+	(*open)++;
+	return caller;
+}
+
+/*
+ * Ends the request's interest; what is still to be sent goes on.
+ */
+void
+caller_detach(caller_t *caller)
+{
+	caller->arg = NULL;
+}
+
+/*
+ * Adds a header to the response. The name is a constant in lower case; the
+ * value is copied.
+ */
+void
+caller_add_header(caller_t *caller, const char *name, const char *value)
+{
+	h2o_req_t *req = caller->req;
+	h2o_iovec_t copy;
+
+	copy = h2o_strdup(&req->pool, value, SIZE_MAX);
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name, strlen(name),
+	    1, NULL, copy.base, copy.len);
+}
+
+static void
+pass_header(h2o_req_t *req, const h2o_header_t *h)
+{
+	h2o_iovec_t name, value;
+
+	name = h2o_strdup(&req->pool, h->name->base, h->name->len);
+	value = h2o_strdup(&req->pool, h->value.base, h->value.len);
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
+	    name.len, 1, NULL, value.base, value.len);
+}
+
+static size_t
+stated_length(const gw_exchange_head_t *head)
+{
+	for (size_t i = 0; i < head->header_count; i++)
+		if (head->headers[i].name == &H2O_TOKEN_CONTENT_LENGTH->buf)
+			return h2o_strtosize(head->headers[i].value.base,
+			    head->headers[i].value.len);
+	return SIZE_MAX;
+}
+
+/*
+ * Takes the endpoint's status and headers; nothing is sent yet.
+ */
+void
+caller_head(
+    caller_t *caller, const gw_exchange_head_t *head, const char *outcome)
+{
+	h2o_req_t *req = caller->req;
+
+	req->res.status = head->status;
+	req->res.reason = "";
+	caller->size_bytes = stated_length(head);
+	for (size_t i = 0; i < head->header_count; i++)
+		if (headers_pass_response(
+			&head->headers[i], head->headers, head->header_count))
+			pass_header(req, &head->headers[i]);
+	caller_add_header(caller, "godwit-outcome", outcome);
+}
+
+/*
+ * Forgets a head that was not sent, for another attempt.
+ */
+void
+caller_reset_head(caller_t *caller)
+{
+	caller->req->res.headers = (h2o_headers_t){NULL};
+	caller->req->res.content_length = SIZE_MAX;
+	caller->size_bytes = SIZE_MAX;
+	g_byte_array_set_size(caller->waiting, 0);
+}
+
+static void
+start(caller_t *caller)
+{
+	caller->started = true;
+	caller->req->res.content_length = caller->size_bytes;
+	h2o_start_response(caller->req, &caller->generator);
+}
+
+static void
+send_piece(caller_t *caller, h2o_send_state_t state)
+{
+	GByteArray *piece = caller->waiting;
+	h2o_iovec_t buf;
+
+	caller->waiting = caller->sending;
+	caller->sending = piece;
+	buf = h2o_iovec_init(piece->data, piece->len);
+	caller->in_progress = true;
+	caller->finished = state != H2O_SEND_STATE_IN_PROGRESS;
+	h2o_send(caller->req, &buf, piece->len > 0 ? 1 : 0, state);
+}
+
+/*
+ * Hands what waits to libh2o, unless it still has the last piece.
+ */
+static void
+flush(caller_t *caller)
+{
+	if (caller->in_progress || caller->finished || !caller->started)
+		return;
+	if (caller->broken)
+		send_piece(caller, H2O_SEND_STATE_ERROR);
+	else if (caller->complete)
+		send_piece(caller, H2O_SEND_STATE_FINAL);
+	else if (caller->waiting->len > 0)
+		send_piece(caller, H2O_SEND_STATE_IN_PROGRESS);
+}
+
+/*
+ * Takes a piece of the body. Returns false when the caller reads slowly and no
+ * more should come until on_drained.
+ */
+bool
+caller_body(caller_t *caller, const char *data, size_t size_bytes)
+{
+	g_byte_array_append(
+	    caller->waiting, (const guint8 *)data, (guint)size_bytes);
+	if (!caller->started && caller->waiting->len > CALLER_WHOLE_BYTES)
+		start(caller);
+	flush(caller);
+	return !caller_is_full(caller);
+}
+
+/*
+ * Tells whether too much waits for the caller.
+ */
+bool
+caller_is_full(const caller_t *caller)
+{
+	return caller->waiting->len > CALLER_WAITING_MAX_BYTES;
+}
+
+/*
+ * Ends the response: all of the body has come.
+ */
+void
+caller_complete(caller_t *caller)
+{
+	if (!caller->started) {
+		if (caller->waiting->len > 0)
+			caller->size_bytes = caller->waiting->len;
+		start(caller);
+	}
+	caller->complete = true;
+	flush(caller);
+}
+
+/*
+ * Breaks a response that has begun: the caller sees that it is cut short,
+ * because the connection (HTTP/1) or the stream (HTTP/2) ends with an error.
+ */
+void
+caller_break(caller_t *caller)
+{
+	caller->broken = true;
+	caller->req->http1_is_persistent = 0;
+	flush(caller);
+}
+
+static char *
+problem_text(
+    const reason_info_t *info, const char *outcome, const char *request_id)
+{
+	json_t *problem;
+	char *text;
+
+	problem =
+	    json_pack("{s:s, s:s, s:i, s:s, s:s, s:s}", "type", "about:blank",
+		"title", info->name, "status", info->status, "detail",
+		info->detail, "outcome", outcome, "request_id", request_id);
+	text = problem == NULL ? NULL : json_dumps(problem, JSON_COMPACT);
+	json_decref(problem);
+	return text;
+}
+
+/*
+ * Answers with a refusal or a failure as problem details. retry_after_s is 0
+ * when a repetition is of no use.
+ */
+void
+caller_refuse(caller_t *caller, reason_t reason, const char *outcome,
+    int status, uint32_t retry_after_s, const char *request_id)
+{
+	reason_info_t info = *reason_info(reason);
+	char seconds[16], *text;
+
+	info.status = status;
+	caller_reset_head(caller);
+	caller_add_header(caller, "godwit-outcome", outcome);
+	caller_add_header(caller, "godwit-reason", info.name);
+	if (retry_after_s > 0) {
+		(void)snprintf(seconds, sizeof(seconds), "%u", retry_after_s);
+		caller_add_header(caller, "retry-after", seconds);
+	}
+	if (reason == REASON_AMBIGUOUS_FRAMING ||
+	    reason == REASON_BAD_REQUEST || reason == REASON_CALLER_GONE)
+		caller->req->http1_is_persistent = 0;
+	text = problem_text(&info, outcome, request_id);
+	caller->finished = true;
+	gw_http_reply(caller->req, status, "application/problem+json",
+	    text == NULL ? "{}" : text, text == NULL ? 2 : strlen(text));
+	free(text);
+}
--- /dev/null
+++ b/gwrouted/fleet.c
@@ -0,0 +1,382 @@
+#include "fleet.h"
+
+#include "gw/log.h"
+#include "report.h"
+#include "router.h"
+#include "wire/conn.h"
+
+#define RECONNECT_US (500 * GW_US_PER_MS)
+/* Heartbeats whose sending time is remembered: 8 s, far beyond contact. */
+#define HEARTBEATS_KEPT 16
+/* Heartbeats between two Outcome messages: one a second. */
+#define OUTCOME_EVERY 2
+
+/* The connection to one gwfleetd. */
+typedef struct {
+	fleet_t *fleet;
+	gw_addr_t addr;
+	gw_conn_t *conn; /* NULL while there is none */
+	bool open;
+	gw_timer_t reconnect;
+	uint64_t planner_epoch; /* of its last Contact; 0 without one */
+	uint64_t view_sequence; /* of the last view in force */
+} link_t;
+
+struct fleet {
+	router_t *router;
+	GPtrArray *links; /* link_t */
+	gw_timer_t heartbeat;
+	gw_timer_t ack;
+	uint64_t sequence;
+	uint64_t sent_us[HEARTBEATS_KEPT];
+	bool ending;
+};
+
+static void link_connect(link_t *);
+
+static void
+send_to(link_t *link, const Gw__Envelope *envelope)
+{
+	gw_err_t err;
+
+	if (link->open && gw_conn_send(link->conn, envelope, &err) != 0)
+		gw_log(GW_EV_FLEET_SEND, "peer=%s text=\"%s\"",
+		    gw_conn_peer(link->conn), err.text);
+}
+
+static void
+send_hello(link_t *link)
+{
+	Gw__Envelope envelope = GW__ENVELOPE__INIT;
+	report_t report;
+
+	report_hello(&report, link->fleet->router);
+	envelope.body_case = GW__ENVELOPE__BODY_HELLO;
+	envelope.hello = &report.hello;
+	send_to(link, &envelope);
+	report_clear(&report);
+}
+
+static void
+send_heartbeat(link_t *link, report_t *report)
+{
+	Gw__Envelope envelope = GW__ENVELOPE__INIT;
+
+	envelope.body_case = GW__ENVELOPE__BODY_HEARTBEAT;
+	envelope.heartbeat = &report->heartbeat;
+	send_to(link, &envelope);
+}
+
+/*
+ * Acknowledges what is in force. The number of the view is the connection's
+ * own.
+ */
+static void
+send_ack(link_t *link)
+{
+	Gw__Envelope envelope = GW__ENVELOPE__INIT;
+	report_t report;
+
+	report_ack(&report, link->fleet->router, link->view_sequence);
+	envelope.body_case = GW__ENVELOPE__BODY_ACK;
+	envelope.ack = &report.ack;
+	send_to(link, &envelope);
+	report_clear(&report);
+}
+
+static void
+on_ack(gw_timer_t *timer, void *arg)
+{
+	fleet_t *fleet = arg;
+
+	(void)timer;
+	for (guint i = 0; i < fleet->links->len; i++)
+		send_ack(fleet->links->pdata[i]);
+}
+
+/*
+ * Sends one Ack for all changes of this round of the loop.
+ */
+void
+fleet_ack_soon(fleet_t *fleet)
+{
+	if (!gw_timer_armed(&fleet->ack))
+		gw_timer_start(
+		    fleet->router->rt, &fleet->ack, 0, on_ack, fleet);
+}
+
+/*
+ * Returns the connection that the last Contact of the highest epoch came from,
+ * or NULL.
+ */
+static link_t *
+planner_link(fleet_t *fleet)
+{
+	link_t *best = NULL;
+
+	for (guint i = 0; i < fleet->links->len; i++) {
+		link_t *link = fleet->links->pdata[i];
+
+		if (link->open && link->planner_epoch > 0 &&
+		    (best == NULL || link->planner_epoch > best->planner_epoch))
+			best = link;
+	}
+	return best;
+}
+
+static void
+send_outcome(fleet_t *fleet)
+{
+	Gw__Envelope envelope = GW__ENVELOPE__INIT;
+	link_t *link = planner_link(fleet);
+	report_t report;
+
+	if (link == NULL)
+		return;
+	report_outcome(&report, fleet->router);
+	envelope.body_case = GW__ENVELOPE__BODY_OUTCOME;
+	envelope.outcome = &report.outcome;
+	if (report.outcome.n_instances > 0)
+		send_to(link, &envelope);
+	report_clear(&report);
+}
+
+/*
+ * Sends a heartbeat on every connection. Its sending time counts for contact,
+ * so it is read before the message is built.
+ */
+static void
+on_heartbeat(gw_timer_t *timer, void *arg)
+{
+	fleet_t *fleet = arg;
+	uint64_t now_us = gw_rt_now_us(fleet->router->rt);
+	report_t report;
+
+	fleet->sequence++;
+	fleet->sent_us[fleet->sequence % HEARTBEATS_KEPT] = now_us;
+	report_heartbeat(&report, fleet->router, fleet->sequence, now_us);
+	for (guint i = 0; i < fleet->links->len; i++)
+		send_heartbeat(fleet->links->pdata[i], &report);
+	report_clear(&report);
+	if (fleet->sequence % OUTCOME_EVERY == 0)
+		send_outcome(fleet);
+	gw_timer_start(fleet->router->rt, timer, GW_HEARTBEAT_MS * GW_US_PER_MS,
+	    on_heartbeat, fleet);
+}
+
+static void
+on_contact(link_t *link, const Gw__Contact *contact)
+{
+	fleet_t *fleet = link->fleet;
+
+	if (contact->sequence > fleet->sequence ||
+	    contact->sequence + HEARTBEATS_KEPT <= fleet->sequence)
+		return;
+	link->planner_epoch = contact->epoch;
+	member_router_answered(&fleet->router->contact, contact->epoch,
+	    fleet->sent_us[contact->sequence % HEARTBEATS_KEPT]);
+}
+
+/*
+ * Tells whether grants in a view of this connection count: it is the
+ * planner's, or no planner is known yet.
+ */
+static bool
+is_planner(const link_t *link, const Gw__View *view)
+{
+	const router_t *router = link->fleet->router;
+
+	if (router->contact.epoch == 0)
+		return true;
+	return link->planner_epoch == view->epoch &&
+	    view->epoch >= router->contact.epoch;
+}
+
+static void
+on_view(link_t *link, const Gw__View *view)
+{
+	router_t *router = link->fleet->router;
+
+	if (view_apply(&router->view, view, is_planner(link, view)) ==
+	    VIEW_GAP) {
+		gw_log(GW_EV_VIEW_GAP, "peer=%s base=%" PRIu64 " held=%" PRIu64,
+		    gw_conn_peer(link->conn), view->base_version,
+		    router->view.version);
+		gw_conn_close(link->conn);
+		return;
+	}
+	link->view_sequence = view->sequence;
+	fleet_ack_soon(link->fleet);
+}
+
+static void
+on_sections(link_t *link, const Gw__Sections *sections)
+{
+	router_t *router = link->fleet->router;
+	bool adopted;
+	gw_err_t err;
+
+	if (config_apply(&router->config, sections, &adopted, &err) != 0) {
+		gw_log(GW_EV_BAD_SECTIONS,
+		    "peer=%s generation=%" PRIu64 " text=\"%s\"",
+		    gw_conn_peer(link->conn), sections->generation, err.text);
+		gw_conn_close(link->conn);
+		return;
+	}
+	if (adopted)
+		router_manifest_changed(router);
+	fleet_ack_soon(link->fleet);
+}
+
+static void
+on_hello(link_t *link, const Gw__Hello *hello)
+{
+	const settings_t *settings = link->fleet->router->settings;
+
+	if (hello->protocol == GW_PROTOCOL_VERSION &&
+	    hello->role == GW__ROLE__ROLE_FLEET &&
+	    g_strcmp0(hello->data_centre, settings->data_centre) == 0)
+		return;
+	gw_log(GW_EV_BAD_HELLO, "peer=%s protocol=%u role=%d data_centre=%s",
+	    gw_conn_peer(link->conn), hello->protocol, (int)hello->role,
+	    hello->data_centre);
+	gw_conn_close(link->conn);
+}
+
+static void
+on_message(gw_conn_t *conn, const Gw__Envelope *envelope, void *arg)
+{
+	link_t *link = arg;
+
+	(void)conn;
+	switch (envelope->body_case) {
+	case GW__ENVELOPE__BODY_HELLO:
+		on_hello(link, envelope->hello);
+		break;
+	case GW__ENVELOPE__BODY_CONTACT:
+		on_contact(link, envelope->contact);
+		break;
+	case GW__ENVELOPE__BODY_VIEW:
+		on_view(link, envelope->view);
+		break;
+	case GW__ENVELOPE__BODY_SECTIONS:
+		on_sections(link, envelope->sections);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+on_open(gw_conn_t *conn, void *arg)
+{
+	link_t *link = arg;
+	fleet_t *fleet = link->fleet;
+
+	(void)conn;
+	link->open = true;
+	link->view_sequence = 0;
+	send_hello(link);
+	/* Contact should not wait for the next regular heartbeat. */
+	gw_timer_start(
+	    fleet->router->rt, &fleet->heartbeat, 0, on_heartbeat, fleet);
+}
+
+static void
+on_reconnect(gw_timer_t *timer, void *arg)
+{
+	(void)timer;
+	link_connect(arg);
+}
+
+static void
+on_close(gw_conn_t *conn, const gw_err_t *err, void *arg)
+{
+	link_t *link = arg;
+
+	(void)conn;
+	(void)err;
+	if (link == NULL)
+		return;
+	link->conn = NULL;
+	link->open = false;
+	link->planner_epoch = 0;
+	if (!link->fleet->ending)
+		gw_timer_start(link->fleet->router->rt, &link->reconnect,
+		    RECONNECT_US, on_reconnect, link);
+}
+
+static const gw_conn_ops_t link_ops = {on_open, on_message, on_close};
+
+static void
+link_connect(link_t *link)
+{
+	link->conn = gw_conn_connect(
+	    link->fleet->router->rt, &link->addr, &link_ops, link);
+}
+
+/*
+ * Begins to connect to every gwfleetd of the settings, and to send heartbeats.
+ */
+fleet_t *
+fleet_new(router_t *router)
+{
+	const GArray *addrs = router->settings->fleet;
+	fleet_t *fleet;
+	link_t *link;
+
+	fleet = g_new0(fleet_t, 1);
+	fleet->router = router;
+	fleet->links = g_ptr_array_new_with_free_func(g_free);
+	for (guint i = 0; i < addrs->len; i++) {
+		link = g_new0(link_t, 1);
+		link->fleet = fleet;
+		link->addr = g_array_index(addrs, gw_addr_t, i);
+		g_ptr_array_add(fleet->links, link);
+		link_connect(link);
+	}
+	gw_timer_start(router->rt, &fleet->heartbeat,
+	    GW_HEARTBEAT_MS * GW_US_PER_MS, on_heartbeat, fleet);
+	return fleet;
+}
+
+/*
+ * Closes the connections.
+ */
+void
+fleet_free(fleet_t *fleet)
+{
+	gw_timer_stop(&fleet->heartbeat);
+	gw_timer_stop(&fleet->ack);
+	for (guint i = 0; i < fleet->links->len; i++) {
+		link_t *link = fleet->links->pdata[i];
+
+		gw_timer_stop(&link->reconnect);
+		if (link->conn == NULL)
+			continue;
+		gw_conn_set_ops(link->conn, &link_ops, NULL);
+		gw_conn_close(link->conn);
+	}
+	g_ptr_array_unref(fleet->links);
+	g_free(fleet);
+}
+
+/*
+ * Tells every gwfleetd that this router is drained and will not come back
+ * under its boot id. No heartbeat follows.
+ */
+void
+fleet_goodbye(fleet_t *fleet)
+{
+	Gw__Envelope envelope = GW__ENVELOPE__INIT;
+	Gw__Goodbye goodbye = GW__GOODBYE__INIT;
+
+	fleet->ending = true;
+	gw_timer_stop(&fleet->heartbeat);
+	gw_timer_stop(&fleet->ack);
+	goodbye.boot_id = fleet->router->boot_id;
+	envelope.body_case = GW__ENVELOPE__BODY_GOODBYE;
+	envelope.goodbye = &goodbye;
+	for (guint i = 0; i < fleet->links->len; i++)
+		send_to(fleet->links->pdata[i], &envelope);
+}
--- /dev/null
+++ b/gwrouted/fleet.h
@@ -0,0 +1,14 @@
+#ifndef GWROUTED_FLEET_H
+#define GWROUTED_FLEET_H
+
+typedef struct router router_t;
+
+/* Connections to every gwfleetd of the data centre. */
+typedef struct fleet fleet_t;
+
+fleet_t *fleet_new(router_t *);
+void fleet_free(fleet_t *);
+void fleet_ack_soon(fleet_t *);
+void fleet_goodbye(fleet_t *);
+
+#endif
--- /dev/null
+++ b/gwrouted/report.c
@@ -0,0 +1,174 @@
+#include "report.h"
+#include "router.h"
+#include "wire/frame.h"
+
+static void
+init(report_t *report)
+{
+	*report = (report_t){.hello = GW__HELLO__INIT,
+	    .heartbeat = GW__HEARTBEAT__INIT,
+	    .ack = GW__ACK__INIT,
+	    .outcome = GW__OUTCOME__INIT};
+	report->parts = g_ptr_array_new_with_free_func(g_free);
+}
+
+static void
+add_in_flight(report_t *report, instance_t *instance)
+{
+	Gw__InstanceInFlight *part;
+
+	part = g_new(Gw__InstanceInFlight, 1);
+	gw__instance_in_flight__init(part);
+	part->instance_id = instance->id;
+	part->incarnation = instance->incarnation;
+	part->in_flight = instance_reported_in_flight(instance);
+	part->slots_held = MAX(instance->granted, instance->in_flight);
+	g_ptr_array_add(report->parts, part);
+}
+
+static void
+add_if_held(instance_t *instance, void *arg)
+{
+	if (instance->granted > 0 || instance->in_flight > 0)
+		add_in_flight(arg, instance);
+}
+
+static void
+add_if_needed(instance_t *instance, void *arg)
+{
+	if (instance_needs_report(instance))
+		add_in_flight(arg, instance);
+}
+
+/*
+ * Builds the Hello with all slots that the router holds. The parts point into
+ * the router's state and are valid until it changes.
+ */
+void
+report_hello(report_t *report, router_t *router)
+{
+	Gw__Hello *hello = &report->hello;
+
+	init(report);
+	view_each(&router->view, add_if_held, report);
+	hello->protocol = GW_PROTOCOL_VERSION;
+	hello->node_id = router->settings->node_id;
+	hello->boot_id = router->boot_id;
+	hello->role = GW__ROLE__ROLE_ROUTER;
+	hello->data_centre = router->settings->data_centre;
+	hello->generation = router->config.generation;
+	hello->epoch = router->view.epoch;
+	hello->table_version = router->view.version;
+	hello->n_held = report->parts->len;
+	hello->held = (Gw__InstanceInFlight **)report->parts->pdata;
+}
+
+/*
+ * Builds the Ack: what is in force, and each instance that the planner waits
+ * for.
+ */
+void
+report_ack(report_t *report, router_t *router, uint64_t view_sequence)
+{
+	Gw__Ack *ack = &report->ack;
+
+	init(report);
+	view_each(&router->view, add_if_needed, report);
+	ack->epoch = router->view.epoch;
+	ack->table_version = router->view.version;
+	ack->generation = router->config.generation;
+	ack->view_sequence = view_sequence;
+	ack->n_leaving = report->parts->len;
+	ack->leaving = (Gw__InstanceInFlight **)report->parts->pdata;
+}
+
+static void
+add_demand(report_t *report, pool_t *pool)
+{
+	Gw__PoolDemand *part;
+
+	part = g_new(Gw__PoolDemand, 1);
+	gw__pool_demand__init(part);
+	part->pool = pool->name;
+	part->queued = fairq_length(pool->queue);
+	part->in_flight = pool->in_flight;
+	part->slots_wanted = pool_slots_wanted(pool);
+	part->refused = pool->refused;
+	g_ptr_array_add(report->parts, part);
+}
+
+/*
+ * Builds the heartbeat: the demand of each pool, and the instances that are
+ * not simply active.
+ */
+void
+report_heartbeat(
+    report_t *report, router_t *router, uint64_t sequence, uint64_t sent_us)
+{
+	Gw__Heartbeat *heartbeat = &report->heartbeat;
+	GHashTableIter iter;
+	gpointer pool;
+	guint pools;
+
+	init(report);
+	g_hash_table_iter_init(&iter, router->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		add_demand(report, pool);
+	pools = report->parts->len;
+	view_each(&router->view, add_if_needed, report);
+	heartbeat->sequence = sequence;
+	heartbeat->sent_us = sent_us;
+	heartbeat->epoch = router->view.epoch;
+	heartbeat->table_version = router->view.version;
+	heartbeat->generation = router->config.generation;
+	heartbeat->n_demand = pools;
+	heartbeat->demand = (Gw__PoolDemand **)report->parts->pdata;
+	heartbeat->n_leaving = report->parts->len - pools;
+	heartbeat->leaving =
+	    (Gw__InstanceInFlight **)report->parts->pdata + pools;
+}
+
+static void
+add_tally(instance_t *instance, void *arg)
+{
+	report_t *report = arg;
+	Gw__InstanceOutcome *part;
+	tally_t *tally = &instance->tally;
+
+	if (tally->started + tally->succeeded + tally->failed +
+		tally->timed_out ==
+	    0)
+		return;
+	part = g_new(Gw__InstanceOutcome, 1);
+	gw__instance_outcome__init(part);
+	part->instance_id = instance->id;
+	part->incarnation = instance->incarnation;
+	part->started = tally->started;
+	part->succeeded = tally->succeeded;
+	part->failed = tally->failed;
+	part->timed_out = tally->timed_out;
+	*tally = (tally_t){0};
+	g_ptr_array_add(report->parts, part);
+}
+
+/*
+ * Builds the counts since the last report and begins new ones.
+ */
+void
+report_outcome(report_t *report, router_t *router)
+{
+	init(report);
+	view_each(&router->view, add_tally, report);
+	report->outcome.n_instances = report->parts->len;
+	report->outcome.instances =
+	    (Gw__InstanceOutcome **)report->parts->pdata;
+}
+
+/*
+ * Frees the parts.
+ */
+void
+report_clear(report_t *report)
+{
+	g_ptr_array_unref(report->parts);
+}
--- /dev/null
+++ b/gwrouted/report.h
@@ -0,0 +1,28 @@
+#ifndef GWROUTED_REPORT_H
+#define GWROUTED_REPORT_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "wire/gw.pb-c.h"
+
+typedef struct router router_t;
+
+/* A message about the router's state, with the memory of its parts. */
+typedef struct {
+	Gw__Hello hello;
+	Gw__Heartbeat heartbeat;
+	Gw__Ack ack;
+	Gw__Outcome outcome;
+	GPtrArray *parts; /* allocated messages, in order */
+} report_t;
+
+void report_hello(report_t *, router_t *);
+void report_heartbeat(
+    report_t *, router_t *, uint64_t sequence, uint64_t sent_us);
+void report_ack(report_t *, router_t *, uint64_t view_sequence);
+void report_outcome(report_t *, router_t *);
+void report_clear(report_t *);
+
+#endif
--- /dev/null
+++ b/gwrouted/router.h
@@ -0,0 +1,56 @@
+#ifndef GWROUTED_ROUTER_H
+#define GWROUTED_ROUTER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "admin.h"
+#include "config.h"
+#include "fleet.h"
+#include "gw/runtime.h"
+#include "http/httpd.h"
+#include "instance.h"
+#include "metrics.h"
+#include "pool.h"
+#include "request.h"
+#include "settings.h"
+#include "spill.h"
+#include "view.h"
+
+/* One router process: what its parts share. */
+struct router {
+	gw_rt_t *rt;
+	const settings_t *settings;
+	uint64_t boot_id;
+	uint64_t next_attempt;
+	GRand *rand;
+	config_t config;
+	view_t view;
+	member_router_contact_t contact;
+	GHashTable *pools;     /* name -> pool_t */
+	GQueue requests;       /* request_t, all that have not ended */
+	uint32_t open_callers; /* responses that are not sent to the end */
+	metrics_t metrics;
+	fleet_t *fleet;
+	spill_t *spill;
+	gw_httpd_t *callers;
+	gw_addr_t callers_addr;
+	admin_t *admin;
+	gw_timer_t tick;
+	bool draining;
+};
+
+router_t *router_new(gw_rt_t *, const settings_t *);
+int router_listen(router_t *, gw_err_t *);
+void router_free(router_t *);
+pool_t *router_pool(router_t *, const char *name);
+void router_refresh(router_t *);
+void router_manifest_changed(router_t *);
+void router_instance_changed(router_t *, instance_t *);
+void router_count_outcome(router_t *, router_outcome_t);
+void router_count_reason(router_t *, reason_t);
+bool router_is_ready(const router_t *);
+
+#endif
--- /dev/null
+++ b/gwrouted/spill.c
@@ -0,0 +1,128 @@
+#include "router.h"
+#include "spill.h"
+
+/* A peer without room is not asked again for the pool for this long. */
+#define BACK_OFF_US (200 * GW_US_PER_MS)
+/* A wait above this is worth the way to another data centre and back. */
+#define WORTH_WAIT_US (20 * GW_US_PER_MS)
+
+typedef struct {
+	gw_target_t *target;
+	GHashTable *closed_until_us; /* pool -> uint64_t */
+} peer_t;
+
+struct spill {
+	gw_rt_t *rt;
+	GPtrArray *peers; /* peer_t */
+	guint next;
+};
+
+static void
+peer_free(gpointer data)
+{
+	peer_t *peer = data;
+
+	gw_target_unref(peer->target);
+	g_hash_table_destroy(peer->closed_until_us);
+	g_free(peer);
+}
+
+/*
+ * Returns the peers that the settings name; there may be none.
+ */
+spill_t *
+spill_new(gw_rt_t *rt, const settings_t *settings)
+{
+	spill_t *spill;
+	peer_t *peer;
+
+	spill = g_new0(spill_t, 1);
+	spill->rt = rt;
+	spill->peers = g_ptr_array_new_with_free_func(peer_free);
+	for (guint i = 0; i < settings->spill->len; i++) {
+		peer = g_new0(peer_t, 1);
+		peer->target = gw_target_new(rt,
+		    &g_array_index(settings->spill, gw_addr_t, i),
+		    GW_CONNECT_MS, settings->endpoint_idle_ms);
+		peer->closed_until_us = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, g_free);
+		g_ptr_array_add(spill->peers, peer);
+	}
+	return spill;
+}
+
+/*
+ * Frees the peers. No request may be under way to them.
+ */
+void
+spill_free(spill_t *spill)
+{
+	g_ptr_array_unref(spill->peers);
+	g_free(spill);
+}
+
+static bool
+is_open(const spill_t *spill, const peer_t *peer, const char *pool)
+{
+	const uint64_t *until_us =
+	    g_hash_table_lookup(peer->closed_until_us, pool);
+
+	return until_us == NULL || *until_us <= gw_rt_now_us(spill->rt);
+}
+
+/*
+ * Tells whether another data centre is likely to start the request earlier.
+ */
+bool
+spill_is_better(spill_t *spill, const request_t *request)
+{
+	const pool_t *pool = request->pool;
+
+	if (spill->peers->len == 0 || request->is_hop)
+		return false;
+	return pool->slots == 0 ||
+	    fairq_wait_us(pool->queue, request->item.team,
+		request->item.request_class,
+		request->item.route) > WORTH_WAIT_US;
+}
+
+/*
+ * Sends the request to the next peer that may have room. At most one hop: a
+ * request from another data centre stays here, and each one is sent once.
+ */
+bool
+spill_try(spill_t *spill, request_t *request)
+{
+	peer_t *peer;
+
+	if (request->is_hop || request->spill_tried || request->caller == NULL)
+		return false;
+	for (guint i = 0; i < spill->peers->len; i++) {
+		peer = spill->peers->pdata[spill->next++ % spill->peers->len];
+		if (!is_open(spill, peer, request->pool->name))
+			continue;
+		request->spill_tried = true;
+		request->spill_peer = peer;
+		request->router->metrics.spills->value++;
+		attempt_start_on_peer(request, peer->target);
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Learns from the end of an attempt on a peer.
+ */
+void
+spill_ended(spill_t *spill, const request_t *request, bool answered)
+{
+	peer_t *peer = request->spill_peer;
+	uint64_t *until_us;
+
+	if (answered)
+		return;
+	until_us = g_new(uint64_t, 1);
+	*until_us = gw_rt_now_us(spill->rt) + BACK_OFF_US;
+	g_hash_table_insert(
+	    peer->closed_until_us, g_strdup(request->pool->name), until_us);
+}
--- /dev/null
+++ b/gwrouted/sweep.c
@@ -0,0 +1,62 @@
+#include <poll.h>
+
+#include "http/httpd.h"
+#include "router.h"
+#include "sweep.h"
+
+/* The queued requests of HTTP/1 callers and their connections. */
+typedef struct {
+	GArray *fds;	    /* struct pollfd */
+	GPtrArray *waiting; /* request_t, same order */
+} queued_t;
+
+static void
+collect(queued_t *queued, const router_t *router)
+{
+	struct pollfd pfd = {.events = POLLRDHUP};
+
+	for (GList *l = router->requests.head; l != NULL; l = l->next) {
+		request_t *request = l->data;
+
+		if (!request->item.queued || request->caller == NULL)
+			continue;
+		pfd.fd = gw_http_caller_fd(request->caller->req);
+		g_array_append_val(queued->fds, pfd);
+		g_ptr_array_add(queued->waiting, request);
+	}
+}
+
+static void
+refuse_gone(const queued_t *queued)
+{
+	for (guint i = 0; i < queued->fds->len; i++) {
+		const struct pollfd *pfd =
+		    &g_array_index(queued->fds, struct pollfd, i);
+		request_t *request = queued->waiting->pdata[i];
+
+		if (pfd->fd < 0 || pfd->revents == 0)
+			continue;
+		fairq_remove(request->pool->queue, &request->item);
+		request_refuse(request, REASON_CALLER_GONE);
+	}
+}
+
+/*
+ * Takes queued requests out whose HTTP/1 callers have closed. One call of
+ * poll() looks at all of them.
+ */
+void
+sweep_gone_callers(router_t *router)
+{
+	queued_t queued;
+
+	queued.fds = g_array_new(FALSE, TRUE, sizeof(struct pollfd));
+	queued.waiting = g_ptr_array_new();
+	collect(&queued, router);
+	if (queued.fds->len > 0 &&
+	    poll((struct pollfd *)(void *)queued.fds->data, queued.fds->len,
+		0) > 0)
+		refuse_gone(&queued);
+	g_array_unref(queued.fds);
+	g_ptr_array_unref(queued.waiting);
+}
--- /dev/null
+++ b/gwrouted/view.c
@@ -0,0 +1,226 @@
+#include <string.h>
+
+#include "gw/log.h"
+#include "router.h"
+#include "view.h"
+
+/*
+ * Prepares an empty view.
+ */
+void
+view_init(view_t *view, router_t *router)
+{
+	*view = (view_t){.router = router};
+	view->instances =
+	    g_hash_table_new(g_str_hash, g_str_equal); /* key: instance->id */
+	view->replaced = g_ptr_array_new();
+}
+
+/*
+ * Frees the view and its instances. Nothing may be in flight.
+ */
+void
+view_clear(view_t *view)
+{
+	GHashTableIter iter;
+	gpointer instance;
+
+	g_hash_table_iter_init(&iter, view->instances);
+	while (g_hash_table_iter_next(&iter, NULL, &instance))
+		instance_free(instance);
+	for (guint i = 0; i < view->replaced->len; i++)
+		instance_free(view->replaced->pdata[i]);
+	g_hash_table_destroy(view->instances);
+	g_ptr_array_unref(view->replaced);
+}
+
+/*
+ * Frees an instance that is out of the view once nothing is in flight on it.
+ */
+void
+view_release(view_t *view, instance_t *instance)
+{
+	if (instance->in_view || instance->in_flight > 0)
+		return;
+	g_ptr_array_remove_fast(view->replaced, instance);
+	instance_free(instance);
+}
+
+/*
+ * Takes an instance out of the view: it gets no new work, and its connections
+ * are used for nothing but the requests in flight.
+ */
+static void
+retire(view_t *view, instance_t *instance)
+{
+	g_hash_table_remove(view->instances, instance->id);
+	if (instance->pool != NULL)
+		pool_remove(instance->pool, instance);
+	instance->in_view = false;
+	instance_set_granted(instance, 0);
+	g_ptr_array_add(view->replaced, instance);
+	view_release(view, instance);
+}
+
+static instance_t *
+add(view_t *view, const Gw__Instance *from)
+{
+	instance_t *instance;
+	gw_addr_t addr;
+	gw_err_t err;
+
+	if (from->port > UINT16_MAX ||
+	    gw_addr_make(&addr, from->address, (uint16_t)from->port, &err) !=
+		0) {
+		gw_log(GW_EV_BAD_INSTANCE, "instance=%s address=%s port=%u",
+		    from->id, from->address, from->port);
+		return NULL;
+	}
+	instance = instance_new(view->router->rt, view->router->settings,
+	    from->id, from->incarnation, &addr);
+	instance->in_view = true;
+	g_hash_table_insert(view->instances, instance->id, instance);
+	return instance;
+}
+
+/*
+ * Tells whether a record is about another endpoint than the one held. An
+ * address that changed is a new incarnation as well.
+ */
+static bool
+is_replacement(const instance_t *instance, const Gw__Instance *from)
+{
+	char held[GW_ADDR_TEXT_BYTES], offered[GW_ADDR_TEXT_BYTES];
+	gw_addr_t addr;
+	gw_err_t err;
+
+	if (strcmp(instance->incarnation, from->incarnation) != 0)
+		return true;
+	if (gw_addr_make(&addr, from->address, (uint16_t)from->port, &err) != 0)
+		return true;
+	return strcmp(gw_addr_text(&instance->addr, held),
+		   gw_addr_text(&addr, offered)) != 0;
+}
+
+static void
+put_into_pool(view_t *view, instance_t *instance, const char *name)
+{
+	pool_t *pool = NULL;
+
+	if (instance->state == MEMBER_ACTIVE && name[0] != '\0')
+		pool = router_pool(view->router, name);
+	if (instance->pool == pool)
+		return;
+	if (instance->pool != NULL)
+		pool_remove(instance->pool, instance);
+	if (pool != NULL)
+		pool_add(pool, instance);
+}
+
+/*
+ * Takes over one record. Only the planner's grants count: another gwfleetd
+ * knows them from this router itself.
+ */
+static void
+update(view_t *view, const Gw__Instance *from, bool states, bool grants)
+{
+	instance_t *instance;
+
+	instance = g_hash_table_lookup(view->instances, from->id);
+	if (instance != NULL && is_replacement(instance, from)) {
+		if (!states)
+			return;
+		retire(view, instance);
+		instance = NULL;
+	}
+	if (instance == NULL && states)
+		instance = add(view, from);
+	if (instance == NULL)
+		return;
+	if (states) {
+		instance->state = (member_state_t)from->state;
+		instance->time_bound = from->time_bound;
+		put_into_pool(view, instance, from->pool);
+	}
+	if (grants)
+		instance_set_granted(instance, from->granted);
+}
+
+static void
+retire_by_id(view_t *view, const char *id)
+{
+	instance_t *instance;
+
+	instance = g_hash_table_lookup(view->instances, id);
+	if (instance != NULL)
+		retire(view, instance);
+}
+
+/*
+ * Retires what a full view does not name.
+ */
+static void
+retire_missing(view_t *view, const Gw__View *from)
+{
+	GHashTable *named = g_hash_table_new(g_str_hash, g_str_equal);
+	GList *ids, *id;
+
+	for (size_t i = 0; i < from->n_instances; i++)
+		g_hash_table_add(named, from->instances[i]->id);
+	ids = g_hash_table_get_keys(view->instances);
+	for (id = ids; id != NULL; id = id->next)
+		if (!g_hash_table_contains(named, id->data))
+			retire_by_id(view, id->data);
+	g_list_free(ids);
+	g_hash_table_destroy(named);
+}
+
+/*
+ * Takes a view in force: states when the view is at least as new as the one
+ * held, grants when the planner sent it. A delta must build on a version that
+ * is held; one that starts earlier repeats what is known.
+ */
+view_result_t
+view_apply(view_t *view, const Gw__View *from, bool from_planner)
+{
+	bool states;
+
+	states = !member_adopt_view(
+	    from->epoch, from->version, view->epoch, view->version);
+	if (!from->full && states &&
+	    (from->epoch != view->epoch || from->base_version > view->version))
+		return VIEW_GAP;
+	for (size_t i = 0; i < from->n_instances; i++)
+		update(view, from->instances[i], states, from_planner);
+	if (states && from->full)
+		retire_missing(view, from);
+	for (size_t i = 0; states && i < from->n_removed_ids; i++)
+		retire_by_id(view, from->removed_ids[i]);
+	if (states) {
+		view->epoch = from->epoch;
+		view->version = from->version;
+	}
+	if (from->admitted && !view->admitted) {
+		view->admitted = true;
+		gw_log(GW_EV_ADMITTED, "epoch=%" PRIu64 " version=%" PRIu64,
+		    from->epoch, from->version);
+	}
+	router_refresh(view->router);
+	return VIEW_IN_FORCE;
+}
+
+/*
+ * Calls fn for each instance, those out of the view included.
+ */
+void
+view_each(view_t *view, void (*fn)(instance_t *, void *), void *arg)
+{
+	GHashTableIter iter;
+	gpointer instance;
+
+	g_hash_table_iter_init(&iter, view->instances);
+	while (g_hash_table_iter_next(&iter, NULL, &instance))
+		fn(instance, arg);
+	for (guint i = 0; i < view->replaced->len; i++)
+		fn(view->replaced->pdata[i], arg);
+}
