Add gwfleetd, the fleet daemon, and its failure tests

Cause: the data centres have no planner: nothing writes the instance table, admits routers or brings manifest generations to them. Change: gwfleetd as one state machine that reacts to messages of the store, the platform, routers, peers and the clock: election by a lease that counts from sending, claim of the table by epoch, compare-and-swap records whose draft stays until its outcome is known, manifest watch with a read every 4 s, views as deltas, slot grants, platform list, reboots, waves and the admin interface. regress/fleet drives it on the paused clock with a fake store, platform and routers.

--- /dev/null
+++ b/gwfleetd/election.h
@@ -0,0 +1,43 @@
+#ifndef FLEET_ELECTION_H
+#define FLEET_ELECTION_H
+
+#include "fleet.h"
+
+/* Silence of the planner after which a gwfleetd looks at the election record.
+ */
+#define ELECTION_SILENCE_MS GW_CONTACT_MS
+/* Interval at which it looks again while another one holds the record. */
+#define ELECTION_RETRY_MS 1000
+/* Wait before a renewal that failed is repeated. */
+#define ELECTION_RENEW_RETRY_MS 500
+
+typedef enum {
+	ELECTION_IDLE,	   /* follows, or waits for the next attempt */
+	ELECTION_LOOKING,  /* reads the election record */
+	ELECTION_LEASING,  /* asks for a lease */
+	ELECTION_CLAIMING, /* writes the election record */
+	ELECTION_CHECKING, /* the write may have taken effect: reads it */
+	ELECTION_HELD	   /* is the planner while the lease is valid */
+} election_phase_t;
+
+/* This gwfleetd's part in the election of the planner. */
+typedef struct {
+	election_phase_t phase;
+	char key[160];
+	char *claim; /* the record it writes; differs for each attempt */
+	uint64_t call;
+	uint64_t attempts;
+	uint64_t next_us; /* of the next attempt or renewal */
+	uint64_t sent_us; /* when the pending grant or renewal was sent */
+	uint64_t lease_id;
+	bool renewing;
+	member_lease_t lease;
+} election_t;
+
+void election_init(election_t *, const fleet_config_t *, uint64_t now_us);
+void election_clear(election_t *);
+void election_tick(fleet_t *);
+void election_step_down(fleet_t *, const char *reason);
+bool election_held(const fleet_t *);
+
+#endif
--- /dev/null
+++ b/gwfleetd/generation.c
@@ -0,0 +1,496 @@
+#include <string.h>
+
+#include "fleet_state.h"
+#include "gw/id.h"
+#include "gw/log.h"
+#include "session.h"
+
+static void on_root_read(fleet_t *, record_t *);
+
+static const record_ops_t root_ops = {.on_read = on_root_read};
+
+static void
+root_clear(generation_root_t *root)
+{
+	if (root->root != NULL)
+		manifest_root_free(root->root);
+	g_free(root->text);
+	root->root = NULL;
+	root->text = NULL;
+}
+
+static void
+root_free(gpointer ptr)
+{
+	root_clear(ptr);
+	g_free(ptr);
+}
+
+static void
+bytes_free(gpointer ptr)
+{
+	g_bytes_unref(ptr);
+}
+
+/*
+ * Starts without a manifest.
+ */
+void
+generation_init(generation_t *generation)
+{
+	memset(generation, 0, sizeof(*generation));
+	generation->bodies =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, bytes_free);
+	generation->reads =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_queue_init(&generation->history);
+	record_init(&generation->root_record, &root_ops, GENERATION_ROOT_KEY);
+}
+
+/*
+ * Frees the manifests, roots and sections.
+ */
+void
+generation_clear(generation_t *generation)
+{
+	root_clear(&generation->held);
+	root_clear(&generation->wanted);
+	manifest_free(generation->manifest);
+	manifest_free(generation->previous);
+	g_hash_table_destroy(generation->bodies);
+	g_hash_table_destroy(generation->reads);
+	g_queue_clear_full(&generation->history, root_free);
+	record_clear(&generation->root_record);
+}
+
+/*
+ * Returns the generation in force here; 0 for none.
+ */
+uint64_t
+generation_held(const fleet_t *fleet)
+{
+	const manifest_root_t *root = fleet->generation.held.root;
+
+	return root == NULL ? 0 : root->generation;
+}
+
+/*
+ * Drops the bodies that no kept root names.
+ */
+static void
+drop_unused_bodies(generation_t *generation)
+{
+	g_autoptr(GHashTable) used = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer hash;
+
+	for (guint i = 0; i < generation->held.root->sections->len; i++) {
+		manifest_section_t *section =
+		    generation->held.root->sections->pdata[i];
+
+		g_hash_table_add(used, section->hash);
+	}
+	g_hash_table_iter_init(&iter, generation->bodies);
+	while (g_hash_table_iter_next(&iter, &hash, NULL))
+		if (!g_hash_table_contains(used, hash))
+			g_hash_table_iter_remove(&iter);
+}
+
+static void
+keep_in_history(generation_t *generation, generation_root_t *root)
+{
+	generation_root_t *kept;
+
+	if (root->root == NULL)
+		return;
+	kept = g_new0(generation_root_t, 1);
+	*kept = *root;
+	memset(root, 0, sizeof(*root));
+	g_queue_push_head(&generation->history, kept);
+	if (generation->history.length > GENERATION_HISTORY)
+		root_free(g_queue_pop_tail(&generation->history));
+}
+
+/*
+ * Puts the bodies into the wanted root's sections for manifest_join().
+ */
+static void
+fill_bodies(generation_t *generation)
+{
+	const manifest_root_t *root = generation->wanted.root;
+	gsize size_bytes;
+	GBytes *body;
+
+	for (guint i = 0; i < root->sections->len; i++) {
+		manifest_section_t *section = root->sections->pdata[i];
+
+		body = g_hash_table_lookup(generation->bodies, section->hash);
+		if (section->body != NULL || body == NULL)
+			continue;
+		section->body = g_strndup(g_bytes_get_data(body, &size_bytes),
+		    g_bytes_get_size(body));
+		section->size_bytes = (uint32_t)g_bytes_get_size(body);
+	}
+}
+
+/*
+ * Puts the complete wanted root in force and sends it on.
+ */
+static void
+adopt(fleet_t *fleet)
+{
+	generation_t *generation = &fleet->generation;
+	manifest_t *manifest;
+	gw_err_t err;
+
+	fill_bodies(generation);
+	manifest = manifest_join(generation->wanted.root, &err);
+	if (manifest == NULL) {
+		gw_log(GW_EV_GENERATION_BAD,
+		    "generation=%" G_GUINT64_FORMAT " text=\"%s\"",
+		    generation->wanted.root->generation, err.text);
+		root_clear(&generation->wanted);
+		return;
+	}
+	keep_in_history(generation, &generation->held);
+	generation->held = generation->wanted;
+	memset(&generation->wanted, 0, sizeof(generation->wanted));
+	if (generation->previous == NULL)
+		generation->previous = generation->manifest;
+	else
+		manifest_free(generation->manifest);
+	generation->manifest = manifest;
+	manifest->generation = generation->held.root->generation;
+	drop_unused_bodies(generation);
+	fleet->metrics.generation->value = generation_held(fleet);
+	gw_log(GW_EV_FLEET_GENERATION,
+	    "generation=%" G_GUINT64_FORMAT " sections=%u",
+	    generation_held(fleet), generation->held.root->sections->len);
+	sessions_send_generation(fleet);
+}
+
+static void next_reads(fleet_t *);
+
+/*
+ * Keeps a section's body if its hash is the named one.
+ */
+static bool
+take_body(
+    fleet_t *fleet, const char *hash, const void *body, uint64_t size_bytes)
+{
+	char own[GW_ID_TEXT_BYTES];
+
+	gw_id_content(body, size_bytes, own);
+	if (strcmp(own, hash) != 0) {
+		gw_log(GW_EV_GENERATION_BAD,
+		    "section=%s text=\"content has hash %s\"", hash, own);
+		return false;
+	}
+	g_hash_table_replace(fleet->generation.bodies, g_strdup(hash),
+	    g_bytes_new(body, size_bytes));
+	return true;
+}
+
+static void
+on_section(fleet_t *fleet, const fleet_msg_t *msg, void *arg)
+{
+	generation_t *generation = &fleet->generation;
+	g_autofree char *hash = g_strdup(arg);
+
+	g_hash_table_remove(generation->reads, hash);
+	if (msg->err != NULL || msg->value->value == NULL ||
+	    !take_body(
+		fleet, hash, msg->value->value, msg->value->size_bytes)) {
+		generation->retry_us =
+		    fleet_now_us(fleet) + RECORD_RETRY_MS * GW_US_PER_MS;
+		return;
+	}
+	next_reads(fleet);
+}
+
+static void
+read_section(fleet_t *fleet, const char *hash)
+{
+	g_autofree char *key =
+	    g_strconcat(GENERATION_SECTION_PREFIX, hash, NULL);
+	char *reading = g_strdup(hash);
+	uint64_t call;
+
+	g_hash_table_add(fleet->generation.reads, reading);
+	call = calls_add(&fleet->calls, on_section, reading);
+	fleet->metrics.store_reads->value++;
+	fleet->ops->get(fleet->ctx, call, key);
+}
+
+/*
+ * Reads sections that the wanted root lacks; adopts it once none is missing.
+ */
+static void
+next_reads(fleet_t *fleet)
+{
+	generation_t *generation = &fleet->generation;
+	guint missing = 0;
+
+	if (generation->wanted.root == NULL ||
+	    fleet_now_us(fleet) < generation->retry_us)
+		return;
+	for (guint i = 0; i < generation->wanted.root->sections->len; i++) {
+		manifest_section_t *section =
+		    generation->wanted.root->sections->pdata[i];
+
+		if (g_hash_table_contains(generation->bodies, section->hash))
+			continue;
+		missing++;
+		if (g_hash_table_size(generation->reads) < GENERATION_READS &&
+		    !g_hash_table_contains(generation->reads, section->hash))
+			read_section(fleet, section->hash);
+	}
+	if (missing == 0)
+		adopt(fleet);
+}
+
+/*
+ * Takes a root from the store or a peer. Only a generation above the one held,
+ * and above the one being completed, is of interest.
+ */
+void
+generation_offer(fleet_t *fleet, const char *root_text, uint64_t size_bytes)
+{
+	generation_t *generation = &fleet->generation;
+	manifest_root_t *root;
+	uint64_t known;
+	gw_err_t err;
+
+	root = manifest_root_decode(root_text, size_bytes, &err);
+	if (root == NULL) {
+		gw_log(GW_EV_GENERATION_BAD, "text=\"%s\"", err.text);
+		return;
+	}
+	known = generation_held(fleet);
+	if (!member_adopt_generation(known, root->generation)) {
+		if (root->generation < known)
+			gw_log(GW_EV_GENERATION_OLD,
+			    "generation=%" G_GUINT64_FORMAT
+			    " held=%" G_GUINT64_FORMAT,
+			    root->generation, known);
+		manifest_root_free(root);
+		return;
+	}
+	if (generation->wanted.root != NULL &&
+	    generation->wanted.root->generation >= root->generation) {
+		manifest_root_free(root);
+		next_reads(fleet);
+		return;
+	}
+	root_clear(&generation->wanted);
+	generation->wanted.root = root;
+	generation->wanted.text = g_strndup(root_text, size_bytes);
+	next_reads(fleet);
+}
+
+/*
+ * Takes a generation from a peer. Sections that it did not send are read from
+ * the store.
+ */
+void
+generation_take_sections(fleet_t *fleet, const Gw__Sections *msg)
+{
+	if (!member_adopt_generation(generation_held(fleet), msg->generation))
+		return;
+	for (size_t i = 0; i < msg->n_sections; i++)
+		(void)take_body(fleet, msg->sections[i]->hash,
+		    msg->sections[i]->body.data, msg->sections[i]->body.len);
+	generation_offer(fleet, (const char *)msg->root.data, msg->root.len);
+}
+
+static const manifest_root_t *
+root_of(const generation_t *generation, uint64_t number)
+{
+	for (GList *l = generation->history.head; l != NULL; l = l->next) {
+		const generation_root_t *root = l->data;
+
+		if (root->root->generation == number)
+			return root->root;
+	}
+	return NULL;
+}
+
+static bool
+root_has(const manifest_root_t *root, const manifest_section_t *section)
+{
+	const manifest_section_t *found;
+
+	if (root == NULL)
+		return false;
+	found = manifest_root_find(root, section->name);
+	return found != NULL && strcmp(found->hash, section->hash) == 0;
+}
+
+/*
+ * Sends one message with the sections gathered so far.
+ */
+static void
+send_sections(fleet_t *fleet, fleet_link_t *link, GPtrArray *sections)
+{
+	const generation_root_t *held = &fleet->generation.held;
+	Gw__Envelope envelope = GW__ENVELOPE__INIT;
+	Gw__Sections msg = GW__SECTIONS__INIT;
+
+	msg.generation = held->root->generation;
+	msg.root.data = (uint8_t *)held->text;
+	msg.root.len = strlen(held->text);
+	msg.n_sections = sections->len;
+	msg.sections = (Gw__Section **)sections->pdata;
+	envelope.body_case = GW__ENVELOPE__BODY_SECTIONS;
+	envelope.sections = &msg;
+	(void)fleet->ops->send(fleet->ctx, link, &envelope);
+	g_ptr_array_set_size(sections, 0);
+}
+
+static Gw__Section *
+section_message(const fleet_t *fleet, manifest_section_t *section)
+{
+	Gw__Section *msg = g_new0(Gw__Section, 1);
+	gsize size_bytes = 0;
+	GBytes *body;
+
+	gw__section__init(msg);
+	body = g_hash_table_lookup(fleet->generation.bodies, section->hash);
+	msg->name = section->name;
+	msg->hash = section->hash;
+	msg->body.data = (uint8_t *)g_bytes_get_data(body, &size_bytes);
+	msg->body.len = size_bytes;
+	return msg;
+}
+
+/*
+ * Sends the generation in force to a peer that holds a lower one: the sections
+ * that the peer's generation lacks, in as many messages as the frame limit
+ * asks for. A receiver adopts the generation once it has all sections.
+ */
+void
+generation_send(fleet_t *fleet, fleet_link_t *link, uint64_t peer_generation)
+{
+	const manifest_root_t *root = fleet->generation.held.root;
+	const manifest_root_t *known;
+	g_autoptr(GPtrArray) batch = g_ptr_array_new_with_free_func(g_free);
+	size_t batch_bytes = 0;
+
+	if (root == NULL || peer_generation >= root->generation)
+		return;
+	known = root_of(&fleet->generation, peer_generation);
+	for (guint i = 0; i < root->sections->len; i++) {
+		manifest_section_t *section = root->sections->pdata[i];
+		Gw__Section *msg;
+
+		if (root_has(known, section))
+			continue;
+		msg = section_message(fleet, section);
+		if (batch_bytes > 0 &&
+		    batch_bytes + msg->body.len > GENERATION_MESSAGE_BYTES) {
+			send_sections(fleet, link, batch);
+			batch_bytes = 0;
+		}
+		batch_bytes += msg->body.len;
+		g_ptr_array_add(batch, msg);
+	}
+	send_sections(fleet, link, batch);
+}
+
+/*
+ * Ends the use of the earlier manifest's budgets: the held generation is in
+ * force everywhere.
+ */
+void
+generation_in_force(fleet_t *fleet)
+{
+	manifest_free(fleet->generation.previous);
+	fleet->generation.previous = NULL;
+}
+
+static void
+start_watch(fleet_t *fleet)
+{
+	generation_t *generation = &fleet->generation;
+
+	generation->watch = ++fleet->calls.last;
+	fleet->ops->watch(fleet->ctx, generation->watch, GENERATION_ROOT_KEY,
+	    generation->root_record.store_revision + 1);
+}
+
+static void
+on_root_read(fleet_t *fleet, record_t *record)
+{
+	generation_t *generation = &fleet->generation;
+
+	generation->watched_us = fleet_now_us(fleet);
+	if (generation->watch == 0)
+		start_watch(fleet);
+	if (record->value != NULL)
+		generation_offer(fleet, record->value, strlen(record->value));
+}
+
+/*
+ * Reads the root, then watches it from there on. For the planner only.
+ */
+void
+generation_begin_watch(fleet_t *fleet)
+{
+	generation_end_watch(fleet);
+	record_read(fleet, &fleet->generation.root_record);
+}
+
+/*
+ * Ends the watch.
+ */
+void
+generation_end_watch(fleet_t *fleet)
+{
+	record_cancel(fleet, &fleet->generation.root_record);
+	if (fleet->generation.watch != 0)
+		fleet->ops->unwatch(fleet->ctx);
+	fleet->generation.watch = 0;
+}
+
+/*
+ * Takes a change of the root, or the end of the watch. Events may come twice
+ * or late; only a higher generation counts.
+ */
+void
+generation_on_watch(fleet_t *fleet, const fleet_msg_t *msg)
+{
+	generation_t *generation = &fleet->generation;
+
+	if (msg->call != generation->watch)
+		return;
+	if (msg->kind == FLEET_WATCH_VALUE) {
+		if (msg->value->value != NULL)
+			generation_offer(
+			    fleet, msg->value->value, msg->value->size_bytes);
+		return;
+	}
+	gw_log(GW_EV_WATCH_END, "err=%s text=\"%s\"",
+	    gw_errc_name(msg->err->code), msg->err->text);
+	generation->watch = 0;
+	generation->watched_us = fleet_now_us(fleet) -
+	    (GENERATION_REREAD_MS - RECORD_RETRY_MS) * GW_US_PER_MS;
+}
+
+/*
+ * Repeats reads that failed or are due. The planner reads the root at an
+ * interval besides its watch.
+ */
+void
+generation_tick(fleet_t *fleet)
+{
+	generation_t *generation = &fleet->generation;
+
+	next_reads(fleet);
+	if (!election_held(fleet))
+		return;
+	record_tick(fleet, &generation->root_record);
+	if (record_idle(&generation->root_record) &&
+	    fleet_now_us(fleet) >=
+		generation->watched_us + GENERATION_REREAD_MS * GW_US_PER_MS)
+		record_read(fleet, &generation->root_record);
+}
--- /dev/null
+++ b/gwfleetd/grants.h
@@ -0,0 +1,29 @@
+#ifndef FLEET_GRANTS_H
+#define FLEET_GRANTS_H
+
+#include "fleet.h"
+#include "member/grant.h"
+#include "router.h"
+
+/* Interval at which grants follow the demand. */
+#define GRANTS_DIVIDE_MS 200
+
+/* The grants of one instance. */
+typedef struct {
+	member_grants_t *grants;
+	/* Routers of an earlier planner may hold slots of it unreported. */
+	bool inherited;
+} instance_grants_t;
+
+void instance_grants_free(void *);
+uint32_t grants_of(
+    const fleet_t *, const char *instance_id, const char *router_key);
+void grants_inherit(fleet_t *);
+void grants_import(fleet_t *, const router_t *, const session_t *);
+void grants_acked(fleet_t *, const router_t *, const Gw__Ack *);
+void grants_drop_router(fleet_t *, const router_t *);
+void grants_reset_drained(
+    fleet_t *, const member_table_t *before, const member_table_t *after);
+void grants_tick(fleet_t *);
+
+#endif
--- /dev/null
+++ b/gwfleetd/peer.h
@@ -0,0 +1,13 @@
+#ifndef FLEET_PEER_H
+#define FLEET_PEER_H
+
+#include "fleet.h"
+#include "session.h"
+
+/* Interval of PeerState, which doubles as the planner's heartbeat. */
+#define PEER_STATE_MS 500
+
+void peer_take_state(fleet_t *, session_t *, const Gw__PeerState *);
+void peers_tell(fleet_t *, bool now);
+
+#endif
--- /dev/null
+++ b/gwfleetd/round.h
@@ -0,0 +1,12 @@
+#ifndef FLEET_ROUND_H
+#define FLEET_ROUND_H
+
+#include "fleet.h"
+
+/* Interval of the rounds in which lending, waves and numbers are decided. */
+#define ROUND_MS 500
+
+void round_decide(fleet_t *, member_table_t *draft);
+void round_step(fleet_t *, member_table_t *draft);
+
+#endif
--- /dev/null
+++ b/gwfleetd/router.h
@@ -0,0 +1,41 @@
+#ifndef FLEET_ROUTER_H
+#define FLEET_ROUTER_H
+
+#include "fleet.h"
+#include "session.h"
+
+/* What a router wants of one pool. */
+typedef struct {
+	uint32_t queued;
+	uint32_t in_flight;
+	uint32_t slots_wanted;
+	uint64_t refused;
+	uint64_t refused_before; /* at the last round */
+} router_demand_t;
+
+/* A router that the table lists, as the planner knows it. */
+typedef struct {
+	member_contact_t contact; /* first: lib/member takes contacts */
+	char key[GW_NAME_BYTES];  /* names the router process in grants */
+	uint64_t generation;	  /* in force there, by its last Ack */
+	bool imported;	    /* told this planner the slots that it holds */
+	bool reported;	    /* and has acknowledged this planner's view */
+	GHashTable *demand; /* pool -> router_demand_t */
+} router_t;
+
+void router_key(char key[GW_NAME_BYTES], const char *node_id, uint64_t boot_id);
+router_t *router_new(const char *node_id, uint64_t boot_id);
+void router_free(void *);
+router_t *router_find(const fleet_t *, const char *node_id, uint64_t boot_id);
+session_t *router_session(const fleet_t *, const router_t *);
+void router_hello(fleet_t *, session_t *);
+void router_heartbeat(fleet_t *, session_t *, const Gw__Heartbeat *);
+void router_ack(fleet_t *, session_t *, const Gw__Ack *);
+void router_goodbye(fleet_t *, session_t *, const Gw__Goodbye *);
+void router_end(fleet_t *, router_t *, bool said_goodbye, const char *reason);
+
+/* Admission and removal, as changes of the next table. */
+void routers_update(fleet_t *, member_table_t *draft);
+void routers_adopt(fleet_t *);
+
+#endif
--- /dev/null
+++ b/gwfleetd/session.h
@@ -0,0 +1,41 @@
+#ifndef FLEET_SESSION_H
+#define FLEET_SESSION_H
+
+#include "fleet.h"
+
+/* One connection to a router or to another gwfleetd. */
+typedef struct {
+	fleet_link_t *link;
+	bool dialed;
+	bool closing;  /* its messages are ignored */
+	Gw__Role role; /* ROLE_UNKNOWN until Hello */
+	char node_id[GW_NAME_BYTES];
+	uint64_t boot_id;
+	char key[GW_NAME_BYTES]; /* names the router process in grants */
+	uint64_t generation;	 /* highest one that it has or was sent */
+	uint64_t hello_version;	 /* table version in its Hello */
+	GHashTable *held;	 /* instance id -> held_t, as in its Hello */
+	GHashTable *sent;	 /* instance id -> hash of what was sent last */
+	uint64_t sent_epoch;
+	uint64_t sent_version;
+	uint64_t table_sent_version; /* to a gwfleetd, with PeerState */
+	bool sent_any;
+	bool sent_admitted;
+} session_t;
+
+/* Slots that a router reported to hold. */
+typedef struct {
+	char incarnation[GW_NAME_BYTES];
+	uint32_t slots;
+} held_t;
+
+void session_free(void *);
+session_t *session_find(const fleet_t *, const fleet_link_t *);
+void session_open(fleet_t *, const fleet_msg_t *);
+void session_message(fleet_t *, const fleet_msg_t *);
+void session_closed(fleet_t *, const fleet_msg_t *);
+void session_refuse(fleet_t *, session_t *, const char *reason);
+void session_close(fleet_t *, session_t *);
+void sessions_send_generation(fleet_t *);
+
+#endif
--- /dev/null
+++ b/regress/fleet/generation_test.c
@@ -0,0 +1,207 @@
+#include <string.h>
+
+#include "scene.h"
+
+static uint64_t
+status_generation(const scene_t *s)
+{
+	const fake_key_t *key = world_key(s->w, "/gw/dc/dc1/status");
+	json_t *status;
+	uint64_t generation;
+
+	if (key == NULL)
+		return 0;
+	status = json_loads(key->value, 0, NULL);
+	generation =
+	    (uint64_t)json_integer_value(json_object_get(status, "generation"));
+	json_decref(status);
+	return generation;
+}
+
+/*
+ * Guards against a new generation that does not reach a router or a peer, and
+ * against a status key that runs ahead of the routers or is written for each
+ * change.
+ */
+static void
+test_in_force(void)
+{
+	scene_t s;
+	uint64_t writes;
+
+	scene_start(&s, NULL);
+	scene_run(&s, 1500);
+	g_assert_cmpuint(status_generation(&s), ==, 1);
+	s.r2->cut = true;
+	scene_manifest(&s, 2, 3, 1);
+	scene_run(&s, 3000);
+	g_assert_cmpuint(fleet_generation(s.n1->fleet), ==, 2);
+	g_assert_cmpuint(fleet_generation(s.n2->fleet), ==, 2);
+	g_assert_cmpuint(s.r1->generation, ==, 2);
+	g_assert_cmpuint(status_generation(&s), ==, 1);
+	s.r2->cut = false;
+	router_disconnect(s.r2);
+	router_connect(s.r2, s.n1);
+	scene_run(&s, 2000);
+	g_assert_cmpuint(status_generation(&s), ==, 2);
+	writes = s.w->writes;
+	for (uint64_t generation = 3; generation < 23; generation++) {
+		scene_manifest(&s, generation, 3, 1);
+		scene_run(&s, 100);
+	}
+	scene_run(&s, 2000);
+	g_assert_cmpuint(status_generation(&s), ==, 22);
+	g_assert_cmpuint(s.w->writes - writes, <=, 14);
+	scene_end(&s);
+}
+
+/*
+ * Guards against going back to a lower generation: by a stale read, by an old
+ * root that is written again, and by doubled watch events.
+ */
+static void
+test_never_lower(void)
+{
+	scene_t s;
+	char *old;
+
+	scene_start(&s, NULL);
+	s.w->watch_double = true;
+	old = g_strdup(world_key(s.w, "/gw/manifest/root")->value);
+	scene_manifest(&s, 2, 3, 1);
+	scene_run(&s, 500);
+	g_assert_cmpuint(fleet_generation(s.n1->fleet), ==, 2);
+	world_put(s.w, "/gw/manifest/root", old);
+	scene_run(&s, 500);
+	g_assert_cmpuint(fleet_generation(s.n1->fleet), ==, 2);
+	scene_manifest(&s, 3, 3, 1);
+	s.w->stale_reads = true;
+	scene_run(&s, 10000);
+	g_assert_cmpuint(fleet_generation(s.n1->fleet), ==, 3);
+	g_assert_cmpuint(s.r1->generation, ==, 3);
+	s.w->stale_reads = false;
+	s.n1->paused = true;
+	scene_run(&s, SCENE_FAIL_OVER_MS);
+	g_assert_true(world_planner(s.w) == s.n2);
+	g_assert_cmpuint(fleet_generation(s.n2->fleet), ==, 3);
+	g_free(old);
+	scene_end(&s);
+}
+
+/*
+ * Guards against a planner that misses a change because its watch ended, for
+ * instance on compaction, or is silent.
+ */
+static void
+test_watch_ends(void)
+{
+	fleet_msg_t end = {.kind = FLEET_WATCH_END};
+	gw_err_t err;
+	scene_t s;
+
+	scene_start(&s, NULL);
+	gw_err_set(&err, GW_ERR_CONFLICT, "watch", "store", "compacted");
+	end.call = s.n1->watch;
+	end.err = &err;
+	s.n1->watch = 0;
+	fleet_handle(s.n1->fleet, &end);
+	scene_manifest(&s, 2, 3, 1);
+	scene_run(&s, 1000);
+	g_assert_cmpuint(fleet_generation(s.n1->fleet), ==, 2);
+	g_assert_cmpuint(s.n1->watch, !=, 0);
+	s.n1->watch_key[0] = '\0';
+	scene_manifest(&s, 3, 3, 1);
+	scene_run(&s, 5000);
+	g_assert_cmpuint(fleet_generation(s.n1->fleet), ==, 3);
+	scene_end(&s);
+}
+
+/*
+ * Guards against a start during a store outage that serves an older generation
+ * than the peers hold, or none.
+ */
+static void
+test_start_while_down(void)
+{
+	node_t *n3;
+	scene_t s;
+
+	scene_start(&s, NULL);
+	scene_manifest(&s, 2, 3, 1);
+	scene_run(&s, 1000);
+	s.w->store_down = true;
+	n3 = world_add_node(s.w);
+	world_link_nodes(s.n1, n3);
+	world_link_nodes(n3, s.n1);
+	scene_run(&s, 1000);
+	g_assert_cmpuint(fleet_generation(n3->fleet), ==, 2);
+	g_assert_nonnull(fleet_table(n3->fleet));
+	g_assert_true(fleet_ready(n3->fleet));
+	scene_end(&s);
+}
+
+/*
+ * Guards against a data centre that was cut off and does not take the newer
+ * generation afterwards, or does not keep serving meanwhile.
+ */
+static void
+test_cut_off_and_healed(void)
+{
+	scene_t s;
+
+	scene_start(&s, NULL);
+	s.n1->cut_from_store = true;
+	s.n2->cut_from_store = true;
+	scene_manifest(&s, 2, 3, 1);
+	scene_run(&s, 20000);
+	g_assert_cmpuint(fleet_generation(s.n1->fleet), ==, 1);
+	g_assert_true(router_may_use(s.w, s.r1, "i1"));
+	s.n1->cut_from_store = false;
+	s.n2->cut_from_store = false;
+	scene_run(&s, 5000);
+	scene_reconnect(&s);
+	scene_run(&s, 7000);
+	g_assert_cmpuint(fleet_generation(s.n1->fleet), ==, 2);
+	g_assert_cmpuint(fleet_generation(s.n2->fleet), ==, 2);
+	g_assert_cmpuint(s.r1->generation, ==, 2);
+	g_assert_cmpuint(status_generation(&s), ==, 2);
+	scene_end(&s);
+}
+
+/*
+ * Guards against instances that stay in a pool to which the manifest no longer
+ * gives them.
+ */
+static void
+test_numbers_change(void)
+{
+	scene_t s;
+	uint32_t in_b = 0;
+
+	scene_start(&s, NULL);
+	scene_manifest(&s, 2, 2, 2);
+	scene_run(&s, 6000);
+	for (int i = 1; i <= 4; i++) {
+		char id[8];
+
+		(void)g_snprintf(id, sizeof(id), "i%d", i);
+		g_assert_cmpuint(
+		    scene_instance(&s, id).state, ==, MEMBER_ACTIVE);
+		in_b += strcmp(scene_instance(&s, id).pool, "b") == 0;
+	}
+	g_assert_cmpuint(in_b, ==, 2);
+	scene_end(&s);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/generation/in-force", test_in_force);
+	g_test_add_func("/generation/never-lower", test_never_lower);
+	g_test_add_func("/generation/watch-ends", test_watch_ends);
+	g_test_add_func("/generation/start-while-down", test_start_while_down);
+	g_test_add_func("/generation/cut-off", test_cut_off_and_healed);
+	g_test_add_func("/generation/numbers", test_numbers_change);
+	return g_test_run();
+}
--- /dev/null
+++ b/regress/fleet/scene.h
@@ -0,0 +1,26 @@
+#ifndef REGRESS_SCENE_H
+#define REGRESS_SCENE_H
+
+#include "world.h"
+
+/* Time in which a planner is elected and its first table written. */
+#define SCENE_SETTLE_MS 2000
+/* Time in which another planner is elected after the lease ends. */
+#define SCENE_FAIL_OVER_MS (GW_LEASE_TTL_MS + 4000)
+
+/* Two gwfleetd, four instances in two racks, two routers, generation 1. */
+typedef struct {
+	world_t *w;
+	node_t *n1, *n2;
+	fake_router_t *r1, *r2;
+} scene_t;
+
+void scene_start(scene_t *, const fleet_policy_t *);
+void scene_end(scene_t *);
+void scene_manifest(scene_t *, uint64_t generation, int pool_a, int pool_b);
+void scene_run(scene_t *, uint64_t ms);
+void scene_reconnect(scene_t *);
+uint32_t scene_sum(const scene_t *, const char *instance_id);
+member_instance_t scene_instance(const scene_t *, const char *id);
+
+#endif
