Count a router's grants only from its first Contact on a connection

Cause: gwrouted takes grants only from the gwfleetd whose Contact it has, but acknowledges every view. The planner took the Ack of a first view for the return of revoked slots that the router still used, and never sent those grants again. Change: the planner sends a full view after the first Contact on a connection and counts Acks for grants from that view on. The fake router of the tests follows gwrouted's rule. Conclusion: grants follow the router's own rule; the sum stays within slots.

--- a/gwfleetd/router.c
+++ b/gwfleetd/router.c
@@ -4,6 +4,7 @@
 #include "grants.h"
 #include "gw/log.h"
 #include "router.h"
+#include "view.h"
 
 /*
  * Writes the name of one router process: two processes of one node hold
@@ -139,6 +140,21 @@
 	}
 }
 
+/*
+ * Sends the view once more after the first Contact on a connection: a router
+ * takes grants only from the gwfleetd whose Contact it has, so it ignored
+ * those of the views before.
+ */
+static void
+begin_grants(fleet_t *fleet, session_t *session)
+{
+	if (session->grants_from != 0)
+		return;
+	session->grants_from = fleet->view_sequence + 1;
+	session->sent_any = false;
+	view_send(fleet, session);
+}
+
 /*
  * Answers a heartbeat, if this is the planner, within its own lease, and once
  * the table carries its epoch. The moment is noted before the answer is sent:
@@ -173,6 +189,7 @@
 	envelope.contact = &contact;
 	fleet->metrics.contacts->value++;
 	(void)fleet->ops->send(fleet->ctx, session->link, &envelope);
+	begin_grants(fleet, session);
 }
 
 /*
@@ -191,7 +208,9 @@
 	if (!take_report(router, session, ack->epoch, ack->table_version,
 		ack->leaving, ack->n_leaving))
 		return;
-	if (ack->epoch != fleet->election.lease.epoch)
+	if (ack->epoch != fleet->election.lease.epoch ||
+	    session->grants_from == 0 ||
+	    ack->view_sequence < session->grants_from)
 		return;
 	router->reported = router->reported || router->imported;
 	grants_acked(fleet, router, ack);
--- a/gwfleetd/session.h
+++ b/gwfleetd/session.h
@@ -19,6 +19,8 @@
 	uint64_t sent_epoch;
 	uint64_t sent_version;
 	uint64_t table_sent_version; /* to a gwfleetd, with PeerState */
+	/* First view that the router's grants follow; 0 before any Contact. */
+	uint64_t grants_from;
 	bool sent_any;
 	bool sent_admitted;
 } session_t;
--- a/regress/fleet/world.c
+++ b/regress/fleet/world.c
@@ -832,6 +832,7 @@
 	GPtrArray *held = list_held(r, true);
 
 	r->node = node;
+	r->link_epoch = 0;
 	r->link = link_open(node, false);
 	r->link->router = r;
 	hello.protocol = GW_PROTOCOL_VERSION;
@@ -894,17 +895,25 @@
 	g_ptr_array_free(leaving, TRUE);
 }
 
+/*
+ * Takes a view as gwrouted does: grants count only from the gwfleetd whose
+ * Contact arrived on this connection, or while no planner is known.
+ */
 static void
 take_view(fake_router_t *r, const Gw__View *view)
 {
+	bool grants;
+
 	if (view->epoch < r->epoch ||
 	    (view->epoch == r->epoch && view->version < r->version))
 		return;
+	grants = r->contact.epoch == 0 || r->link_epoch == view->epoch;
 	r->views++;
 	if (view->full) {
 		r->full_views++;
 		g_hash_table_remove_all(r->states);
-		g_hash_table_remove_all(r->granted);
+		if (grants)
+			g_hash_table_remove_all(r->granted);
 	}
 	for (size_t i = 0; i < view->n_instances; i++) {
 		const Gw__Instance *instance = view->instances[i];
@@ -912,8 +921,9 @@
 		g_hash_table_replace(r->states, g_strdup(instance->id),
 		    GUINT_TO_POINTER(
 			instance->state | (instance->time_bound ? 256 : 0)));
-		g_hash_table_replace(r->granted, g_strdup(instance->id),
-		    GUINT_TO_POINTER(instance->granted));
+		if (grants)
+			g_hash_table_replace(r->granted, g_strdup(instance->id),
+			    GUINT_TO_POINTER(instance->granted));
 	}
 	for (size_t i = 0; i < view->n_removed_ids; i++) {
 		g_hash_table_remove(r->states, view->removed_ids[i]);
@@ -940,6 +950,7 @@
 	case GW__ENVELOPE__BODY_CONTACT:
 		member_router_answered(&r->contact, envelope->contact->epoch,
 		    r->sent_us[envelope->contact->sequence % WORLD_HEARTBEATS]);
+		r->link_epoch = envelope->contact->epoch;
 		return;
 	default:
 		return;
--- a/regress/fleet/world.h
+++ b/regress/fleet/world.h
@@ -29,6 +29,7 @@
 	uint64_t heartbeat_sequence;
 	uint64_t sent_us[WORLD_HEARTBEATS]; /* by sequence */
 	member_router_contact_t contact;
+	uint64_t link_epoch; /* of the last Contact on this connection */
 	uint64_t views, full_views;
 	bool admitted;
 	GHashTable *granted;   /* instance id -> slots */
