--- a/gwrouted/attempt.c
+++ b/gwrouted/attempt.c
@@ -289,7 +289,7 @@
 	pool_report(request->pool, instance, result);
 	if (!attempt->sent || attempt->refused)
 		instance_avoid(instance);
-	router_instance_changed(request->router, instance);
+	router_instance_changed(request->router, instance, attempt->bound);
 }
 
 static void
--- a/gwrouted/fleet.c
+++ b/gwrouted/fleet.c
@@ -19,9 +19,16 @@
 	bool open;
 	gw_timer_t reconnect;
 	uint64_t planner_epoch; /* of its last Contact; 0 without one */
-	uint64_t view_sequence; /* of the last view in force */
+	uint64_t view_sequence; /* of the last view whose grants count */
+	GHashTable *offered;	/* id -> offer_t of its last views */
 } link_t;
 
+/* A grant as a view states it. */
+typedef struct {
+	char incarnation[GW_NAME_BYTES];
+	uint32_t granted;
+} offer_t;
+
 struct fleet {
 	router_t *router;
 	GPtrArray *links; /* link_t */
@@ -33,6 +40,7 @@
 };
 
 static void link_connect(link_t *);
+static void on_heartbeat(gw_timer_t *, void *);
 
 static void
 send_to(link_t *link, const Gw__Envelope *envelope)
@@ -100,7 +108,7 @@
 void
 fleet_ack_soon(fleet_t *fleet)
 {
-	if (!gw_timer_armed(&fleet->ack))
+	if (!gw_timer_armed(&fleet->ack) && !fleet->ending)
 		gw_timer_start(
 		    fleet->router->rt, &fleet->ack, 0, on_ack, fleet);
 }
@@ -164,10 +172,32 @@
 	    on_heartbeat, fleet);
 }
 
+/*
+ * Takes the grants that a link offered before it was known as the planner's.
+ */
+static void
+take_offers(link_t *link)
+{
+	router_t *router = link->fleet->router;
+	GHashTableIter iter;
+	gpointer id, value;
+
+	g_hash_table_iter_init(&iter, link->offered);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const offer_t *offer = value;
+
+		view_grant(&router->view, id, offer->incarnation,
+		    offer->granted, GRANTS_TAKE);
+	}
+	router_refresh(router);
+}
+
 static void
 on_contact(link_t *link, const Gw__Contact *contact)
 {
 	fleet_t *fleet = link->fleet;
+	bool is_new = contact->epoch != link->planner_epoch &&
+	    contact->epoch >= fleet->router->contact.epoch;
 
 	if (contact->sequence > fleet->sequence ||
 	    contact->sequence + HEARTBEATS_KEPT <= fleet->sequence)
@@ -175,37 +205,74 @@
 	link->planner_epoch = contact->epoch;
 	member_router_answered(&fleet->router->contact, contact->epoch,
 	    fleet->sent_us[contact->sequence % HEARTBEATS_KEPT]);
+	if (is_new)
+		take_offers(link);
+}
+
+static void
+keep_offers(link_t *link, const Gw__View *view)
+{
+	offer_t *offer;
+
+	if (view->full)
+		g_hash_table_remove_all(link->offered);
+	for (size_t i = 0; i < view->n_instances; i++) {
+		offer = g_new0(offer_t, 1);
+		g_strlcpy(offer->incarnation, view->instances[i]->incarnation,
+		    sizeof(offer->incarnation));
+		offer->granted = view->instances[i]->granted;
+		g_hash_table_insert(
+		    link->offered, g_strdup(view->instances[i]->id), offer);
+	}
+	for (size_t i = 0; i < view->n_removed_ids; i++)
+		g_hash_table_remove(link->offered, view->removed_ids[i]);
 }
 
 /*
- * Tells whether grants in a view of this connection count: it is the
- * planner's, or no planner is known yet.
+ * Decides what the grants of a view count for. The planner's connection is the
+ * one that answered a heartbeat in the view's epoch. Another gwfleetd only
+ * repeats what this router said when it connected. A view of a newer epoch may
+ * come from its planner: it may lower grants but not raise them until Contact
+ * tells; to ignore a reduction and acknowledge it would let two routers use
+ * one slot.
  */
-static bool
-is_planner(const link_t *link, const Gw__View *view)
+static grants_rule_t
+grants_rule(const link_t *link, const Gw__View *view)
 {
-	const router_t *router = link->fleet->router;
+	uint64_t known = link->fleet->router->contact.epoch;
 
-	if (router->contact.epoch == 0)
-		return true;
-	return link->planner_epoch == view->epoch &&
-	    view->epoch >= router->contact.epoch;
+	if (known == 0 ||
+	    (link->planner_epoch == view->epoch && view->epoch >= known))
+		return GRANTS_TAKE;
+	return view->epoch > known ? GRANTS_REDUCE : GRANTS_IGNORE;
+}
+
+static void
+beat_soon(fleet_t *fleet)
+{
+	if (!fleet->ending)
+		gw_timer_start(fleet->router->rt, &fleet->heartbeat, 0,
+		    on_heartbeat, fleet);
 }
 
 static void
 on_view(link_t *link, const Gw__View *view)
 {
 	router_t *router = link->fleet->router;
+	grants_rule_t rule = grants_rule(link, view);
 
-	if (view_apply(&router->view, view, is_planner(link, view)) ==
-	    VIEW_GAP) {
+	keep_offers(link, view);
+	if (view_apply(&router->view, view, rule) == VIEW_GAP) {
 		gw_log(GW_EV_VIEW_GAP, "peer=%s base=%" PRIu64 " held=%" PRIu64,
 		    gw_conn_peer(link->conn), view->base_version,
 		    router->view.version);
 		gw_conn_close(link->conn);
 		return;
 	}
-	link->view_sequence = view->sequence;
+	if (rule != GRANTS_IGNORE)
+		link->view_sequence = view->sequence;
+	if (rule == GRANTS_REDUCE)
+		beat_soon(link->fleet);
 	fleet_ack_soon(link->fleet);
 }
 
@@ -271,15 +338,13 @@
 on_open(gw_conn_t *conn, void *arg)
 {
 	link_t *link = arg;
-	fleet_t *fleet = link->fleet;
 
 	(void)conn;
 	link->open = true;
 	link->view_sequence = 0;
 	send_hello(link);
 	/* Contact should not wait for the next regular heartbeat. */
-	gw_timer_start(
-	    fleet->router->rt, &fleet->heartbeat, 0, on_heartbeat, fleet);
+	beat_soon(link->fleet);
 }
 
 static void
@@ -300,7 +365,6 @@
 		return;
 	link->conn = NULL;
 	link->open = false;
-	link->planner_epoch = 0;
 	if (!link->fleet->ending)
 		gw_timer_start(link->fleet->router->rt, &link->reconnect,
 		    RECONNECT_US, on_reconnect, link);
@@ -332,6 +396,8 @@
 		link = g_new0(link_t, 1);
 		link->fleet = fleet;
 		link->addr = g_array_index(addrs, gw_addr_t, i);
+		link->offered = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, g_free);
 		g_ptr_array_add(fleet->links, link);
 		link_connect(link);
 	}
@@ -352,6 +418,7 @@
 		link_t *link = fleet->links->pdata[i];
 
 		gw_timer_stop(&link->reconnect);
+		g_hash_table_destroy(link->offered);
 		if (link->conn == NULL)
 			continue;
 		gw_conn_set_ops(link->conn, &link_ops, NULL);
--- a/gwrouted/router.c
+++ b/gwrouted/router.c
@@ -133,10 +133,11 @@
  * An attempt on the instance has ended: the planner may wait for that.
  */
 void
-router_instance_changed(router_t *router, instance_t *instance)
+router_instance_changed(router_t *router, instance_t *instance, bool bound)
 {
 	if (instance->state != MEMBER_ACTIVE || !instance->in_view ||
-	    instance->time_bound || instance->in_flight >= instance->granted)
+	    (instance->time_bound && !bound) ||
+	    instance->in_flight >= instance->granted)
 		fleet_ack_soon(router->fleet);
 	view_release(&router->view, instance);
 }
--- a/gwrouted/router.h
+++ b/gwrouted/router.h
@@ -48,7 +48,7 @@
 pool_t *router_pool(router_t *, const char *name);
 void router_refresh(router_t *);
 void router_manifest_changed(router_t *);
-void router_instance_changed(router_t *, instance_t *);
+void router_instance_changed(router_t *, instance_t *, bool bound);
 void router_count_outcome(router_t *, router_outcome_t);
 void router_count_reason(router_t *, reason_t);
 bool router_is_ready(const router_t *);
--- a/gwrouted/view.c
+++ b/gwrouted/view.c
@@ -118,32 +118,43 @@
 }
 
 /*
- * Takes over one record. Only the planner's grants count: another gwfleetd
- * knows them from this router itself.
+ * Sets the grant of an instance, or with GRANTS_REDUCE only lowers it. Another
+ * incarnation's grant is void.
+ */
+void
+view_grant(view_t *view, const char *id, const char *incarnation,
+    uint32_t granted, grants_rule_t rule)
+{
+	instance_t *instance;
+
+	instance = g_hash_table_lookup(view->instances, id);
+	if (instance == NULL || rule == GRANTS_IGNORE ||
+	    strcmp(instance->incarnation, incarnation) != 0)
+		return;
+	if (rule == GRANTS_TAKE || granted < instance->granted)
+		instance_set_granted(instance, granted);
+}
+
+/*
+ * Takes over the state of one record.
  */
 static void
-update(view_t *view, const Gw__Instance *from, bool states, bool grants)
+update(view_t *view, const Gw__Instance *from)
 {
 	instance_t *instance;
 
 	instance = g_hash_table_lookup(view->instances, from->id);
 	if (instance != NULL && is_replacement(instance, from)) {
-		if (!states)
-			return;
 		retire(view, instance);
 		instance = NULL;
 	}
-	if (instance == NULL && states)
+	if (instance == NULL)
 		instance = add(view, from);
 	if (instance == NULL)
 		return;
-	if (states) {
-		instance->state = (member_state_t)from->state;
-		instance->time_bound = from->time_bound;
-		put_into_pool(view, instance, from->pool);
-	}
-	if (grants)
-		instance_set_granted(instance, from->granted);
+	instance->state = (member_state_t)from->state;
+	instance->time_bound = from->time_bound;
+	put_into_pool(view, instance, from->pool);
 }
 
 static void
@@ -177,11 +188,11 @@
 
 /*
  * Takes a view in force: states when the view is at least as new as the one
- * held, grants when the planner sent it. A delta must build on a version that
- * is held; one that starts earlier repeats what is known.
+ * held, grants by the rule. A delta must build on a version that is held; one
+ * that starts earlier repeats what is known.
  */
 view_result_t
-view_apply(view_t *view, const Gw__View *from, bool from_planner)
+view_apply(view_t *view, const Gw__View *from, grants_rule_t rule)
 {
 	bool states;
 
@@ -190,8 +201,12 @@
 	if (!from->full && states &&
 	    (from->epoch != view->epoch || from->base_version > view->version))
 		return VIEW_GAP;
+	for (size_t i = 0; states && i < from->n_instances; i++)
+		update(view, from->instances[i]);
 	for (size_t i = 0; i < from->n_instances; i++)
-		update(view, from->instances[i], states, from_planner);
+		view_grant(view, from->instances[i]->id,
+		    from->instances[i]->incarnation,
+		    from->instances[i]->granted, rule);
 	if (states && from->full)
 		retire_missing(view, from);
 	for (size_t i = 0; states && i < from->n_removed_ids; i++)
--- /dev/null
+++ b/regress/router/harness.c
@@ -0,0 +1,482 @@
+#include <string.h>
+#include <unistd.h>
+
+#include "harness.h"
+
+#define WAIT_MAX_MS 8000
+/* Rounds of the loop in which local sockets come to rest. */
+#define SETTLE_ROUNDS 40
+
+/*
+ * Starts the fake, the router and its listeners on free ports.
+ */
+harness_t *
+harness_new(bool paused)
+{
+	harness_t *h = g_new0(harness_t, 1);
+	char *json, *path, *fleet;
+	gw_err_t err;
+
+	path =
+	    g_test_build_filename(G_TEST_DIST, "router", "manifest.json", NULL);
+	g_assert_true(g_file_get_contents(path, &json, NULL, NULL));
+	h->rt = paused ? gw_rt_new_paused(GW_US_PER_S) : gw_rt_new();
+	h->fleet = fake_fleet_new(h->rt, "127.0.0.1:0", json);
+	fleet =
+	    g_strdup_printf("--fleet=127.0.0.1:%u", fake_fleet_port(h->fleet));
+	char *argv[] = {"test", "--node-id=r1", "--data-centre=dc1", fleet,
+	    "--listen=127.0.0.1:0", "--admin=127.0.0.1:0",
+	    "--endpoint-idle-ms=60000", NULL};
+	g_assert_cmpint(
+	    settings_load(&h->settings, G_N_ELEMENTS(argv) - 1, argv, &err), ==,
+	    0);
+	h->router = router_new(h->rt, &h->settings);
+	g_assert_cmpint(router_listen(h->router, &err), ==, 0);
+	h->port = gw_addr_port(&h->router->callers_addr);
+	harness_settle(h);
+	g_assert_true(router_is_ready(h->router));
+	g_free(fleet);
+	g_free(path);
+	g_free(json);
+	return h;
+}
+
+/*
+ * Ends the router's connections; the rest is left to the end of the process,
+ * since libh2o can't close callers' connections.
+ */
+void
+harness_free(harness_t *h)
+{
+	gw_timer_stop(&h->router->tick);
+	fleet_free(h->router->fleet);
+	fake_fleet_free(h->fleet);
+	harness_settle(h);
+}
+
+void
+harness_add(harness_t *h, const char *id, const char *incarnation,
+    uint16_t port, uint32_t granted, bool time_bound)
+{
+	fake_instance_t instance = {.port = port,
+	    .state = GW__INSTANCE_STATE__STATE_ACTIVE,
+	    .time_bound = time_bound,
+	    .granted = granted};
+
+	g_strlcpy(instance.id, id, sizeof(instance.id));
+	g_strlcpy(
+	    instance.incarnation, incarnation, sizeof(instance.incarnation));
+	g_strlcpy(instance.pool, "logs", sizeof(instance.pool));
+	fake_fleet_set(h->fleet, &instance);
+}
+
+static uint64_t
+acked_sequence(harness_t *h)
+{
+	return fake_fleet_seen(h->fleet)->acked_sequence;
+}
+
+/*
+ * Sends the view and waits for its Ack.
+ */
+void
+harness_view(harness_t *h)
+{
+	uint64_t before = acked_sequence(h);
+
+	fake_fleet_send_view(h->fleet);
+	for (int i = 0; i < WAIT_MAX_MS && acked_sequence(h) == before; i++)
+		harness_settle(h);
+	g_assert_cmpuint(acked_sequence(h), >, before);
+}
+
+/*
+ * Runs the loop until local traffic is through. A timer of 0 fires on a paused
+ * clock too.
+ */
+void
+harness_settle(harness_t *h)
+{
+	for (int i = 0; i < SETTLE_ROUNDS; i++) {
+		if (gw_rt_clock(h->rt)->paused_us != 0)
+			gw_rt_advance(h->rt, 0);
+		gw_rt_poll(h->rt);
+		(void)usleep(50);
+	}
+}
+
+/*
+ * Runs the loop until done() or for some seconds of real time.
+ */
+bool
+harness_wait(harness_t *h, bool (*done)(void *), void *arg)
+{
+	for (int ms = 0; ms < WAIT_MAX_MS; ms += 2) {
+		if (done(arg))
+			return true;
+		harness_settle(h);
+	}
+	return false;
+}
+
+/* One connection of a scripted endpoint. */
+typedef struct {
+	uv_tcp_t tcp;
+	script_t *script;
+	GString *input;
+	char buf[4096];
+} script_conn_t;
+
+static void
+on_conn_closed(uv_handle_t *handle)
+{
+	script_conn_t *conn = handle->data;
+
+	g_ptr_array_remove_fast(conn->script->conns, conn);
+	g_string_free(conn->input, TRUE);
+	g_free(conn);
+}
+
+static void
+conn_close(script_conn_t *conn)
+{
+	if (!uv_is_closing((uv_handle_t *)&conn->tcp))
+		uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+}
+
+static void
+on_reset(uv_handle_t *handle)
+{
+	on_conn_closed(handle);
+}
+
+static void
+on_written(uv_write_t *req, int status)
+{
+	(void)status;
+	g_free(req->data);
+	g_free(req);
+}
+
+static void
+write_text(uv_stream_t *stream, const char *text, size_t len)
+{
+	uv_write_t *req = g_new0(uv_write_t, 1);
+	uv_buf_t buf;
+
+	req->data = g_memdup2(text, len);
+	buf = uv_buf_init(req->data, (unsigned)len);
+	if (uv_write(req, stream, &buf, 1, on_written) != 0) {
+		g_free(req->data);
+		g_free(req);
+	}
+}
+
+static char *
+header_value(const char *request, const char *name)
+{
+	const char *at = strstr(request, name);
+
+	if (at == NULL)
+		return g_strdup("");
+	at += strlen(name);
+	return g_strndup(at, strcspn(at, "\r"));
+}
+
+static char *
+expand(const char *text, const char *request)
+{
+	const char *body = strstr(request, "\r\n\r\n") + 4;
+	char *attempt = header_value(request, "godwit-attempt-id: ");
+	GString *out = g_string_new(text);
+
+	g_string_replace(out, "$A", attempt, 0);
+	g_autofree char *length = g_strdup_printf("%zu", strlen(body));
+	g_string_replace(out, "$L", length, 0);
+	g_string_replace(out, "$B", body, 0);
+	g_free(attempt);
+	return g_string_free(out, FALSE);
+}
+
+static const char *
+text_of(const script_t *script, uint32_t number)
+{
+	uint32_t last = (uint32_t)g_strv_length((char **)script->texts) - 1;
+
+	return script->texts[MIN(number, last)];
+}
+
+static void
+answer(script_conn_t *conn)
+{
+	script_t *script = conn->script;
+	const char *text = text_of(script, script->requests++);
+	char *out;
+
+	g_string_assign(script->last, conn->input->str);
+	if (strcmp(text, "RESET") == 0)
+		(void)uv_tcp_close_reset(&conn->tcp, on_reset);
+	else if (strcmp(text, "HANG") != 0) {
+		out = expand(text + (*text == '!'), conn->input->str);
+		write_text((uv_stream_t *)&conn->tcp, out, strlen(out));
+		if (*text == '!')
+			conn_close(conn);
+		g_free(out);
+	}
+	g_string_truncate(conn->input, 0);
+}
+
+/*
+ * Tells whether a whole request has come.
+ */
+static bool
+is_whole(const GString *input)
+{
+	const char *body = strstr(input->str, "\r\n\r\n");
+	char *length;
+	size_t want;
+
+	if (body == NULL)
+		return false;
+	length = header_value(input->str, "content-length: ");
+	want = strtoul(length, NULL, 10);
+	g_free(length);
+	return strlen(body + 4) >= want;
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	script_conn_t *conn = handle->data;
+
+	(void)suggested;
+	*buf = uv_buf_init(conn->buf, sizeof(conn->buf));
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
+{
+	script_conn_t *conn = stream->data;
+
+	if (nread < 0) {
+		conn->script->closed++;
+		conn_close(conn);
+		return;
+	}
+	g_string_append_len(conn->input, buf->base, nread);
+	if (is_whole(conn->input))
+		answer(conn);
+}
+
+static void
+on_accept(uv_stream_t *server, int status)
+{
+	script_t *script = server->data;
+	script_conn_t *conn = g_new0(script_conn_t, 1);
+
+	g_assert_cmpint(status, ==, 0);
+	conn->script = script;
+	conn->input = g_string_new(NULL);
+	(void)uv_tcp_init(gw_rt_loop(script->rt), &conn->tcp);
+	conn->tcp.data = conn;
+	g_ptr_array_add(script->conns, conn);
+	script->accepted++;
+	g_assert_cmpint(uv_accept(server, (uv_stream_t *)&conn->tcp), ==, 0);
+	if (script->accepted <= script->accepts_to_reset)
+		(void)uv_tcp_close_reset(&conn->tcp, on_reset);
+	else
+		(void)uv_read_start(
+		    (uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+/*
+ * Starts an endpoint on a free port.
+ */
+script_t *
+script_new(gw_rt_t *rt, const char *const *texts)
+{
+	script_t *script = g_new0(script_t, 1);
+	struct sockaddr_storage sa;
+	struct sockaddr_in addr;
+	int len = sizeof(sa);
+
+	script->rt = rt;
+	script->texts = texts;
+	script->last = g_string_new(NULL);
+	script->conns = g_ptr_array_new();
+	(void)uv_tcp_init(gw_rt_loop(rt), &script->tcp);
+	script->tcp.data = script;
+	(void)uv_ip4_addr("127.0.0.1", 0, &addr);
+	(void)uv_tcp_bind(&script->tcp, (struct sockaddr *)&addr, 0);
+	g_assert_cmpint(
+	    uv_listen((uv_stream_t *)&script->tcp, 128, on_accept), ==, 0);
+	(void)uv_tcp_getsockname(&script->tcp, (struct sockaddr *)&sa, &len);
+	script->port = ntohs(((struct sockaddr_in *)&sa)->sin_port);
+	return script;
+}
+
+/*
+ * Closes the listener and the connections.
+ */
+void
+script_free(script_t *script)
+{
+	uv_close((uv_handle_t *)&script->tcp, NULL);
+	for (guint i = 0; i < script->conns->len; i++)
+		conn_close(script->conns->pdata[i]);
+	for (int i = 0; i < 4; i++)
+		gw_rt_poll(script->rt);
+	g_ptr_array_unref(script->conns);
+	g_string_free(script->last, TRUE);
+	g_free(script);
+}
+
+/*
+ * Writes a text on every connection, unasked.
+ */
+void
+script_send_all(script_t *script, const char *text)
+{
+	for (guint i = 0; i < script->conns->len; i++) {
+		script_conn_t *conn = script->conns->pdata[i];
+
+		write_text((uv_stream_t *)&conn->tcp, text, strlen(text));
+	}
+}
+
+static void
+on_raw_closed(uv_handle_t *handle)
+{
+	raw_t *raw = handle->data;
+
+	raw->closed = true;
+	if (!raw->freed)
+		return;
+	g_string_free(raw->received, TRUE);
+	g_string_free(raw->unsent, TRUE);
+	g_free(raw);
+}
+
+static void
+on_raw_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char bytes[65536];
+
+	(void)handle;
+	(void)suggested;
+	*buf = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+on_raw_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
+{
+	raw_t *raw = stream->data;
+
+	if (nread >= 0) {
+		g_string_append_len(raw->received, buf->base, nread);
+		return;
+	}
+	if (!uv_is_closing((uv_handle_t *)stream))
+		uv_close((uv_handle_t *)stream, on_raw_closed);
+}
+
+static void
+on_raw_connected(uv_connect_t *req, int status)
+{
+	raw_t *raw = req->data;
+
+	if (status != 0)
+		return;
+	raw->connected = true;
+	(void)uv_read_start(
+	    (uv_stream_t *)&raw->tcp, on_raw_alloc, on_raw_read);
+	if (raw->unsent->len > 0)
+		write_text((uv_stream_t *)&raw->tcp, raw->unsent->str,
+		    raw->unsent->len);
+}
+
+/*
+ * Connects a caller to the router.
+ */
+raw_t *
+raw_new(harness_t *h)
+{
+	raw_t *raw = g_new0(raw_t, 1);
+	struct sockaddr_in addr;
+
+	raw->received = g_string_new(NULL);
+	raw->unsent = g_string_new(NULL);
+	(void)uv_tcp_init(gw_rt_loop(h->rt), &raw->tcp);
+	raw->tcp.data = raw;
+	raw->connect.data = raw;
+	(void)uv_ip4_addr("127.0.0.1", h->port, &addr);
+	(void)uv_tcp_connect(&raw->connect, &raw->tcp, (struct sockaddr *)&addr,
+	    on_raw_connected);
+	return raw;
+}
+
+/*
+ * Sends text, at once or when connected.
+ */
+void
+raw_send(raw_t *raw, const char *text)
+{
+	if (raw->connected)
+		write_text((uv_stream_t *)&raw->tcp, text, strlen(text));
+	else
+		g_string_append(raw->unsent, text);
+}
+
+/*
+ * Closes the connection and frees the caller.
+ */
+void
+raw_close(raw_t *raw)
+{
+	raw->freed = true;
+	if (raw->closed)
+		on_raw_closed((uv_handle_t *)&raw->tcp);
+	else if (!uv_is_closing((uv_handle_t *)&raw->tcp))
+		uv_close((uv_handle_t *)&raw->tcp, on_raw_closed);
+}
+
+/*
+ * Tells whether the head and the stated bytes of one response have come, or the
+ * connection has ended.
+ */
+bool
+raw_has_response(void *arg)
+{
+	raw_t *raw = arg;
+	const char *body = strstr(raw->received->str, "\r\n\r\n");
+	char *length;
+	size_t want;
+
+	if (raw->closed)
+		return true;
+	if (body == NULL)
+		return false;
+	length = header_value(raw->received->str, "Content-Length: ");
+	want = strtoul(length, NULL, 10);
+	g_free(length);
+	return strlen(body + 4) >= want;
+}
+
+/*
+ * Sends one request on a new connection and returns what came back. The text
+ * is valid until the next call.
+ */
+const char *
+raw_ask(harness_t *h, const char *text)
+{
+	static char *last;
+	raw_t *raw = raw_new(h);
+
+	raw_send(raw, text);
+	g_assert_true(harness_wait(h, raw_has_response, raw));
+	g_free(last);
+	last = g_strdup(raw->received->str);
+	raw_close(raw);
+	harness_settle(h);
+	return last;
+}
--- /dev/null
+++ b/regress/router/outcome_test.c
@@ -0,0 +1,340 @@
+#include <string.h>
+
+#include "harness.h"
+
+#define POST                                         \
+	"POST /x HTTP/1.1\r\nHost: logs.example\r\n" \
+	"Content-Length: 5\r\n"
+#define TWICE                                         \
+	"POST /x HTTP/1.1\r\nHost: twice.example\r\n" \
+	"Content-Length: 5\r\n"
+
+static const char *const ok[] = {SCRIPT_OK, NULL};
+static const char *const hang[] = {"HANG", NULL};
+
+static bool
+says(const char *response, int status, const char *outcome)
+{
+	char *line = g_strdup_printf("HTTP/1.1 %d ", status);
+	char *header = g_strdup_printf("godwit-outcome: %s\r\n", outcome);
+	bool result = g_str_has_prefix(response, line) &&
+	    strstr(response, header) != NULL;
+
+	if (!result)
+		g_test_message("want %d %s, got %s", status, outcome, response);
+	g_free(line);
+	g_free(header);
+	return result;
+}
+
+/* How an endpoint fails the first request, and what the caller must see. */
+typedef struct {
+	const char *name;
+	const char *text; /* of the endpoint */
+	uint32_t accepts_to_reset;
+	int status; /* for a request that must not run twice */
+	const char *outcome;
+	bool retried_once;	 /* although it must not run twice */
+	bool retried_idempotent; /* when it may run twice */
+} fault_case_t;
+
+static const fault_case_t fault_cases[] = {
+    {"reset on accept", SCRIPT_OK, 1, 502, "unknown", false, true},
+    {"reset after the request", "RESET", 0, 502, "unknown", false, true},
+    {"closed after the request", "!", 0, 502, "unknown", false, true},
+    {"half a head", "!HTTP/1.1 200 OK\r\ncontent-le", 0, 502, "unknown", false,
+	true},
+    {"half a body", "!HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab", 0, 502,
+	"unknown", false, true},
+    {"half a chunk",
+	"!HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nab", 0, 502,
+	"unknown", false, true},
+    {"not HTTP", "!hello\r\n\r\n", 0, 502, "unknown", false, true},
+    {"two lengths",
+	"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nabc",
+	0, 502, "unknown", false, true},
+    {"length and chunks",
+	"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n"
+	"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+	0, 502, "unknown", false, true},
+    {"no length", "!HTTP/1.1 200 OK\r\n\r\nabc", 0, 502, "unknown", false,
+	true},
+    {"another attempt's response",
+	"HTTP/1.1 200 OK\r\ngodwit-attempt-id: x\r\n"
+	"content-length: 5\r\n\r\nwrong",
+	0, 502, "unknown", false, true},
+    {"declared not run",
+	"HTTP/1.1 503 Busy\r\ngodwit-outcome: not-run\r\n"
+	"content-length: 0\r\n\r\n",
+	0, 200, "answered", true, true},
+    {"plain 503", "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n", 0, 503,
+	"answered", false, false},
+};
+
+/*
+ * Runs one case against an endpoint that fails the first request only.
+ */
+static void
+check_fault(const fault_case_t *c, const char *head, bool once)
+{
+	harness_t *h = harness_new(false);
+	const char *texts[] = {c->text, SCRIPT_OK, NULL};
+	char *request = g_strconcat(head, "\r\nhello", NULL);
+	bool retried = once ? c->retried_once : c->retried_idempotent;
+	script_t *endpoint;
+	const char *response;
+
+	endpoint = script_new(h->rt, texts);
+	endpoint->accepts_to_reset = c->accepts_to_reset;
+	harness_add(h, "a", c->name, endpoint->port, 8, false);
+	harness_view(h);
+	response = raw_ask(h, request);
+	/* A reset that comes before the connect is seen is a refusal. */
+	if (once && c->accepts_to_reset > 0)
+		retried = endpoint->accepted > 1;
+	if (retried)
+		g_assert_true(says(response, 200, "answered"));
+	else
+		g_assert_true(says(response, c->status, c->outcome));
+	if (c->accepts_to_reset > 0)
+		g_assert_cmpuint(endpoint->accepted, ==, retried ? 2 : 1);
+	else
+		g_assert_cmpuint(endpoint->requests, ==, retried ? 2 : 1);
+	script_free(endpoint);
+	harness_free(h);
+	g_free(request);
+}
+
+/*
+ * Guards against a request that runs twice, a run that is reported as not run,
+ * and a broken or foreign response that reaches the caller, at every stage at
+ * which an endpoint can fail.
+ */
+static void
+test_faults_at_every_stage(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(fault_cases); i++) {
+		g_test_message("%s", fault_cases[i].name);
+		check_fault(&fault_cases[i], POST, true);
+		check_fault(&fault_cases[i], TWICE, false);
+	}
+}
+
+/*
+ * Guards against a refusal to connect that counts as a run: such a request is
+ * retried even if it must not run twice, and is "not run" in the end.
+ */
+static void
+test_refused_connection(void)
+{
+	harness_t *h = harness_new(false);
+	script_t *closed = script_new(h->rt, ok), *good;
+	uint16_t port = closed->port;
+
+	script_free(closed);
+	harness_add(h, "closed", "1", port, 8, false);
+	harness_view(h);
+	g_assert_true(says(raw_ask(h, POST "\r\nhello"), 503, "not-run"));
+	good = script_new(h->rt, ok);
+	harness_add(h, "good", "1", good->port, 8, false);
+	harness_view(h);
+	for (int i = 0; i < 4; i++)
+		g_assert_true(
+		    says(raw_ask(h, POST "\r\nhello"), 200, "answered"));
+	g_assert_cmpuint(good->requests, ==, 4);
+	script_free(good);
+	harness_free(h);
+}
+
+/*
+ * Guards against a late response that reaches another caller: the connection
+ * of the request that was given up must be closed and never be used again.
+ */
+static void
+test_late_answer(void)
+{
+	static const char *const texts[] = {"HANG", SCRIPT_OK, NULL};
+	harness_t *h = harness_new(false);
+	script_t *endpoint = script_new(h->rt, texts);
+	const char *response;
+
+	harness_add(h, "a", "1", endpoint->port, 8, false);
+	harness_view(h);
+	response = raw_ask(h, POST "Godwit-Deadline-Ms: 60\r\n\r\nfirst");
+	g_assert_true(says(response, 504, "unknown"));
+	g_assert_nonnull(strstr(response, "godwit-reason: deadline\r\n"));
+	script_send_all(
+	    endpoint, "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate");
+	g_assert_nonnull(strstr(raw_ask(h, POST "\r\nother"), "other"));
+	g_assert_cmpuint(endpoint->accepted, ==, 2);
+	g_assert_cmpuint(endpoint->closed, ==, 1);
+	script_free(endpoint);
+	harness_free(h);
+}
+
+static void
+ask_twice(const char *const *texts, uint32_t connections)
+{
+	harness_t *h = harness_new(false);
+	script_t *endpoint = script_new(h->rt, texts);
+
+	harness_add(h, "a", "1", endpoint->port, 8, false);
+	harness_view(h);
+	for (int i = 0; i < 2; i++)
+		g_assert_true(g_str_has_suffix(
+		    raw_ask(h, POST "\r\nfirst"), "\r\n\r\nfirst"));
+	g_assert_true(
+	    g_str_has_suffix(raw_ask(h, POST "\r\nother"), "\r\n\r\nother"));
+	g_assert_cmpuint(endpoint->accepted, ==, connections);
+	script_free(endpoint);
+	harness_free(h);
+}
+
+/*
+ * Guards against a surplus response that answers the next request, whether it
+ * comes with the first one or while the connection is idle; and against
+ * connections that are not reused without need.
+ */
+static void
+test_surplus_response(void)
+{
+	static const char *const good[] = {SCRIPT_OK, NULL};
+	static const char *const together[] = {SCRIPT_OK
+	    "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore",
+	    SCRIPT_OK, NULL};
+	static const char *const no_body[] = {SCRIPT_OK "junk", NULL};
+
+	ask_twice(good, 1);
+	ask_twice(together, 2);
+	ask_twice(no_body, 3);
+}
+
+/*
+ * Guards against a surplus response that comes while the connection is idle.
+ */
+static void
+test_surplus_while_idle(void)
+{
+	harness_t *h = harness_new(false);
+	script_t *endpoint = script_new(h->rt, ok);
+
+	harness_add(h, "a", "1", endpoint->port, 8, false);
+	harness_view(h);
+	(void)raw_ask(h, POST "\r\nfirst");
+	script_send_all(
+	    endpoint, "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore");
+	harness_settle(h);
+	g_assert_true(
+	    g_str_has_suffix(raw_ask(h, POST "\r\nother"), "\r\n\r\nother"));
+	g_assert_cmpuint(endpoint->accepted, ==, 2);
+	script_free(endpoint);
+	harness_free(h);
+}
+
+/*
+ * Guards against a replacement under an old address that is reached over the
+ * old connections or with the old grants.
+ */
+static void
+test_replacement_under_old_address(void)
+{
+	harness_t *h = harness_new(false);
+	script_t *endpoint = script_new(h->rt, ok);
+	const char *response;
+
+	harness_add(h, "a", "1", endpoint->port, 8, false);
+	harness_view(h);
+	g_assert_true(says(raw_ask(h, POST "\r\nhello"), 200, "answered"));
+	harness_add(h, "a", "2", endpoint->port, 0, false);
+	harness_view(h);
+	g_assert_cmpuint(endpoint->closed, ==, 1);
+	response = raw_ask(h, POST "Godwit-Deadline-Ms: 50\r\n\r\nhello");
+	g_assert_true(says(response, 503, "not-run"));
+	harness_add(h, "a", "2", endpoint->port, 8, false);
+	harness_view(h);
+	g_assert_true(says(raw_ask(h, POST "\r\nhello"), 200, "answered"));
+	g_assert_cmpuint(endpoint->accepted, ==, 2);
+	script_free(endpoint);
+	harness_free(h);
+}
+
+static bool
+is_asked(void *script)
+{
+	return ((script_t *)script)->requests > 0;
+}
+
+static bool
+is_queue_empty(void *h)
+{
+	return ((harness_t *)h)->router->requests.length == 1;
+}
+
+/*
+ * Guards against a request that runs, or keeps its place in the queue, although
+ * its caller has gone.
+ */
+static void
+test_caller_gone_while_queued(void)
+{
+	harness_t *h = harness_new(false);
+	script_t *endpoint = script_new(h->rt, hang);
+	raw_t *first, *queued;
+
+	harness_add(h, "a", "1", endpoint->port, 1, false);
+	harness_view(h);
+	first = raw_new(h);
+	raw_send(first, POST "Godwit-Deadline-Ms: 1500\r\n\r\nfirst");
+	g_assert_true(harness_wait(h, is_asked, endpoint));
+	queued = raw_new(h);
+	raw_send(queued, POST "\r\nother");
+	harness_settle(h);
+	g_assert_cmpuint(h->router->requests.length, ==, 2);
+	raw_close(queued);
+	g_assert_true(harness_wait(h, is_queue_empty, h));
+	g_assert_true(harness_wait(h, raw_has_response, first));
+	harness_settle(h);
+	g_assert_cmpuint(endpoint->requests, ==, 1);
+	raw_close(first);
+	script_free(endpoint);
+	harness_free(h);
+}
+
+/*
+ * Guards against retries that multiply the load when every endpoint fails.
+ */
+static void
+test_retry_budget(void)
+{
+	static const char *const reset[] = {"RESET", NULL};
+	harness_t *h = harness_new(false);
+	script_t *endpoint = script_new(h->rt, reset);
+	const uint32_t requests = 40;
+
+	harness_add(h, "a", "1", endpoint->port, 8, false);
+	harness_view(h);
+	for (uint32_t i = 0; i < requests; i++)
+		g_assert_true(
+		    says(raw_ask(h, TWICE "\r\nhello"), 502, "unknown"));
+	/* The burst of 10, and a tenth of the requests. */
+	g_assert_cmpuint(endpoint->requests, >, requests);
+	g_assert_cmpuint(endpoint->requests, <=, requests + 10 + requests / 10);
+	script_free(endpoint);
+	harness_free(h);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/outcome/stages", test_faults_at_every_stage);
+	g_test_add_func("/outcome/refused", test_refused_connection);
+	g_test_add_func("/outcome/late", test_late_answer);
+	g_test_add_func("/outcome/surplus", test_surplus_response);
+	g_test_add_func("/outcome/surplus-idle", test_surplus_while_idle);
+	g_test_add_func(
+	    "/outcome/replacement", test_replacement_under_old_address);
+	g_test_add_func("/outcome/gone", test_caller_gone_while_queued);
+	g_test_add_func("/outcome/retry-budget", test_retry_budget);
+	return g_test_run();
+}
