--- a/bench/capacity/bench_log.c
+++ b/bench/capacity/bench_log.c
@@ -40,8 +40,8 @@
 void
 bench_log(void)
 {
-	static const uint32_t sizes[] = { 1000, 5000, 20000, 50000 };
-	fit_t fit = { .name = "log lines", .unit = "us", .size = "line" };
+	static const uint32_t sizes[] = {1000, 5000, 20000, 50000};
+	fit_t fit = {.name = "log lines", .unit = "us", .size = "line"};
 	int fd;
 
 	fd = open("/dev/null", O_WRONLY | O_CLOEXEC);
--- a/bench/capacity/bench_manifest.c
+++ b/bench/capacity/bench_manifest.c
@@ -91,7 +91,11 @@
 }
 
 /* What of a change to one pool is measured. */
-typedef enum { CHANGE_ROOT_BYTES, CHANGE_SECTION_BYTES, CHANGE_JOIN_US } part_t;
+typedef enum {
+	CHANGE_ROOT_BYTES,
+	CHANGE_SECTION_BYTES,
+	CHANGE_JOIN_US
+} part_t;
 
 static double
 change_value(uint32_t size, void *state)
@@ -130,20 +134,15 @@
 void
 bench_manifest(void)
 {
-	static const uint32_t pools[] = { 16, 64, 128, 253 };
-	part_t parts[] = { CHANGE_ROOT_BYTES, CHANGE_SECTION_BYTES,
-		CHANGE_JOIN_US };
-	fit_t whole = { .name = "manifest, parse and check",
-		.unit = "us",
-		.size = "pool" };
+	static const uint32_t pools[] = {16, 64, 128, 253};
+	part_t parts[] = {
+	    CHANGE_ROOT_BYTES, CHANGE_SECTION_BYTES, CHANGE_JOIN_US};
+	fit_t whole = {
+	    .name = "manifest, parse and check", .unit = "us", .size = "pool"};
 	fit_t changes[] = {
-		{ .name = "manifest root", .unit = "bytes", .size = "pool" },
-		{ .name = "one pool's section",
-		    .unit = "bytes",
-		    .size = "pool" },
-		{ .name = "manifest, join sections",
-		    .unit = "us",
-		    .size = "pool" },
+	    {.name = "manifest root", .unit = "bytes", .size = "pool"},
+	    {.name = "one pool's section", .unit = "bytes", .size = "pool"},
+	    {.name = "manifest, join sections", .unit = "us", .size = "pool"},
 	};
 
 	fit_run(&whole, pools, G_N_ELEMENTS(pools), parse_us, NULL);
--- a/bench/capacity/bench_queue.c
+++ b/bench/capacity/bench_queue.c
@@ -35,8 +35,8 @@
 	fairq_set_slots(queue, 100000);
 	start_us = gw_clock_now_us(&real);
 	for (uint32_t i = 0; i < ITEMS; i++) {
-		(void)g_snprintf(items[i].team, sizeof(items[i].team),
-		    "team-%u", i % size);
+		(void)g_snprintf(
+		    items[i].team, sizeof(items[i].team), "team-%u", i % size);
 		items[i].deadline_us = UINT64_C(1) << 60;
 		(void)fairq_push(queue, &items[i]);
 	}
@@ -56,10 +56,9 @@
 void
 bench_queue(void)
 {
-	static const uint32_t teams[] = { 5, 25, 50, 100 };
-	fit_t fit = { .name = "fair queue, one request",
-		.unit = "us",
-		.size = "team" };
+	static const uint32_t teams[] = {5, 25, 50, 100};
+	fit_t fit = {
+	    .name = "fair queue, one request", .unit = "us", .size = "team"};
 
 	fit_run(&fit, teams, G_N_ELEMENTS(teams), queue_cycle_us, NULL);
 	fit_print(&fit);
--- a/bench/capacity/bench_wire.c
+++ b/bench/capacity/bench_wire.c
@@ -157,19 +157,19 @@
 void
 bench_wire(void)
 {
-	static const uint32_t instances[] = { 100, 450, 900, 1820 };
-	static const uint32_t pools[] = { 5, 60, 120, 253 };
-	wire_case_t cases[] = { { message_view, true }, { message_view, false },
-		{ message_heartbeat, true }, { message_heartbeat, false } };
+	static const uint32_t instances[] = {100, 450, 900, 1820};
+	static const uint32_t pools[] = {5, 60, 120, 253};
+	wire_case_t cases[] = {{message_view, true}, {message_view, false},
+	    {message_heartbeat, true}, {message_heartbeat, false}};
 	fit_t fits[] = {
-		{ .name = "full view", .unit = "bytes", .size = "instance" },
-		{ .name = "full view, encode and decode",
-		    .unit = "us",
-		    .size = "instance" },
-		{ .name = "heartbeat", .unit = "bytes", .size = "pool" },
-		{ .name = "heartbeat, encode and decode",
-		    .unit = "us",
-		    .size = "pool" },
+	    {.name = "full view", .unit = "bytes", .size = "instance"},
+	    {.name = "full view, encode and decode",
+		.unit = "us",
+		.size = "instance"},
+	    {.name = "heartbeat", .unit = "bytes", .size = "pool"},
+	    {.name = "heartbeat, encode and decode",
+		.unit = "us",
+		.size = "pool"},
 	};
 
 	for (uint32_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/gwrouted/pool.c
+++ b/gwrouted/pool.c
@@ -269,7 +269,8 @@
 uint32_t
 pool_slots_wanted(pool_t *pool)
 {
-	uint32_t wanted = pool->in_flight_peak + fairq_length(pool->queue);
+	uint32_t wanted =
+	    MAX(pool->in_flight_peak, fairq_slots_wanted(pool->queue));
 
 	pool->in_flight_peak = pool->in_flight;
 	return wanted;
--- a/regress/router/fake_fleet.c
+++ b/regress/router/fake_fleet.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "fake_fleet.h"
+#include "gw/id.h"
 #include "manifest/manifest.h"
 #include "wire/listener.h"
 
@@ -47,13 +48,17 @@
 	Gw__Sections message = GW__SECTIONS__INIT;
 	manifest_t *manifest;
 	manifest_root_t *root;
+	GArray *problems;
 	char *text;
 
-	manifest = manifest_parse(fleet->json, strlen(fleet->json), NULL);
+	problems = g_array_new(FALSE, TRUE, sizeof(manifest_problem_t));
+	manifest = manifest_parse(fleet->json, strlen(fleet->json), problems);
+	g_array_unref(problems);
 	g_assert_nonnull(manifest);
 	manifest->generation = fleet->generation;
 	root = manifest_split(manifest);
 	root->generation = fleet->generation;
+	gw_id_random(root->apply_id);
 	text = manifest_root_encode(root);
 	message.generation = fleet->generation;
 	message.root.data = (uint8_t *)text;
--- /dev/null
+++ b/regress/router/time_test.c
@@ -0,0 +1,197 @@
+#include <string.h>
+
+#include "harness.h"
+
+#define REQUEST                                          \
+	"POST /other HTTP/1.1\r\nHost: logs.example\r\n" \
+	"Content-Length: 5\r\n\r\nhello"
+#define LONG \
+	"POST /other HTTP/1.1\r\nHost: any\r\nContent-Length: 5\r\n\r\nhello"
+
+static const char *const ok[] = {SCRIPT_OK, NULL};
+static const char *const hang[] = {"HANG", NULL};
+
+static bool
+is_asked(void *script)
+{
+	return ((script_t *)script)->requests > 0;
+}
+
+static bool
+has_contact(void *arg)
+{
+	harness_t *h = arg;
+
+	return member_contact_fresh(&h->router->contact, gw_rt_now_us(h->rt));
+}
+
+static void
+advance_ms(harness_t *h, uint64_t ms)
+{
+	for (uint64_t i = 0; i < ms; i += 100) {
+		gw_rt_advance(h->rt, MIN(100, ms - i) * GW_US_PER_MS);
+		gw_rt_poll(h->rt);
+	}
+	harness_settle(h);
+}
+
+/*
+ * Guards against a time-bound instance that gets work after contact is lost.
+ * Contact counts from the sending of the last answered heartbeat. An instance
+ * that is not time-bound stays in use.
+ */
+static void
+test_time_bound_after_contact(void)
+{
+	harness_t *h = harness_new(true);
+	script_t *bound = script_new(h->rt, ok),
+		 *always = script_new(h->rt, ok);
+
+	harness_add(h, "bound", "1", bound->port, 8, true);
+	harness_view(h);
+	g_assert_true(harness_wait(h, has_contact, h));
+	(void)raw_ask(h, REQUEST);
+	g_assert_cmpuint(bound->requests, ==, 1);
+	/* The answers to the heartbeats stop now; none is under way. */
+	fake_fleet_answer_heartbeats(h->fleet, false);
+	harness_settle(h);
+	advance_ms(h, GW_CONTACT_MS - 100);
+	(void)raw_ask(h, REQUEST);
+	g_assert_cmpuint(bound->requests, ==, 2);
+	harness_add(h, "always", "1", always->port, 8, false);
+	harness_view(h);
+	advance_ms(h, 100);
+	for (int i = 0; i < 20; i++)
+		(void)raw_ask(h, REQUEST);
+	g_assert_cmpuint(bound->requests, ==, 2);
+	g_assert_cmpuint(always->requests, ==, 20);
+	script_free(bound);
+	script_free(always);
+	harness_free(h);
+}
+
+/*
+ * Guards against work that outlives the hard deadline of a time-bound instance:
+ * the planner waits no longer for a router that is cut off.
+ */
+static void
+test_hard_deadline(void)
+{
+	harness_t *h = harness_new(true);
+	script_t *bound = script_new(h->rt, hang);
+	fake_instance_t instance = {.id = "bound",
+	    .incarnation = "1",
+	    .port = bound->port,
+	    .pool = "other",
+	    .state = GW__INSTANCE_STATE__STATE_ACTIVE,
+	    .time_bound = true,
+	    .granted = 1};
+	raw_t *raw = raw_new(h);
+
+	fake_fleet_set(h->fleet, &instance);
+	harness_view(h);
+	g_assert_true(harness_wait(h, has_contact, h));
+	raw_send(raw, LONG);
+	g_assert_true(harness_wait(h, is_asked, bound));
+	fake_fleet_answer_heartbeats(h->fleet, false);
+	advance_ms(h, GW_HARD_DEADLINE_MS - 1);
+	g_assert_cmpuint(raw->received->len, ==, 0);
+	advance_ms(h, 1);
+	g_assert_true(harness_wait(h, raw_has_response, raw));
+	g_assert_nonnull(
+	    strstr(raw->received->str, "godwit-reason: hard-deadline"));
+	g_assert_nonnull(strstr(raw->received->str, "godwit-outcome: unknown"));
+	harness_settle(h);
+	g_assert_cmpuint(bound->closed, ==, 1);
+	raw_close(raw);
+	script_free(bound);
+	harness_free(h);
+}
+
+static bool
+is_idle(void *fleet)
+{
+	return fake_fleet_seen(fleet)->acked_in_flight == 0;
+}
+
+/*
+ * Guards against new work on a leaving instance, and against a planner that is
+ * not told what is in flight there and when it has ended.
+ */
+static void
+test_leaving(void)
+{
+	static const char *const late[] = {"HANG", NULL};
+	harness_t *h = harness_new(true);
+	script_t *leaving = script_new(h->rt, late);
+	fake_instance_t instance = {.id = "a",
+	    .incarnation = "1",
+	    .port = leaving->port,
+	    .pool = "logs",
+	    .state = GW__INSTANCE_STATE__STATE_ACTIVE,
+	    .granted = 8};
+	raw_t *first = raw_new(h), *second = raw_new(h);
+
+	fake_fleet_set(h->fleet, &instance);
+	harness_view(h);
+	raw_send(first, REQUEST);
+	g_assert_true(harness_wait(h, is_asked, leaving));
+	instance.state = GW__INSTANCE_STATE__STATE_LEAVING;
+	fake_fleet_set(h->fleet, &instance);
+	harness_view(h);
+	g_assert_cmpuint(fake_fleet_seen(h->fleet)->acked_in_flight, ==, 1);
+	raw_send(second, REQUEST);
+	harness_settle(h);
+	g_assert_cmpuint(leaving->requests, ==, 1);
+	script_send_all(
+	    leaving, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+	g_assert_true(harness_wait(h, raw_has_response, first));
+	g_assert_true(g_str_has_suffix(first->received->str, "\r\n\r\nok"));
+	g_assert_true(harness_wait(h, is_idle, h->fleet));
+	g_assert_cmpuint(leaving->requests, ==, 1);
+	raw_close(first);
+	raw_close(second);
+	script_free(leaving);
+	harness_free(h);
+}
+
+/*
+ * Guards against a reduced grant that the planner gives to another router
+ * while this one still uses the slots.
+ */
+static void
+test_reduced_grant(void)
+{
+	harness_t *h = harness_new(true);
+	script_t *endpoint = script_new(h->rt, hang);
+	raw_t *raws[3];
+
+	harness_add(h, "a", "1", endpoint->port, 3, false);
+	harness_view(h);
+	for (int i = 0; i < 3; i++) {
+		raws[i] = raw_new(h);
+		raw_send(raws[i], REQUEST);
+	}
+	harness_settle(h);
+	g_assert_cmpuint(endpoint->requests, ==, 3);
+	harness_add(h, "a", "1", endpoint->port, 1, false);
+	harness_view(h);
+	g_assert_cmpuint(fake_fleet_seen(h->fleet)->acked_slots_held, ==, 3);
+	advance_ms(h, 5000); /* the route's deadline ends all three */
+	g_assert_cmpuint(fake_fleet_seen(h->fleet)->acked_slots_held, <=, 1);
+	for (int i = 0; i < 3; i++)
+		raw_close(raws[i]);
+	script_free(endpoint);
+	harness_free(h);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/time/bound", test_time_bound_after_contact);
+	g_test_add_func("/time/hard-deadline", test_hard_deadline);
+	g_test_add_func("/time/leaving", test_leaving);
+	g_test_add_func("/time/reduced", test_reduced_grant);
+	return g_test_run();
+}
