Let waves and loans take the last instance that a budget allows

Bayi's wave never ended: instances lent within the racks of the borrower's own enlarged its largest failure domain, and no pool could give one back. Lending now prefers other racks, and the check for one instance counts the domain without it. Archive work holds half of the slots while quick work is about. Demand counts as full at 100% instead of 90%, and a pool keeps its highest need for 1 s instead of 2 s, since the queue absorbs what lies between.

--- a/lib/policy/fairq.c
+++ b/lib/policy/fairq.c
@@ -173,6 +173,8 @@
 	q->running_cost_us += item->cost_us;
 	if (item->request_class != CLASS_QUICK)
 		q->running_long++;
+	if (item->request_class == CLASS_ARCHIVE)
+		q->running_archive++;
 	q->ops->started(q, entry);
 }
 
@@ -230,6 +232,8 @@
 	q->running_cost_us -= MIN(q->running_cost_us, item->cost_us);
 	if (item->request_class != CLASS_QUICK)
 		q->running_long--;
+	if (item->request_class == CLASS_ARCHIVE)
+		q->running_archive--;
 	cost_learn(&q->cost, item->route, item->request_class, service_us);
 	cost_mean_add(
 	    &entry->team->lines[item->request_class].mean, service_us);
--- a/lib/policy/fairq_fair.c
+++ b/lib/policy/fairq_fair.c
@@ -8,6 +8,8 @@
 #define QUICK_WINDOW_US (5 * GW_US_PER_S)
 /* Quick work never holds back more than a quarter of the slots. */
 #define QUICK_MAX_PART 4
+/* Archive work holds one in this many slots while quick work is about. */
+#define ARCHIVE_PART 2
 /* Half of the queue is guaranteed to the teams by weight. */
 #define GUARANTEED_PART 2
 
@@ -218,6 +220,18 @@
 	    q->slots <= q->quick_slots;
 }
 
+/*
+ * While other classes are about, archive work holds at most half of the slots:
+ * its long runs would keep a surge of quick work waiting.
+ */
+static bool
+may_run_archive(const fairq_t *q)
+{
+	return q->quick_slots == 0 ||
+	    ARCHIVE_PART * (q->running_archive + 1) <= q->slots ||
+	    q->running_archive == 0;
+}
+
 static int
 pick_class(const fairq_t *q, const fairq_team_t *team)
 {
@@ -225,7 +239,8 @@
 
 	for (int i = 0; i < CLASS_COUNT; i++) {
 		if (team->lines[i].items.length == 0 ||
-		    (i != CLASS_QUICK && !may_run_long(q)))
+		    (i != CLASS_QUICK && !may_run_long(q)) ||
+		    (i == CLASS_ARCHIVE && !may_run_archive(q)))
 			continue;
 		if (best < 0 || team->lines[i].tag < team->lines[best].tag)
 			best = i;
--- a/lib/policy/fairq_impl.h
+++ b/lib/policy/fairq_impl.h
@@ -44,6 +44,7 @@
 	GQueue order;	     /* FIFO: all entries by arrival */
 	GQueue running;	     /* fairq_entry_t */
 	uint32_t running_long;
+	uint32_t running_archive;
 	uint64_t running_cost_us;
 	uint64_t virtual_clock;
 	uint64_t recharged_us;
--- a/lib/policy/lending_adaptive.c
+++ b/lib/policy/lending_adaptive.c
@@ -38,26 +38,55 @@
 spare_of(const lending_pool_t *pool)
 {
 	uint32_t keep = MAX(pool->peak, pool->pool->now.minimum);
-	uint32_t idle = pool->have - MIN(pool->have, keep);
 
-	return MIN(idle, plan_pool_left(pool->pool));
+	return pool->have - MIN(pool->have, keep);
 }
 
+static uint32_t
+domain_count(const lending_pool_t *pool, const char *domain)
+{
+	const GArray *domains = pool->pool->domains;
+
+	for (uint32_t i = 0; i < domains->len; i++) {
+		const plan_domain_t *d =
+		    &g_array_index(domains, plan_domain_t, i);
+		if (strcmp(d->name, domain) == 0)
+			return d->available;
+	}
+	return 0;
+}
+
+/*
+ * The instance to move: one of the pool's own before others, then one whose
+ * failure domain holds least of the pool. Lent instances that share a domain
+ * with the pool's own would raise what must be kept for the loss of it.
+ */
 static member_instance_t *
 movable(const lending_round_t *round, const lending_pool_t *from,
     const lending_pool_t *to)
 {
 	GPtrArray *active = from->pool->active;
+	member_instance_t *best = NULL;
+	uint32_t best_count = UINT32_MAX;
 
 	for (uint32_t i = 0; i < active->len; i++) {
 		member_instance_t *inst = active->pdata[i];
 		bool home = strcmp(inst->home_pool, to->name) == 0;
+		uint32_t count;
 
-		if ((home || settled(round, inst)) &&
-		    allowed(round, inst, to->name))
+		if ((!home && !settled(round, inst)) ||
+		    !allowed(round, inst, to->name) ||
+		    !plan_pool_may_take(from->pool, inst))
+			continue;
+		if (home)
 			return inst;
+		count = domain_count(to, inst->failure_domain);
+		if (count < best_count) {
+			best = inst;
+			best_count = count;
+		}
 	}
-	return NULL;
+	return best;
 }
 
 static void
@@ -227,7 +256,7 @@
 		const lending_rule_t *rule;
 
 		if (record == NULL || !record->arrived || home == NULL ||
-		    home == at)
+		    home == at || !plan_pool_may_take(at->pool, inst))
 			continue;
 		rule = lending_rule(round, inst->home_pool, at->name);
 		if (spare_of(at) == 0)
--- a/lib/policy/lending_observe.c
+++ b/lib/policy/lending_observe.c
@@ -7,9 +7,9 @@
 /* Weight of a newly observed lead time. */
 #define NEW_PART 4
 /* Slots that may be busy before a pool counts as short, percent. */
-#define FULL_PERCENT 90
+#define FULL_PERCENT 100
 /* A pool keeps the most it needed in the last rounds for this long. */
-#define PEAK_US (2 * GW_US_PER_S)
+#define PEAK_US GW_US_PER_S
 
 static void
 pool_free(gpointer data)
--- a/lib/policy/plan_index.c
+++ b/lib/policy/plan_index.c
@@ -223,6 +223,46 @@
 	return MIN(left, left_by(pool, &pool->before));
 }
 
+static uint32_t
+largest_without(const plan_pool_t *pool, const char *domain)
+{
+	uint32_t largest = 0;
+
+	for (uint32_t i = 0; i < pool->domains->len; i++) {
+		const plan_domain_t *d =
+		    &g_array_index(pool->domains, plan_domain_t, i);
+		uint32_t less = strcmp(d->name, domain) == 0;
+
+		largest = MAX(largest, d->available - MIN(d->available, less));
+	}
+	return largest;
+}
+
+static bool
+allows(const plan_floor_t *floor, uint32_t available, uint32_t largest)
+{
+	uint32_t keep = floor->floor + (floor->keep_domain ? largest : 0);
+
+	return !floor->bounded || available >= MAX(keep, floor->minimum);
+}
+
+/*
+ * True when the instance may be taken out now. This is exact where
+ * plan_pool_left() is cautious: an instance of the largest failure domain
+ * makes that domain smaller when it leaves.
+ */
+bool
+plan_pool_may_take(const plan_pool_t *pool, const member_instance_t *inst)
+{
+	uint32_t largest;
+
+	if (pool->available == 0)
+		return false;
+	largest = largest_without(pool, inst->failure_domain);
+	return allows(&pool->now, pool->available - 1, largest) &&
+	    allows(&pool->before, pool->available - 1, largest);
+}
+
 plan_action_t *
 plan_action_add(GPtrArray *actions, plan_action_kind_t kind,
     const char *instance_id, const char *target_pool)
--- a/lib/policy/plan_index.h
+++ b/lib/policy/plan_index.h
@@ -46,6 +46,7 @@
 void plan_index_take(plan_index_t *, const member_instance_t *);
 /* How many more available instances planned actions may take out. */
 uint32_t plan_pool_left(const plan_pool_t *);
+bool plan_pool_may_take(const plan_pool_t *, const member_instance_t *);
 uint32_t plan_pool_largest_domain(const plan_pool_t *);
 
 bool plan_in_service(const member_instance_t *);
--- a/lib/policy/wave.c
+++ b/lib/policy/wave.c
@@ -133,22 +133,22 @@
 {
 	const plan_pool_t *pool = plan_index_pool(round->index, inst->pool);
 
-	return pool != NULL && plan_pool_left(pool) > 0;
+	return pool != NULL && plan_pool_may_take(pool, inst);
 }
 
 static void
 stop(wave_round_t *round, wave_domain_t *domain, member_instance_t *inst,
     GPtrArray *actions)
 {
-	uint32_t left =
-	    plan_pool_left(plan_index_pool(round->index, inst->pool));
 	plan_action_t *action;
+	uint32_t left;
 
 	plan_index_take(round->index, inst);
+	left = plan_pool_left(plan_index_pool(round->index, inst->pool));
 	action = plan_action_add(actions, PLAN_REBOOT, inst->id, NULL);
 	g_snprintf(action->reason, sizeof(action->reason),
 	    "wave=%s domain=%s budget_left=%u under_way=%u", round->wave->name,
-	    domain->name, left - 1, round->under_way);
+	    domain->name, left, round->under_way);
 	round->open_domains += domain->under_way == 0;
 	domain->under_way++;
 	round->under_way++;
--- a/policy/measure/fleet_run.c
+++ b/policy/measure/fleet_run.c
@@ -145,6 +145,8 @@
 	fleet->result = result;
 	if (trace_path != NULL)
 		fleet->trace = fopen(trace_path, "w");
+	if (scenario->waves > 0)
+		result->wave_bound_s = fleet_wave_bound_s(fleet);
 	while (fleet->now_us < RUN_US)
 		step(fleet, true);
 	while (fleet->now_us < RUN_US + DRAIN_US)
