--- a/policy/measure/main.c
+++ b/policy/measure/main.c
@@ -7,6 +7,7 @@
 
 #define SEEDS 3
 #define SHORT_SEEDS 1
+#define OPTIMUM_CASES 50
 
 /* Options of the command line. */
 typedef struct {
@@ -107,6 +108,9 @@
 	if (options.only == NULL) {
 		printf("\ntargets\n");
 		report_fleet_targets(&report, all);
+		report_jobs(&report, options.seeds);
+		report_optimum(&report, OPTIMUM_CASES);
+		report_speed(&report);
 		printf("%u met, %u missed\n", report.met, report.missed);
 	}
 	g_ptr_array_free(all, TRUE);
--- a/policy/measure/report.h
+++ b/policy/measure/report.h
@@ -15,4 +15,9 @@
     report_t *, const char *what, double value, double bound, bool at_least);
 void report_fleet_targets(report_t *, const GPtrArray *all);
 
+/* Job placement, moves against the optimum, and speed. */
+void report_jobs(report_t *, uint32_t seeds);
+void report_optimum(report_t *, uint32_t cases);
+void report_speed(report_t *);
+
 #endif
