--- a/tools/gwendpoint/service.c
+++ b/tools/gwendpoint/service.c
@@ -145,7 +145,12 @@
 static void
 refuse(service_t *service, h2o_req_t *req)
 {
+	char attempt_id[ID_BYTES];
+
 	service->runs.refused++;
+	copy_header(req, "godwit-attempt-id", attempt_id, sizeof(attempt_id));
+	if (attempt_id[0] != '\0')
+		add_header(req, "godwit-attempt-id", attempt_id);
 	add_header(req, "godwit-outcome", "not-run");
 	gw_http_reply(req, 503, "text/plain", "no free slot", 12);
 }
