--- /dev/null
+++ b/mk/targets/bench.mk
@@ -0,0 +1,5 @@
+# Measures the programs; not part of "make check".
+bench: libs progs regress/router
+	@VARIANT=$(VARIANT) bench/router/run
+
+.PHONY: bench
--- a/regress/router/harness.h
+++ b/regress/router/harness.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 #include "fake_fleet.h"
-#include "router.h"
+#include "../../gwrouted/router.h"
 
 /* A router in this process with a fake fleet daemon. */
 typedef struct {
--- a/tools/gwload/main.c
+++ b/tools/gwload/main.c
@@ -5,12 +5,14 @@
 
 #include "gw/log.h"
 #include "gw/setting.h"
+#include "idle.h"
 #include "load.h"
 
 static load_plan_t plan;
 static GArray *targets;
 static char *routes_text, *headers_text;
 static bool json;
+static uint32_t idle_count;
 static const gw_setting_t settings[] = {
     {"target", GW_SETTING_ADDRS, &targets, NULL,
 	"servers, taken in turn; IP:PORT,...", 0, 0},
@@ -42,6 +44,8 @@
 	"time after which a request counts as broken", 1, 600000},
     {"spin", GW_SETTING_FLAG, &plan.spin, "false",
 	"poll without waiting, for exact sending times", 0, 0},
+    {"idle", GW_SETTING_U32, &idle_count, "0",
+	"instead of a load, hold so many idle connections", 0, 20000},
     {"json", GW_SETTING_FLAG, &json, "false", "print JSON", 0, 0},
 };
 
@@ -111,6 +115,12 @@
 	plan.routes = g_strsplit(routes_text, ",", -1);
 	plan.headers = header_lines(headers_text);
 	rt = gw_rt_new();
+	if (idle_count > 0) {
+		printf("%" PRIu32 "\n",
+		    idle_hold(
+			rt, &plan.targets[0], idle_count, plan.duration_ms));
+		return 0;
+	}
 	load = load_new(rt, &plan);
 	load_run(load);
 	stats_init(&all);
