--- a/bench/capacity/bench_queue.c
+++ b/bench/capacity/bench_queue.c
@@ -25,6 +25,7 @@
 	char team[MANIFEST_NAME_BYTES];
 
 	(void)state;
+	g_assert(size > 0);
 	gw_clock_init_paused(&clock, 1);
 	gw_clock_init_system(&real);
 	queue = fairq_new(&fairq_fair, &clock, ITEMS * 4);
