Test gwctl and the manifest's refusals, and drop consequential problems

Cause: the refusals, the exit statuses and the behaviour on a failing store had no tests. A malformed member also caused a second problem that only followed from the first, such as "names no pool" for a wave whose pools are no array.

A consequential problem is left out when its member is already refused. A status record of generation 0 is no longer called malformed.

--- a/gwctl/admin.c
+++ b/gwctl/admin.c
@@ -150,6 +150,19 @@
 	}
 }
 
+/*
+ * A read has no effect; a request that changes something and gets no answer may
+ * have taken effect.
+ */
+static void
+fix_code(gw_err_t *error, bool changes)
+{
+	if (error->code == GW_ERR_UNKNOWN && !changes)
+		error->code = GW_ERR_UNAVAILABLE;
+	if (error->code == GW_ERR_TIMEOUT && changes)
+		error->code = GW_ERR_UNKNOWN;
+}
+
 /*
  * Carries out one request and prints its answer.
  */
@@ -161,6 +174,7 @@
 
 	request(ctl, &call, method, path, body);
 	if (call.err.code != GW_OK) {
+		fix_code(&call.err, body != NULL);
 		status = report_error(&call.err);
 	} else if (call.status < 200 || call.status > 299) {
 		status = report_refusal(&call);
--- a/gwctl/wait.c
+++ b/gwctl/wait.c
@@ -44,10 +44,10 @@
 }
 
 /*
- * Reads the generation in force from a data centre's status record. Returns 0
+ * Reads the generation in force from a data centre's status record. Returns -1
  * when the record is malformed.
  */
-static uint64_t
+static int64_t
 decode_status(const char *value, size_t size_bytes, const char *name)
 {
 	json_t *status =
@@ -57,10 +57,11 @@
 	json_int_t generation =
 	    json_integer_value(json_object_get(status, "generation"));
 
-	if (own == NULL || strcmp(own, name) != 0 || generation < 0)
-		generation = 0;
+	if (own == NULL || strcmp(own, name) != 0 ||
+	    !json_is_integer(json_object_get(status, "generation")))
+		generation = -1;
 	json_decref(status);
-	return (uint64_t)generation;
+	return generation;
 }
 
 static void
@@ -68,7 +69,8 @@
 {
 	g_autofree char *key = g_strdup_printf("/gw/dc/%s/status", state->name);
 	g_autofree char *value = NULL;
-	uint64_t mod_revision, store_revision, now;
+	uint64_t mod_revision, store_revision;
+	int64_t now;
 	size_t size_bytes;
 	gw_err_t error;
 
@@ -84,13 +86,13 @@
 		return;
 	}
 	now = decode_status(value, size_bytes, state->name);
-	state->in_force = now >= generation;
-	if (now == 0)
+	state->in_force = now >= 0 && (uint64_t)now >= generation;
+	if (now < 0)
 		g_strlcpy(
 		    state->why, "its status is malformed", sizeof(state->why));
 	else
 		(void)snprintf(state->why, sizeof(state->why),
-		    "its status says generation %" PRIu64, now);
+		    "its status says generation %" PRId64, now);
 }
 
 /*
--- a/lib/manifest/check.c
+++ b/lib/manifest/check.c
@@ -115,7 +115,8 @@
 		    problems, path, "a pool that is not spare needs a service");
 	(void)snprintf(path, sizeof(path), "$.pools[%u].data_centres", index);
 	if (manifest_pool_instances(pool) == 0 &&
-	    !is_borrower(manifest, pool->name))
+	    !is_borrower(manifest, pool->name) &&
+	    !manifest_problem_at(problems, path, ""))
 		manifest_problem_add(problems, path,
 		    "the pool has no instances and borrows none");
 	check_places(pool, index, problems);
--- a/lib/manifest/check_routes.c
+++ b/lib/manifest/check_routes.c
@@ -32,8 +32,10 @@
 
 	(void)snprintf(path, sizeof(path), "$.routes[%u]", index);
 	if (*route->host == '\0' && *route->path_prefix == '\0') {
-		manifest_problem_add(
-		    problems, path, "needs host, path_prefix or both");
+		if (!manifest_problem_at(problems, path, ".host") &&
+		    !manifest_problem_at(problems, path, ".path_prefix"))
+			manifest_problem_add(
+			    problems, path, "needs host, path_prefix or both");
 		return;
 	}
 	key = g_strdup_printf("%s %s", route->host, route->path_prefix);
--- a/lib/manifest/check_waves.c
+++ b/lib/manifest/check_waves.c
@@ -36,7 +36,8 @@
 	for (guint i = 0; i < manifest->waves->len; i++) {
 		wave = &g_array_index(manifest->waves, manifest_wave_t, i);
 		(void)snprintf(path, sizeof(path), "$.waves[%u].pools", i);
-		if (wave->pools->len == 0)
+		if (wave->pools->len == 0 &&
+		    !manifest_problem_at(problems, path, ""))
 			manifest_problem_add(problems, path, "names no pool");
 		for (guint j = 0; j < wave->pools->len; j++) {
 			(void)snprintf(
--- a/lib/manifest/problem.c
+++ b/lib/manifest/problem.c
@@ -1,5 +1,6 @@
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "manifest/problem.h"
 
@@ -39,3 +40,20 @@
 	cut_invalid(problem.reason);
 	g_array_append_val(problems, problem);
 }
+
+/*
+ * Tells whether there is a problem at the member of path, or within it.
+ */
+bool
+manifest_problem_at(
+    const GArray *problems, const char *path, const char *member)
+{
+	g_autofree char *start = g_strconcat(path, member, NULL);
+
+	for (guint i = 0; i < problems->len; i++)
+		if (g_str_has_prefix(
+			g_array_index(problems, manifest_problem_t, i).path,
+			start))
+			return true;
+	return false;
+}
--- /dev/null
+++ b/regress/gwctl/faults.sh
@@ -0,0 +1,27 @@
+# Guards against a crash, a false success or a wrong exit status when the store
+# fails or answers nonsense.
+. ./lib.subr
+example="$GW_TOP/examples/birlik.json"
+start_store 23013
+
+fault '{"down":"refuse"}'
+run manifest apply "$example"
+run manifest show
+fault '{"down":"hang"}'
+run manifest show --timeout-ms 200
+fault '{"down":"no","lose_answers":4}'
+run manifest apply "$example"
+fault '{"stale_reads":1}'
+run manifest apply "$example"
+for answer in '' '[' '{}' '{"header":{"revision":"9"},"kvs":7}' \
+    '{"header":{"revision":"9"},"header":{"revision":"9"}}' \
+    '{"header":{"revision":"9"},"kvs":[{"key":"L2d3L21hbmlmZXN0L3Jvb3Q=","mod_revision":"3","value":"e30="}]}'; do
+	fault "{\"raw_answer\":\"$(printf %s "$answer" | sed 's/"/\\"/g')\"}"
+	run manifest show
+done
+fault '{"raw_answer":null}'
+put /gw/manifest/root '{"generation":5}'
+run manifest apply "$example"
+stop_store
+run manifest history
+run status --admin 127.0.0.1:23019
