Make a planner's round linear in the number of instances

Cause: with 1,820 instances and 253 pools the first placement took 6 s, longer than the lease, and an idle planner used 6.3% of a core, above the 1.9% of the design: instances were counted per pool again and again, the table was copied at each tick, and each list of the platform was parsed. Change: one census per round; the table is looked at only after news and with each round; grants are divided after news; a list equal to the one before is not parsed.

--- a/gwfleetd/admin.c
+++ b/gwfleetd/admin.c
@@ -66,6 +66,7 @@
 
 /* Counts for one pool. */
 typedef struct {
+	json_int_t home;
 	json_int_t active;
 	json_int_t out_of_service;
 	json_int_t time_bound;
@@ -83,6 +84,8 @@
 		bool here = strcmp(instance->pool, pool) == 0;
 		bool home = strcmp(instance->home_pool, pool) == 0;
 
+		if (home && instance->state != MEMBER_ENDED)
+			counts->home++;
 		if (home && !here)
 			counts->lent_out++;
 		if (!here)
@@ -145,14 +148,10 @@
 			 "s:I, s:I, s:I, s:I, s:I}",
 	    "name", pool->name, "team", pool->team, "spare", pool->spare,
 	    "instances", (json_int_t)placement_target(fleet, pool->name),
-	    "home",
-	    (json_int_t)(fleet->table == NULL
-		    ? 0
-		    : placement_home_count(fleet->table, pool->name)),
-	    "active", counts.active, "out_of_service", counts.out_of_service,
-	    "time_bound", counts.time_bound, "lent_out", counts.lent_out,
-	    "borrowed", counts.borrowed, "slots", counts.slots, "queued",
-	    (json_int_t)demand.queued, "in_flight",
+	    "home", counts.home, "active", counts.active, "out_of_service",
+	    counts.out_of_service, "time_bound", counts.time_bound, "lent_out",
+	    counts.lent_out, "borrowed", counts.borrowed, "slots", counts.slots,
+	    "queued", (json_int_t)demand.queued, "in_flight",
 	    (json_int_t)demand.in_flight, "slots_wanted",
 	    (json_int_t)demand.slots_wanted, "budget_left",
 	    budget_left(fleet, pool->name));
--- a/gwfleetd/balance.c
+++ b/gwfleetd/balance.c
@@ -20,13 +20,14 @@
  * no longer in the manifest.
  */
 static member_instance_t *
-pick_surplus(const fleet_t *fleet, member_table_t *draft)
+pick_surplus(
+    const fleet_t *fleet, member_table_t *draft, const census_t *census)
 {
 	for (guint i = 0; i < draft->instances->len; i++) {
 		member_instance_t *instance = draft->instances->pdata[i];
 
 		if (is_settled(instance) &&
-		    placement_home_count(draft, instance->home_pool) >
+		    census_home(census, instance->home_pool) >
 			placement_target(fleet, instance->home_pool))
 			return instance;
 	}
@@ -35,19 +36,19 @@
 
 /*
  * Moves one instance from a pool above its number in the manifest to one below
- * it, within the budget of the pool that loses it. One at a time: the next
- * round sees the effect.
+ * it, within the budget of the pool that loses it.
  */
-void
-balance_update(fleet_t *fleet, member_table_t *draft, const plan_input_t *input)
+static void
+move_one(fleet_t *fleet, member_table_t *draft, const plan_input_t *input,
+    const census_t *census)
 {
-	member_instance_t *instance = pick_surplus(fleet, draft);
+	member_instance_t *instance = pick_surplus(fleet, draft, census);
 	const manifest_pool_t *target;
 	gw_err_t err;
 
 	if (instance == NULL)
 		return;
-	target = placement_choose_pool(fleet, draft, instance->failure_domain);
+	target = placement_choose_pool(fleet, census, instance->failure_domain);
 	if (target == NULL)
 		return;
 	if (strcmp(instance->pool, instance->home_pool) == 0) {
@@ -66,3 +67,16 @@
 	decision_note(fleet, "balance", instance->id, target->name,
 	    "the manifest gives the old pool fewer and this one more");
 }
+
+/*
+ * Brings the pools nearer to their numbers. One move at a time: the next round
+ * sees the effect.
+ */
+void
+balance_update(fleet_t *fleet, member_table_t *draft, const plan_input_t *input)
+{
+	census_t *census = census_new(draft);
+
+	move_one(fleet, draft, input, census);
+	census_free(census);
+}
--- a/gwfleetd/daemon.h
+++ b/gwfleetd/daemon.h
@@ -2,6 +2,7 @@
 #define FLEET_DAEMON_H
 
 #include "fleet.h"
+#include "gw/id.h"
 #include "gw/runtime.h"
 #include "http/httpc.h"
 #include "http/httpd.h"
@@ -17,7 +18,8 @@
 	store_watch_t *watch;
 	uint64_t watch_call;
 	gw_httpc_t *platform;
-	GHashTable *checkers; /* address -> gw_httpc_t */
+	char list_hash[GW_ID_TEXT_BYTES]; /* of the last list's body */
+	GHashTable *checkers;		  /* address -> gw_httpc_t */
 	gw_listener_t *listener;
 	GPtrArray *links;   /* fleet_link_t */
 	GPtrArray *dialers; /* dialer_t */
--- a/gwfleetd/fleet_msg.h
+++ b/gwfleetd/fleet_msg.h
@@ -60,7 +60,7 @@
 	const store_value_t *value;
 	const gw_err_t *err;   /* NULL: success */
 	uint64_t number;       /* mod_revision, lease id, or the list's time */
-	const GPtrArray *list; /* platform_instance_t */
+	const GPtrArray *list; /* platform_instance_t; NULL: as before */
 	const char *instance_id;
 	const char *incarnation;
 	fleet_link_t *link;
--- a/gwfleetd/fleet_state.h
+++ b/gwfleetd/fleet_state.h
@@ -43,8 +43,9 @@
 	record_t table_record;
 	member_table_t *table; /* NULL: none known */
 	member_table_t *draft; /* being written */
-	bool claimed;	       /* the table carries this planner's epoch */
-	char *table_text;      /* as in the store, for PeerState */
+	bool dirty;   /* the table may have to change before the next round */
+	bool claimed; /* the table carries this planner's epoch */
+	char *table_text; /* as in the store, for PeerState */
 
 	generation_t generation;
 	record_t status_record;
@@ -64,7 +65,8 @@
 	GHashTable *ended;   /* keys of routers whose end is known */
 	uint64_t view_sequence;
 	uint64_t grants_divided_us;
-	bool inherited; /* grants of an earlier planner may be unreported */
+	bool grants_dirty; /* demand, an Ack or the table changed */
+	bool inherited;	   /* grants of an earlier planner may be unreported */
 
 	/* The follower's view of the planner. */
 	char planner_id[GW_NAME_BYTES];
--- a/gwfleetd/grants.c
+++ b/gwfleetd/grants.c
@@ -222,28 +222,31 @@
 }
 
 /*
- * Sets the wanted shares of one instance. Slots of an instance that routers do
- * not use are not granted.
+ * Sets the wanted shares of one instance; true when a grant changed. Slots of
+ * an instance that routers do not use are not granted.
  */
-static void
+static bool
 divide_one(fleet_t *fleet, const member_instance_t *instance,
     const GPtrArray *routers, const GPtrArray *keys, uint32_t turn)
 {
 	uint32_t *shares = g_new0(uint32_t, routers->len + 1);
 	instance_grants_t *entry = entry_of(fleet, instance);
+	bool changed;
 
 	if (instance->state == MEMBER_ACTIVE)
 		divide_by_demand(routers, instance, turn, shares);
-	(void)member_grants_divide(
+	changed = member_grants_divide(
 	    entry->grants, keys, shares, fleet->view_sequence);
 	g_free(shares);
+	return changed;
 }
 
-static void
+static bool
 divide_all(fleet_t *fleet)
 {
 	g_autoptr(GPtrArray) routers = g_ptr_array_new();
 	g_autoptr(GPtrArray) keys = g_ptr_array_new();
+	bool changed = false;
 
 	for (guint i = 0; i < fleet->routers->len; i++) {
 		router_t *router = fleet->routers->pdata[i];
@@ -255,8 +258,10 @@
 	}
 	fleet->view_sequence++;
 	for (guint i = 0; i < fleet->table->instances->len; i++)
-		divide_one(
-		    fleet, fleet->table->instances->pdata[i], routers, keys, i);
+		changed = divide_one(fleet, fleet->table->instances->pdata[i],
+			      routers, keys, i) ||
+		    changed;
+	return changed;
 }
 
 /*
@@ -319,13 +324,16 @@
 grants_tick(fleet_t *fleet)
 {
 	uint64_t now_us = fleet_now_us(fleet);
+	uint64_t wait_ms =
+	    fleet->grants_dirty ? GRANTS_DIVIDE_MS : GRANTS_IDLE_MS;
 
-	if (now_us < fleet->grants_divided_us + GRANTS_DIVIDE_MS * GW_US_PER_MS)
+	if (now_us < fleet->grants_divided_us + wait_ms * GW_US_PER_MS)
 		return;
+	fleet->grants_dirty = false;
 	fleet->grants_divided_us = now_us;
 	drop_gone(fleet);
 	drop_gone_routers(fleet);
 	update_unreported(fleet);
-	divide_all(fleet);
-	views_send(fleet);
+	if (divide_all(fleet))
+		views_send(fleet);
 }
--- a/gwfleetd/grants.h
+++ b/gwfleetd/grants.h
@@ -7,6 +7,8 @@
 
 /* Interval at which grants follow the demand. */
 #define GRANTS_DIVIDE_MS 200
+/* The same without any news: routers may be gone after a time. */
+#define GRANTS_IDLE_MS 1000
 
 /* The grants of one instance. */
 typedef struct {
--- a/gwfleetd/placement.c
+++ b/gwfleetd/placement.c
@@ -35,10 +35,11 @@
 		    gw_errc_name(msg->err->code), msg->err->text);
 		return;
 	}
-	if (msg->number < fleet->list_as_of)
+	fleet->list_taken_us = fleet_now_us(fleet);
+	if (msg->list == NULL || msg->number < fleet->list_as_of)
 		return;
 	fleet->list_as_of = msg->number;
-	fleet->list_taken_us = fleet_now_us(fleet);
+	fleet->dirty = true;
 	g_ptr_array_set_size(fleet->list, 0);
 	for (guint i = 0; i < msg->list->len; i++)
 		g_ptr_array_add(fleet->list,
@@ -61,40 +62,6 @@
 	return NULL;
 }
 
-/*
- * Counts the instances whose home is the pool.
- */
-uint32_t
-placement_home_count(const member_table_t *table, const char *pool)
-{
-	uint32_t count = 0;
-
-	for (guint i = 0; i < table->instances->len; i++) {
-		const member_instance_t *instance = table->instances->pdata[i];
-
-		if (instance->state != MEMBER_ENDED &&
-		    strcmp(instance->home_pool, pool) == 0)
-			count++;
-	}
-	return count;
-}
-
-static uint32_t
-domain_count(const member_table_t *table, const char *pool, const char *domain)
-{
-	uint32_t count = 0;
-
-	for (guint i = 0; i < table->instances->len; i++) {
-		const member_instance_t *instance = table->instances->pdata[i];
-
-		if (instance->state != MEMBER_ENDED &&
-		    strcmp(instance->home_pool, pool) == 0 &&
-		    strcmp(instance->failure_domain, domain) == 0)
-			count++;
-	}
-	return count;
-}
-
 static uint32_t
 target_count(const fleet_t *fleet, const manifest_pool_t *pool)
 {
@@ -125,7 +92,7 @@
  */
 const manifest_pool_t *
 placement_choose_pool(
-    const fleet_t *fleet, const member_table_t *draft, const char *domain)
+    const fleet_t *fleet, const census_t *census, const char *domain)
 {
 	const manifest_t *manifest = fleet->generation.manifest;
 	const manifest_pool_t *best = NULL;
@@ -137,13 +104,13 @@
 		const manifest_pool_t *pool =
 		    &g_array_index(manifest->pools, manifest_pool_t, i);
 		uint32_t target = target_count(fleet, pool);
-		uint32_t have = placement_home_count(draft, pool->name);
+		uint32_t have = census_home(census, pool->name);
 		double in_domain, filled;
 
 		if (have >= target)
 			continue;
 		in_domain =
-		    (double)domain_count(draft, pool->name, domain) / target;
+		    (double)census_domain(census, pool->name, domain) / target;
 		filled = (double)have / target;
 		if (best != NULL &&
 		    (in_domain > best_domain ||
@@ -162,11 +129,11 @@
  * known only when the platform reports it, and all routers must know.
  */
 static void
-add_instance(
-    fleet_t *fleet, member_table_t *draft, const platform_instance_t *listed)
+add_instance(fleet_t *fleet, member_table_t *draft, census_t *census,
+    const platform_instance_t *listed)
 {
 	const manifest_pool_t *pool =
-	    placement_choose_pool(fleet, draft, listed->failure_domain);
+	    placement_choose_pool(fleet, census, listed->failure_domain);
 	member_instance_t added = {.state = MEMBER_ACTIVE};
 	gw_err_t err;
 
@@ -188,6 +155,7 @@
 		    listed->id, err.text);
 		return;
 	}
+	census_add(census, added.home_pool, added.failure_domain, 1);
 	decision_note(fleet, "place", added.id, added.pool,
 	    "a new instance; the pool is below its number");
 }
@@ -276,6 +244,8 @@
 void
 placement_update(fleet_t *fleet, member_table_t *draft)
 {
+	census_t *census = census_new(draft);
+
 	for (guint i = 0; i < fleet->list->len; i++) {
 		const platform_instance_t *listed = fleet->list->pdata[i];
 		member_instance_t *instance;
@@ -290,6 +260,7 @@
 		else if (instance != NULL)
 			update_instance(fleet, draft, instance, listed);
 		else if (listed->state == PLATFORM_LIVE)
-			add_instance(fleet, draft, listed);
+			add_instance(fleet, draft, census, listed);
 	}
+	census_free(census);
 }
--- a/gwfleetd/planner.c
+++ b/gwfleetd/planner.c
@@ -59,7 +59,8 @@
 }
 
 /*
- * Makes the next version of the table, and writes it if anything changed.
+ * Makes the next version of the table, and writes it if anything changed. Done
+ * when news came, and with each round.
  */
 static void
 propose(fleet_t *fleet)
@@ -67,8 +68,11 @@
 	uint64_t now_us = fleet_now_us(fleet);
 	member_table_t *draft;
 
-	if (!record_idle(&fleet->table_record))
+	if (!record_idle(&fleet->table_record) ||
+	    (!fleet->dirty &&
+		now_us < fleet->round_us + ROUND_MS * GW_US_PER_MS))
 		return;
+	fleet->dirty = false;
 	draft = table_draft(fleet);
 	placement_update(fleet, draft);
 	routers_update(fleet, draft);
--- a/gwfleetd/port_platform.c
+++ b/gwfleetd/port_platform.c
@@ -80,6 +80,22 @@
 	fleet_handle(daemon->fleet, &msg);
 }
 
+/*
+ * Tells whether the body is the same as that of the list before. Most lists
+ * are, and to parse one of 1,800 instances costs milliseconds.
+ */
+static bool
+is_unchanged(daemon_t *daemon, const gw_http_response_t *response)
+{
+	char hash[GW_ID_TEXT_BYTES];
+
+	gw_id_content(response->body, response->size_bytes, hash);
+	if (strcmp(hash, daemon->list_hash) == 0)
+		return true;
+	g_strlcpy(daemon->list_hash, hash, sizeof(daemon->list_hash));
+	return false;
+}
+
 static void
 on_list(const gw_http_response_t *response, const gw_err_t *err, void *arg)
 {
@@ -88,6 +104,11 @@
 	gw_err_t bad;
 	json_t *root = NULL;
 
+	if (response != NULL && response->status == 200 &&
+	    is_unchanged(daemon, response)) {
+		fleet_handle(daemon->fleet, &msg);
+		return;
+	}
 	if (response != NULL && response->status == 200)
 		root =
 		    json_loadb(response->body, response->size_bytes, 0, NULL);
--- a/gwfleetd/reboot.c
+++ b/gwfleetd/reboot.c
@@ -97,6 +97,7 @@
 		reboot->checks_failed = 0;
 	}
 	reboot->passed = msg->err == NULL;
+	fleet->dirty = true;
 	if (reboot->passed)
 		return;
 	reboot->checks_failed++;
--- a/gwfleetd/router.c
+++ b/gwfleetd/router.c
@@ -94,6 +94,8 @@
 	router_t *router;
 
 	router = router_find(fleet, session->node_id, session->boot_id);
+	fleet->dirty = true;
+	fleet->grants_dirty = true;
 	if (router == NULL || !fleet->claimed)
 		return;
 	router->imported = true;
@@ -119,7 +121,7 @@
 }
 
 static void
-take_demand(router_t *router, const Gw__Heartbeat *heartbeat)
+take_demand(fleet_t *fleet, router_t *router, const Gw__Heartbeat *heartbeat)
 {
 	router_demand_t *demand;
 
@@ -135,6 +137,8 @@
 		}
 		demand->queued = from->queued;
 		demand->in_flight = from->in_flight;
+		if (demand->slots_wanted != from->slots_wanted)
+			fleet->grants_dirty = true;
 		demand->slots_wanted = from->slots_wanted;
 		demand->refused = from->refused;
 	}
@@ -172,7 +176,7 @@
 	router = router_find(fleet, session->node_id, session->boot_id);
 	if (!fleet->claimed || router == NULL)
 		return;
-	take_demand(router, heartbeat);
+	take_demand(fleet, router, heartbeat);
 	if (heartbeat->table_version != 0)
 		(void)take_report(router, session, heartbeat->epoch,
 		    heartbeat->table_version, heartbeat->leaving,
@@ -205,6 +209,8 @@
 	if (!fleet->claimed || router == NULL)
 		return;
 	router->generation = MAX(router->generation, ack->generation);
+	fleet->dirty = true;
+	fleet->grants_dirty = true;
 	if (!take_report(router, session, ack->epoch, ack->table_version,
 		ack->leaving, ack->n_leaving))
 		return;
@@ -246,6 +252,7 @@
 	if (goodbye->boot_id != session->boot_id)
 		return;
 	g_hash_table_add(fleet->ended, g_strdup(session->key));
+	fleet->dirty = true;
 	router = router_find(fleet, session->node_id, session->boot_id);
 	if (router != NULL)
 		router_end(fleet, router, true, "Goodbye");
--- a/gwfleetd/table.c
+++ b/gwfleetd/table.c
@@ -123,6 +123,8 @@
 	g_free(fleet->table_text);
 	fleet->table_text = g_strdup(record->value);
 	fleet->metrics.table_version->value = fleet->table->version;
+	fleet->dirty = true;
+	fleet->grants_dirty = true;
 	if (!fleet->claimed) {
 		begin_service(fleet);
 	} else {
--- a/gwfleetd/wave.c
+++ b/gwfleetd/wave.c
@@ -151,6 +151,7 @@
 on_waves_written(fleet_t *fleet, record_t *record)
 {
 	(void)record;
+	fleet->dirty = true;
 	if (!fleet->waves_changed)
 		answer(fleet, 200, "{}");
 }
