Heed the old budgets until a generation is in force everywhere

Cause: the old manifest's budgets were dropped once this data centre had the new generation, while another one could still use its old, larger share. Change: while the old manifest counts, the planner reads the status of one other data centre of the manifest every 500 ms. The daemon's state is static, so that the leak check sees it at exit. Conclusion: budgets hold across data centres that change at different times.

--- a/gwfleetd/fleet.c
+++ b/gwfleetd/fleet.c
@@ -85,6 +85,7 @@
 	decisions_init(&fleet->decisions);
 	election_init(&fleet->election, config, fleet_now_us(fleet));
 	generation_init(&fleet->generation);
+	fleetwide_init(&fleet->fleetwide);
 	add_records(fleet);
 	fleet->waves = g_ptr_array_new_with_free_func(wave_free);
 	fleet->routers = g_ptr_array_new_with_free_func(router_free);
@@ -118,6 +119,7 @@
 	record_clear(&fleet->status_record);
 	record_clear(&fleet->waves_record);
 	generation_clear(&fleet->generation);
+	fleetwide_clear(&fleet->fleetwide);
 	election_clear(&fleet->election);
 	decisions_clear(&fleet->decisions);
 	calls_clear(&fleet->calls);
--- a/gwfleetd/fleet_state.h
+++ b/gwfleetd/fleet_state.h
@@ -5,6 +5,7 @@
 #include "decision.h"
 #include "election.h"
 #include "fleet.h"
+#include "fleetwide.h"
 #include "generation.h"
 #include "record.h"
 
@@ -48,6 +49,7 @@
 	char *table_text; /* as in the store, for PeerState */
 
 	generation_t generation;
+	fleetwide_t fleetwide;
 	record_t status_record;
 	uint64_t status_sent_us;
 	uint64_t status_generation; /* in the last status written */
--- a/gwfleetd/main.c
+++ b/gwfleetd/main.c
@@ -154,8 +154,8 @@
 int
 main(int argc, char **argv)
 {
-	daemon_t daemon = {0};
-	uv_signal_t term;
+	static daemon_t daemon;
+	static uv_signal_t term;
 	gw_err_t error;
 
 	if (gw_settings_load(settings, G_N_ELEMENTS(settings), argc, argv,
--- a/gwfleetd/planner.c
+++ b/gwfleetd/planner.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "fleet_state.h"
+#include "fleetwide.h"
 #include "grants.h"
 #include "gw/log.h"
 #include "peer.h"
@@ -29,6 +30,7 @@
 	fleet->status_read = false;
 	fleet->list_asked_us = 0;
 	fleet->list_waits = false;
+	fleet->fleetwide.waits = false;
 	fleet->metrics.is_planner->value = 1;
 	table_claim(fleet);
 	generation_begin_watch(fleet);
@@ -104,4 +106,5 @@
 	grants_tick(fleet);
 	peers_tell(fleet, false);
 	status_tick(fleet);
+	fleetwide_tick(fleet);
 }
--- a/gwfleetd/status.c
+++ b/gwfleetd/status.c
@@ -22,8 +22,11 @@
 	return lowest;
 }
 
-static uint64_t
-generation_in(const char *text)
+/*
+ * Returns the generation that a status key names; 0 for none.
+ */
+uint64_t
+status_generation_in(const char *text)
 {
 	json_t *status = text == NULL ? NULL : json_loads(text, 0, NULL);
 	uint64_t generation;
@@ -62,15 +65,13 @@
 on_status_read(fleet_t *fleet, record_t *record)
 {
 	fleet->status_read = true;
-	fleet->status_generation = generation_in(record->value);
+	fleet->status_generation = status_generation_in(record->value);
 }
 
 static void
 on_status_written(fleet_t *fleet, record_t *record)
 {
-	fleet->status_generation = generation_in(record->value);
-	if (fleet->status_generation == generation_held(fleet))
-		generation_in_force(fleet);
+	fleet->status_generation = status_generation_in(record->value);
 }
 
 const record_ops_t status_ops = {
--- a/regress/fleet/generation_test.c
+++ b/regress/fleet/generation_test.c
@@ -193,6 +193,67 @@
 	scene_end(&s);
 }
 
+/* Notes whether the budgets still heed the manifest before. */
+static bool with_previous;
+
+static void
+look(plan_lending_t *lending, const plan_input_t *input, uint64_t now_us,
+    GPtrArray *actions)
+{
+	(void)lending;
+	(void)now_us;
+	(void)actions;
+	with_previous = input->previous != NULL;
+}
+
+static plan_lending_t *
+no_lending(void)
+{
+	return NULL;
+}
+
+static void
+no_waves(const plan_input_t *input, uint64_t now_us, GPtrArray *actions)
+{
+	(void)input;
+	(void)now_us;
+	(void)actions;
+}
+
+static uint32_t
+no_budget(const plan_input_t *input, const char *pool)
+{
+	(void)input;
+	(void)pool;
+	return 0;
+}
+
+static const plan_lending_ops_t look_ops = {"look", look};
+static const fleet_policy_t look_policy = {
+    &look_ops, no_lending, NULL, no_waves, no_budget};
+
+/*
+ * Guards against budgets of a new manifest that apply here while another data
+ * centre still uses its old, larger share.
+ */
+static void
+test_previous_until_everywhere(void)
+{
+	scene_t s;
+
+	scene_start(&s, &look_policy);
+	scene_other_centre(true);
+	scene_manifest(&s, 2, 3, 1);
+	scene_run(&s, 10000);
+	g_assert_cmpuint(status_generation(&s), ==, 2);
+	g_assert_true(with_previous);
+	world_put(s.w, "/gw/dc/dc2/status", "{\"generation\":2}");
+	scene_run(&s, 3000);
+	g_assert_false(with_previous);
+	scene_other_centre(false);
+	scene_end(&s);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -203,5 +264,6 @@
 	g_test_add_func("/generation/start-while-down", test_start_while_down);
 	g_test_add_func("/generation/cut-off", test_cut_off_and_healed);
 	g_test_add_func("/generation/numbers", test_numbers_change);
+	g_test_add_func("/generation/previous", test_previous_until_everywhere);
 	return g_test_run();
 }
--- a/regress/fleet/scene.c
+++ b/regress/fleet/scene.c
@@ -5,7 +5,7 @@
     "\"teams\":[{\"name\":\"t\",\"weight\":1,\"quota\":{\"cpu_millis\":"
     "1000000,\"memory_mib\":1000000,\"accelerators\":0}}],"
     "\"pools\":[{\"name\":\"a\",\"team\":\"t\",\"service\":\"sa\",\"spare\":"
-    "false,\"data_centres\":{\"dc1\":{\"instances\":%d,\"minimum\":1}},"
+    "false,\"data_centres\":{\"dc1\":{\"instances\":%d,\"minimum\":1}%s},"
     "\"slots_per_instance\":8},"
     "{\"name\":\"b\",\"team\":\"t\",\"service\":\"sb\",\"spare\":false,"
     "\"data_centres\":{\"dc1\":{\"instances\":%d,\"minimum\":0}},"
@@ -16,14 +16,26 @@
     "\"waves\":[{\"name\":\"w\",\"pools\":[\"a\"],\"concurrency\":1,"
     "\"domain_limit\":1,\"action\":\"reboot\"}]}";
 
+static bool other_centre;
+
+/*
+ * Sets whether manifests from now on name a second data centre.
+ */
+void
+scene_other_centre(bool present)
+{
+	other_centre = present;
+}
+
 /*
  * Applies a manifest that gives the pools a and b so many instances.
  */
 void
 scene_manifest(scene_t *s, uint64_t generation, int pool_a, int pool_b)
 {
-	g_autofree char *json =
-	    g_strdup_printf(manifest_format, pool_a, pool_b);
+	g_autofree char *json = g_strdup_printf(manifest_format, pool_a,
+	    other_centre ? ",\"dc2\":{\"instances\":2,\"minimum\":1}" : "",
+	    pool_b);
 
 	world_apply_manifest(s->w, generation, json);
 }
--- a/regress/fleet/scene.h
+++ b/regress/fleet/scene.h
@@ -18,6 +18,7 @@
 void scene_start(scene_t *, const fleet_policy_t *);
 void scene_end(scene_t *);
 void scene_manifest(scene_t *, uint64_t generation, int pool_a, int pool_b);
+void scene_other_centre(bool present);
 void scene_run(scene_t *, uint64_t ms);
 void scene_reconnect(scene_t *);
 uint32_t scene_sum(const scene_t *, const char *instance_id);
--- a/regress/fleet/wave.sh
+++ b/regress/fleet/wave.sh
@@ -6,7 +6,7 @@
 
 total()
 {
-	curl -s "http://$platform/v1/instances" |
+	curl -sS -m 5 "http://$platform/v1/instances" |
 	    jq '[.instances[].reboots] | add'
 }
 
@@ -70,3 +70,4 @@
 echo "reboots: $(total)"
 touch "$tmp/stop"
 echo "responses other than 200: $(grep -vc '^200$' "$tmp/codes")"
+sort "$tmp/codes" | uniq -c >&2
