Take grants from admitted views only

gwfleetd sets admitted only as planner, so the earlier bookkeeping of offers per connection is not needed: a view's grants count when it is admitted or its connection answered a heartbeat in that epoch, and only then is its number acknowledged. Beyond a reduced grant the Ack names all requests in flight, since the planner keeps that many slots reserved. regress/run router: 5 passed.

--- a/gwrouted/fleet.c
+++ b/gwrouted/fleet.c
@@ -20,15 +20,8 @@
 	gw_timer_t reconnect;
 	uint64_t planner_epoch; /* of its last Contact; 0 without one */
 	uint64_t view_sequence; /* of the last view whose grants count */
-	GHashTable *offered;	/* id -> offer_t of its last views */
 } link_t;
 
-/* A grant as a view states it. */
-typedef struct {
-	char incarnation[GW_NAME_BYTES];
-	uint32_t granted;
-} offer_t;
-
 struct fleet {
 	router_t *router;
 	GPtrArray *links; /* link_t */
@@ -172,32 +165,10 @@
 	    on_heartbeat, fleet);
 }
 
-/*
- * Takes the grants that a link offered before it was known as the planner's.
- */
-static void
-take_offers(link_t *link)
-{
-	router_t *router = link->fleet->router;
-	GHashTableIter iter;
-	gpointer id, value;
-
-	g_hash_table_iter_init(&iter, link->offered);
-	while (g_hash_table_iter_next(&iter, &id, &value)) {
-		const offer_t *offer = value;
-
-		view_grant(&router->view, id, offer->incarnation,
-		    offer->granted, GRANTS_TAKE);
-	}
-	router_refresh(router);
-}
-
 static void
 on_contact(link_t *link, const Gw__Contact *contact)
 {
 	fleet_t *fleet = link->fleet;
-	bool is_new = contact->epoch != link->planner_epoch &&
-	    contact->epoch >= fleet->router->contact.epoch;
 
 	if (contact->sequence > fleet->sequence ||
 	    contact->sequence + HEARTBEATS_KEPT <= fleet->sequence)
@@ -205,46 +176,21 @@
 	link->planner_epoch = contact->epoch;
 	member_router_answered(&fleet->router->contact, contact->epoch,
 	    fleet->sent_us[contact->sequence % HEARTBEATS_KEPT]);
-	if (is_new)
-		take_offers(link);
-}
-
-static void
-keep_offers(link_t *link, const Gw__View *view)
-{
-	offer_t *offer;
-
-	if (view->full)
-		g_hash_table_remove_all(link->offered);
-	for (size_t i = 0; i < view->n_instances; i++) {
-		offer = g_new0(offer_t, 1);
-		g_strlcpy(offer->incarnation, view->instances[i]->incarnation,
-		    sizeof(offer->incarnation));
-		offer->granted = view->instances[i]->granted;
-		g_hash_table_insert(
-		    link->offered, g_strdup(view->instances[i]->id), offer);
-	}
-	for (size_t i = 0; i < view->n_removed_ids; i++)
-		g_hash_table_remove(link->offered, view->removed_ids[i]);
 }
 
 /*
- * Decides what the grants of a view count for. The planner's connection is the
- * one that answered a heartbeat in the view's epoch. Another gwfleetd only
- * repeats what this router said when it connected. A view of a newer epoch may
- * come from its planner: it may lower grants but not raise them until Contact
- * tells; to ignore a reduction and acknowledge it would let two routers use
- * one slot.
+ * Decides whether the grants of a view count. They do when the view comes from
+ * the planner: that alone sets admitted, and answers heartbeats in the view's
+ * epoch. Another gwfleetd only repeats what this router held when it connected,
+ * and a planner of an earlier epoch has been replaced. The view's number is
+ * acknowledged only when its grants count, so that no slot is used twice.
  */
-static grants_rule_t
-grants_rule(const link_t *link, const Gw__View *view)
+static bool
+is_from_planner(const link_t *link, const Gw__View *view)
 {
-	uint64_t known = link->fleet->router->contact.epoch;
-
-	if (known == 0 ||
-	    (link->planner_epoch == view->epoch && view->epoch >= known))
-		return GRANTS_TAKE;
-	return view->epoch > known ? GRANTS_REDUCE : GRANTS_IGNORE;
+	if (view->epoch < link->fleet->router->contact.epoch)
+		return false;
+	return view->admitted || link->planner_epoch == view->epoch;
 }
 
 static void
@@ -259,20 +205,17 @@
 on_view(link_t *link, const Gw__View *view)
 {
 	router_t *router = link->fleet->router;
-	grants_rule_t rule = grants_rule(link, view);
+	bool from_planner = is_from_planner(link, view);
 
-	keep_offers(link, view);
-	if (view_apply(&router->view, view, rule) == VIEW_GAP) {
+	if (view_apply(&router->view, view, from_planner) == VIEW_GAP) {
 		gw_log(GW_EV_VIEW_GAP, "peer=%s base=%" PRIu64 " held=%" PRIu64,
 		    gw_conn_peer(link->conn), view->base_version,
 		    router->view.version);
 		gw_conn_close(link->conn);
 		return;
 	}
-	if (rule != GRANTS_IGNORE)
+	if (from_planner)
 		link->view_sequence = view->sequence;
-	if (rule == GRANTS_REDUCE)
-		beat_soon(link->fleet);
 	fleet_ack_soon(link->fleet);
 }
 
@@ -396,8 +339,6 @@
 		link = g_new0(link_t, 1);
 		link->fleet = fleet;
 		link->addr = g_array_index(addrs, gw_addr_t, i);
-		link->offered = g_hash_table_new_full(
-		    g_str_hash, g_str_equal, g_free, g_free);
 		g_ptr_array_add(fleet->links, link);
 		link_connect(link);
 	}
@@ -418,7 +359,6 @@
 		link_t *link = fleet->links->pdata[i];
 
 		gw_timer_stop(&link->reconnect);
-		g_hash_table_destroy(link->offered);
 		if (link->conn == NULL)
 			continue;
 		gw_conn_set_ops(link->conn, &link_ops, NULL);
--- a/gwrouted/instance.c
+++ b/gwrouted/instance.c
@@ -111,12 +111,14 @@
 
 /*
  * Returns what the planner asks about: on an active time-bound instance the
- * attempts that began before it was time-bound, else all.
+ * attempts that began before it was time-bound, else all. Beyond a reduced
+ * grant all count, because the planner keeps that many slots reserved.
  */
 uint32_t
 instance_reported_in_flight(const instance_t *instance)
 {
-	if (instance->state == MEMBER_ACTIVE && instance->time_bound)
+	if (instance->state == MEMBER_ACTIVE && instance->time_bound &&
+	    instance->in_flight <= instance->granted)
 		return instance->in_flight_unbound;
 	return instance->in_flight;
 }
--- a/gwrouted/view.c
+++ b/gwrouted/view.c
@@ -118,21 +118,17 @@
 }
 
 /*
- * Sets the grant of an instance, or with GRANTS_REDUCE only lowers it. Another
- * incarnation's grant is void.
+ * Sets the grant of an instance. Another incarnation's grant is void.
  */
-void
-view_grant(view_t *view, const char *id, const char *incarnation,
-    uint32_t granted, grants_rule_t rule)
+static void
+grant(view_t *view, const Gw__Instance *from)
 {
 	instance_t *instance;
 
-	instance = g_hash_table_lookup(view->instances, id);
-	if (instance == NULL || rule == GRANTS_IGNORE ||
-	    strcmp(instance->incarnation, incarnation) != 0)
-		return;
-	if (rule == GRANTS_TAKE || granted < instance->granted)
-		instance_set_granted(instance, granted);
+	instance = g_hash_table_lookup(view->instances, from->id);
+	if (instance != NULL &&
+	    strcmp(instance->incarnation, from->incarnation) == 0)
+		instance_set_granted(instance, from->granted);
 }
 
 /*
@@ -188,11 +184,11 @@
 
 /*
  * Takes a view in force: states when the view is at least as new as the one
- * held, grants by the rule. A delta must build on a version that is held; one
+ * held, grants when the planner sent it. A delta must build on a version that is held; one
  * that starts earlier repeats what is known.
  */
 view_result_t
-view_apply(view_t *view, const Gw__View *from, grants_rule_t rule)
+view_apply(view_t *view, const Gw__View *from, bool from_planner)
 {
 	bool states;
 
@@ -203,10 +199,8 @@
 		return VIEW_GAP;
 	for (size_t i = 0; states && i < from->n_instances; i++)
 		update(view, from->instances[i]);
-	for (size_t i = 0; i < from->n_instances; i++)
-		view_grant(view, from->instances[i]->id,
-		    from->instances[i]->incarnation,
-		    from->instances[i]->granted, rule);
+	for (size_t i = 0; from_planner && i < from->n_instances; i++)
+		grant(view, from->instances[i]);
 	if (states && from->full)
 		retire_missing(view, from);
 	for (size_t i = 0; states && i < from->n_removed_ids; i++)
--- a/gwrouted/view.h
+++ b/gwrouted/view.h
@@ -22,13 +22,6 @@
 	GPtrArray *replaced;   /* instance_t out of the view, still in use */
 } view_t;
 
-/* What the grants in a view count for. */
-typedef enum {
-	GRANTS_IGNORE = 0, /* not from the planner */
-	GRANTS_REDUCE,	   /* from a planner that is not known yet */
-	GRANTS_TAKE
-} grants_rule_t;
-
 typedef enum {
 	VIEW_IN_FORCE = 0,
 	VIEW_GAP /* a delta on a version that is not held */
@@ -36,9 +29,7 @@
 
 void view_init(view_t *, router_t *);
 void view_clear(view_t *);
-view_result_t view_apply(view_t *, const Gw__View *, grants_rule_t);
-void view_grant(view_t *, const char *id, const char *incarnation,
-    uint32_t granted, grants_rule_t);
+view_result_t view_apply(view_t *, const Gw__View *, bool from_planner);
 void view_release(view_t *, instance_t *);
 void view_each(view_t *, void (*)(instance_t *, void *), void *arg);
 
