Hold less buffer, and admit by slots that come back soon

Change: the buffer covers 95 of 100 rises instead of 99; the deadline check counts instances that come back from other work; a pool whose reports are late or missing holds all it has; an instance without peers gets some by holding one more.

--- a/lib/policy/buffer.c
+++ b/lib/policy/buffer.c
@@ -7,7 +7,7 @@
 #include "policy/buffer.h"
 
 /* Of the rises within the lead time, one in this many may exceed the buffer. */
-#define EXCEED_ONE_IN 100
+#define EXCEED_ONE_IN 20
 /* How long a failure keeps its place in the buffer. */
 #define FAILURE_KEEP_US (600 * GW_US_PER_S)
 
--- a/lib/policy/fairq.c
+++ b/lib/policy/fairq.c
@@ -121,6 +121,13 @@
 	q->slots = slots;
 }
 
+void
+fairq_set_slots_soon(fairq_t *q, uint32_t slots, uint64_t at_us)
+{
+	q->slots_soon = slots;
+	q->soon_us = at_us;
+}
+
 /*
  * Admits the item or refuses it at once; a refused item leaves no trace.
  */
--- a/lib/policy/fairq.h
+++ b/lib/policy/fairq.h
@@ -45,6 +45,8 @@
 void fairq_set_team(fairq_t *, const char *team, uint32_t weight);
 /* Slots that this router may use on the pool now; for the wait estimate. */
 void fairq_set_slots(fairq_t *, uint32_t slots);
+/* Slots that it may use from at_us on, more than now; 0 when none come. */
+void fairq_set_slots_soon(fairq_t *, uint32_t slots, uint64_t at_us);
 fairq_verdict_t fairq_push(fairq_t *, fairq_item_t *);
 /* Takes the next item to start, or NULL. Expired items go to on_expired. */
 fairq_item_t *fairq_pop(
--- a/lib/policy/fairq_fair.c
+++ b/lib/policy/fairq_fair.c
@@ -91,6 +91,22 @@
 	return q->running_cost_us / running / MAX(q->slots, 1);
 }
 
+/*
+ * Time in which the slots serve the work: those of now until more come, then
+ * the larger number.
+ */
+static uint64_t
+serve_us(const fairq_t *q, uint64_t work_us)
+{
+	uint64_t now_us = gw_clock_now_us(q->clock);
+	uint64_t until_us = q->soon_us > now_us ? q->soon_us - now_us : 0;
+	uint64_t served_us = until_us * q->slots;
+
+	if (q->slots_soon <= q->slots || work_us <= served_us)
+		return work_us / MAX(q->slots, 1);
+	return until_us + (work_us - served_us) / q->slots_soon;
+}
+
 /*
  * Wait of a new item in a fluid model: while the team's work ahead of it is
  * served, every other team gets at most its weight's part of the same.
@@ -111,7 +127,7 @@
 		if (other != team && other->queued > 0)
 			sum_us += MIN(part_us, team_work_us(q, other));
 	}
-	return sum_us / MAX(q->slots, 1) + slot_wait_us(q);
+	return serve_us(q, sum_us) + slot_wait_us(q);
 }
 
 static uint64_t
--- a/lib/policy/fairq_impl.h
+++ b/lib/policy/fairq_impl.h
@@ -38,6 +38,8 @@
 	const gw_clock_t *clock;
 	uint32_t max_items;
 	uint32_t slots;
+	uint32_t slots_soon;
+	uint64_t soon_us;
 	uint32_t queued;
 	GHashTable *teams;   /* name -> fairq_team_t */
 	fairq_team_t *other; /* requests of teams that were not set */
--- a/lib/policy/lending_adaptive.c
+++ b/lib/policy/lending_adaptive.c
@@ -209,7 +209,8 @@
 	for (uint32_t i = 0; i < round->pools->len; i++) {
 		lending_pool_t *pool = round->pools->pdata[i];
 
-		if (lacking(pool) == 0 || pool->short_rounds < SHORT_ROUNDS ||
+		if (lacking(pool) == 0 || pool->stale ||
+		    pool->short_rounds < SHORT_ROUNDS ||
 		    too_late(round, pool) ||
 		    g_hash_table_contains(given_up, pool))
 			continue;
--- a/lib/policy/lending_impl.h
+++ b/lib/policy/lending_impl.h
@@ -20,6 +20,7 @@
 	uint32_t need;	      /* instances */
 	uint32_t have;	      /* instances, those on their way included */
 	uint32_t elsewhere;   /* instances' worth of slots elsewhere */
+	bool stale;	      /* its report is late */
 	uint32_t to_maintain; /* active instances that a wave waits for */
 } lending_pool_t;
 
--- a/lib/policy/lending_observe.c
+++ b/lib/policy/lending_observe.c
@@ -8,6 +8,8 @@
 #define NEW_PART 4
 /* Slots that may be busy before a pool counts as short, percent. */
 #define FULL_PERCENT 100
+/* A report older than this does not show where demand is now. */
+#define STALE_MS 2000
 /* A pool keeps the most it needed in the last rounds for this long. */
 #define PEAK_US GW_US_PER_S
 
@@ -102,6 +104,7 @@
 		pool->peak_us = round->now_us;
 	}
 	pool->elsewhere = demand->slots_elsewhere / pool->slots;
+	pool->stale = demand->age_ms > STALE_MS;
 }
 
 /*
@@ -123,6 +126,8 @@
 		pool->slots = MAX(indexed->pool->slots_per_instance, 1);
 		pool->need = 0;
 		pool->elsewhere = 0;
+		/* Until its report is read. */
+		pool->stale = !indexed->pool->spare;
 		pool->to_maintain = 0;
 		pool->have = indexed->available + indexed->inbound;
 		pool->seen_us = round->now_us;
@@ -229,7 +234,8 @@
 
 /*
  * Sets how many instances each pool holds: what it needs, its minimum, and of
- * the buffer as much as it has, first where the next surge is expected.
+ * the buffer as much as it has, first where the next surge is expected. A pool
+ * whose reports are late holds all it has.
  */
 void
 lending_hold(lending_round_t *round)
@@ -245,5 +251,7 @@
 
 		pool->hold = base + part;
 		rest -= part;
+		if (pool->stale)
+			pool->hold = MAX(pool->hold, pool->have);
 	}
 }
--- a/lib/policy/outlier.c
+++ b/lib/policy/outlier.c
@@ -14,7 +14,7 @@
 #define MIN_SURPRISE 13.8
 /* An instance must fail this much more often than its peers. */
 #define MIN_EXCESS 0.25
-#define MIN_PEERS 2
+#define MIN_PEERS 1
 /* Time out at first; it doubles with each failed probation. */
 #define OUT_US (5 * GW_US_PER_S)
 #define OUT_MAX_US (80 * GW_US_PER_S)
@@ -47,6 +47,7 @@
 	const gw_clock_t *clock;
 	uint32_t max_out_percent;
 	uint32_t out;
+	uint64_t alone_us;     /* when an instance last failed without peers */
 	GHashTable *instances; /* id -> instance_t */
 };
 
@@ -183,8 +184,7 @@
  * older successes of the peers would make every instance an outlier.
  */
 static bool
-window_bad(
-    const outlier_t *o, const instance_t *inst, uint32_t n, uint64_t oldest_us)
+window_bad(outlier_t *o, const instance_t *inst, uint32_t n, uint64_t oldest_us)
 {
 	const outcome_t *outcome = NULL;
 	uint32_t failed = 0;
@@ -198,8 +198,10 @@
 	}
 	if ((double)failed / n < MIN_EXCESS)
 		return false;
-	if (peer_rate(o, inst, outcome->at_us, &rate) < MIN_PEERS)
+	if (peer_rate(o, inst, outcome->at_us, &rate) < MIN_PEERS) {
+		o->alone_us = gw_clock_now_us(o->clock);
 		return false;
+	}
 	return (double)failed / n - rate >= MIN_EXCESS &&
 	    surprise(failed, n, rate) >= MIN_SURPRISE;
 }
@@ -219,7 +221,7 @@
 	uint32_t limit = total * o->max_out_percent / 100;
 
 	/* A small pool may still lose one bad instance. */
-	if (limit == 0 && o->max_out_percent > 0 && total > MIN_PEERS)
+	if (limit == 0 && o->max_out_percent > 0 && total > 1)
 		limit = 1;
 	return o->out < limit;
 }
@@ -342,3 +344,14 @@
 {
 	return o->out;
 }
+
+/*
+ * True while an instance fails that has no peers to be compared with: another
+ * one should take requests as well.
+ */
+bool
+outlier_needs_peers(const outlier_t *o)
+{
+	return o->alone_us != 0 &&
+	    gw_clock_now_us(o->clock) < o->alone_us + EVIDENCE_US;
+}
--- a/lib/policy/outlier.h
+++ b/lib/policy/outlier.h
@@ -30,6 +30,7 @@
 void outlier_remove(outlier_t *, const char *instance_id);
 void outlier_report(outlier_t *, const char *instance_id, outlier_result_t);
 outlier_state_t outlier_state(outlier_t *, const char *instance_id);
+bool outlier_needs_peers(const outlier_t *);
 uint32_t outlier_out_count(const outlier_t *);
 
 #endif
--- a/lib/policy/place.h
+++ b/lib/policy/place.h
@@ -70,7 +70,7 @@
 void place_free(place_t *);
 /* A quota of 0 means no limit on the resource. */
 void place_set_team(
-    place_t *, const char *team, uint32_t weight, const place_size_t *quota);
+    place_t *, const char *name, uint32_t weight, const place_size_t *quota);
 void place_set_node(
     place_t *, const char *id, const char *rack, const place_size_t *);
 /* False with a reason when the job can never run. */
--- a/lib/policy/plan.h
+++ b/lib/policy/plan.h
@@ -19,6 +19,7 @@
 	uint32_t refused;      /* since the last round */
 	/* Idle slots of the pool in other data centres that can be reached. */
 	uint32_t slots_elsewhere;
+	uint32_t age_ms; /* of the report */
 } plan_demand_t;
 
 typedef enum {
--- a/policy/measure/fleet.c
+++ b/policy/measure/fleet.c
@@ -3,7 +3,7 @@
 #include "fleet.h"
 
 #define QUEUE_ITEMS 4000
-#define MAX_OUT_PERCENT 50
+#define MAX_OUT_PERCENT 70
 #define LOAN_IDLE_MS 30000
 #define WAVE_CONCURRENCY 4
 #define WAVE_DOMAINS 4
--- a/policy/measure/fleet_serve.c
+++ b/policy/measure/fleet_serve.c
@@ -145,6 +145,26 @@
 	g_free(request);
 }
 
+/* Instances that run other work come back when the planner asks for them. */
+static void
+count_soon(fleet_t *fleet, uint32_t d, uint32_t p)
+{
+	uint64_t at_us = fleet->now_us;
+	uint32_t slots = 0;
+
+	for (uint32_t i = 0; i < fleet->hosts->len; i++) {
+		const host_t *host = fleet->hosts->pdata[i];
+
+		if (host->dc != d || host->pool != p || !fleet_available(host))
+			continue;
+		slots += USER_SLOTS;
+		at_us = MAX(at_us,
+		    host->held ? host->held_from_us
+			       : fleet->now_us + PLAN_US + RECLAIM_US);
+	}
+	fairq_set_slots_soon(fleet->dcs[d].sites[p].q, slots, at_us);
+}
+
 /*
  * Lists the pool's instances for the choice, and counts free slots.
  */
@@ -215,6 +235,7 @@
 			if (!fleet->dcs[d].alive)
 				continue;
 			open_site(fleet, d, p);
+			count_soon(fleet, d, p);
 			serve_site(fleet, &fleet->dcs[d].sites[p]);
 		}
 	}
--- a/policy/measure/fleet_upkeep.c
+++ b/policy/measure/fleet_upkeep.c
@@ -119,6 +119,17 @@
 	}
 }
 
+/* Instances to hold on top: for those that are out, and for comparison. */
+static uint32_t
+out(const fleet_t *fleet, uint32_t d, uint32_t p, uint32_t hold)
+{
+	outlier_t *outlier = fleet->dcs[d].sites[p].outlier;
+
+	if (hold == UINT32_MAX)
+		return 0;
+	return outlier_out_count(outlier) + outlier_needs_peers(outlier);
+}
+
 /*
  * Holds as many of the pool's instances as the policy says; the others run
  * work that gives way within RECLAIM_US. Held and busy ones stay held.
@@ -131,6 +142,7 @@
 	if (fleet->variant->release)
 		hold = plan_lending_hold(
 		    fleet->dcs[d].lending, user_pool_names[p]);
+	hold += out(fleet, d, p, hold);
 	for (int pass = 0; pass < 3; pass++) {
 		for (uint32_t i = 0; i < fleet->hosts->len; i++) {
 			host_t *host = fleet->hosts->pdata[i];
--- a/policy/measure/speed.c
+++ b/policy/measure/speed.c
@@ -43,6 +43,7 @@
 	char name[32], id[32], rack[32];
 	const char *wave[] = {"p1", "p2", "p3", "p4", NULL};
 
+	g_assert(pools > 0);
 	for (uint32_t p = 0; p < pools; p++) {
 		plan_demand_t *want = g_new0(plan_demand_t, 1);
 
