--- a/gwctl/admin.c
+++ b/gwctl/admin.c
@@ -113,9 +113,39 @@
 	table_print_and_free(table);
 }
 
+/*
+ * Adds an object's members to a table, those of inner objects as outer.inner.
+ */
+static void
+add_members(table_t *table, const json_t *object, const char *prefix)
+{
+	const json_t *value;
+	const char *name;
+
+	json_object_foreach((json_t *)object, name, value)
+	{
+		g_autofree char *path = g_strconcat(prefix, name, NULL);
+		char *text;
+
+		if (json_is_object(json_array_get(value, 0)))
+			continue;
+		if (json_is_object(value)) {
+			g_autofree char *inner = g_strconcat(path, ".", NULL);
+
+			add_members(table, value, inner);
+			continue;
+		}
+		text = value_text(value);
+		table_add(table, "%s", path);
+		table_add(table, "%s", text);
+		free(text);
+	}
+}
+
 /*
  * Prints an answer: an array of objects as a table, an object's scalars line by
- * line and its arrays of objects as tables with titles.
+ * line and its arrays of objects as tables with titles. An empty object means
+ * that a request was carried out.
  */
 static void
 print_answer(const json_t *answer)
@@ -124,22 +154,17 @@
 	table_t *table;
 	const json_t *value;
 	const char *name;
-	char *text;
 
 	if (json_is_array(answer)) {
 		print_rows(answer);
 		return;
 	}
-	table = table_new(heading, G_N_ELEMENTS(heading));
-	json_object_foreach((json_t *)answer, name, value)
-	{
-		if (json_is_object(json_array_get(value, 0)))
-			continue;
-		text = value_text(value);
-		table_add(table, "%s", name);
-		table_add(table, "%s", text);
-		free(text);
+	if (json_object_size(answer) == 0) {
+		(void)puts("done");
+		return;
 	}
+	table = table_new(heading, G_N_ELEMENTS(heading));
+	add_members(table, answer, "");
 	table_print_and_free(table);
 	json_object_foreach((json_t *)answer, name, value)
 	{
