--- a/gwrouted/request.c
+++ b/gwrouted/request.c
@@ -53,8 +53,11 @@
 	request_t *request = arg;
 
 	request->caller = NULL;
-	if (request->attempt.exchange != NULL)
+	if (request->attempt.exchange != NULL) {
+		/* It may have been paused for a caller that read slowly. */
+		attempt_resume(request);
 		return;
+	}
 	if (request->item.queued)
 		fairq_remove(request->pool->queue, &request->item);
 	router_count_reason(request->router, REASON_CALLER_GONE);
--- a/gwrouted/view.c
+++ b/gwrouted/view.c
@@ -184,8 +184,8 @@
 
 /*
  * Takes a view in force: states when the view is at least as new as the one
- * held, grants when the planner sent it. A delta must build on a version that is held; one
- * that starts earlier repeats what is known.
+ * held, grants when the planner sent it. A delta must build on a version that
+ * is held; one that starts earlier repeats what is known.
  */
 view_result_t
 view_apply(view_t *view, const Gw__View *from, bool from_planner)
--- a/regress/router/ask.c
+++ b/regress/router/ask.c
@@ -20,14 +20,17 @@
 main(int argc, char **argv)
 {
 	gw_rt_t *rt = gw_rt_new();
+	gw_httpc_t *client;
 	gw_addr_t addr;
 	gw_err_t error;
 
 	gw_log_init("ask", LOG_WARNING);
 	if (argc != 3 || gw_addr_parse(&addr, argv[1], &error) != 0)
 		errx(1, "usage: ask IP:PORT PATH");
-	(void)gw_httpc_call(
-	    gw_httpc_new(rt, &addr), "GET", argv[2], NULL, 5000, on_done, rt);
+	client = gw_httpc_new(rt, &addr);
+	(void)gw_httpc_call(client, "GET", argv[2], NULL, 5000, on_done, rt);
 	gw_rt_run(rt);
+	gw_httpc_free(client);
+	gw_rt_free(rt);
 	return 0;
 }
