--- a/lib/member/grant.c
+++ b/lib/member/grant.c
@@ -273,3 +273,14 @@
 	g_ptr_array_set_size(grants->grants, 0);
 	grants->unreported = 0;
 }
+
+/*
+ * Tells whether a Hello counts as the router's report to a planner: the
+ * router had already put the planner's epoch in force, so a view that an
+ * earlier planner still has on its way can't change the grants any more.
+ */
+bool
+member_report_counts(const member_lease_t *lease, uint64_t hello_epoch)
+{
+	return lease->epoch != 0 && hello_epoch == lease->epoch;
+}
--- a/lib/member/grant.h
+++ b/lib/member/grant.h
@@ -49,6 +49,8 @@
 /* The router's Ack: the view in force, and slots in use beyond the grant. */
 void member_grants_acked(member_grants_t *, const char *node_id,
     uint64_t view_sequence, uint32_t held);
+/* Does a Hello of that epoch count as the router's report? */
+bool member_report_counts(const member_lease_t *, uint64_t hello_epoch);
 /* The router's Hello: what it holds; the first view's Ack confirms it. */
 void member_grants_reported(member_grants_t *, const char *node_id,
     uint32_t held, uint64_t first_sequence);
