--- a/regress/gwctl/faults.sh
+++ b/regress/gwctl/faults.sh
@@ -20,6 +20,15 @@
 	run manifest show
 done
 fault '{"raw_answer":null}'
+run status --admin "$store"
+fault '{"down":"refuse"}'
+run status --admin "$store"
+fault '{"down":"no"}'
+"$GW_BIN/gwendpoint" --listen 127.0.0.1:23018 >"$work/endpoint.log" 2>&1 &
+endpoint_pid=$!
+trap 'kill $endpoint_pid 2>/dev/null; stop_store; rm -rf "$work"' EXIT
+wait_for 127.0.0.1:23018 /
+run status --admin 127.0.0.1:23018
 put /gw/manifest/root '{"generation":5}'
 run manifest apply "$example"
 stop_store
