Give test programs objects of their own

Cause: objects that a program and its tests share had dependency files that named only one of the two targets, so a changed header left stale objects; sanitizer runs of gwfleetd then failed on null pointers. Change: regress.mk compiles shared sources below its own directory.

--- a/mk/regress.mk
+++ b/mk/regress.mk
@@ -5,7 +5,16 @@
 
 GWARCHIVES = $(patsubst %,$(LIBDIR)/lib%.a,$(GWLIBS))
 PROGS = $(addprefix $(OBJDIR)/,$(TESTS))
-EXTRA_OBJS = $(addprefix $(OBJDIR)/,$(EXTRA_SRCS:.c=.o))
+# Objects of their own, so that their dependency files name the right target.
+EXTRA_OBJS = $(addprefix $(OBJDIR)/extra/,$(notdir $(EXTRA_SRCS:.c=.o)))
+
+define EXTRA_RULE
+$(OBJDIR)/extra/$(notdir $(1:.c=.o)): $(1)
+	@mkdir -p $$(@D)
+	@echo "CC $(HERE)/$(1)"
+	@$$(CC) $$(CPPFLAGS) $$(CFLAGS) -MMD -MP -c -o $$@ $$<
+endef
+$(foreach source,$(EXTRA_SRCS),$(eval $(call EXTRA_RULE,$(source))))
 
 all: $(PROGS)
 
