Send demand only when it changed, and only to the planner

Cause: each heartbeat named every pool, to every gwfleetd. With 253 pools and three fleet daemons that alone is above a node's 17 KB/s for all control traffic.

Change: demand goes to the planner's connection alone, for pools whose demand changed since the last heartbeat; every pool after the first Contact on a connection or of an epoch, and every 10 s. gwfleetd keeps the last demand of the others and forgets that of a router that disconnects; the age that lending sees counts from the router's last heartbeat. In-flight counts still go to every gwfleetd, because an instance that is not named counts as drained. A reconnect no longer counts as the planner's before a new Contact.

--- a/gwfleetd/round.c
+++ b/gwfleetd/round.c
@@ -26,20 +26,23 @@
 }
 
 /*
- * Adds up what the routers want of each pool.
+ * Adds up what the routers want of each pool. The age is that of the oldest
+ * report, counted from the router's last heartbeat.
  */
 static GPtrArray *
-sum_demand(const fleet_t *fleet)
+sum_demand(const fleet_t *fleet, uint64_t now_us)
 {
 	GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
 	GHashTableIter iter;
 	gpointer pool, value;
+	uint32_t age_ms;
 
 	for (guint i = 0; i < fleet->routers->len; i++) {
 		const router_t *router = fleet->routers->pdata[i];
 
 		if (router->contact.ended)
 			continue;
+		age_ms = (uint32_t)((now_us - router->heard_us) / GW_US_PER_MS);
 		g_hash_table_iter_init(&iter, router->demand);
 		while (g_hash_table_iter_next(&iter, &pool, &value)) {
 			router_demand_t *from = value;
@@ -48,6 +51,7 @@
 			sum->queued += from->queued;
 			sum->in_flight += from->in_flight;
 			sum->slots_wanted += from->slots_wanted;
+			sum->age_ms = MAX(sum->age_ms, age_ms);
 			if (from->refused > from->refused_before)
 				sum->refused += (uint32_t)(from->refused -
 				    from->refused_before);
@@ -119,7 +123,7 @@
 round_decide(fleet_t *fleet, member_table_t *draft)
 {
 	const fleet_policy_t *policy = fleet->config.policy;
-	g_autoptr(GPtrArray) demand = sum_demand(fleet);
+	g_autoptr(GPtrArray) demand = sum_demand(fleet, fleet_now_us(fleet));
 	g_autoptr(GPtrArray) actions = g_ptr_array_new_with_free_func(g_free);
 	plan_input_t input = {.manifest = fleet->generation.manifest,
 	    .previous = fleet->generation.previous,
--- a/gwfleetd/router.c
+++ b/gwfleetd/router.c
@@ -120,6 +120,10 @@
 	    &router->contact, session->boot_id, epoch, version, in_flight);
 }
 
+/*
+ * Takes the demand of the pools that the heartbeat names. The others keep their
+ * last one: a router names a pool when its demand changes.
+ */
 static void
 take_demand(fleet_t *fleet, router_t *router, const Gw__Heartbeat *heartbeat)
 {
@@ -176,6 +180,7 @@
 	router = router_find(fleet, session->node_id, session->boot_id);
 	if (!fleet->claimed || router == NULL)
 		return;
+	router->heard_us = now_us;
 	take_demand(fleet, router, heartbeat);
 	if (heartbeat->table_version != 0)
 		(void)take_report(router, session, heartbeat->epoch,
@@ -222,6 +227,19 @@
 	grants_acked(fleet, router, ack);
 }
 
+/*
+ * Forgets the demand of a router whose last connection is gone: it reports all
+ * of it after the next one.
+ */
+void
+router_disconnected(fleet_t *fleet, router_t *router)
+{
+	if (router_session(fleet, router) != NULL)
+		return;
+	g_hash_table_remove_all(router->demand);
+	fleet->grants_dirty = true;
+}
+
 /*
  * Notes that a router's end is known. Without a Goodbye, routers that it
  * sponsored may work on for a while; its slots stay reserved until then.
--- a/gwfleetd/router.h
+++ b/gwfleetd/router.h
@@ -20,7 +20,8 @@
 	uint64_t generation;	  /* in force there, by its last Ack */
 	bool imported;	    /* told this planner the slots that it holds */
 	bool reported;	    /* and has acknowledged this planner's view */
-	GHashTable *demand; /* pool -> router_demand_t */
+	uint64_t heard_us;  /* arrival of the last heartbeat */
+	GHashTable *demand; /* pool -> router_demand_t, the last reported */
 } router_t;
 
 void router_key(char key[GW_NAME_BYTES], const char *node_id, uint64_t boot_id);
@@ -32,6 +33,7 @@
 void router_heartbeat(fleet_t *, session_t *, const Gw__Heartbeat *);
 void router_ack(fleet_t *, session_t *, const Gw__Ack *);
 void router_goodbye(fleet_t *, session_t *, const Gw__Goodbye *);
+void router_disconnected(fleet_t *, router_t *);
 void router_end(fleet_t *, router_t *, bool said_goodbye, const char *reason);
 
 /* Admission and removal, as changes of the next table. */
--- a/gwfleetd/session.c
+++ b/gwfleetd/session.c
@@ -83,13 +83,17 @@
 session_closed(fleet_t *fleet, const fleet_msg_t *msg)
 {
 	session_t *session = session_find(fleet, msg->link);
+	router_t *router;
 
 	if (session == NULL)
 		return;
 	if (session->role == GW__ROLE__ROLE_FLEET &&
 	    strcmp(session->node_id, fleet->planner_id) == 0)
 		fleet->planner_seen_us = 0;
+	router = router_find(fleet, session->node_id, session->boot_id);
 	g_ptr_array_remove(fleet->sessions, session);
+	if (router != NULL)
+		router_disconnected(fleet, router);
 }
 
 /*
--- a/gwrouted/fleet.c
+++ b/gwrouted/fleet.c
@@ -10,6 +10,8 @@
 #define HEARTBEATS_KEPT 16
 /* Heartbeats between two Outcome messages: one a second. */
 #define OUTCOME_EVERY 2
+/* Interval of the heartbeats that name every pool. */
+#define DEMAND_FULL_US (10 * GW_US_PER_S)
 
 /* The connection to one gwfleetd. */
 typedef struct {
@@ -29,6 +31,9 @@
 	gw_timer_t ack;
 	uint64_t sequence;
 	uint64_t sent_us[HEARTBEATS_KEPT];
+	const link_t *demand_to; /* who holds the demand that was reported */
+	uint64_t demand_epoch;
+	uint64_t demand_full_us;
 	bool ending;
 };
 
@@ -59,13 +64,18 @@
 }
 
 static void
-send_heartbeat(link_t *link, report_t *report)
+send_heartbeat(link_t *link, report_demand_t demand, uint64_t sent_us)
 {
 	Gw__Envelope envelope = GW__ENVELOPE__INIT;
+	fleet_t *fleet = link->fleet;
+	report_t report;
 
+	report_heartbeat(
+	    &report, fleet->router, demand, fleet->sequence, sent_us);
 	envelope.body_case = GW__ENVELOPE__BODY_HEARTBEAT;
-	envelope.heartbeat = &report->heartbeat;
+	envelope.heartbeat = &report.heartbeat;
 	send_to(link, &envelope);
+	report_clear(&report);
 }
 
 /*
@@ -143,28 +153,59 @@
 }
 
 /*
- * Sends a heartbeat on every connection. Its sending time counts for contact,
- * so it is read before the message is built.
+ * Decides what a heartbeat to the planner tells of the demand. A planner that
+ * did not get all before, or not on this connection, gets all.
+ */
+static report_demand_t
+demand_for(fleet_t *fleet, const link_t *planner, uint64_t now_us)
+{
+	if (fleet->demand_to == planner &&
+	    fleet->demand_epoch == planner->planner_epoch &&
+	    now_us < fleet->demand_full_us + DEMAND_FULL_US)
+		return DEMAND_CHANGED;
+	fleet->demand_to = planner;
+	fleet->demand_epoch = planner->planner_epoch;
+	fleet->demand_full_us = now_us;
+	return DEMAND_FULL;
+}
+
+/*
+ * Sends a heartbeat on every connection, and the demand to the planner alone.
+ * Its sending time counts for contact, so it is read before the messages are
+ * built.
  */
 static void
 on_heartbeat(gw_timer_t *timer, void *arg)
 {
 	fleet_t *fleet = arg;
 	uint64_t now_us = gw_rt_now_us(fleet->router->rt);
-	report_t report;
+	const link_t *planner = planner_link(fleet);
 
 	fleet->sequence++;
 	fleet->sent_us[fleet->sequence % HEARTBEATS_KEPT] = now_us;
-	report_heartbeat(&report, fleet->router, fleet->sequence, now_us);
-	for (guint i = 0; i < fleet->links->len; i++)
-		send_heartbeat(fleet->links->pdata[i], &report);
-	report_clear(&report);
+	for (guint i = 0; i < fleet->links->len; i++) {
+		link_t *link = fleet->links->pdata[i];
+
+		if (link->open)
+			send_heartbeat(link,
+			    link == planner ? demand_for(fleet, link, now_us)
+					    : DEMAND_NONE,
+			    now_us);
+	}
 	if (fleet->sequence % OUTCOME_EVERY == 0)
 		send_outcome(fleet);
 	gw_timer_start(fleet->router->rt, timer, GW_HEARTBEAT_MS * GW_US_PER_MS,
 	    on_heartbeat, fleet);
 }
 
+static void
+beat_soon(fleet_t *fleet)
+{
+	if (!fleet->ending)
+		gw_timer_start(fleet->router->rt, &fleet->heartbeat, 0,
+		    on_heartbeat, fleet);
+}
+
 static void
 on_contact(link_t *link, const Gw__Contact *contact)
 {
@@ -173,6 +214,9 @@
 	if (contact->sequence > fleet->sequence ||
 	    contact->sequence + HEARTBEATS_KEPT <= fleet->sequence)
 		return;
+	/* A new planner needs the demand at once. */
+	if (link->planner_epoch != contact->epoch)
+		beat_soon(fleet);
 	link->planner_epoch = contact->epoch;
 	member_router_answered(&fleet->router->contact, contact->epoch,
 	    fleet->sent_us[contact->sequence % HEARTBEATS_KEPT]);
@@ -193,14 +237,6 @@
 	return view->admitted || link->planner_epoch == view->epoch;
 }
 
-static void
-beat_soon(fleet_t *fleet)
-{
-	if (!fleet->ending)
-		gw_timer_start(fleet->router->rt, &fleet->heartbeat, 0,
-		    on_heartbeat, fleet);
-}
-
 static void
 on_view(link_t *link, const Gw__View *view)
 {
@@ -285,6 +321,10 @@
 	(void)conn;
 	link->open = true;
 	link->view_sequence = 0;
+	/* It may have restarted, and is the planner only by a new Contact. */
+	link->planner_epoch = 0;
+	if (link->fleet->demand_to == link)
+		link->fleet->demand_to = NULL;
 	send_hello(link);
 	/* Contact should not wait for the next regular heartbeat. */
 	beat_soon(link->fleet);
--- a/gwrouted/pool.c
+++ b/gwrouted/pool.c
@@ -266,8 +266,8 @@
  * Returns the slots that the demand of the last period could use, and begins a
  * new period.
  */
-uint32_t
-pool_slots_wanted(pool_t *pool)
+static uint32_t
+slots_wanted(pool_t *pool)
 {
 	uint32_t wanted =
 	    MAX(pool->in_flight_peak, fairq_slots_wanted(pool->queue));
@@ -275,3 +275,17 @@
 	pool->in_flight_peak = pool->in_flight;
 	return wanted;
 }
+
+/*
+ * Returns the demand of the period since the last call.
+ */
+pool_demand_t
+pool_take_demand(pool_t *pool)
+{
+	pool_demand_t demand = {.queued = fairq_length(pool->queue),
+	    .in_flight = pool->in_flight,
+	    .slots_wanted = slots_wanted(pool),
+	    .refused = pool->refused};
+
+	return demand;
+}
--- a/gwrouted/pool.h
+++ b/gwrouted/pool.h
@@ -20,6 +20,14 @@
 	void (*expired)(fairq_item_t *, void *);
 } pool_ops_t;
 
+/* What a heartbeat tells the planner of a pool. */
+typedef struct {
+	uint32_t queued;
+	uint32_t in_flight;
+	uint32_t slots_wanted;
+	uint64_t refused;
+} pool_demand_t;
+
 /* A pool as one router serves it: queue, instances, choice, retry budget. */
 struct pool {
 	char name[GW_NAME_BYTES];
@@ -38,6 +46,8 @@
 	uint32_t in_flight;
 	uint32_t in_flight_peak; /* since the last heartbeat */
 	uint64_t refused;
+	bool is_reported;	/* the planner has been told of it */
+	pool_demand_t reported; /* as the planner holds it */
 	bool dispatching;
 };
 
@@ -53,6 +63,6 @@
 void pool_started(pool_t *, instance_t *, bool bound);
 void pool_ended(pool_t *, instance_t *, bool bound);
 void pool_report(pool_t *, instance_t *, outlier_result_t);
-uint32_t pool_slots_wanted(pool_t *);
+pool_demand_t pool_take_demand(pool_t *);
 
 #endif
--- a/gwrouted/report.c
+++ b/gwrouted/report.c
@@ -82,28 +82,43 @@
 	ack->leaving = (Gw__InstanceInFlight **)report->parts->pdata;
 }
 
+static bool
+is_same(const pool_demand_t *a, const pool_demand_t *b)
+{
+	return a->queued == b->queued && a->in_flight == b->in_flight &&
+	    a->slots_wanted == b->slots_wanted && a->refused == b->refused;
+}
+
 static void
-add_demand(report_t *report, pool_t *pool)
+add_demand(report_t *report, pool_t *pool, bool if_changed)
 {
+	pool_demand_t demand = pool_take_demand(pool);
 	Gw__PoolDemand *part;
 
+	if (if_changed && pool->is_reported &&
+	    is_same(&demand, &pool->reported))
+		return;
+	pool->is_reported = true;
+	pool->reported = demand;
 	part = g_new(Gw__PoolDemand, 1);
 	gw__pool_demand__init(part);
 	part->pool = pool->name;
-	part->queued = fairq_length(pool->queue);
-	part->in_flight = pool->in_flight;
-	part->slots_wanted = pool_slots_wanted(pool);
-	part->refused = pool->refused;
+	part->queued = demand.queued;
+	part->in_flight = demand.in_flight;
+	part->slots_wanted = demand.slots_wanted;
+	part->refused = demand.refused;
 	g_ptr_array_add(report->parts, part);
 }
 
 /*
- * Builds the heartbeat: the demand of each pool, and the instances that are
- * not simply active.
+ * Builds a heartbeat: the demand, and the instances that are not simply
+ * active. The latter go to every gwfleetd: a planner takes an instance that is
+ * not named as drained. A report with demand must be sent, since the next one
+ * builds on it.
  */
 void
-report_heartbeat(
-    report_t *report, router_t *router, uint64_t sequence, uint64_t sent_us)
+report_heartbeat(report_t *report, router_t *router, report_demand_t demand,
+    uint64_t sequence, uint64_t sent_us)
 {
 	Gw__Heartbeat *heartbeat = &report->heartbeat;
 	GHashTableIter iter;
@@ -112,8 +127,9 @@
 
 	init(report);
 	g_hash_table_iter_init(&iter, router->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &pool))
-		add_demand(report, pool);
+	while (
+	    demand != DEMAND_NONE && g_hash_table_iter_next(&iter, NULL, &pool))
+		add_demand(report, pool, demand == DEMAND_CHANGED);
 	pools = report->parts->len;
 	view_each(&router->view, add_if_needed, report);
 	heartbeat->sequence = sequence;
--- a/gwrouted/report.h
+++ b/gwrouted/report.h
@@ -9,6 +9,13 @@
 
 typedef struct router router_t;
 
+/* The pools that a heartbeat names. */
+typedef enum {
+	DEMAND_NONE = 0,
+	DEMAND_CHANGED, /* since the last heartbeat with demand */
+	DEMAND_FULL
+} report_demand_t;
+
 /* A message about the router's state, with the memory of its parts. */
 typedef struct {
 	Gw__Hello hello;
@@ -19,8 +26,8 @@
 } report_t;
 
 void report_hello(report_t *, router_t *);
-void report_heartbeat(
-    report_t *, router_t *, uint64_t sequence, uint64_t sent_us);
+void report_heartbeat(report_t *, router_t *, report_demand_t,
+    uint64_t sequence, uint64_t sent_us);
 void report_ack(report_t *, router_t *, uint64_t view_sequence);
 void report_outcome(report_t *, router_t *);
 void report_clear(report_t *);
--- a/regress/router/fake_fleet.c
+++ b/regress/router/fake_fleet.c
@@ -5,6 +5,9 @@
 #include "manifest/manifest.h"
 #include "wire/listener.h"
 
+/* Length of a frame, and tag and length of its envelope. */
+#define FRAME_HEAD_BYTES 7
+
 struct fake_fleet {
 	gw_rt_t *rt;
 	gw_listener_t *listener;
@@ -15,6 +18,7 @@
 	uint64_t version;
 	uint64_t sequence;
 	bool answers;
+	GHashTable *wanted; /* pool -> slots */
 	fake_seen_t seen;
 };
 
@@ -144,6 +148,26 @@
 	send_view(fleet, conn);
 }
 
+/*
+ * A pool that is not named keeps its last demand.
+ */
+static void
+take_demand(fake_fleet_t *fleet, const Gw__Heartbeat *heartbeat)
+{
+	GHashTableIter iter;
+	gpointer wanted;
+
+	for (size_t i = 0; i < heartbeat->n_demand; i++)
+		g_hash_table_replace(fleet->wanted,
+		    g_strdup(heartbeat->demand[i]->pool),
+		    GUINT_TO_POINTER(heartbeat->demand[i]->slots_wanted));
+	fleet->seen.pools_named += (uint32_t)heartbeat->n_demand;
+	fleet->seen.slots_wanted = 0;
+	g_hash_table_iter_init(&iter, fleet->wanted);
+	while (g_hash_table_iter_next(&iter, NULL, &wanted))
+		fleet->seen.slots_wanted += GPOINTER_TO_UINT(wanted);
+}
+
 static void
 on_heartbeat(
     fake_fleet_t *fleet, gw_conn_t *conn, const Gw__Heartbeat *heartbeat)
@@ -152,9 +176,9 @@
 	Gw__Contact contact = GW__CONTACT__INIT;
 
 	fleet->seen.heartbeats++;
-	fleet->seen.slots_wanted = 0;
-	for (size_t i = 0; i < heartbeat->n_demand; i++)
-		fleet->seen.slots_wanted += heartbeat->demand[i]->slots_wanted;
+	fleet->seen.heartbeat_bytes +=
+	    FRAME_HEAD_BYTES + gw__heartbeat__get_packed_size(heartbeat);
+	take_demand(fleet, heartbeat);
 	if (!fleet->answers)
 		return;
 	contact.epoch = 1;
@@ -239,6 +263,8 @@
 	fleet->generation = 1;
 	fleet->version = 1;
 	fleet->answers = true;
+	fleet->wanted =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->conns = g_ptr_array_new();
 	fleet->instances = g_ptr_array_new_with_free_func(g_free);
 	g_assert_cmpint(gw_addr_parse(&addr, listen, &err), ==, 0);
@@ -261,6 +287,7 @@
 	gw_listener_close(fleet->listener);
 	g_ptr_array_unref(fleet->conns);
 	g_ptr_array_unref(fleet->instances);
+	g_hash_table_destroy(fleet->wanted);
 	g_free(fleet->json);
 	g_free(fleet);
 }
--- a/regress/router/fake_fleet.h
+++ b/regress/router/fake_fleet.h
@@ -32,7 +32,9 @@
 	uint32_t heartbeats;
 	uint32_t acks;
 	uint32_t goodbyes;
-	uint32_t slots_wanted; /* sum over pools in the last Heartbeat */
+	uint32_t slots_wanted; /* sum over the last demand of each pool */
+	uint32_t pools_named;  /* in all heartbeats */
+	uint64_t heartbeat_bytes;
 	uint32_t outcomes_failed;
 	uint32_t outcomes_succeeded;
 	uint64_t acked_version;
