Ask for slots that failing and avoided instances lack

Cause: an instance that fails without end while its peers take no requests is never judged, and a pool's wait estimate counted an instance that is avoided for 200 ms after a failed connect as gone.

Change: while outlier_needs_peers() the router wants a slot more than it is granted and chooses at random, so that peers take requests. The queue is told by fairq_set_slots_soon() of the slots of instances that are only avoided. The demand used fairq_slots_wanted() already.

--- a/gwrouted/pool.c
+++ b/gwrouted/pool.c
@@ -107,21 +107,42 @@
 }
 
 /*
- * Brings the choice and the queue's number of slots up to date with grants,
- * contact and ejections.
+ * Tells whether the instance is out of the choice for a known time alone.
+ */
+static bool
+is_only_avoided(pool_t *pool, const instance_t *instance)
+{
+	return instance->avoid_until_us > gw_rt_now_us(pool->rt) &&
+	    outlier_state(pool->outlier, instance->id) != OUTLIER_OUT &&
+	    member_may_send(pool->contact, instance->state,
+		instance->time_bound, gw_rt_now_us(pool->rt));
+}
+
+/*
+ * Brings the choice and the queue's numbers of slots, now and soon, up to date
+ * with grants, contact, failed connects and ejections.
  */
 void
 pool_refresh(pool_t *pool)
 {
-	uint32_t slots = 0;
+	uint32_t slots = 0, avoided = 0;
+	uint64_t until_us = 0;
 
 	for (guint i = 0; i < pool->instances->len; i++) {
-		refresh_one(pool, pool->instances->pdata[i]);
+		instance_t *instance = pool->instances->pdata[i];
+
+		refresh_one(pool, instance);
 		if (choice_of(pool, i)->usable)
 			slots += choice_of(pool, i)->granted;
+		else if (is_only_avoided(pool, instance)) {
+			avoided += choice_of(pool, i)->granted;
+			until_us = MAX(until_us, instance->avoid_until_us);
+		}
 	}
 	pool->slots = slots;
 	fairq_set_slots(pool->queue, slots);
+	fairq_set_slots_soon(
+	    pool->queue, avoided > 0 ? slots + avoided : 0, until_us);
 }
 
 /*
@@ -165,11 +186,15 @@
 pick(pool_t *pool)
 {
 	const choice_t *all = (const choice_t *)(void *)pool->choices->data;
+	const choice_ops_t *choice = pool->choice;
 	instance_t *instance;
 	int32_t index;
 
+	/* One that fails fast would be preferred, and its peers get nothing. */
+	if (outlier_needs_peers(pool->outlier))
+		choice = &choice_random;
 	for (int tries = 0; tries < PICK_TRIES; tries++) {
-		index = pool->choice->pick(all, pool->choices->len, pool->rand);
+		index = choice->pick(all, pool->choices->len, pool->rand);
 		if (index < 0)
 			return NULL;
 		instance = pool->instances->pdata[index];
@@ -178,7 +203,7 @@
 		choice_of(pool, (uint32_t)index)->usable = false;
 	}
 	pool_refresh(pool);
-	index = pool->choice->pick(all, pool->choices->len, pool->rand);
+	index = choice->pick(all, pool->choices->len, pool->rand);
 	return index < 0 ? NULL : pool->instances->pdata[index];
 }
 
@@ -273,6 +298,9 @@
 	    MAX(pool->in_flight_peak, fairq_slots_wanted(pool->queue));
 
 	pool->in_flight_peak = pool->in_flight;
+	/* One that fails alone may be bad: only a peer's requests can tell. */
+	if (outlier_needs_peers(pool->outlier))
+		wanted = MAX(wanted, pool->slots + 1);
 	return wanted;
 }
 
--- a/regress/router/outcome_test.c
+++ b/regress/router/outcome_test.c
@@ -323,6 +323,67 @@
 	harness_free(h);
 }
 
+static bool
+wants_a_peer(void *fleet)
+{
+	return fake_fleet_seen(fleet)->slots_wanted > 8;
+}
+
+/*
+ * Guards against an instance that fails without end because no slot of another
+ * one is granted: nothing tells whether it or the whole service is at fault.
+ */
+static void
+test_only_instance_fails(void)
+{
+	harness_t *h = harness_new(false);
+	script_t *only =
+	    script_new(h->rt, (const char *const[]){"RESET", NULL});
+
+	harness_add(h, "only", "1", only->port, 8, false);
+	harness_add(h, "idle", "1", only->port, 0, false);
+	harness_view(h);
+	for (int i = 0; i < 20; i++)
+		(void)raw_ask(h, POST "\r\nhello");
+	g_assert_true(harness_wait(h, wants_a_peer, h->fleet));
+	script_free(only);
+	harness_free(h);
+}
+
+/*
+ * Guards against requests refused at once although an instance is only kept
+ * out for a moment after a failed connect.
+ */
+static void
+test_slots_soon(void)
+{
+	harness_t *h = harness_new(true);
+	script_t *endpoint = script_new(h->rt, ok);
+	uint64_t now_us = gw_rt_now_us(h->rt);
+	fairq_item_t item = {
+	    .team = "gas", .request_class = CLASS_QUICK, .arrived_us = now_us};
+	pool_t *pool;
+	uint64_t before_us;
+
+	harness_add(h, "a", "1", endpoint->port, 1, false);
+	harness_add(h, "b", "1", endpoint->port, 7, false);
+	harness_view(h);
+	pool = router_pool(h->router, "logs");
+	for (int i = 0; i < 40; i++)
+		g_assert_cmpint(
+		    fairq_push(pool->queue, g_memdup2(&item, sizeof(item))), ==,
+		    FAIRQ_ADMITTED);
+	instance_avoid(g_hash_table_lookup(h->router->view.instances, "b"));
+	fairq_set_slots(pool->queue, 1);
+	before_us = fairq_wait_us(pool->queue, "gas", CLASS_QUICK, 0);
+	pool_refresh(pool);
+	g_test_message("wait estimate %" PRIu64 " us before, %" PRIu64 " after",
+	    before_us, fairq_wait_us(pool->queue, "gas", CLASS_QUICK, 0));
+	g_assert_cmpuint(
+	    fairq_wait_us(pool->queue, "gas", CLASS_QUICK, 0), <, before_us);
+	script_free(endpoint);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -336,5 +397,8 @@
 	    "/outcome/replacement", test_replacement_under_old_address);
 	g_test_add_func("/outcome/gone", test_caller_gone_while_queued);
 	g_test_add_func("/outcome/retry-budget", test_retry_budget);
+	g_test_add_func(
+	    "/outcome/only-instance-fails", test_only_instance_fails);
+	g_test_add_func("/outcome/slots-soon", test_slots_soon);
 	return g_test_run();
 }
