Hold the slot of an abandoned attempt for the learned service time

Cause: an attempt that was given up at a deadline freed its slot at once, while the endpoint still worked on it, so that the endpoint refused what came next.

Change: the slot stays in use for the service time learned for the route. On a time-bound instance the hold ends by the hard deadline, on which the planner relies. test_reduced_grant now expects the slots to be reported as held until the hold is over, and to be given back after it.

--- a/gwrouted/attempt.c
+++ b/gwrouted/attempt.c
@@ -265,10 +265,11 @@
 }
 
 /*
- * Gives the slot back and learns from the result.
+ * Gives the slot back and learns from the result. The slot stays in use for
+ * hold_us when the endpoint may still work on the request.
  */
 static void
-release(request_t *request, outlier_result_t result)
+release(request_t *request, outlier_result_t result, uint64_t hold_us)
 {
 	attempt_t *attempt = &request->attempt;
 	instance_t *instance = attempt->instance;
@@ -285,10 +286,15 @@
 	fairq_done(request->pool->queue, &request->item,
 	    attempt->sent && !attempt->refused ? service_us
 					       : request->item.cost_us);
-	pool_ended(request->pool, instance, attempt->bound);
 	pool_report(request->pool, instance, result);
 	if (!attempt->sent || attempt->refused)
 		instance_avoid(instance);
+	if (hold_us > 0) {
+		hold_start(request->router, request->pool, instance,
+		    attempt->bound, hold_us);
+		return;
+	}
+	pool_ended(request->pool, instance, attempt->bound);
 	router_instance_changed(request->router, instance, attempt->bound);
 }
 
@@ -333,12 +339,12 @@
 	else
 		spill_ended(request->router->spill, request, answered);
 	if (answered) {
-		release(request, result);
+		release(request, result, 0);
 		request_answered(request);
 	} else {
 		reason = failure_reason(attempt, err);
 		fail(request, err, reason);
-		release(request, result);
+		release(request, result, 0);
 		request_failed(request, reason);
 	}
 	pool_dispatch(pool);
@@ -347,6 +353,24 @@
 static const gw_exchange_ops_t exchange_ops = {
     on_send, on_head, on_body, on_end};
 
+/*
+ * Returns how long the endpoint may still work on an abandoned attempt: the
+ * service time learned for the route, at most until the hard deadline, after
+ * which the planner relies on a time-bound instance being unused.
+ */
+static uint64_t
+hold_us(const request_t *request)
+{
+	const attempt_t *attempt = &request->attempt;
+	uint64_t now_us = gw_rt_now_us(request->router->rt);
+	uint64_t limit_us = GW_HARD_DEADLINE_MS * GW_US_PER_MS;
+	uint64_t used_us = attempt->bound ? now_us - attempt->started_us : 0;
+
+	if (!attempt->sent || used_us >= limit_us)
+		return 0;
+	return MIN(request->item.cost_us, limit_us - used_us);
+}
+
 /*
  * Gives the attempt up at a deadline. Its connection is closed, so that a late
  * response is never read. A deadline that the caller chose says nothing about
@@ -365,7 +389,8 @@
 	else
 		spill_ended(request->router->spill, request, false);
 	release(request,
-	    request->own_deadline ? OUTLIER_CALLER_FAULT : OUTLIER_FAILURE);
+	    request->own_deadline ? OUTLIER_CALLER_FAULT : OUTLIER_FAILURE,
+	    hold_us(request));
 	if (attempt->sent)
 		request->may_have_run = true;
 	request_refuse(request, reason);
--- a/gwrouted/router.c
+++ b/gwrouted/router.c
@@ -25,6 +25,7 @@
 	router->boot_id = gw_id_random_u64();
 	router->rand = g_rand_new();
 	router->pools = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&router->holds);
 	g_queue_init(&router->requests);
 	metrics_init(&router->metrics);
 	view_init(&router->view, router);
@@ -67,6 +68,7 @@
 	admin_free(router->admin);
 	gw_httpd_free(router->callers);
 	spill_free(router->spill);
+	holds_clear(&router->holds);
 	view_clear(&router->view);
 	g_hash_table_iter_init(&iter, router->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
--- a/gwrouted/router.h
+++ b/gwrouted/router.h
@@ -11,6 +11,7 @@
 #include "fleet.h"
 #include "gw/runtime.h"
 #include "http/httpd.h"
+#include "hold.h"
 #include "instance.h"
 #include "metrics.h"
 #include "pool.h"
@@ -30,6 +31,7 @@
 	view_t view;
 	member_router_contact_t contact;
 	GHashTable *pools;     /* name -> pool_t */
+	GQueue holds;	       /* hold_t, slots of abandoned attempts */
 	GQueue requests;       /* request_t, all that have not ended */
 	uint32_t open_callers; /* responses that are not sent to the end */
 	metrics_t metrics;
--- a/regress/router/harness.c
+++ b/regress/router/harness.c
@@ -119,14 +119,27 @@
 	return false;
 }
 
+#define SCRIPT_REFUSAL                                     \
+	"HTTP/1.1 503 Busy\r\ngodwit-outcome: not-run\r\n" \
+	"content-length: 0\r\n\r\n"
+
 /* One connection of a scripted endpoint. */
 typedef struct {
 	uv_tcp_t tcp;
 	script_t *script;
+	uint32_t number;
 	GString *input;
 	char buf[4096];
 } script_conn_t;
 
+/* Work that goes on when its connection is closed. */
+typedef struct {
+	script_t *script;
+	uint32_t conn_number;
+	char *response;
+	gw_timer_t timer;
+} script_work_t;
+
 static void
 on_conn_closed(uv_handle_t *handle)
 {
@@ -206,6 +219,49 @@
 	return script->texts[MIN(number, last)];
 }
 
+static void
+on_work_done(gw_timer_t *timer, void *arg)
+{
+	script_work_t *work = arg;
+	script_t *script = work->script;
+
+	(void)timer;
+	script->working--;
+	for (guint i = 0; i < script->conns->len; i++) {
+		script_conn_t *conn = script->conns->pdata[i];
+
+		if (conn->number == work->conn_number &&
+		    !uv_is_closing((uv_handle_t *)&conn->tcp))
+			write_text((uv_stream_t *)&conn->tcp, work->response,
+			    strlen(work->response));
+	}
+	g_free(work->response);
+	g_free(work);
+}
+
+static void
+work(script_conn_t *conn)
+{
+	script_t *script = conn->script;
+	script_work_t *started;
+
+	script->requests++;
+	if (script->working == script->slots) {
+		script->refused++;
+		write_text((uv_stream_t *)&conn->tcp, SCRIPT_REFUSAL,
+		    strlen(SCRIPT_REFUSAL));
+	} else {
+		script->working++;
+		started = g_new0(script_work_t, 1);
+		started->script = script;
+		started->conn_number = conn->number;
+		started->response = expand(SCRIPT_OK, conn->input->str);
+		gw_timer_start(script->rt, &started->timer, script->work_us,
+		    on_work_done, started);
+	}
+	g_string_truncate(conn->input, 0);
+}
+
 static void
 answer(script_conn_t *conn)
 {
@@ -264,7 +320,11 @@
 		return;
 	}
 	g_string_append_len(conn->input, buf->base, nread);
-	if (is_whole(conn->input))
+	if (!is_whole(conn->input))
+		return;
+	if (conn->script->work_us > 0)
+		work(conn);
+	else
 		answer(conn);
 }
 
@@ -280,7 +340,7 @@
 	(void)uv_tcp_init(gw_rt_loop(script->rt), &conn->tcp);
 	conn->tcp.data = conn;
 	g_ptr_array_add(script->conns, conn);
-	script->accepted++;
+	conn->number = ++script->accepted;
 	g_assert_cmpint(uv_accept(server, (uv_stream_t *)&conn->tcp), ==, 0);
 	if (script->accepted <= script->accepts_to_reset)
 		(void)uv_tcp_close_reset(&conn->tcp, on_reset);
--- a/regress/router/harness.h
+++ b/regress/router/harness.h
@@ -31,7 +31,11 @@
 	uint32_t accepted;
 	uint32_t closed;	   /* by the router */
 	uint32_t accepts_to_reset; /* the first ones */
-	GString *last;		   /* the last request, raw */
+	uint64_t work_us; /* of each request, whether its caller waits or not */
+	uint32_t slots;	  /* beyond them it refuses, while work_us is set */
+	uint32_t working;
+	uint32_t refused;
+	GString *last; /* the last request, raw */
 	GPtrArray *conns;
 } script_t;
 
--- a/regress/router/time_test.c
+++ b/regress/router/time_test.c
@@ -8,6 +8,11 @@
 #define LONG \
 	"POST /other HTTP/1.1\r\nHost: any\r\nContent-Length: 5\r\n\r\nhello"
 
+#define HURRIED                                          \
+	"POST /other HTTP/1.1\r\nHost: logs.example\r\n" \
+	"Godwit-Deadline-Ms: 300\r\n"                    \
+	"Content-Length: 5\r\n\r\nhello"
+
 static const char *const ok[] = {SCRIPT_OK, NULL};
 static const char *const hang[] = {"HANG", NULL};
 
@@ -178,6 +183,9 @@
 	harness_view(h);
 	g_assert_cmpuint(fake_fleet_seen(h->fleet)->acked_slots_held, ==, 3);
 	advance_ms(h, 5000); /* the route's deadline ends all three */
+	/* The endpoint may still work on them for the usual service time. */
+	g_assert_cmpuint(fake_fleet_seen(h->fleet)->acked_slots_held, ==, 3);
+	advance_ms(h, 100);
 	g_assert_cmpuint(fake_fleet_seen(h->fleet)->acked_slots_held, <=, 1);
 	for (int i = 0; i < 3; i++)
 		raw_close(raws[i]);
@@ -185,6 +193,46 @@
 	harness_free(h);
 }
 
+/*
+ * Guards against requests that an endpoint refuses in a burst, because it still
+ * works on those that were given up at their callers' deadlines.
+ */
+static void
+test_abandoned_slots(void)
+{
+	harness_t *h = harness_new(true);
+	script_t *endpoint = script_new(h->rt, ok);
+	raw_t *callers[60];
+
+	endpoint->work_us = 400 * GW_US_PER_MS;
+	endpoint->slots = 2;
+	harness_add(h, "a", "1", endpoint->port, 2, false);
+	harness_view(h);
+	for (int i = 0; i < 20; i++) {
+		callers[i] = raw_new(h);
+		raw_send(callers[i], REQUEST);
+		harness_settle(h);
+		advance_ms(h, 400);
+		g_assert_true(harness_wait(h, raw_has_response, callers[i]));
+	}
+	for (int i = 20; i < 60; i++) {
+		callers[i] = raw_new(h);
+		raw_send(callers[i], HURRIED);
+		harness_settle(h);
+		advance_ms(h, 100);
+	}
+	advance_ms(h, 2000);
+	for (int i = 0; i < 60; i++)
+		raw_close(callers[i]);
+	g_test_message("%u of %u requests refused by the endpoint",
+	    endpoint->refused, endpoint->requests);
+	/* Two slots, 300 ms of use and 400 ms of hold, for 4 s. */
+	g_assert_cmpuint(endpoint->requests - 20, >=, 2 * 4000 / 700 - 2);
+	g_assert_cmpuint(endpoint->refused, ==, 0);
+	script_free(endpoint);
+	harness_free(h);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -193,5 +241,6 @@
 	g_test_add_func("/time/hard-deadline", test_hard_deadline);
 	g_test_add_func("/time/leaving", test_leaving);
 	g_test_add_func("/time/reduced", test_reduced_grant);
+	g_test_add_func("/time/abandoned-slots", test_abandoned_slots);
 	return g_test_run();
 }
