--- a/tools/gwendpoint/main.c
+++ b/tools/gwendpoint/main.c
@@ -51,7 +51,7 @@
 {
 	gw_httpd_limits_t limits = {16 * 1024 * 1024, 60000, 64};
 	uv_signal_t term, interrupt;
-	char text[GW_ADDR_TEXT_BYTES];
+	char text[GW_ADDR_TEXT_BYTES], *counts;
 	gw_addr_t bound;
 	gw_err_t err;
 
@@ -74,6 +74,9 @@
 	watch_signal(service.rt, &term, SIGTERM);
 	watch_signal(service.rt, &interrupt, SIGINT);
 	gw_rt_run(service.rt);
+	counts = runs_json(&service.runs);
+	printf("%s\n", counts);
+	free(counts);
 	gw_log_flush();
 	return 0;
 }
--- a/tools/gwload/load.c
+++ b/tools/gwload/load.c
@@ -29,8 +29,10 @@
 	gw_exchange_t *exchange;
 	gw_timer_t timer;
 	uint32_t route;
+	uint32_t number;
 	uint64_t intended_us;
 	outcome_t outcome;
+	int status; /* 0 without a response */
 	GBytes *body;
 	size_t matched_bytes;
 	bool mismatched;
@@ -99,19 +101,38 @@
 	gw_rt_stop(load->rt);
 }
 
+/*
+ * Writes the request's id, route, outcome, whether an answer was its own, and
+ * the status, so that the ids can be compared with those that the endpoints
+ * ran.
+ */
+static void
+write_line(const call_t *call, outcome_t outcome, bool own)
+{
+	const load_plan_t *plan = call->load->plan;
+
+	if (plan->each != NULL)
+		fprintf(plan->each, "%s-%u\t%s\t%s\t%s\t%d\n", plan->id_prefix,
+		    call->number, plan->routes[call->route],
+		    outcome_name(outcome), own ? "own" : "other", call->status);
+}
+
 static void
 call_end(call_t *call, outcome_t outcome)
 {
 	load_t *load = call->load;
 	stats_t *stats = &load->stats[call->route];
 	uint32_t route = call->route;
+	bool own = true;
 
 	gw_timer_stop(&call->timer);
 	stats_record(stats, outcome, elapsed_us(load) - call->intended_us);
-	if (outcome == OUTCOME_ANSWERED &&
-	    (call->mismatched ||
-		call->matched_bytes != g_bytes_get_size(call->body)))
+	if (outcome == OUTCOME_ANSWERED)
+		own = !call->mismatched &&
+		    call->matched_bytes == g_bytes_get_size(call->body);
+	if (!own)
 		stats->mismatched++;
+	write_line(call, outcome, own);
 	g_bytes_unref(call->body);
 	g_free(call);
 	load->in_flight--;
@@ -150,6 +171,7 @@
 	call_t *call = arg;
 
 	call->outcome = read_outcome(head);
+	call->status = head->status;
 	return 0;
 }
 
@@ -238,6 +260,7 @@
 	call = g_new0(call_t, 1);
 	call->load = load;
 	call->route = route;
+	call->number = number;
 	call->intended_us = intended_us;
 	call->outcome = OUTCOME_BROKEN;
 	call->body = make_body(load, number);
--- a/tools/gwload/load.h
+++ b/tools/gwload/load.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 
 #include <glib.h>
 
@@ -30,7 +31,8 @@
 	uint32_t in_flight_max;
 	uint32_t body_bytes;
 	uint32_t timeout_ms;
-	bool spin; /* poll without waiting, for exact sending times */
+	FILE *each; /* gets a line per request; may be NULL */
+	bool spin;  /* poll without waiting, for exact sending times */
 } load_plan_t;
 
 /* A run of the load. */
--- a/tools/gwload/main.c
+++ b/tools/gwload/main.c
@@ -10,7 +10,7 @@
 
 static load_plan_t plan;
 static GArray *targets;
-static char *routes_text, *headers_text;
+static char *routes_text, *headers_text, *each_path;
 static bool json;
 static uint32_t idle_count;
 static const gw_setting_t settings[] = {
@@ -46,6 +46,8 @@
 	"poll without waiting, for exact sending times", 0, 0},
     {"idle", GW_SETTING_U32, &idle_count, "0",
 	"instead of a load, hold so many idle connections", 0, 20000},
+    {"each", GW_SETTING_TEXT, &each_path, "",
+	"file that gets a line per request: id, route, outcome", 0, 0},
     {"json", GW_SETTING_FLAG, &json, "false", "print JSON", 0, 0},
 };
 
@@ -102,13 +104,13 @@
 {
 	load_t *load;
 	stats_t all;
-	gw_err_t err;
+	gw_err_t error;
 	gw_rt_t *rt;
 	int rc;
 
 	if (gw_settings_load(settings, G_N_ELEMENTS(settings), argc, argv,
-		"Open-loop load for routers and endpoints.", &err) != 0)
-		errx(EX_USAGE, "%s", err.text);
+		"Open-loop load for routers and endpoints.", &error) != 0)
+		errx(EX_USAGE, "%s", error.text);
 	gw_log_init("gwload", LOG_WARNING);
 	plan.targets = (gw_addr_t *)(void *)targets->data;
 	plan.target_count = targets->len;
@@ -121,6 +123,11 @@
 			rt, &plan.targets[0], idle_count, plan.duration_ms));
 		return 0;
 	}
+	if (each_path[0] != '\0') {
+		plan.each = fopen(each_path, "w");
+		if (plan.each == NULL)
+			err(EX_CANTCREAT, "%s", each_path);
+	}
 	load = load_new(rt, &plan);
 	load_run(load);
 	stats_init(&all);
@@ -133,6 +140,8 @@
 	rc = all.mismatched > 0 ? EX_SOFTWARE : 0;
 	stats_clear(&all);
 	load_free(load);
+	if (plan.each != NULL && fclose(plan.each) != 0)
+		err(EX_IOERR, "%s", each_path);
 	gw_rt_free(rt);
 	return rc;
 }
--- a/tools/gwload/stats.c
+++ b/tools/gwload/stats.c
@@ -6,6 +6,15 @@
 static const char *const outcome_names[OUTCOME_COUNT] = {
     "answered", "not_run", "unknown", "broken"};
 
+/*
+ * Returns the outcome's name.
+ */
+const char *
+outcome_name(outcome_t outcome)
+{
+	return outcome_names[outcome];
+}
+
 /*
  * Prepares empty results.
  */
--- a/tools/gwload/stats.h
+++ b/tools/gwload/stats.h
@@ -23,6 +23,7 @@
 	GArray *latency_us;  /* uint32_t of answered ones, from intended time */
 } stats_t;
 
+const char *outcome_name(outcome_t);
 void stats_init(stats_t *);
 void stats_clear(stats_t *);
 void stats_merge(stats_t *, const stats_t *);
