--- a/tools/gwplatformd/platform.c
+++ b/tools/gwplatformd/platform.c
@@ -270,5 +270,6 @@
 	instance->reboots++;
 	instance->reboot_due_us = gw_rt_now_us(platform->rt) +
 	    MAX(platform->reboot_ms, 1) * GW_US_PER_MS;
+	platform_changed(platform);
 	return 0;
 }
