Test the switch between planner epochs and a delta with a gap

Cause: nothing showed that a router follows a new planner, ignores the grants of the earlier one, and takes no delta on a version that it lacks.

Change: the fake fleet daemon speaks in any epoch and sends deltas; view_test covers both, and that a new epoch gets the demand.

--- a/regress/router/fake_fleet.c
+++ b/regress/router/fake_fleet.c
@@ -15,7 +15,9 @@
 	GPtrArray *instances; /* fake_instance_t */
 	char *json;
 	uint64_t generation;
+	uint64_t epoch;
 	uint64_t version;
+	uint64_t delta_base; /* of the view that is sent; 0 for a full one */
 	uint64_t sequence;
 	bool answers;
 	GHashTable *wanted; /* pool -> slots */
@@ -117,9 +119,10 @@
 	Gw__Envelope envelope = GW__ENVELOPE__INIT;
 	Gw__View view = GW__VIEW__INIT;
 
-	view.epoch = 1;
+	view.epoch = fleet->epoch;
+	view.base_version = fleet->delta_base;
 	view.version = fleet->version;
-	view.full = true;
+	view.full = fleet->delta_base == 0;
 	view.admitted = true;
 	view.sequence = ++fleet->sequence;
 	view.n_instances = fleet->instances->len;
@@ -181,7 +184,7 @@
 	take_demand(fleet, heartbeat);
 	if (!fleet->answers)
 		return;
-	contact.epoch = 1;
+	contact.epoch = fleet->epoch;
 	contact.sequence = heartbeat->sequence;
 	envelope.body_case = GW__ENVELOPE__BODY_CONTACT;
 	envelope.contact = &contact;
@@ -261,6 +264,7 @@
 	fleet->rt = rt;
 	fleet->json = g_strdup(json);
 	fleet->generation = 1;
+	fleet->epoch = 1;
 	fleet->version = 1;
 	fleet->answers = true;
 	fleet->wanted =
@@ -339,6 +343,27 @@
 		send_view(fleet, fleet->conns->pdata[i]);
 }
 
+/*
+ * Sends the instances as a delta between two versions.
+ */
+void
+fake_fleet_send_delta(fake_fleet_t *fleet, uint64_t base, uint64_t version)
+{
+	fleet->delta_base = base;
+	fleet->version = version - 1;
+	fake_fleet_send_view(fleet);
+	fleet->delta_base = 0;
+}
+
+/*
+ * Speaks as the planner of the epoch from now on.
+ */
+void
+fake_fleet_set_epoch(fake_fleet_t *fleet, uint64_t epoch)
+{
+	fleet->epoch = epoch;
+}
+
 /*
  * Sends a manifest generation to every router.
  */
--- a/regress/router/fake_fleet.h
+++ b/regress/router/fake_fleet.h
@@ -51,6 +51,8 @@
 void fake_fleet_set(fake_fleet_t *, const fake_instance_t *);
 void fake_fleet_remove(fake_fleet_t *, const char *id);
 void fake_fleet_send_view(fake_fleet_t *);
+void fake_fleet_send_delta(fake_fleet_t *, uint64_t base, uint64_t version);
+void fake_fleet_set_epoch(fake_fleet_t *, uint64_t epoch);
 void fake_fleet_set_manifest(
     fake_fleet_t *, uint64_t generation, const char *json);
 void fake_fleet_answer_heartbeats(fake_fleet_t *, bool answer);
--- /dev/null
+++ b/regress/router/view_test.c
@@ -0,0 +1,81 @@
+#include "harness.h"
+
+static instance_t *
+find(harness_t *h, const char *id)
+{
+	return g_hash_table_lookup(h->router->view.instances, id);
+}
+
+/*
+ * Guards against grants of an earlier planner that count again after a new one
+ * has spoken, and against a new one that is not obeyed or told the demand.
+ */
+static void
+test_epoch(void)
+{
+	harness_t *h = harness_new(true);
+	const fake_seen_t *seen = fake_fleet_seen(h->fleet);
+	uint32_t named;
+
+	harness_add(h, "a", "1", 1, 3, false);
+	harness_view(h);
+	named = seen->pools_named;
+	fake_fleet_set_epoch(h->fleet, 2);
+	harness_add(h, "a", "1", 1, 5, false);
+	harness_view(h);
+	gw_rt_advance(h->rt, GW_HEARTBEAT_MS * GW_US_PER_MS);
+	harness_settle(h);
+	g_assert_cmpuint(h->router->view.epoch, ==, 2);
+	g_assert_cmpuint(h->router->contact.epoch, ==, 2);
+	g_assert_cmpuint(find(h, "a")->granted, ==, 5);
+	g_assert_cmpuint(seen->pools_named, >, named);
+	fake_fleet_set_epoch(h->fleet, 1);
+	harness_add(h, "a", "1", 1, 8, false);
+	fake_fleet_send_view(h->fleet);
+	harness_settle(h);
+	g_assert_cmpuint(h->router->view.epoch, ==, 2);
+	g_assert_cmpuint(find(h, "a")->granted, ==, 5);
+	harness_free(h);
+}
+
+/*
+ * Guards against a router that takes a delta on a version that it lacks: it
+ * would miss what changed between, so it connects again for a full view.
+ */
+static void
+test_gap(void)
+{
+	harness_t *h = harness_new(true);
+	const fake_seen_t *seen = fake_fleet_seen(h->fleet);
+	uint64_t version;
+
+	harness_add(h, "a", "1", 1, 3, false);
+	harness_view(h);
+	version = h->router->view.version;
+	harness_add(h, "b", "1", 1, 2, false);
+	fake_fleet_send_delta(h->fleet, version, version + 1);
+	harness_settle(h);
+	g_assert_cmpuint(h->router->view.version, ==, version + 1);
+	g_assert_nonnull(find(h, "b"));
+	harness_add(h, "c", "1", 1, 2, false);
+	fake_fleet_send_delta(h->fleet, version + 2, version + 3);
+	harness_settle(h);
+	g_assert_cmpuint(h->router->view.version, ==, version + 1);
+	g_assert_null(find(h, "c"));
+	g_assert_cmpuint(seen->hellos, ==, 1);
+	gw_rt_advance(h->rt, GW_US_PER_S);
+	harness_settle(h);
+	g_assert_cmpuint(seen->hellos, ==, 2);
+	g_assert_cmpuint(h->router->view.version, ==, version + 3);
+	g_assert_nonnull(find(h, "c"));
+	harness_free(h);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/view/epoch", test_epoch);
+	g_test_add_func("/view/gap", test_gap);
+	return g_test_run();
+}
