Take, record and place jobs in gwfleetd

Cause: POST /v1/jobs answered 501 and no job was recorded or placed.

Change: the planner records jobs in 64 shards by compare-and-swap with group commit (at most 20 writes a second), places them with lib/policy/place, records `starting` before it asks the platform for the task, and asks for the task's state before it decides about a job of an earlier planner. A non-idempotent job whose end is unknown is reported and never started again. gwctl gets `jobs cancel`. The margin on observed sizes no longer applies to accelerators, which are whole devices.

--- a/gwctl/admin.c
+++ b/gwctl/admin.c
@@ -282,6 +282,19 @@
 	return admin(ctl, "POST", "/v1/jobs", text);
 }
 
+/*
+ * gwctl jobs cancel ID
+ */
+int
+command_jobs_cancel(ctl_t *ctl, int argc, char **argv)
+{
+	g_autofree char *escaped = g_uri_escape_string(argv[0], NULL, FALSE);
+	g_autofree char *path = g_strdup_printf("/v1/jobs/%s/cancel", escaped);
+
+	(void)argc;
+	return admin(ctl, "POST", path, "{}");
+}
+
 /*
  * gwctl explain instance=ID|pool=NAME|job=ID
  */
--- a/gwctl/command.c
+++ b/gwctl/command.c
@@ -16,6 +16,7 @@
     {"waves", "halt", "NAME", 1, 1, false, command_waves_halt},
     {"waves", NULL, "", 0, 0, false, command_waves},
     {"jobs", "submit", "FILE", 1, 1, false, command_jobs_submit},
+    {"jobs", "cancel", "ID", 1, 1, false, command_jobs_cancel},
     {"jobs", NULL, "", 0, 0, false, command_jobs},
     {"explain", NULL, "instance=ID|pool=NAME|job=ID", 1, 1, false,
 	command_explain},
--- a/gwctl/command.h
+++ b/gwctl/command.h
@@ -31,6 +31,7 @@
 int command_waves_start(ctl_t *, int argc, char **argv);
 int command_waves_halt(ctl_t *, int argc, char **argv);
 int command_jobs(ctl_t *, int argc, char **argv);
+int command_jobs_cancel(ctl_t *, int argc, char **argv);
 int command_jobs_submit(ctl_t *, int argc, char **argv);
 int command_explain(ctl_t *, int argc, char **argv);
 
--- a/gwfleetd/admin.c
+++ b/gwfleetd/admin.c
@@ -215,16 +215,6 @@
 	    "waves", waves_json(fleet->waves));
 }
 
-/*
- * Returns the jobs. None can be submitted yet.
- */
-json_t *
-fleet_jobs_json(const fleet_t *fleet)
-{
-	return json_pack(
-	    "{s:s, s:[]}", "data_centre", fleet->config.data_centre, "jobs");
-}
-
 /*
  * Names the routers that an instance on its way waits for.
  */
--- a/gwfleetd/daemon.h
+++ b/gwfleetd/daemon.h
@@ -56,6 +56,11 @@
 
 /* The admin port. */
 int admin_on_request(h2o_req_t *, void *arg);
+void *port_wait(h2o_req_t *);
+void port_reply_problem(
+    void *request, int status, const char *title, const char *text);
+int port_job_post(daemon_t *, h2o_req_t *, const char *path);
+void port_job_attach(daemon_t *);
 void port_reply(void *ctx, void *request, int status, const char *text);
 
 #endif
--- a/gwfleetd/fleet.c
+++ b/gwfleetd/fleet.c
@@ -2,6 +2,7 @@
 
 #include "fleet_state.h"
 #include "grants.h"
+#include "jobs.h"
 #include "planner.h"
 #include "placement.h"
 #include "reboot.h"
@@ -111,6 +112,7 @@
 		return;
 	if (fleet->lending != NULL)
 		fleet->config.policy->lending_free(fleet->lending);
+	jobs_free(fleet->jobs);
 	member_table_free(fleet->table);
 	member_table_free(fleet->draft);
 	g_free(fleet->table_text);
@@ -239,6 +241,9 @@
 	case FLEET_WAVE:
 		wave_command(fleet, msg);
 		break;
+	case FLEET_JOB:
+		jobs_handle(fleet, msg);
+		break;
 	case FLEET_SHUTDOWN:
 		on_shutdown(fleet);
 		break;
--- a/gwfleetd/fleet_msg.h
+++ b/gwfleetd/fleet_msg.h
@@ -28,6 +28,7 @@
 	FLEET_LINK_MESSAGE, /* a peer sent a message */
 	FLEET_LINK_CLOSED,  /* the connection is gone */
 	FLEET_WAVE,	    /* an operator starts or halts a wave */
+	FLEET_JOB,	    /* a message of the job port */
 	FLEET_SHUTDOWN	    /* give up the lease and stop */
 } fleet_msg_kind_t;
 
@@ -47,6 +48,9 @@
 	char failure_domain[GW_NAME_BYTES];
 	bool entry; /* an entry instance, not a worker */
 	platform_state_t state;
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	uint64_t accelerators;
 } platform_instance_t;
 
 /*
@@ -69,6 +73,7 @@
 	const char *wave;
 	bool start;
 	void *request; /* to be answered with reply */
+	const struct job_msg *job;
 } fleet_msg_t;
 
 #endif
--- a/gwfleetd/fleet_state.h
+++ b/gwfleetd/fleet_state.h
@@ -82,6 +82,8 @@
 	bool list_waits;
 	GHashTable *reboots; /* instance id -> reboot_t */
 
+	struct jobs *jobs; /* NULL: no jobs are placed */
+
 	plan_lending_t *lending;
 	uint64_t round_us; /* when the last round began */
 };
--- /dev/null
+++ b/gwfleetd/job_commit.c
@@ -0,0 +1,508 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "gw/log.h"
+#include "jobs_state.h"
+
+static job_shard_t *
+shard_of(record_t *record)
+{
+	return (job_shard_t *)record;
+}
+
+static void
+reply(fleet_t *fleet, job_waiter_t *waiter, int status, const char *title,
+    const char *text)
+{
+	fleet->jobs->ops->reply(
+	    fleet->jobs->ctx, waiter->request, status, title, text);
+	waiter->request = NULL;
+}
+
+static void
+reply_accepted(fleet_t *fleet, job_waiter_t *waiter)
+{
+	const job_t *job = jobs_find(fleet, waiter->id);
+	json_t *answer;
+	char *text;
+
+	answer = json_pack("{s:s, s:s, s:b, s:b}", "id", waiter->id, "state",
+	    job == NULL ? "unknown" : job_state_name(job->state), "cancelling",
+	    job != NULL && job->cancelling, "repeated", waiter->repeated);
+	text = json_dumps(answer, JSON_COMPACT);
+	reply(fleet, waiter, 200, NULL, text);
+	free(text);
+	json_decref(answer);
+	if (waiter->submits && !waiter->repeated) {
+		fleet->jobs->metrics.accepted->value++;
+		gw_log(GW_EV_JOB_ACCEPTED, "job=%s shard=%u", waiter->id,
+		    waiter->shard);
+	}
+}
+
+/*
+ * Answers that nothing is known for certain; to repeat the request is safe.
+ */
+static void
+reply_unknown(fleet_t *fleet, job_waiter_t *waiter)
+{
+	reply(fleet, waiter, 503, "unknown",
+	    "the store has not answered; the job may be recorded; repeat the "
+	    "request with the same id");
+	gw_log(GW_EV_JOB_NOT_ACCEPTED,
+	    "job=%s outcome=unknown reason=\"no answer of the store\"",
+	    waiter->id);
+}
+
+static void
+reply_not_accepted(fleet_t *fleet, job_waiter_t *waiter, const char *why)
+{
+	g_autofree char *text =
+	    g_strdup_printf("not accepted, nothing was recorded: %s", why);
+
+	fleet->jobs->metrics.refused->value++;
+	gw_log(GW_EV_JOB_NOT_ACCEPTED,
+	    "job=%s outcome=not-accepted reason=\"%s\"", waiter->id, why);
+	reply(fleet, waiter, 503, "not accepted", text);
+}
+
+static void
+remove_answered(jobs_t *jobs)
+{
+	for (guint i = jobs->waiters->len; i > 0; i--)
+		if (((job_waiter_t *)jobs->waiters->pdata[i - 1])->request ==
+		    NULL)
+			g_ptr_array_remove_index(jobs->waiters, i - 1);
+}
+
+static char *
+shard_text(const fleet_t *fleet, const job_shard_t *shard)
+{
+	json_t *array = json_array(), *root;
+	GHashTableIter iter;
+	gpointer value;
+	char *text, *copy;
+	job_t *job;
+
+	g_hash_table_iter_init(&iter, fleet->jobs->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		job = value;
+		if (job->shard != shard->number)
+			continue;
+		job->in_draft = true;
+		(void)json_array_append_new(array, job_encode(job));
+	}
+	root = json_pack("{s:I, s:I, s:o}", "epoch",
+	    (json_int_t)fleet->election.lease.epoch, "serial",
+	    (json_int_t)shard->serial, "jobs", array);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	copy = g_strdup(text);
+	free(text);
+	return copy;
+}
+
+/*
+ * Takes a recorded job over. A job found in two shards is kept once: the copy
+ * that was started, if any.
+ */
+static void
+take_job(fleet_t *fleet, job_shard_t *shard, job_t *job)
+{
+	job_t *known = jobs_find(fleet, job->spec.id);
+
+	shard->serial++;
+	if (known != NULL && known->state != JOB_WAITING) {
+		g_free(job);
+		return;
+	}
+	if (known != NULL)
+		job_commit_remove(fleet, known);
+	job->shard = shard->number;
+	job->serial = shard->committed_serial;
+	job->recorded = true;
+	job->may_run = job_placed(job);
+	job->known_us = fleet_now_us(fleet);
+	job->accepted_us = fleet_now_us(fleet);
+	job->ended_us = fleet_now_us(fleet);
+	if (job->state == JOB_RUNNING || job->state == JOB_CHECKPOINTING)
+		job->state = JOB_STARTING;
+	shard->jobs++;
+	g_hash_table_insert(fleet->jobs->by_id, g_strdup(job->spec.id), job);
+}
+
+/*
+ * Takes the jobs of a shard as an earlier planner left them, and claims the
+ * shard: it is written again, so that a late write of that planner fails.
+ */
+static void
+on_shard_read(fleet_t *fleet, record_t *record)
+{
+	job_shard_t *shard = shard_of(record);
+	json_t *root, *from;
+	job_t *job;
+	size_t i;
+
+	if (!shard->loaded)
+		fleet->jobs->loaded++;
+	shard->loaded = true;
+	shard->committed_serial = shard->serial;
+	if (record->value == NULL)
+		return;
+	root = json_loads(record->value, 0, NULL);
+	shard->serial = MAX(shard->serial,
+	    (uint64_t)json_integer_value(json_object_get(root, "serial")));
+	shard->committed_serial = shard->serial;
+	json_array_foreach(json_object_get(root, "jobs"), i, from)
+	{
+		job = job_decode(from);
+		if (job != NULL)
+			take_job(fleet, shard, job);
+	}
+	json_decref(root);
+	gw_log(GW_EV_JOB_SHARD, "shard=%u jobs=%u", shard->number, shard->jobs);
+}
+
+/*
+ * Notes what became of the draft for the jobs that were in it.
+ */
+static void
+end_draft(fleet_t *fleet, const job_shard_t *shard, bool written)
+{
+	GHashTableIter iter;
+	gpointer value;
+	job_t *job;
+
+	g_hash_table_iter_init(&iter, fleet->jobs->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		job = value;
+		if (job->shard != shard->number)
+			continue;
+		job->recorded |= written && job->in_draft;
+		job->in_draft = false;
+	}
+}
+
+static void
+on_shard_written(fleet_t *fleet, record_t *record)
+{
+	job_shard_t *shard = shard_of(record);
+	jobs_t *jobs = fleet->jobs;
+
+	end_draft(fleet, shard, true);
+	shard->committed_serial = shard->draft_serial;
+	for (guint i = 0; i < jobs->waiters->len; i++) {
+		job_waiter_t *waiter = jobs->waiters->pdata[i];
+
+		if (waiter->shard == shard->number &&
+		    waiter->serial <= shard->committed_serial)
+			reply_accepted(fleet, waiter);
+	}
+	remove_answered(jobs);
+	jobs_tick(fleet);
+}
+
+/*
+ * Another planner's write came first: what is in the store counts, and changes
+ * that were not in it are given up.
+ */
+static void
+on_shard_lost(fleet_t *fleet, record_t *record)
+{
+	job_shard_t *shard = shard_of(record);
+	jobs_t *jobs = fleet->jobs;
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < jobs->waiters->len; i++) {
+		job_waiter_t *waiter = jobs->waiters->pdata[i];
+
+		if (waiter->shard == shard->number)
+			reply_not_accepted(fleet, waiter,
+			    "another planner wrote the record first");
+	}
+	remove_answered(jobs);
+	g_hash_table_iter_init(&iter, jobs->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((job_t *)value)->shard != shard->number)
+			continue;
+		job_place_forget(fleet, value);
+		g_hash_table_iter_remove(&iter);
+	}
+	shard->jobs = 0;
+	jobs->adopted = false;
+	on_shard_read(fleet, record);
+}
+
+static const record_ops_t shard_ops = {
+    .on_read = on_shard_read,
+    .on_written = on_shard_written,
+    .on_lost = on_shard_lost,
+};
+
+/*
+ * Prepares the shards' keys.
+ */
+void
+job_commit_init(fleet_t *fleet)
+{
+	char key[160];
+
+	for (guint i = 0; i < JOB_SHARDS; i++) {
+		job_shard_t *shard = &fleet->jobs->shards[i];
+
+		(void)g_snprintf(key, sizeof(key), "/gw/dc/%s/jobs/%u",
+		    fleet->config.data_centre, i);
+		record_init(&shard->record, &shard_ops, key);
+		shard->number = i;
+	}
+}
+
+/*
+ * Reads all shards at the beginning of a term.
+ */
+void
+job_commit_read(fleet_t *fleet)
+{
+	jobs_t *jobs = fleet->jobs;
+
+	jobs->write_tokens = JOB_WRITES_BURST;
+	jobs->tokens_us = fleet_now_us(fleet);
+	for (guint i = 0; i < JOB_SHARDS; i++)
+		record_read(fleet, &jobs->shards[i].record);
+}
+
+static bool
+in_draft(const job_shard_t *shard, const job_waiter_t *waiter)
+{
+	return !record_idle(&shard->record) &&
+	    waiter->serial <= shard->draft_serial &&
+	    (shard->record.sent || shard->record.retry_us == 0);
+}
+
+/*
+ * Ends the term: requests that wait are answered as what is known of them, and
+ * nothing of the records is kept.
+ */
+void
+job_commit_end(fleet_t *fleet)
+{
+	jobs_t *jobs = fleet->jobs;
+
+	for (guint i = 0; i < jobs->waiters->len; i++) {
+		job_waiter_t *waiter = jobs->waiters->pdata[i];
+
+		if (!waiter->submits ||
+		    in_draft(&jobs->shards[waiter->shard], waiter))
+			reply_unknown(fleet, waiter);
+		else
+			reply_not_accepted(
+			    fleet, waiter, "this gwfleetd is not the planner");
+	}
+	g_ptr_array_set_size(jobs->waiters, 0);
+	for (guint i = 0; i < JOB_SHARDS; i++) {
+		job_shard_t *shard = &jobs->shards[i];
+
+		record_cancel(fleet, &shard->record);
+		shard->loaded = false;
+		shard->pressing = false;
+		shard->jobs = 0;
+	}
+	g_hash_table_remove_all(jobs->by_id);
+	jobs->loaded = 0;
+}
+
+/*
+ * Adds a new job to the first shard with room: the fewer shards are in use, the
+ * more jobs share a write. Returns false when all are full.
+ */
+bool
+job_commit_add(fleet_t *fleet, job_t *job)
+{
+	jobs_t *jobs = fleet->jobs;
+
+	for (guint i = 0; i < JOB_SHARDS; i++) {
+		if (jobs->shards[i].jobs >= JOB_SHARD_JOBS_MAX)
+			continue;
+		jobs->shards[i].jobs++;
+		job->shard = i;
+		g_hash_table_insert(jobs->by_id, g_strdup(job->spec.id), job);
+		job_changed(fleet, job);
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Takes a job out of its shard and frees it.
+ */
+void
+job_commit_remove(fleet_t *fleet, job_t *job)
+{
+	job_shard_t *shard = &fleet->jobs->shards[job->shard];
+
+	shard->serial++;
+	shard->jobs--;
+	job_place_forget(fleet, job);
+	g_hash_table_remove(fleet->jobs->by_id, job->spec.id);
+}
+
+/*
+ * Notes that the record of the job must be written.
+ */
+void
+job_changed(fleet_t *fleet, job_t *job)
+{
+	job_shard_t *shard = &fleet->jobs->shards[job->shard];
+
+	job->serial = ++shard->serial;
+	if (job->state == JOB_STARTING)
+		shard->pressing = true;
+}
+
+/*
+ * Tells whether the job is in the store as it is here.
+ */
+bool
+job_committed(const fleet_t *fleet, const job_t *job)
+{
+	return job->serial <= fleet->jobs->shards[job->shard].committed_serial;
+}
+
+/*
+ * Answers the request once the job's last change is in the store.
+ */
+void
+job_wait(fleet_t *fleet, const job_t *job, void *request, bool submits,
+    bool repeated)
+{
+	job_waiter_t *waiter = g_new0(job_waiter_t, 1);
+
+	waiter->request = request;
+	waiter->shard = job->shard;
+	waiter->serial = job->serial;
+	waiter->since_us = fleet_now_us(fleet);
+	waiter->submits = submits;
+	waiter->repeated = repeated;
+	g_strlcpy(waiter->id, job->spec.id, sizeof(waiter->id));
+	if (job_committed(fleet, job)) {
+		reply_accepted(fleet, waiter);
+		g_free(waiter);
+		return;
+	}
+	fleet->jobs->shards[job->shard].pressing = true;
+	g_ptr_array_add(fleet->jobs->waiters, waiter);
+	job_commit_flush(fleet);
+}
+
+static void
+flush_shards(fleet_t *fleet, bool pressing)
+{
+	jobs_t *jobs = fleet->jobs;
+
+	for (guint i = 0; i < JOB_SHARDS && jobs->write_tokens >= 1; i++) {
+		job_shard_t *shard = &jobs->shards[i];
+
+		if (!shard->loaded || shard->pressing != pressing ||
+		    !record_idle(&shard->record) ||
+		    shard->serial <= shard->committed_serial ||
+		    shard->record.retry_us > fleet_now_us(fleet))
+			continue;
+		jobs->write_tokens--;
+		jobs->metrics.writes->value++;
+		shard->pressing = false;
+		shard->draft_serial = shard->serial;
+		record_write(fleet, &shard->record, shard_text(fleet, shard));
+	}
+}
+
+/*
+ * Writes the shards that changed, those first for which somebody waits. What
+ * changes while a write is on its way goes into the next one.
+ */
+void
+job_commit_flush(fleet_t *fleet)
+{
+	jobs_t *jobs = fleet->jobs;
+	uint64_t now_us = fleet_now_us(fleet);
+
+	if (!jobs_ready(fleet))
+		return;
+	jobs->write_tokens = MIN(JOB_WRITES_BURST,
+	    jobs->write_tokens +
+		(double)(now_us - jobs->tokens_us) * JOB_WRITES_PER_S /
+		    (double)GW_US_PER_S);
+	jobs->tokens_us = now_us;
+	flush_shards(fleet, true);
+	flush_shards(fleet, false);
+}
+
+/*
+ * Refuses the new jobs of a shard that cannot be written, as long as none of
+ * them can be in the store.
+ */
+static void
+refuse_unsent(fleet_t *fleet, job_shard_t *shard)
+{
+	jobs_t *jobs = fleet->jobs;
+	bool removed = false;
+	job_t *job;
+
+	for (guint i = 0; i < jobs->waiters->len; i++) {
+		job_waiter_t *waiter = jobs->waiters->pdata[i];
+
+		if (waiter->shard != shard->number || !waiter->submits ||
+		    in_draft(shard, waiter))
+			continue;
+		job = jobs_find(fleet, waiter->id);
+		if (job != NULL && !job->recorded)
+			job_commit_remove(fleet, job);
+		reply_not_accepted(
+		    fleet, waiter, "the store takes no writes now");
+		removed = true;
+	}
+	if (removed && shard->record.phase == RECORD_WRITING &&
+	    !shard->record.sent) {
+		record_cancel(fleet, &shard->record);
+		end_draft(fleet, shard, false);
+	}
+	if (record_idle(&shard->record))
+		shard->record.retry_us =
+		    fleet_now_us(fleet) + RECORD_RETRY_MS * GW_US_PER_MS;
+	remove_answered(jobs);
+}
+
+static void
+answer_overdue(fleet_t *fleet)
+{
+	uint64_t now_us = fleet_now_us(fleet);
+	jobs_t *jobs = fleet->jobs;
+
+	for (guint i = 0; i < jobs->waiters->len; i++) {
+		job_waiter_t *waiter = jobs->waiters->pdata[i];
+
+		if (now_us >= waiter->since_us + JOB_ANSWER_MS * GW_US_PER_MS)
+			reply_unknown(fleet, waiter);
+	}
+	remove_answered(jobs);
+}
+
+/*
+ * Repeats store calls that failed, and ends waits that take too long.
+ */
+void
+job_commit_tick(fleet_t *fleet)
+{
+	jobs_t *jobs = fleet->jobs;
+
+	for (guint i = 0; i < JOB_SHARDS; i++) {
+		job_shard_t *shard = &jobs->shards[i];
+
+		if (shard->loaded && shard->record.retry_us != 0 &&
+		    !record_idle(&shard->record))
+			refuse_unsent(fleet, shard);
+		if (!record_idle(&shard->record))
+			record_tick(fleet, &shard->record);
+	}
+	answer_overdue(fleet);
+}
--- a/gwfleetd/main.c
+++ b/gwfleetd/main.c
@@ -123,6 +123,7 @@
 	config.boot_id = gw_id_random_u64() >> 1;
 	daemon->fleet = fleet_new(&config, &daemon_ops, daemon,
 	    gw_rt_clock(daemon->rt), daemon->metrics);
+	port_job_attach(daemon);
 }
 
 static int
--- a/gwfleetd/planner.c
+++ b/gwfleetd/planner.c
@@ -4,6 +4,7 @@
 #include "fleet_state.h"
 #include "grants.h"
 #include "gw/log.h"
+#include "jobs.h"
 #include "peer.h"
 #include "placement.h"
 #include "planner.h"
@@ -32,6 +33,7 @@
 	fleet->metrics.is_planner->value = 1;
 	table_claim(fleet);
 	generation_begin_watch(fleet);
+	jobs_begin(fleet);
 }
 
 /*
@@ -48,6 +50,7 @@
 	record_cancel(fleet, &fleet->waves_record);
 	record_cancel(fleet, &fleet->status_record);
 	generation_end_watch(fleet);
+	jobs_end(fleet);
 	g_ptr_array_set_size(fleet->routers, 0);
 	g_hash_table_remove_all(fleet->grants);
 	g_hash_table_remove_all(fleet->reboots);
@@ -104,4 +107,5 @@
 	grants_tick(fleet);
 	peers_tell(fleet, false);
 	status_tick(fleet);
+	jobs_tick(fleet);
 }
--- a/gwfleetd/port_admin.c
+++ b/gwfleetd/port_admin.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "daemon.h"
+#include "jobs.h"
 
 /* A request that waits for the state machine, and the pool's hold on it. */
 typedef struct {
@@ -22,8 +23,11 @@
 		hold->wait->req = NULL;
 }
 
-static wait_t *
-wait_new(h2o_req_t *req)
+/*
+ * Keeps a request until it is answered; the caller may go away before.
+ */
+void *
+port_wait(h2o_req_t *req)
 {
 	wait_t *wait = g_new0(wait_t, 1);
 
@@ -67,6 +71,25 @@
 		    wait->req, status, "refused", explain_status(status));
 }
 
+/*
+ * Answers a request that waited with JSON, or with a problem's title and text.
+ */
+void
+port_reply_problem(
+    void *request, int status, const char *title, const char *text)
+{
+	g_autofree wait_t *wait = request;
+
+	if (wait->req == NULL)
+		return;
+	wait->hold->wait = NULL;
+	if (status == 200)
+		gw_http_reply(
+		    wait->req, status, "application/json", text, strlen(text));
+	else
+		gw_http_reply_error(wait->req, status, title, text);
+}
+
 static void
 reply_json(h2o_req_t *req, json_t *value)
 {
@@ -123,8 +146,13 @@
 {
 	g_autofree char *instance = query_value(req, "instance");
 	g_autofree char *pool = query_value(req, "pool");
+	g_autofree char *job = query_value(req, "job");
 
-	reply_json(req, fleet_explain_json(daemon->fleet, instance, pool));
+	if (job != NULL)
+		reply_json(req, jobs_explain_json(daemon->fleet, job));
+	else
+		reply_json(
+		    req, fleet_explain_json(daemon->fleet, instance, pool));
 }
 
 /*
@@ -171,7 +199,7 @@
 		return false;
 	msg.wave = parts[3];
 	msg.start = strcmp(parts[4], "start") == 0;
-	msg.request = wait_new(req);
+	msg.request = port_wait(req);
 	fleet_handle(daemon->fleet, &msg);
 	return true;
 }
@@ -190,10 +218,7 @@
 		return answer_get(daemon, req, path) ? 0 : -1;
 	if (!h2o_memis(req->method.base, req->method.len, H2O_STRLIT("POST")))
 		return -1;
-	if (strcmp(path, "/v1/jobs") == 0) {
-		gw_http_reply_error(
-		    req, 501, "not available", "jobs cannot be submitted yet");
-		return 0;
-	}
+	if (g_str_has_prefix(path, "/v1/jobs"))
+		return port_job_post(daemon, req, path);
 	return answer_wave(daemon, req, path) ? 0 : -1;
 }
--- a/gwfleetd/port_platform.c
+++ b/gwfleetd/port_platform.c
@@ -35,6 +35,15 @@
 	return 0;
 }
 
+static uint64_t
+capacity(const json_t *from, const char *name)
+{
+	const json_t *value =
+	    json_object_get(json_object_get(from, "capacity"), name);
+
+	return (uint64_t)MAX(json_integer_value(value), 0);
+}
+
 /*
  * Reads one entry of the list. Returns NULL when it is not complete.
  */
@@ -50,6 +59,9 @@
 	    g_strcmp0(
 		json_string_value(json_object_get(from, "kind")), "entry") == 0;
 	instance->port = (uint16_t)json_integer_value(port);
+	instance->cpu_millis = capacity(from, "cpu_millis");
+	instance->memory_mib = capacity(from, "memory_mib");
+	instance->accelerators = capacity(from, "accelerators");
 	if (instance->state != 0 && copy_name(from, "id", instance->id) &&
 	    copy_name(from, "incarnation", instance->incarnation) &&
 	    copy_name(from, "address", instance->address) &&
--- a/gwfleetd/record.c
+++ b/gwfleetd/record.c
@@ -80,6 +80,7 @@
 		record->ops->on_written(fleet, record);
 		return;
 	}
+	record->sent |= msg->err->code != GW_ERR_UNAVAILABLE;
 	if (msg->err->code == GW_ERR_UNAVAILABLE) {
 		retry_later(fleet, record, msg->err);
 		return;
@@ -179,6 +180,7 @@
 	g_assert(record_idle(record));
 	g_free(record->draft);
 	record->draft = draft;
+	record->sent = false;
 	begin_put(fleet, record);
 }
 
--- a/gwfleetd/record.h
+++ b/gwfleetd/record.h
@@ -41,6 +41,7 @@
 	char *value;		 /* NULL: absent */
 	char *draft;
 	uint64_t retry_us; /* 0: no call to repeat */
+	bool sent;	   /* the draft may have reached the store */
 };
 
 void record_init(record_t *, const record_ops_t *, const char *key);
--- a/lib/policy/place.h
+++ b/lib/policy/place.h
@@ -82,6 +82,10 @@
 void place_usage(place_t *, place_job_t *, const place_size_t *);
 void place_checkpointed(place_t *, place_job_t *, uint64_t now_us);
 void place_done(place_t *, place_job_t *);
+/* Takes a job that already runs on the node; false when that is not known. */
+bool place_adopt(place_t *, place_job_t *, const char *node_id);
+/* Takes a waiting job out of its queue. */
+void place_withdraw(place_t *, place_job_t *);
 void place_node_lost(place_t *, const char *id, uint64_t now_us);
 
 #endif
--- /dev/null
+++ b/lib/policy/place_adopt.c
@@ -0,0 +1,44 @@
+#include <string.h>
+
+#include "policy/place_impl.h"
+
+/*
+ * Takes over a job that a planner before this one started: it holds its room
+ * on the node and in its team's quota without a new start.
+ */
+bool
+place_adopt(place_t *place, place_job_t *job, const char *node_id)
+{
+	place_team_t *team = place_team(place, job->team);
+
+	if (team == NULL)
+		return false;
+	for (uint32_t i = 0; i < place->nodes->len; i++) {
+		place_node_t *node = place->nodes->pdata[i];
+
+		if (node->lost || strcmp(node->id, node_id) != 0)
+			continue;
+		job->reserved = place->ops->size(place, job);
+		job->state = PLACE_RUNNING;
+		job->node = node;
+		place_add(&node->used, &job->reserved);
+		place_add(&team->used, &job->reserved);
+		g_ptr_array_add(node->jobs, job);
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Takes a waiting job out of its team's queue, because it was cancelled.
+ */
+void
+place_withdraw(place_t *place, place_job_t *job)
+{
+	place_team_t *team = place_team(place, job->team);
+
+	if (team != NULL && job->state == PLACE_WAITING)
+		(void)g_queue_remove(
+		    job->urgent ? &team->urgent : &team->normal, job);
+	job->state = PLACE_DONE;
+}
--- a/lib/policy/place_size.c
+++ b/lib/policy/place_size.c
@@ -116,7 +116,8 @@
 
 	if (kind == NULL || kind->reports < MIN_REPORTS)
 		return size;
-	for (int r = 0; r < PLACE_RESOURCES; r++)
+	/* Accelerators are whole devices: a margin would ask for one more. */
+	for (int r = 0; r < PLACE_ACCELERATORS; r++)
 		size.of[r] = kind->peak.of[r] * (100 + MARGIN_PERCENT) / 100;
 	return size;
 }
