Wait for the routers before the wave test sends requests

Cause: wave.sh failed now and then with one or two responses 503. The routers' log says not-run, reason no-manifest: the test sent requests to a router that the table did not list yet when the generation came into force. Ruled out: a request lost or cut by the wave or by the planner's end. Change: the test waits for /readyz of both routers, as the balancer does; it still requires every response to be 200. Conclusion: the fault was in the test's start.

--- a/regress/fleet/wave.sh
+++ b/regress/fleet/wave.sh
@@ -58,6 +58,10 @@
 apply "$tmp/manifest.json" --wait && echo "the manifest is in force"
 if [ "$(status 1 .is_planner)" = true ]; then old=1 new=2; else old=2 new=1; fi
 wait_for "six instances are active" 5 table_is $old '.state == "active"' 6
+# Callers come through the balancer, which asks /readyz. A router that the table
+# did not list yet when the generation came into force refuses as not run.
+wait_for "both routers are ready" 5 curl -sf --fail-early \
+    "http://127.0.0.1:$((BASE + 41))/readyz" "http://127.0.0.1:$((BASE + 42))/readyz"
 send_requests &
 pids="$pids $!"
 "$GW_BIN/gwctl" --admin="127.0.0.1:$((BASE + 20 + old))" waves start w \
@@ -71,3 +75,4 @@
 touch "$tmp/stop"
 echo "responses other than 200: $(grep -vc '^200$' "$tmp/codes")"
 sort "$tmp/codes" | uniq -c >&2
+grep -h ' REFUSE ' "$tmp"/router*.log >&2
