--- a/regress/fleet/wave.sh
+++ b/regress/fleet/wave.sh
@@ -75,4 +75,5 @@
 touch "$tmp/stop"
 echo "responses other than 200: $(grep -vc '^200$' "$tmp/codes")"
 sort "$tmp/codes" | uniq -c >&2
-grep -h ' REFUSE ' "$tmp"/router*.log >&2
+# No refusal is the expected case, and not an error of the script.
+grep -h ' REFUSE ' "$tmp"/router*.log >&2 || :
