--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 TOP = .
 VARIANT ?= release
 JOBS ?= $(shell nproc)
-export VARIANT
+BUILD_ROOT ?= build
+export VARIANT BUILD_ROOT
 
-LIBS = $(patsubst %/Makefile,%,$(wildcard lib/*/Makefile))
+LIBS = $(patsubst %/Makefile,%,$(wildcard lib/*/Makefile)) platform
 PROGS = $(patsubst %/Makefile,%,$(wildcard gw*/Makefile tools/*/Makefile \
 	policy/Makefile policy/*/Makefile bench/Makefile bench/*/Makefile))
 REGRESS = $(patsubst %/Makefile,%,$(wildcard regress/*/Makefile))
@@ -25,6 +26,10 @@
 $(REGRESS): libs progs
 	@$(MAKE) --no-print-directory -C $@
 
+# What runs on the platform; deploy/system.toml builds it so.
+entry: libs
+	@$(MAKE) --no-print-directory -C gwentryd
+
 regress-programs: $(REGRESS)
 
 # Runs every test; the last line counts them.
@@ -57,5 +62,5 @@
 
 include $(wildcard mk/targets/*.mk)
 
-.PHONY: all libs progs regress-programs test check check-build fmt lint clean \
+.PHONY: all libs progs entry regress-programs test check check-build fmt lint clean \
 	$(LIBS) $(PROGS) $(REGRESS)
--- /dev/null
+++ b/gwentryd/entry.c
@@ -0,0 +1,311 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "dispatch.h"
+#include "entry.h"
+#include "front.h"
+#include "gw/log.h"
+#include "http/httpd.h"
+#include "platform/kv.h"
+#include "roles.h"
+#include "service.h"
+#include "stats.h"
+#include "view.h"
+
+/* An answer of the store takes some ms, at times hundreds. */
+#define STORE_TIMEOUT_MS 800
+#define READY_BODY_MAX_BYTES 1024
+#define READY_IDLE_MS 30000
+#define READY_CONNECTIONS_MAX 64
+/* The balancer asks once a second and needs two misses. */
+#define DRAIN_LISTEN_MS 2500
+/* Before the platform kills: the last part of its grace period. */
+#define DRAIN_MARGIN_MS 600
+#define DRAIN_CHECK_MS 20
+/* Between the end of the last request and the exit. */
+#define DRAIN_LINGER_MS 300
+#define MS_PER_S 1000
+
+struct entry {
+	gw_rt_t *rt;
+	plat_settings_t settings;
+	store_t *store;
+	roles_t *roles;
+	view_t *view;
+	service_t *service;
+	dispatch_t *dispatch;
+	front_t *front;
+	gw_httpd_t *ready;
+	stats_t *stats;
+	gw_timer_t drain;
+	uint64_t drain_end_us;
+	uint64_t drain_listen_us;
+	bool draining;
+	bool released;
+	bool closed;
+	bool was_ready;
+};
+
+/* From the roles. */
+
+static void
+replay_instance(const sched_info_t *info, void *arg)
+{
+	service_set_instance(arg, info);
+}
+
+static void
+on_gain(const char *role, uint64_t fence, void *arg)
+{
+	entry_t *entry = arg;
+
+	view_want_instances(entry->view);
+	service_add(entry->service, role, fence);
+	view_replay(entry->view, replay_instance, entry->service);
+}
+
+static void
+on_lose(const char *role, const char *reason, void *arg)
+{
+	entry_t *entry = arg;
+
+	(void)reason;
+	service_remove(entry->service, role);
+}
+
+static const roles_ops_t roles_ops = {.on_gain = on_gain, .on_lose = on_lose};
+
+static void
+on_deposed(const char *pool, const char *reason, void *arg)
+{
+	entry_t *entry = arg;
+
+	roles_give_up(entry->roles, pool, reason);
+}
+
+static const owner_ops_t owner_ops = {.on_deposed = on_deposed};
+
+/* From the view. */
+
+static void
+on_config(const sched_config_t *config, void *arg)
+{
+	entry_t *entry = arg;
+
+	front_set_config(entry->front, config);
+	for (guint i = 0; i < config->pools->len; i++)
+		roles_want(entry->roles,
+		    g_array_index(config->pools, sched_pool_config_t, i).name);
+}
+
+static void
+on_instance(const sched_info_t *info, void *arg)
+{
+	entry_t *entry = arg;
+
+	service_set_instance(entry->service, info);
+}
+
+static void
+on_instance_gone(const char *id, void *arg)
+{
+	entry_t *entry = arg;
+
+	service_remove_instance(entry->service, id);
+}
+
+static void
+on_wave(const plat_wave_t *wave, void *arg)
+{
+	(void)arg;
+	gw_log(GW_EV_MAINTENANCE, "wave=%" PRIu64 " machines=%u state=read",
+	    wave->number, wave->machines->len);
+}
+
+static const view_ops_t view_ops = {.on_config = on_config,
+    .on_instance = on_instance,
+    .on_instance_gone = on_instance_gone,
+    .on_wave = on_wave};
+
+/* From callers and other processes. */
+
+static void
+on_call(const Gw__Call *call, dispatch_reply_t cb, void *reply_arg, void *arg)
+{
+	entry_t *entry = arg;
+
+	service_call(entry->service, call, roles_lease_valid(entry->roles), cb,
+	    reply_arg);
+}
+
+/*
+ * Tells whether the balancer should send callers here: the process knows the
+ * queues and reaches the store.
+ */
+static bool
+is_ready(const entry_t *entry)
+{
+	return !entry->draining && view_config(entry->view) != NULL &&
+	    roles_lease_valid(entry->roles);
+}
+
+static void
+reply_metrics(entry_t *entry, h2o_req_t *req)
+{
+	const sched_config_t *config = view_config(entry->view);
+	GString *text;
+
+	stats_gauges(entry->stats, service_pools(entry->service),
+	    front_connections(entry->front),
+	    config == NULL ? 0 : config->version,
+	    roles_lease_valid(entry->roles));
+	text = stats_text(entry->stats);
+	gw_http_reply(
+	    req, 200, "text/plain; version=0.0.4", text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+static int
+on_ready_request(h2o_req_t *req, void *arg)
+{
+	entry_t *entry = arg;
+	bool ready = is_ready(entry);
+
+	if (h2o_memis(req->path_normalized.base, req->path_normalized.len,
+		H2O_STRLIT("/metrics"))) {
+		reply_metrics(entry, req);
+		return 0;
+	}
+	if (ready != entry->was_ready)
+		gw_log(GW_EV_READY, "ready=%d draining=%d config=%d lease=%d",
+		    ready, entry->draining, view_config(entry->view) != NULL,
+		    roles_lease_valid(entry->roles));
+	entry->was_ready = ready;
+	gw_http_reply(req, ready ? 200 : 503, "text/plain",
+	    ready ? "ready\n" : "not ready\n", ready ? 6 : 10);
+	return 0;
+}
+
+/* Start. */
+
+static int
+listen_ready(entry_t *entry, gw_err_t *err)
+{
+	const gw_httpd_limits_t limits = {
+	    READY_BODY_MAX_BYTES, READY_IDLE_MS, READY_CONNECTIONS_MAX};
+
+	entry->ready =
+	    gw_httpd_new(entry->rt, &limits, on_ready_request, entry);
+	return gw_httpd_listen(
+	    entry->ready, &entry->settings.ready, NULL, err);
+}
+
+/*
+ * Starts the tasks. Returns NULL with the error when a socket cannot be had.
+ */
+entry_t *
+entry_new(gw_rt_t *rt, const plat_settings_t *settings, gw_err_t *err)
+{
+	entry_t *entry = g_new0(entry_t, 1);
+	char text[GW_ADDR_TEXT_BYTES];
+	gw_addr_t peer;
+
+	entry->rt = rt;
+	entry->settings = *settings;
+	if (gw_addr_make(&peer, settings->ip, settings->port_first, err) != 0)
+		goto fail;
+	entry->stats = stats_new();
+	entry->store = store_new(rt, &settings->store, STORE_TIMEOUT_MS);
+	store_set_form(entry->store, &plat_kv_form);
+	entry->service = service_new(rt, entry->store, settings->data_centre,
+	    &settings->bounds, &owner_ops, entry);
+	entry->roles = roles_new(rt, entry->store, settings->node,
+	    gw_addr_text(&peer, text), &roles_ops, entry);
+	entry->dispatch =
+	    dispatch_new(rt, entry->roles, &peer, on_call, entry, err);
+	if (entry->dispatch == NULL)
+		goto fail;
+	entry->front = front_new(
+	    rt, entry->dispatch, entry->stats, &settings->callers, err);
+	if (entry->front == NULL || listen_ready(entry, err) != 0)
+		goto fail;
+	entry->view = view_new(rt, entry->store, &view_ops, entry);
+	return entry;
+fail:
+	/* The process ends with the error; its sockets go with it. */
+	g_free(entry);
+	return NULL;
+}
+
+/* Shutdown. */
+
+static void
+release(entry_t *entry)
+{
+	if (entry->released)
+		return;
+	entry->released = true;
+	roles_release(entry->roles);
+}
+
+static void
+on_drain(gw_timer_t *timer, void *arg)
+{
+	entry_t *entry = arg;
+	uint64_t now_us = gw_rt_now_us(entry->rt);
+
+	if (service_is_quiet(entry->service) ||
+	    now_us + DRAIN_LISTEN_MS * GW_US_PER_MS / 2 >
+		entry->drain_listen_us)
+		release(entry);
+	if (now_us >= entry->drain_listen_us && !entry->closed) {
+		entry->closed = true;
+		front_shutdown(entry->front);
+	}
+	if (now_us >= entry->drain_end_us ||
+	    (entry->closed && front_requests(entry->front) == 0 &&
+		now_us >= entry->drain_listen_us +
+			DRAIN_LINGER_MS * GW_US_PER_MS)) {
+		release(entry);
+		gw_rt_stop(entry->rt);
+		return;
+	}
+	gw_timer_start(entry->rt, timer, DRAIN_CHECK_MS * GW_US_PER_MS,
+	    on_drain, entry);
+}
+
+/*
+ * Begins the graceful shutdown: the balancer is told, the roles are handed over
+ * once nothing waits for the store, and callers on open connections are served
+ * until the last part of the platform's grace period.
+ */
+void
+entry_shutdown(entry_t *entry)
+{
+	uint64_t now_us = gw_rt_now_us(entry->rt);
+
+	if (entry->draining)
+		return;
+	entry->draining = true;
+	gw_log(GW_EV_SHUTDOWN, "requests=%u pools=%u",
+	    front_requests(entry->front), service_pools(entry->service));
+	service_close(entry->service);
+	entry->drain_listen_us = now_us + DRAIN_LISTEN_MS * GW_US_PER_MS;
+	entry->drain_end_us = now_us +
+	    (entry->settings.stop_grace_s * MS_PER_S - DRAIN_MARGIN_MS) *
+		GW_US_PER_MS;
+	on_drain(&entry->drain, entry);
+}
+
+/*
+ * Takes settings that were read again. Addresses hold until the next start.
+ */
+void
+entry_reload(entry_t *entry, const plat_settings_t *settings)
+{
+	gw_log(GW_EV_RELOAD, "node=%s stop_grace_s=%u", settings->node,
+	    settings->stop_grace_s);
+	entry->settings.stop_grace_s = settings->stop_grace_s;
+	entry->settings.bounds = settings->bounds;
+}
--- /dev/null
+++ b/gwentryd/front.h
@@ -0,0 +1,21 @@
+#ifndef GWENTRYD_FRONT_H
+#define GWENTRYD_FRONT_H
+
+#include "dispatch.h"
+#include "gw/runtime.h"
+#include "sched/config.h"
+#include "stats.h"
+
+/* The callers' interface: submit, ask for and cancel jobs, count a queue. */
+typedef struct front front_t;
+
+front_t *front_new(
+    gw_rt_t *, dispatch_t *, stats_t *, const gw_addr_t *, gw_err_t *);
+/* The configuration in force; it stays valid until the next call. */
+void front_set_config(front_t *, const sched_config_t *);
+/* Takes no more connections; open ones end after their next request. */
+void front_shutdown(front_t *);
+uint32_t front_requests(const front_t *);
+uint32_t front_connections(const front_t *);
+
+#endif
--- /dev/null
+++ b/gwentryd/peers.c
@@ -0,0 +1,340 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "gw/log.h"
+#include "peers.h"
+#include "wire/listener.h"
+
+/* A connection that is not open by then is given up. */
+#define CONNECT_TIMEOUT_MS 400
+
+typedef struct {
+	peers_t *peers;
+	char address[GW_ADDR_TEXT_BYTES];
+	gw_conn_t *conn; /* NULL while there is none */
+	bool open;
+	bool lost; /* reported as lost */
+	gw_timer_t connect;
+	GQueue calls; /* call_t */
+	uint64_t received_us;
+} peer_t;
+
+typedef struct {
+	peer_t *peer;
+	uint64_t number;
+	uint8_t *packed; /* the message, until it is sent */
+	size_t packed_bytes;
+	uint64_t sent_us; /* 0: not yet */
+	gw_timer_t timer;
+	peers_reply_cb_t cb;
+	void *arg;
+	GList link;
+} call_t;
+
+/* A connection that another process made. */
+typedef struct {
+	peers_t *peers;
+	gw_conn_t *conn; /* NULL once closed */
+	uint32_t refs;	 /* the connection and each ticket */
+} caller_t;
+
+struct peers_ticket {
+	caller_t *caller;
+	uint64_t number;
+};
+
+struct peers {
+	gw_rt_t *rt;
+	gw_listener_t *listener;
+	peers_call_cb_t on_call;
+	void *arg;
+	GHashTable *by_address; /* peer_t */
+	uint64_t next_number;
+};
+
+static void
+caller_unref(caller_t *caller)
+{
+	if (--caller->refs == 0)
+		g_free(caller);
+}
+
+static void
+on_caller_message(gw_conn_t *conn, const Gw__Envelope *envelope, void *arg)
+{
+	caller_t *caller = arg;
+	peers_ticket_t *ticket;
+
+	if (envelope->body_case != GW__ENVELOPE__BODY_CALL) {
+		gw_log(GW_EV_PEER_BAD_FRAME, "peer=%s text=\"not a call\"",
+		    gw_conn_peer(conn));
+		gw_conn_close(conn);
+		return;
+	}
+	ticket = g_new(peers_ticket_t, 1);
+	ticket->caller = caller;
+	ticket->number = envelope->call->number;
+	caller->refs++;
+	caller->peers->on_call(envelope->call, ticket, caller->peers->arg);
+}
+
+static void
+on_caller_close(gw_conn_t *conn, const gw_err_t *err, void *arg)
+{
+	caller_t *caller = arg;
+
+	(void)conn;
+	(void)err;
+	caller->conn = NULL;
+	caller_unref(caller);
+}
+
+static const gw_conn_ops_t caller_ops = {
+    .on_message = on_caller_message, .on_close = on_caller_close};
+
+static void
+on_accept(gw_conn_t *conn, void *arg)
+{
+	caller_t *caller = g_new0(caller_t, 1);
+
+	caller->peers = arg;
+	caller->conn = conn;
+	caller->refs = 1;
+	gw_conn_set_ops(conn, &caller_ops, caller);
+}
+
+/*
+ * Answers a call; the ticket is used up. A caller that has gone asks again.
+ */
+void
+peers_answer(peers_ticket_t *ticket, Gw__Reply *reply)
+{
+	Gw__Envelope envelope = GW__ENVELOPE__INIT;
+	caller_t *caller = ticket->caller;
+	gw_err_t err;
+
+	reply->number = ticket->number;
+	envelope.body_case = GW__ENVELOPE__BODY_REPLY;
+	envelope.reply = reply;
+	if (caller->conn != NULL &&
+	    gw_conn_send(caller->conn, &envelope, &err) != 0)
+		gw_log(GW_EV_PEER_CLOSED, "peer=%s step=\"%s\" err=%s text=\"%s\"",
+		    err.peer, err.step, gw_errc_name(err.code), err.text);
+	caller_unref(caller);
+	g_free(ticket);
+}
+
+/*
+ * Reports a call's end and frees it.
+ */
+static void
+finish(call_t *call, const Gw__Reply *reply)
+{
+	peers_failure_t failure =
+	    call->sent_us == 0 ? PEERS_NOT_SENT : PEERS_BROKEN;
+
+	gw_timer_stop(&call->timer);
+	g_queue_unlink(&call->peer->calls, &call->link);
+	call->cb(reply, failure, call->arg);
+	g_free(call->packed);
+	g_free(call);
+}
+
+static void
+send_call(peer_t *peer, call_t *call)
+{
+	Gw__Envelope envelope = GW__ENVELOPE__INIT;
+	gw_err_t err;
+
+	envelope.body_case = GW__ENVELOPE__BODY_CALL;
+	envelope.call =
+	    gw__call__unpack(NULL, call->packed_bytes, call->packed);
+	if (envelope.call == NULL)
+		return;
+	if (gw_conn_send(peer->conn, &envelope, &err) == 0) {
+		call->sent_us = gw_rt_now_us(peer->peers->rt);
+		g_clear_pointer(&call->packed, g_free);
+	}
+	gw__call__free_unpacked(envelope.call, NULL);
+}
+
+static void
+on_peer_open(gw_conn_t *conn, void *arg)
+{
+	peer_t *peer = arg;
+
+	(void)conn;
+	gw_timer_stop(&peer->connect);
+	peer->open = true;
+	if (peer->lost)
+		gw_log(GW_EV_DEPENDENCY_BACK, "dependency=entry peer=%s",
+		    peer->address);
+	peer->lost = false;
+	for (GList *link = peer->calls.head; link != NULL; link = link->next)
+		if (((call_t *)link->data)->sent_us == 0)
+			send_call(peer, link->data);
+}
+
+static void
+on_peer_message(gw_conn_t *conn, const Gw__Envelope *envelope, void *arg)
+{
+	peer_t *peer = arg;
+
+	(void)conn;
+	peer->received_us = gw_rt_now_us(peer->peers->rt);
+	if (envelope->body_case != GW__ENVELOPE__BODY_REPLY)
+		return;
+	for (GList *link = peer->calls.head; link != NULL; link = link->next) {
+		call_t *call = link->data;
+
+		if (call->number != envelope->reply->number)
+			continue;
+		finish(call, envelope->reply);
+		return;
+	}
+}
+
+static void
+on_peer_close(gw_conn_t *conn, const gw_err_t *err, void *arg)
+{
+	peer_t *peer = arg;
+
+	if (peer->conn != conn)
+		return;
+	gw_timer_stop(&peer->connect);
+	peer->conn = NULL;
+	peer->open = false;
+	if (!peer->lost && peer->calls.length > 0) {
+		peer->lost = true;
+		gw_log(GW_EV_DEPENDENCY_LOST,
+		    "dependency=entry peer=%s step=\"%s\" err=%s text=\"%s\"",
+		    peer->address, err->step, gw_errc_name(err->code),
+		    err->text);
+	}
+	while (peer->calls.length > 0)
+		finish(g_queue_peek_head(&peer->calls), NULL);
+}
+
+static const gw_conn_ops_t peer_ops = {.on_open = on_peer_open,
+    .on_message = on_peer_message,
+    .on_close = on_peer_close};
+
+static void
+on_connect_timeout(gw_timer_t *timer, void *arg)
+{
+	peer_t *peer = arg;
+
+	(void)timer;
+	if (peer->conn != NULL)
+		gw_conn_close(peer->conn);
+}
+
+static int
+connect_peer(peer_t *peer)
+{
+	gw_addr_t addr;
+	gw_err_t err;
+
+	if (gw_addr_parse(&addr, peer->address, &err) != 0)
+		return -1;
+	peer->conn =
+	    gw_conn_connect(peer->peers->rt, &addr, &peer_ops, peer);
+	gw_timer_start(peer->peers->rt, &peer->connect,
+	    CONNECT_TIMEOUT_MS * GW_US_PER_MS, on_connect_timeout, peer);
+	return 0;
+}
+
+static peer_t *
+peer_get(peers_t *peers, const char *address)
+{
+	peer_t *peer = g_hash_table_lookup(peers->by_address, address);
+
+	if (peer != NULL)
+		return peer;
+	peer = g_new0(peer_t, 1);
+	peer->peers = peers;
+	g_strlcpy(peer->address, address, sizeof(peer->address));
+	g_queue_init(&peer->calls);
+	g_hash_table_insert(peers->by_address, peer->address, peer);
+	return peer;
+}
+
+/*
+ * Ends a call that took too long. When nothing at all has come on the
+ * connection since it was sent, the connection is silent and is closed.
+ */
+static void
+on_timeout(gw_timer_t *timer, void *arg)
+{
+	call_t *call = arg;
+	peer_t *peer = call->peer;
+	bool is_silent =
+	    call->sent_us != 0 && peer->received_us < call->sent_us;
+
+	(void)timer;
+	finish(call, NULL);
+	if (is_silent && peer->conn != NULL)
+		gw_conn_close(peer->conn);
+}
+
+/*
+ * Sends a call to the process at address, and reports the reply or the failure
+ * after timeout_ms at the latest.
+ */
+void
+peers_call(peers_t *peers, const char *address, Gw__Call *message,
+    uint64_t timeout_ms, peers_reply_cb_t cb, void *arg)
+{
+	peer_t *peer = peer_get(peers, address);
+	call_t *call = g_new0(call_t, 1);
+
+	message->number = ++peers->next_number;
+	call->peer = peer;
+	call->number = message->number;
+	call->packed_bytes = gw__call__get_packed_size(message);
+	call->packed = g_malloc(call->packed_bytes);
+	gw__call__pack(message, call->packed);
+	call->cb = cb;
+	call->arg = arg;
+	call->link.data = call;
+	g_queue_push_tail_link(&peer->calls, &call->link);
+	gw_timer_start(peers->rt, &call->timer, timeout_ms * GW_US_PER_MS,
+	    on_timeout, call);
+	if (peer->conn == NULL && connect_peer(peer) != 0)
+		gw_timer_start(peers->rt, &call->timer, 0, on_timeout, call);
+	else if (peer->open)
+		send_call(peer, call);
+}
+
+/*
+ * Listens for other processes at the address. Returns NULL with the error.
+ */
+peers_t *
+peers_new(gw_rt_t *rt, const gw_addr_t *listen, peers_call_cb_t on_call,
+    void *arg, gw_err_t *err)
+{
+	peers_t *peers = g_new0(peers_t, 1);
+
+	peers->rt = rt;
+	peers->on_call = on_call;
+	peers->arg = arg;
+	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	peers->listener =
+	    gw_listener_new(rt, listen, &caller_ops, on_accept, peers, err);
+	if (peers->listener != NULL)
+		return peers;
+	g_hash_table_destroy(peers->by_address);
+	g_free(peers);
+	return NULL;
+}
+
+/*
+ * Takes no more connections. Open ones go on until the process ends.
+ */
+void
+peers_close(peers_t *peers)
+{
+	gw_listener_close(peers->listener);
+	peers->listener = NULL;
+}
--- /dev/null
+++ b/gwentryd/roles.h
@@ -0,0 +1,44 @@
+#ifndef GWENTRYD_ROLES_H
+#define GWENTRYD_ROLES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "gw/runtime.h"
+#include "store/store.h"
+
+/*
+ * Which process owns which role. A role is a key in the store under the lease
+ * of its owner; the revision at which the key was created is the owner's fence.
+ */
+typedef struct roles roles_t;
+
+/* Time after which the store ends the lease of a process that is gone. */
+#define ROLES_TTL_MS 2500
+/*
+ * An owner that cannot renew its lease goes on holding what runs for this long
+ * after the lease may have ended, so that an outage of the store ends no work.
+ */
+#define ROLES_GRACE_MS 7500
+
+typedef struct {
+	void (*on_gain)(const char *role, uint64_t fence, void *arg);
+	void (*on_lose)(const char *role, const char *reason, void *arg);
+} roles_ops_t;
+
+roles_t *roles_new(gw_rt_t *, store_t *, const char *node, const char *address,
+    const roles_ops_t *, void *arg);
+void roles_free(roles_t *);
+void roles_want(roles_t *, const char *role);
+/* Address of the owner, or NULL when none is known. */
+const char *roles_owner(const roles_t *, const char *role);
+bool roles_is_mine(const roles_t *, const char *role);
+/* True while the store cannot have ended this process's lease. */
+bool roles_lease_valid(const roles_t *);
+/* The owner learned that its key is gone. */
+void roles_give_up(roles_t *, const char *role, const char *reason);
+/* Gives all roles back and takes no more. */
+void roles_release(roles_t *);
+void roles_key(const char *role, char *out, uint32_t size_bytes);
+
+#endif
--- /dev/null
+++ b/gwentryd/stats.h
@@ -0,0 +1,22 @@
+#ifndef GWENTRYD_STATS_H
+#define GWENTRYD_STATS_H
+
+#include <stdbool.h>
+
+#include "gw/metric.h"
+#include "wire/gw.pb-c.h"
+
+/* Counters and histograms of the process, served as text. */
+typedef struct stats stats_t;
+
+stats_t *stats_new(void);
+void stats_free(stats_t *);
+/* A caller's request was answered. */
+void stats_request(
+    stats_t *, Gw__CallKind, int status, uint64_t took_us);
+/* Current values, set before the text is made. */
+void stats_gauges(stats_t *, uint32_t pools, uint32_t connections,
+    uint64_t config_version, bool lease_valid);
+GString *stats_text(stats_t *);
+
+#endif
--- /dev/null
+++ b/gwentryd/view.c
@@ -0,0 +1,196 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "gw/log.h"
+#include "platform/registry.h"
+#include "store/follow.h"
+#include "view.h"
+
+struct view {
+	gw_rt_t *rt;
+	store_t *store;
+	const view_ops_t *ops;
+	void *arg;
+	store_follow_t *operators;
+	store_follow_t *registry;
+	sched_config_t *config;
+	GHashTable *instances; /* id -> sched_info_t */
+};
+
+static void
+info_free(gpointer data)
+{
+	plat_instance_clear(data);
+	g_free(data);
+}
+
+static void
+take_config(view_t *view, const store_item_t *item)
+{
+	sched_config_t *config;
+	gw_err_t err;
+
+	config = plat_config_decode(item->value, item->size_bytes, &err);
+	if (config == NULL) {
+		gw_log(GW_EV_CONFIG_IGNORED, "revision=%" PRIu64 " text=\"%s\"",
+		    item->mod_revision, err.text);
+		return;
+	}
+	if (view->config != NULL && config->version <= view->config->version) {
+		gw_log(GW_EV_CONFIG_IGNORED,
+		    "version=%" PRIu64 " in_force=%" PRIu64 " reason=not-newer",
+		    config->version, view->config->version);
+		sched_config_free(config);
+		return;
+	}
+	sched_config_free(view->config);
+	view->config = config;
+	gw_log(GW_EV_CONFIG,
+	    "version=%" PRIu64 " revision=%" PRIu64 " queues=%u pools=%u",
+	    config->version, item->mod_revision, config->queues->len,
+	    config->pools->len);
+	view->ops->on_config(config, view->arg);
+}
+
+static void
+take_wave(view_t *view, const store_item_t *item)
+{
+	plat_wave_t *wave;
+	gw_err_t err;
+
+	wave = plat_wave_decode(item->value, item->size_bytes, &err);
+	if (wave == NULL) {
+		gw_log(GW_EV_ENTRY_IGNORED, "key=%s text=\"%s\"", item->key,
+		    err.text);
+		return;
+	}
+	view->ops->on_wave(wave, view->arg);
+	plat_wave_free(wave);
+}
+
+static void
+on_operator_item(const store_item_t *item, void *arg)
+{
+	view_t *view = arg;
+
+	if (item->removed)
+		return;
+	if (plat_is_config_key(item->key))
+		take_config(view, item);
+	else if (g_str_has_prefix(item->key, PLAT_WAVE_PREFIX))
+		take_wave(view, item);
+}
+
+static void
+drop_instance(view_t *view, const char *id)
+{
+	if (g_hash_table_remove(view->instances, id))
+		view->ops->on_instance_gone(id, view->arg);
+}
+
+static void
+on_registry_item(const store_item_t *item, void *arg)
+{
+	view_t *view = arg;
+	const char *id = item->key + strlen(PLAT_INSTANCES_PREFIX);
+	sched_info_t *info;
+	gw_err_t err;
+
+	if (item->removed) {
+		drop_instance(view, id);
+		return;
+	}
+	info = g_new0(sched_info_t, 1);
+	if (plat_instance_decode(
+		info, id, item->value, item->size_bytes, &err) != 0) {
+		gw_log(GW_EV_ENTRY_IGNORED, "key=%s text=\"%s\"", item->key,
+		    err.text);
+		g_free(info);
+		drop_instance(view, id);
+		return;
+	}
+	g_hash_table_replace(view->instances, info->id, info);
+	view->ops->on_instance(info, view->arg);
+}
+
+static void
+on_listed(void *arg)
+{
+	(void)arg;
+}
+
+/* Contact with the store is reported by the roles' follower. */
+static void
+on_contact(const gw_err_t *err, void *arg)
+{
+	(void)err;
+	(void)arg;
+}
+
+static const store_follow_ops_t operator_ops = {.on_item = on_operator_item,
+    .on_listed = on_listed,
+    .on_contact = on_contact};
+static const store_follow_ops_t registry_ops = {.on_item = on_registry_item,
+    .on_listed = on_listed,
+    .on_contact = on_contact};
+
+/*
+ * Begins to follow the operators' keys.
+ */
+view_t *
+view_new(gw_rt_t *rt, store_t *store, const view_ops_t *ops, void *arg)
+{
+	view_t *view = g_new0(view_t, 1);
+
+	view->rt = rt;
+	view->store = store;
+	view->ops = ops;
+	view->arg = arg;
+	view->instances =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, info_free);
+	view->operators =
+	    store_follow(store, PLAT_OPERATOR_PREFIX, &operator_ops, view);
+	return view;
+}
+
+/*
+ * Frees the view, before the store is freed.
+ */
+void
+view_free(view_t *view)
+{
+	if (view == NULL)
+		return;
+	store_follow_free(view->operators);
+	store_follow_free(view->registry);
+	g_hash_table_destroy(view->instances);
+	sched_config_free(view->config);
+	g_free(view);
+}
+
+void
+view_want_instances(view_t *view)
+{
+	if (view->registry == NULL)
+		view->registry = store_follow(view->store,
+		    PLAT_INSTANCES_PREFIX, &registry_ops, view);
+}
+
+const sched_config_t *
+view_config(const view_t *view)
+{
+	return view->config;
+}
+
+void
+view_replay(
+    const view_t *view, void (*cb)(const sched_info_t *, void *), void *arg)
+{
+	GHashTableIter iter;
+	sched_info_t *info;
+
+	g_hash_table_iter_init(&iter, view->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&info))
+		cb(info, arg);
+}
--- a/lib/gw/clock.c
+++ b/lib/gw/clock.c
@@ -1,15 +1,24 @@
+#include <time.h>
+
 #include <glib.h>
-#include <uv.h>
 
 #include "gw/clock.h"
 
 #define NS_PER_US 1000
 
+/*
+ * Reads the clock that goes on while the machine is suspended: a lease runs out
+ * in that time.
+ */
 static uint64_t
 system_now_us(const gw_clock_t *clock)
 {
+	struct timespec ts;
+
 	(void)clock;
-	return uv_hrtime() / NS_PER_US;
+	(void)clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (uint64_t)ts.tv_sec * GW_US_PER_S +
+	    (uint64_t)ts.tv_nsec / NS_PER_US;
 }
 
 static uint64_t
--- a/lib/http/exchange.c
+++ b/lib/http/exchange.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "http/exchange.h"
+#include "http/reap.h"
 
 /* The owner's timers end an exchange; libh2o's own is only a backstop. */
 #define IO_TIMEOUT_MS 3600000
@@ -32,13 +33,6 @@
 	const char *broken_text; /* why it failed inside start */
 };
 
-/* Frees the target after libuv has closed the handles embedded in it. */
-typedef struct {
-	uv_timer_t first;
-	uv_timer_t second;
-	gw_target_t *target;
-} reaper_t;
-
 /*
  * Returns a target at addr. A connection that is idle for idle_ms is closed.
  */
@@ -63,42 +57,17 @@
 	return target;
 }
 
-static void
-on_second_closed(uv_handle_t *handle)
-{
-	reaper_t *reaper = handle->data;
-
-	g_free(reaper->target);
-	g_free(reaper);
-}
-
-static void
-on_first_closed(uv_handle_t *handle)
-{
-	reaper_t *reaper = handle->data;
-
-	uv_close((uv_handle_t *)&reaper->second, on_second_closed);
-}
-
 /*
- * Closes the idle connections. The second handle's close callback runs one
- * round of the loop after those of the handles in the target.
+ * Closes the idle connections and frees the target.
  */
 static void
 target_dispose(gw_target_t *target)
 {
 	uv_loop_t *loop = gw_rt_loop(target->rt);
-	reaper_t *reaper;
-
-	reaper = g_new0(reaper_t, 1);
-	reaper->target = target;
-	(void)uv_timer_init(loop, &reaper->first);
-	(void)uv_timer_init(loop, &reaper->second);
-	reaper->first.data = reaper;
-	reaper->second.data = reaper;
+
 	h2o_socketpool_dispose(&target->pool);
 	h2o_timeout_dispose(loop, &target->io_timeout);
-	uv_close((uv_handle_t *)&reaper->first, on_first_closed);
+	gw_reap(loop, target);
 }
 
 /*
--- a/lib/http/httpc.c
+++ b/lib/http/httpc.c
@@ -3,23 +3,35 @@
 #include <glib.h>
 
 #include "http/httpc.h"
+#include "http/reap.h"
 
 #define POOL_CONNECTIONS 64
-#define POOL_IDLE_MS 5000
+/* An idle connection is kept for the gaps between bursts of calls. */
+#define POOL_IDLE_MS 20000
 #define RESPONSE_MAX_BYTES (16 * 1024 * 1024)
 /* The total time-out of a call ends it; libh2o's own is only a backstop. */
 #define IO_TIMEOUT_MS 3600000
 
-struct gw_httpc {
-	gw_rt_t *rt;
+/* The connections of a client; a time-out replaces them all. */
+typedef struct {
+	uv_loop_t *loop;
 	h2o_socketpool_t pool;
 	h2o_timeout_t io_timeout;
 	h2o_http1client_ctx_t ctx;
+	uint32_t refs; /* the client and each call */
+} link_t;
+
+struct gw_httpc {
+	gw_rt_t *rt;
+	link_t *link;
+	gw_addr_t addr;
+	uint32_t calls;
 	char peer[GW_ADDR_TEXT_BYTES];
 };
 
 struct gw_httpc_call {
 	gw_httpc_t *client;
+	link_t *link;
 	h2o_http1client_t *http; /* NULL once it has ended */
 	gw_timer_t timer;
 	gw_httpc_done_t done;
@@ -33,6 +45,34 @@
 	bool starting; /* the call has not been returned to its owner yet */
 };
 
+static link_t *
+link_new(uv_loop_t *loop, const gw_addr_t *addr)
+{
+	gw_addr_t copy = *addr;
+	link_t *link;
+
+	link = g_new0(link_t, 1);
+	link->loop = loop;
+	link->refs = 1;
+	h2o_socketpool_init_by_address(&link->pool, (struct sockaddr *)&copy.sa,
+	    copy.len_bytes, 0, POOL_CONNECTIONS);
+	h2o_socketpool_set_timeout(&link->pool, loop, POOL_IDLE_MS);
+	h2o_timeout_init(loop, &link->io_timeout, IO_TIMEOUT_MS);
+	link->ctx.loop = loop;
+	link->ctx.io_timeout = &link->io_timeout;
+	return link;
+}
+
+static void
+link_unref(link_t *link)
+{
+	if (--link->refs > 0)
+		return;
+	h2o_socketpool_dispose(&link->pool);
+	h2o_timeout_dispose(link->loop, &link->io_timeout);
+	gw_reap(link->loop, link);
+}
+
 /*
  * Returns a client of the server at addr. No connection is made yet.
  */
@@ -40,17 +80,12 @@
 gw_httpc_new(gw_rt_t *rt, const gw_addr_t *addr)
 {
 	gw_httpc_t *client;
-	gw_addr_t copy = *addr;
 
 	client = g_new0(gw_httpc_t, 1);
 	client->rt = rt;
+	client->addr = *addr;
 	(void)gw_addr_text(addr, client->peer);
-	h2o_socketpool_init_by_address(&client->pool,
-	    (struct sockaddr *)&copy.sa, copy.len_bytes, 0, POOL_CONNECTIONS);
-	h2o_socketpool_set_timeout(&client->pool, gw_rt_loop(rt), POOL_IDLE_MS);
-	h2o_timeout_init(gw_rt_loop(rt), &client->io_timeout, IO_TIMEOUT_MS);
-	client->ctx.loop = gw_rt_loop(rt);
-	client->ctx.io_timeout = &client->io_timeout;
+	client->link = link_new(gw_rt_loop(rt), addr);
 	return client;
 }
 
@@ -62,12 +97,30 @@
 {
 	if (client == NULL)
 		return;
-	h2o_socketpool_dispose(&client->pool);
-	h2o_timeout_dispose(gw_rt_loop(client->rt), &client->io_timeout);
-	(void)uv_run(gw_rt_loop(client->rt), UV_RUN_NOWAIT);
+	link_unref(client->link);
 	g_free(client);
 }
 
+/*
+ * Gives up the idle connections: one that went silent without a reset would
+ * cost each later call its time-out. Calls under way keep theirs.
+ */
+static void
+renew_link(gw_httpc_t *client)
+{
+	link_unref(client->link);
+	client->link = link_new(gw_rt_loop(client->rt), &client->addr);
+}
+
+/*
+ * Returns the number of calls under way.
+ */
+uint32_t
+gw_httpc_calls(const gw_httpc_t *client)
+{
+	return client->calls;
+}
+
 /*
  * Returns the server's address as text.
  */
@@ -81,18 +134,32 @@
 call_free(gw_httpc_call_t *call)
 {
 	gw_timer_stop(&call->timer);
+	if (call->client != NULL)
+		call->client->calls--;
+	link_unref(call->link);
 	g_string_free(call->body, TRUE);
 	g_free(call->request.base);
 	g_free(call);
 }
 
+/*
+ * Parts the call from its client, which the owner may free in the callback.
+ */
+static void
+detach(gw_httpc_call_t *call)
+{
+	gw_timer_stop(&call->timer);
+	call->client->calls--;
+	call->client = NULL;
+}
+
 static void
 finish_ok(gw_httpc_call_t *call)
 {
 	gw_http_response_t response = {
 	    call->status, call->body->str, call->body->len};
 
-	gw_timer_stop(&call->timer);
+	detach(call);
 	call->done(&response, NULL, call->arg);
 	call_free(call);
 }
@@ -107,8 +174,8 @@
 {
 	gw_err_t err;
 
-	gw_timer_stop(&call->timer);
 	gw_err_set(&err, code, step, call->client->peer, "%s", text);
+	detach(call);
 	call->done(NULL, &err, call->arg);
 	call_free(call);
 }
@@ -142,6 +209,8 @@
 	if (call->http != NULL)
 		h2o_http1client_cancel(call->http);
 	call->http = NULL;
+	if (call->link == call->client->link)
+		renew_link(call->client);
 	finish_error(call, call->sent ? GW_ERR_TIMEOUT : GW_ERR_UNAVAILABLE,
 	    "wait for response", "time-out");
 }
@@ -230,7 +299,7 @@
 
 static h2o_iovec_t
 build_request(const gw_httpc_t *client, const char *method, const char *path,
-    const char *body)
+    const char *headers, const char *body)
 {
 	size_t size_bytes = body == NULL ? 0 : strlen(body);
 	char *text;
@@ -238,26 +307,30 @@
 	text = g_strdup_printf("%s %s HTTP/1.1\r\n"
 			       "host: %s\r\n"
 			       "content-type: application/json\r\n"
-			       "content-length: %zu\r\n\r\n%s",
-	    method, path, client->peer, size_bytes, body == NULL ? "" : body);
+			       "%scontent-length: %zu\r\n\r\n%s",
+	    method, path, client->peer, headers, size_bytes,
+	    body == NULL ? "" : body);
 	return h2o_iovec_init(text, strlen(text));
 }
 
 static gw_httpc_call_t *
 call_start(gw_httpc_t *client, const char *method, const char *path,
-    const char *body, gw_httpc_chunk_t on_chunk, gw_httpc_done_t done,
+    const char *headers, const char *body, gw_httpc_chunk_t on_chunk, gw_httpc_done_t done,
     void *arg)
 {
 	gw_httpc_call_t *call;
 
 	call = g_new0(gw_httpc_call_t, 1);
 	call->client = client;
+	call->link = client->link;
+	call->link->refs++;
+	client->calls++;
 	call->on_chunk = on_chunk;
 	call->done = done;
 	call->arg = arg;
 	call->body = g_string_new(NULL);
 	call->is_head = strcmp(method, "HEAD") == 0;
-	call->request = build_request(client, method, path, body);
+	call->request = build_request(client, method, path, headers, body);
 	return call;
 }
 
@@ -269,8 +342,8 @@
 call_connect(gw_httpc_call_t *call)
 {
 	call->starting = true;
-	h2o_http1client_connect_with_pool(&call->http, call, &call->client->ctx,
-	    &call->client->pool, on_connect);
+	h2o_http1client_connect_with_pool(&call->http, call, &call->link->ctx,
+	    &call->link->pool, on_connect);
 	call->starting = false;
 }
 
@@ -281,10 +354,22 @@
 gw_httpc_call_t *
 gw_httpc_call(gw_httpc_t *client, const char *method, const char *path,
     const char *body, uint64_t timeout_ms, gw_httpc_done_t done, void *arg)
+{
+	return gw_httpc_call_with(
+	    client, method, path, "", body, timeout_ms, done, arg);
+}
+
+/*
+ * Like gw_httpc_call(), with more header lines, each ended by CR LF.
+ */
+gw_httpc_call_t *
+gw_httpc_call_with(gw_httpc_t *client, const char *method, const char *path,
+    const char *headers, const char *body, uint64_t timeout_ms,
+    gw_httpc_done_t done, void *arg)
 {
 	gw_httpc_call_t *call;
 
-	call = call_start(client, method, path, body, NULL, done, arg);
+	call = call_start(client, method, path, headers, body, NULL, done, arg);
 	gw_timer_start(client->rt, &call->timer, timeout_ms * GW_US_PER_MS,
 	    on_timeout, call);
 	call_connect(call);
@@ -302,7 +387,8 @@
 {
 	gw_httpc_call_t *call;
 
-	call = call_start(client, method, path, body, on_chunk, done, arg);
+	call = call_start(
+	    client, method, path, "", body, on_chunk, done, arg);
 	call_connect(call);
 	return call;
 }
--- /dev/null
+++ b/lib/sched/batch.c
@@ -0,0 +1,210 @@
+#include <string.h>
+
+#include "sched/impl.h"
+
+/* Most writes that one job adds to a batch: specification and progress. */
+#define JOB_WRITES 2
+
+static void
+write_clear(gpointer data)
+{
+	sched_write_t *write = data;
+
+	if (write->value != NULL)
+		g_bytes_unref(write->value);
+}
+
+static sched_batch_t *
+batch_new(void)
+{
+	sched_batch_t *batch = g_new0(sched_batch_t, 1);
+
+	batch->writes = g_array_new(FALSE, FALSE, sizeof(sched_write_t));
+	g_array_set_clear_func(batch->writes, write_clear);
+	batch->jobs = g_ptr_array_new();
+	batch->starts = g_array_new(FALSE, FALSE, sizeof(sched_planned_t));
+	batch->acks = g_array_new(FALSE, FALSE, sizeof(sched_ack_t));
+	batch->waiters = g_array_new(FALSE, FALSE, sizeof(sched_waiter_t));
+	return batch;
+}
+
+static void
+batch_free(sched_batch_t *batch)
+{
+	g_array_free(batch->writes, TRUE);
+	g_ptr_array_free(batch->jobs, TRUE);
+	g_array_free(batch->starts, TRUE);
+	g_array_free(batch->acks, TRUE);
+	g_array_free(batch->waiters, TRUE);
+	g_free(batch);
+}
+
+static void
+add_write(
+    sched_batch_t *batch, const sched_job_t *job, bool is_spec, GBytes *value)
+{
+	sched_write_t write = {.is_spec = is_spec, .value = value};
+
+	g_strlcpy(write.job, job->id, sizeof(write.job));
+	g_array_append_val(batch->writes, write);
+}
+
+static GBytes *
+encode_spec(const Gw__JobSpec *spec)
+{
+	size_t size_bytes = gw__job_spec__get_packed_size(spec);
+	uint8_t *data = g_malloc(size_bytes);
+
+	gw__job_spec__pack(spec, data);
+	return g_bytes_new_take(data, size_bytes);
+}
+
+static void
+collect_starts(sched_batch_t *batch, sched_job_t *job)
+{
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		sched_occurrence_t *occurrence = job->occurrences->pdata[i];
+
+		for (uint32_t k = 0; k < occurrence->task_count; k++) {
+			sched_planned_t planned = {&occurrence->tasks[k],
+			    occurrence->tasks[k].run};
+
+			if (planned.task->state == SCHED_RESERVED)
+				g_array_append_val(batch->starts, planned);
+		}
+	}
+}
+
+/*
+ * Adds what is to be written of one job, and what waits for it.
+ */
+static void
+add_job(sched_batch_t *batch, sched_job_t *job)
+{
+	job->dirty = false;
+	job->in_batch = true;
+	job->taken = job->state;
+	g_ptr_array_add(batch->jobs, job);
+	if (job->expired) {
+		add_write(batch, job, false, NULL);
+		return;
+	}
+	if (!job->spec_recorded && !sched_job_ended(job))
+		add_write(batch, job, true, encode_spec(job->spec));
+	else if (sched_job_ended(job) &&
+	    job->recorded < GW__JOB_STATE__JOB_COMPLETED && job->spec_recorded)
+		add_write(batch, job, true, NULL);
+	add_write(batch, job, false, sched_record_encode(job));
+	collect_starts(batch, job);
+	g_array_append_vals(batch->acks, job->acks->data, job->acks->len);
+	g_array_set_size(job->acks, 0);
+	g_array_append_vals(
+	    batch->waiters, job->waiters->data, job->waiters->len);
+	g_array_set_size(job->waiters, 0);
+}
+
+/*
+ * Takes the records that are to be written, up to writes_max. The caller gives
+ * the batch back with sched_pool_batch_done() once the store has it all.
+ */
+sched_batch_t *
+sched_pool_take_batch(sched_pool_t *pool, uint32_t writes_max)
+{
+	sched_batch_t *batch;
+
+	if (pool->dirty->length == 0)
+		return NULL;
+	batch = batch_new();
+	while (pool->dirty->length > 0 &&
+	    batch->writes->len + JOB_WRITES <= writes_max)
+		add_job(batch, g_queue_pop_head(pool->dirty));
+	return batch;
+}
+
+bool
+sched_pool_dirty(const sched_pool_t *pool)
+{
+	return pool->dirty->length > 0;
+}
+
+uint32_t
+sched_batch_writes(const sched_batch_t *batch)
+{
+	return batch->writes->len;
+}
+
+const sched_write_t *
+sched_batch_write(const sched_batch_t *batch, uint32_t i)
+{
+	return &g_array_index(batch->writes, sched_write_t, i);
+}
+
+static void
+acknowledge(sched_pool_t *pool, const sched_ack_t *ack)
+{
+	sched_instance_t *instance =
+	    g_hash_table_lookup(pool->instances, ack->instance);
+
+	if (instance != NULL && instance->info.born_ms == ack->born_ms)
+		sched_instance_ack(instance, ack->number);
+}
+
+static void
+order_starts(sched_batch_t *batch, uint64_t now_us)
+{
+	for (guint i = 0; i < batch->starts->len; i++) {
+		const sched_planned_t *planned =
+		    &g_array_index(batch->starts, sched_planned_t, i);
+
+		if (planned->task->state == SCHED_RESERVED &&
+		    planned->task->run == planned->run)
+			sched_task_order(planned->task, now_us);
+	}
+}
+
+/*
+ * Tells the pool that the batch is recorded: runs are ordered, ends may be
+ * acknowledged, callers are answered. Frees the batch.
+ */
+void
+sched_pool_batch_done(sched_pool_t *pool, sched_batch_t *batch)
+{
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+	const sched_reply_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
+
+	order_starts(batch, now_us);
+	for (guint i = 0; i < batch->jobs->len; i++) {
+		sched_job_t *job = batch->jobs->pdata[i];
+
+		job->in_batch = false;
+		job->recorded = job->taken;
+		job->spec_recorded = true;
+		if (job->expired)
+			g_hash_table_remove(pool->jobs, job->id);
+	}
+	for (guint i = 0; i < batch->acks->len; i++)
+		acknowledge(
+		    pool, &g_array_index(batch->acks, sched_ack_t, i));
+	for (guint i = 0; i < batch->waiters->len; i++) {
+		const sched_waiter_t *waiter =
+		    &g_array_index(batch->waiters, sched_waiter_t, i);
+
+		waiter->cb(&ok, waiter->arg);
+	}
+	batch_free(batch);
+}
+
+void
+sched_batch_drop(sched_batch_t *batch)
+{
+	const sched_reply_t unknown = {
+	    .outcome = GW__CALL_OUTCOME__CALL_UNKNOWN, .reason = "owner-gone"};
+
+	for (guint i = 0; i < batch->waiters->len; i++) {
+		const sched_waiter_t *waiter =
+		    &g_array_index(batch->waiters, sched_waiter_t, i);
+
+		waiter->cb(&unknown, waiter->arg);
+	}
+	batch_free(batch);
+}
--- /dev/null
+++ b/lib/sched/caller.c
@@ -0,0 +1,167 @@
+#include <string.h>
+
+#include "gw/log.h"
+#include "sched/impl.h"
+
+static void
+wait_for_record(
+    sched_pool_t *pool, sched_job_t *job, sched_reply_cb_t cb, void *arg)
+{
+	sched_waiter_t waiter = {.cb = cb, .arg = arg};
+
+	g_array_append_val(job->waiters, waiter);
+	sched_job_mark(pool, job);
+}
+
+static Gw__JobSpec *
+copy_spec(const Gw__JobSpec *spec)
+{
+	size_t size_bytes = gw__job_spec__get_packed_size(spec);
+	g_autofree uint8_t *data = g_malloc(size_bytes);
+
+	gw__job_spec__pack(spec, data);
+	return gw__job_spec__unpack(NULL, size_bytes, data);
+}
+
+/*
+ * Takes a job. The same id again is the same job, whatever it has come to. The
+ * caller is told once the store has it.
+ */
+void
+sched_pool_submit(sched_pool_t *pool, const Gw__JobSpec *spec,
+    sched_reply_cb_t cb, void *arg)
+{
+	const sched_reply_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
+	sched_job_t *job = g_hash_table_lookup(pool->jobs, spec->id);
+
+	if (job != NULL && job->spec_recorded) {
+		cb(&ok, arg);
+		return;
+	}
+	if (job == NULL) {
+		job = sched_job_new(pool, spec->id);
+		sched_job_set_spec(job, copy_spec(spec));
+		g_ptr_array_add(pool->open, job);
+		gw_log(GW_EV_SCHED_ACCEPTED,
+		    "job=%s pool=%s queue=%s steps=%zu chain_ms=%u "
+		    "open_jobs=%u",
+		    job->id, pool->name, job->queue, job->spec->n_steps,
+		    job->chain_ms, pool->open->len);
+	}
+	wait_for_record(pool, job, cb, arg);
+}
+
+static sched_job_t *
+find(const sched_pool_t *pool, const char *queue, const char *id)
+{
+	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
+
+	return job == NULL || strcmp(job->queue, queue) != 0 ? NULL : job;
+}
+
+/*
+ * Cancels a job. The caller is told once that is recorded.
+ */
+void
+sched_pool_cancel(sched_pool_t *pool, const char *queue, const char *id,
+    sched_reply_cb_t cb, void *arg)
+{
+	const sched_reply_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
+	const sched_reply_t absent = {
+	    .outcome = GW__CALL_OUTCOME__CALL_ABSENT, .reason = "no-such-job"};
+	sched_job_t *job = find(pool, queue, id);
+
+	if (job == NULL) {
+		cb(&absent, arg);
+		return;
+	}
+	if (job->recorded >= GW__JOB_STATE__JOB_COMPLETED) {
+		cb(&ok, arg);
+		return;
+	}
+	if (!sched_job_ended(job))
+		sched_job_end(pool, job, GW__JOB_STATE__JOB_CANCELLED);
+	wait_for_record(pool, job, cb, arg);
+}
+
+/*
+ * Returns a job's state. A last state counts once it is recorded; until then
+ * the job runs.
+ */
+sched_reply_t
+sched_pool_state(
+    const sched_pool_t *pool, const char *queue, const char *id)
+{
+	sched_reply_t reply = {.outcome = GW__CALL_OUTCOME__CALL_OK};
+	const sched_job_t *job = find(pool, queue, id);
+
+	if (job == NULL || !job->spec_recorded) {
+		reply.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
+		reply.reason = "no-such-job";
+		return reply;
+	}
+	if (job->recorded >= GW__JOB_STATE__JOB_COMPLETED)
+		reply.state = job->recorded;
+	else
+		reply.state = job->begun ? GW__JOB_STATE__JOB_RUNNING
+					 : GW__JOB_STATE__JOB_QUEUED;
+	return reply;
+}
+
+/*
+ * Counts the queue's accepted jobs of which no task has started.
+ */
+uint32_t
+sched_pool_pending(const sched_pool_t *pool, const char *queue)
+{
+	uint32_t pending = 0;
+
+	for (guint i = 0; i < pool->open->len; i++) {
+		const sched_job_t *job = pool->open->pdata[i];
+
+		pending += !job->begun && job->spec_recorded &&
+		    strcmp(job->queue, queue) == 0;
+	}
+	return pending;
+}
+
+/*
+ * Sums up the pool for the planner. The strings belong to the pool, the list of
+ * idle instances is freed with g_free().
+ */
+void
+sched_pool_load_of(const sched_pool_t *pool, Gw__PoolLoad *load)
+{
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+	sched_instance_t *instance;
+	GHashTableIter iter;
+
+	gw__pool_load__init(load);
+	load->idle_instances =
+	    g_new0(char *, g_hash_table_size(pool->instances) + 1);
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
+		if (!sched_instance_usable(instance, now_us))
+			continue;
+		load->instances++;
+		load->capacity_cpu_millis += instance->info.capacity.cpu_millis;
+		load->used_cpu_millis += instance->used.cpu_millis;
+		if (instance->tasks->len == 0)
+			load->idle_instances[load->n_idle_instances++] =
+			    instance->info.id;
+	}
+	for (guint i = 0; i < pool->open->len; i++) {
+		const sched_job_t *job = pool->open->pdata[i];
+
+		for (guint k = 0; k < job->occurrences->len; k++) {
+			const sched_occurrence_t *occurrence =
+			    job->occurrences->pdata[k];
+
+			for (uint32_t n = 0; n < occurrence->step_count; n++)
+				load->waiting_cpu_ms +=
+				    (uint64_t)occurrence->steps[n].waiting *
+				    job->spec->steps[n]->cpu_millis *
+				    job->spec->steps[n]->estimate_ms / 1000;
+		}
+	}
+}
--- /dev/null
+++ b/lib/sched/config.c
@@ -0,0 +1,69 @@
+#include <string.h>
+
+#include "sched/config.h"
+
+static void
+queue_clear(gpointer data)
+{
+	sched_queue_t *queue = data;
+
+	g_free(queue->name);
+	g_free(queue->host);
+	g_free(queue->path_prefix);
+}
+
+/*
+ * Returns an empty configuration of version 0.
+ */
+sched_config_t *
+sched_config_new(void)
+{
+	sched_config_t *config = g_new0(sched_config_t, 1);
+
+	config->queues = g_array_new(FALSE, TRUE, sizeof(sched_queue_t));
+	g_array_set_clear_func(config->queues, queue_clear);
+	config->pools = g_array_new(FALSE, TRUE, sizeof(sched_pool_config_t));
+	return config;
+}
+
+/*
+ * Frees a configuration; NULL is allowed.
+ */
+void
+sched_config_free(sched_config_t *config)
+{
+	if (config == NULL)
+		return;
+	g_array_free(config->queues, TRUE);
+	g_array_free(config->pools, TRUE);
+	g_free(config);
+}
+
+/*
+ * Returns the queue whose host is the given one (case does not count) and whose
+ * prefix is the longest with which the path begins, or NULL.
+ */
+const sched_queue_t *
+sched_config_match(const sched_config_t *config, const char *host,
+    size_t host_bytes, const char *path, size_t path_bytes)
+{
+	const sched_queue_t *best = NULL;
+	size_t best_bytes = 0;
+
+	for (guint i = 0; i < config->queues->len; i++) {
+		const sched_queue_t *queue =
+		    &g_array_index(config->queues, sched_queue_t, i);
+		size_t prefix_bytes = strlen(queue->path_prefix);
+
+		if (prefix_bytes > path_bytes ||
+		    (best != NULL && prefix_bytes <= best_bytes) ||
+		    memcmp(queue->path_prefix, path, prefix_bytes) != 0)
+			continue;
+		if (strlen(queue->host) != host_bytes ||
+		    g_ascii_strncasecmp(queue->host, host, host_bytes) != 0)
+			continue;
+		best = queue;
+		best_bytes = prefix_bytes;
+	}
+	return best;
+}
--- /dev/null
+++ b/lib/sched/instance.c
@@ -0,0 +1,492 @@
+#include <string.h>
+
+#include "gw/log.h"
+#include "sched/impl.h"
+
+/* A label that names a rack begins so. */
+#define RACK_LABEL_PREFIX 'r'
+
+/*
+ * Returns the instance with this id; an unknown one is added as not listed. A
+ * former owner may have held what runs there until shortly after it lost the
+ * store, so its lease counts as lapsed only after that and one hold.
+ */
+sched_instance_t *
+sched_instance_get(sched_pool_t *pool, const char *id)
+{
+	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
+	uint64_t wait_ms;
+
+	if (instance != NULL)
+		return instance;
+	instance = g_new0(sched_instance_t, 1);
+	instance->pool = pool;
+	g_strlcpy(instance->info.id, id, sizeof(instance->info.id));
+	instance->tasks = g_ptr_array_new();
+	instance->recorded = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, g_free, NULL);
+	wait_ms = pool->bounds.hold_without_store_ms + SCHED_HOLD_MS;
+	instance->lapse_us = gw_clock_now_us(pool->clock) +
+	    wait_ms * (1000 + SCHED_DRIFT_PERMILLE);
+	g_hash_table_insert(pool->instances, instance->info.id, instance);
+	return instance;
+}
+
+/*
+ * Frees an instance on which nothing is placed.
+ */
+void
+sched_instance_free(gpointer data)
+{
+	sched_instance_t *instance = data;
+
+	g_ptr_array_free(instance->tasks, TRUE);
+	g_hash_table_destroy(instance->recorded);
+	g_strfreev(instance->info.labels);
+	g_free(instance);
+}
+
+/*
+ * Tells whether the instance may be given new work.
+ */
+bool
+sched_instance_usable(const sched_instance_t *instance, uint64_t now_us)
+{
+	return instance->listed && instance->contacted &&
+	    !instance->unreachable && !instance->info.leaving &&
+	    now_us >= instance->avoid_until_us &&
+	    now_us >= instance->drain_until_us;
+}
+
+/*
+ * Places the task on the instance and takes its room.
+ */
+void
+sched_instance_take(sched_instance_t *instance, sched_task_t *task)
+{
+	const Gw__JobStep *step = sched_task_step(task);
+
+	task->instance = instance;
+	task->job->placed++;
+	g_ptr_array_add(instance->tasks, task);
+	instance->used.cpu_millis += sched_step_cpu(step);
+	instance->used.memory_mib += step->memory_mib;
+	instance->used.accelerators += step->accelerators;
+}
+
+/*
+ * Takes the task from its instance and frees its room.
+ */
+void
+sched_instance_release(sched_task_t *task)
+{
+	const Gw__JobStep *step = sched_task_step(task);
+	sched_instance_t *instance = task->instance;
+
+	instance->used.cpu_millis -= sched_step_cpu(step);
+	instance->used.memory_mib -= step->memory_mib;
+	instance->used.accelerators -= step->accelerators;
+	g_ptr_array_remove_fast(instance->tasks, task);
+	task->instance = NULL;
+	task->job->placed--;
+	task->confirmed_us = 0;
+}
+
+/*
+ * Estimates the instance's clock.
+ */
+uint64_t
+sched_instance_clock_ms(const sched_instance_t *instance, uint64_t now_us)
+{
+	return instance->clock_ms +
+	    (now_us - instance->clock_us) / GW_US_PER_MS;
+}
+
+/*
+ * Returns the deadline for an order that is sent now, and notes when the lease
+ * that it grants has surely lapsed, should no answer come: the instance's clock
+ * may lag behind the estimate by its drift.
+ */
+uint64_t
+sched_instance_extend(sched_instance_t *instance, uint64_t now_us)
+{
+	uint64_t elapsed_us = now_us - instance->clock_us;
+	uint64_t lag_us = elapsed_us * SCHED_DRIFT_PERMILLE / 1000;
+	uint64_t left_us, lapse_us;
+
+	instance->deadline_ms = MAX(instance->deadline_ms,
+	    sched_instance_clock_ms(instance, now_us) + SCHED_HOLD_MS);
+	left_us = (instance->deadline_ms - instance->clock_ms) * GW_US_PER_MS -
+	    elapsed_us + lag_us;
+	lapse_us = now_us + left_us * (1000 + SCHED_DRIFT_PERMILLE) / 1000;
+	instance->lapse_us = MAX(instance->lapse_us, lapse_us);
+	return instance->deadline_ms;
+}
+
+/*
+ * Notes that an end is recorded, and moves the acknowledgement up to the first
+ * that is not.
+ */
+void
+sched_instance_ack(sched_instance_t *instance, uint64_t number)
+{
+	int64_t *key = g_new(int64_t, 1);
+	int64_t next;
+
+	*key = (int64_t)number;
+	g_hash_table_add(instance->recorded, key);
+	for (;;) {
+		next = (int64_t)instance->ack_number + 1;
+		if (!g_hash_table_remove(instance->recorded, &next))
+			break;
+		instance->ack_number++;
+	}
+	sched_instance_hold_at(instance,
+	    gw_clock_now_us(instance->pool->clock) + GW_US_PER_S);
+}
+
+/*
+ * Wants a hold at due_us, or earlier if that was wanted already.
+ */
+void
+sched_instance_hold_at(sched_instance_t *instance, uint64_t due_us)
+{
+	if (instance->hold_due_us == 0 || due_us < instance->hold_due_us)
+		instance->hold_due_us = due_us;
+}
+
+/*
+ * Ends all runs of the instance: its life has ended, or its lease has lapsed.
+ */
+void
+sched_instance_lost(sched_instance_t *instance, const char *reason)
+{
+	if (instance->tasks->len > 0)
+		gw_log(GW_EV_INSTANCE_LOST,
+		    "instance=%s pool=%s reason=%s runs=%u born=%" PRIu64,
+		    instance->info.id, instance->pool->name, reason,
+		    instance->tasks->len, instance->info.born_ms);
+	while (instance->tasks->len > 0)
+		sched_task_requeue(
+		    instance->tasks->pdata[instance->tasks->len - 1], reason);
+	instance->hold_due_us = 0;
+}
+
+/*
+ * Forgets what belongs to one life of the instance.
+ */
+static void
+begin_life(sched_instance_t *instance, uint64_t born_ms)
+{
+	instance->info.born_ms = born_ms;
+	instance->holding = false;
+	instance->contacted = false;
+	instance->unreachable = false;
+	instance->seen_number = 0;
+	instance->ack_number = 0;
+	instance->clock_ms = 0;
+	instance->deadline_ms = 0;
+	instance->failed_in_row = 0;
+	instance->avoid_until_us = 0;
+	g_hash_table_remove_all(instance->recorded);
+}
+
+static const char *
+find_rack(GStrv labels)
+{
+	const char *rack = NULL;
+
+	for (char **label = labels; label != NULL && *label != NULL; label++)
+		if ((*label)[0] == RACK_LABEL_PREFIX &&
+		    strchr(*label, '-') != NULL)
+			rack = *label;
+	return rack;
+}
+
+/*
+ * Takes the registry's entry of an instance: a new one, a change, or another
+ * life under the same id.
+ */
+void
+sched_pool_set_instance(sched_pool_t *pool, const sched_info_t *info)
+{
+	sched_instance_t *instance = sched_instance_get(pool, info->id);
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+	bool is_new_life = instance->info.born_ms != info->born_ms;
+	bool was_listed = instance->listed;
+
+	if (is_new_life && instance->info.born_ms > info->born_ms)
+		return; /* an entry of an earlier life */
+	if (is_new_life) {
+		sched_instance_lost(instance, "restarted");
+		begin_life(instance, info->born_ms);
+	}
+	if (!was_listed || is_new_life ||
+	    info->leaving != instance->info.leaving)
+		gw_log(GW_EV_INSTANCE_LISTED,
+		    "instance=%s pool=%s address=%s born=%" PRIu64
+		    " leaving=%d leaves_in_ms=%u cpu_millis=%" PRIu64,
+		    info->id, pool->name, info->address, info->born_ms,
+		    info->leaving, info->leaves_in_ms,
+		    info->capacity.cpu_millis);
+	g_strfreev(instance->info.labels);
+	instance->info = *info;
+	instance->info.labels = g_strdupv(info->labels);
+	instance->rack = find_rack(instance->info.labels);
+	instance->listed = true;
+	if (!instance->contacted)
+		sched_instance_hold_at(instance, now_us);
+}
+
+/*
+ * Takes the removal of the registry's entry. What runs there is held on as long
+ * as the instance answers, and waited out otherwise.
+ */
+void
+sched_pool_remove_instance(sched_pool_t *pool, const char *id)
+{
+	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
+
+	if (instance == NULL || !instance->listed)
+		return;
+	instance->listed = false;
+	gw_log(GW_EV_INSTANCE_UNLISTED, "instance=%s pool=%s runs=%u", id,
+	    pool->name, instance->tasks->len);
+}
+
+/*
+ * Sends a hold. Ends are acknowledged only to an instance that was in contact
+ * just now: to another life under the same id the number means another end.
+ */
+static void
+send_hold(sched_instance_t *instance, uint64_t now_us)
+{
+	sched_pool_t *pool = instance->pool;
+	bool is_busy = instance->tasks->len > 0;
+	bool is_fresh = instance->contacted && !instance->unreachable &&
+	    now_us - instance->report_us < SCHED_ACK_FRESH_US;
+	sched_hold_t hold = {.instance = instance->info.id,
+	    .address = instance->info.address};
+
+	if (is_busy && instance->clock_ms != 0)
+		hold.deadline_ms = sched_instance_extend(instance, now_us);
+	hold.ack_number = is_fresh ? instance->ack_number : 0;
+	hold.wait_ms = is_fresh && is_busy ? SCHED_HOLD_WAIT_MS : 0;
+	instance->holding = true;
+	instance->hold_due_us = 0;
+	instance->hold_sent_us = now_us;
+	pool->ops->hold(&hold, pool->arg);
+}
+
+/*
+ * Sends the hold that is due, and ends the runs of an instance that could not
+ * be reached until its lease lapsed.
+ */
+void
+sched_instance_tick(sched_instance_t *instance, uint64_t now_us)
+{
+	bool no_contact = instance->unreachable || !instance->listed ||
+	    !instance->contacted;
+
+	if (instance->tasks->len > 0 && no_contact &&
+	    now_us >= instance->lapse_us)
+		sched_instance_lost(instance, "lapsed");
+	if (!instance->holding && instance->hold_due_us != 0 &&
+	    now_us >= instance->hold_due_us &&
+	    instance->info.address[0] != '\0')
+		send_hold(instance, now_us);
+}
+
+/*
+ * Takes a failed hold. Another life at the address proves that this one has
+ * ended; no answer proves nothing.
+ */
+void
+sched_pool_hold_failed(
+    sched_pool_t *pool, const char *id, sched_answer_t answer)
+{
+	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+
+	if (instance == NULL)
+		return;
+	instance->holding = false;
+	if (answer == SCHED_ORDER_REPLACED) {
+		sched_instance_lost(instance, "replaced");
+		instance->contacted = false;
+		instance->listed = false;
+		return;
+	}
+	if (answer == SCHED_ORDER_FENCED) {
+		pool->ops->fenced(id, pool->arg);
+		return;
+	}
+	if (!instance->unreachable)
+		gw_log(GW_EV_INSTANCE_UNREACHABLE,
+		    "instance=%s pool=%s runs=%u lapse_ms=%" PRId64, id,
+		    pool->name, instance->tasks->len,
+		    ((int64_t)instance->lapse_us - (int64_t)now_us) / 1000);
+	instance->unreachable = true;
+	if (instance->listed || instance->tasks->len > 0)
+		sched_instance_hold_at(instance, now_us + SCHED_HOLD_RETRY_US);
+}
+
+/*
+ * Counts how the runs on an instance end: one that fails all that it starts is
+ * given nothing for a while.
+ */
+static void
+judge(sched_instance_t *instance, const sched_end_t *end, uint64_t now_us)
+{
+	if (end->kind == SCHED_END_DONE)
+		instance->failed_in_row = 0;
+	if (end->kind != SCHED_END_FAILED ||
+	    ++instance->failed_in_row < SCHED_FAILURES_MAX)
+		return;
+	instance->avoid_until_us = now_us + SCHED_AVOID_FAILING_US;
+	/* One more failure after the pause is enough for another. */
+	instance->failed_in_row = SCHED_FAILURES_MAX - 1;
+	gw_log(GW_EV_INSTANCE_AVOIDED,
+	    "instance=%s pool=%s reason=failing failed_in_row=%u for_ms=%" PRIu64,
+	    instance->info.id, instance->pool->name, SCHED_FAILURES_MAX,
+	    SCHED_AVOID_FAILING_US / GW_US_PER_MS);
+}
+
+static void
+take_end(sched_instance_t *instance, const sched_end_t *end, uint64_t now_us)
+{
+	sched_pool_t *pool = instance->pool;
+	sched_task_t *task = sched_pool_task(pool, &end->ref);
+	sched_ack_t ack = {
+	    .born_ms = instance->info.born_ms, .number = end->number};
+
+	instance->seen_number = end->number;
+	judge(instance, end, now_us);
+	if (task != NULL && task->job->recorded >= GW__JOB_STATE__JOB_COMPLETED)
+		sched_task_ended(task, instance, end);
+	if (task == NULL ||
+	    task->job->recorded >= GW__JOB_STATE__JOB_COMPLETED) {
+		/* The job has ended, and its record says so. */
+		sched_instance_ack(instance, end->number);
+		return;
+	}
+	sched_task_ended(task, instance, end);
+	g_strlcpy(ack.instance, instance->info.id, sizeof(ack.instance));
+	g_array_append_val(task->job->acks, ack);
+	sched_job_mark(pool, task->job);
+}
+
+static void
+take_running(sched_instance_t *instance, const sched_running_t *row,
+    uint64_t sent_us, uint64_t now_us)
+{
+	sched_pool_t *pool = instance->pool;
+	sched_task_t *task = sched_pool_task(pool, &row->ref);
+
+	if (task == NULL || task->instance != instance ||
+	    task->run != row->run) {
+		gw_log(GW_EV_RUN_STOP,
+		    "job=%s task=%u.%u.%u run=%u instance=%s reason=unknown",
+		    row->ref.job, row->ref.occurrence, row->ref.step,
+		    row->ref.index, row->run, instance->info.id);
+		pool->ops->stop(instance->info.id, instance->info.address,
+		    &row->ref, row->run, pool->arg);
+		return;
+	}
+	if (task->state == SCHED_STARTING || task->state == SCHED_RESERVED)
+		task->state = SCHED_RUNNING;
+	task->refused_as_old = false;
+	task->confirmed_us = MAX(task->confirmed_us, sent_us);
+	if (row->percent > task->percent)
+		task->progress_us = now_us;
+	task->percent = row->percent;
+	task->gauge = row->gauge;
+	if (row->checkpoint != NULL && row->checkpoint[0] != '\0' &&
+	    g_strcmp0(task->checkpoint, row->checkpoint) != 0) {
+		g_free(task->checkpoint);
+		task->checkpoint = g_strdup(row->checkpoint);
+	}
+	/* Its job has ended, or a stop had no answer: tell it again. */
+	if (task->state == SCHED_STOPPING &&
+	    now_us - task->sent_us > SCHED_START_RETRY_US)
+		sched_task_stop(task);
+}
+
+static bool
+is_listed(const sched_report_t *report, const sched_task_t *task)
+{
+	sched_ref_t ref = sched_task_ref(task);
+
+	for (uint32_t i = 0; i < report->running_count; i++) {
+		const sched_running_t *row = &report->running[i];
+
+		if (row->run == task->run &&
+		    row->ref.index == ref.index && row->ref.step == ref.step &&
+		    row->ref.occurrence == ref.occurrence &&
+		    strcmp(row->ref.job, ref.job) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Ends the runs that the instance no longer has: they were known to run (or
+ * were refused, or adopted) before the hold was sent, and are not listed. Their
+ * end was acknowledged to a former owner, or they were never started; a start
+ * that is still on its way is refused, since this owner's fence is there.
+ */
+static void
+requeue_missing(sched_instance_t *instance, const sched_report_t *report,
+    uint64_t sent_us)
+{
+	for (guint i = instance->tasks->len; i-- > 0;) {
+		sched_task_t *task = instance->tasks->pdata[i];
+		bool was_there = task->state == SCHED_RUNNING ||
+		    task->state == SCHED_STOPPING || task->refused_as_old;
+
+		if (was_there && task->confirmed_us < sent_us &&
+		    !is_listed(report, task))
+			sched_task_requeue(task, "missing");
+	}
+}
+
+/*
+ * Takes an instance's answer to a hold that was sent at sent_us.
+ */
+void
+sched_pool_report(sched_pool_t *pool, const char *id,
+    const sched_report_t *report, uint64_t sent_us)
+{
+	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+
+	if (instance == NULL)
+		return;
+	instance->holding = false;
+	if (report->born_ms != 0 &&
+	    report->born_ms != instance->info.born_ms) {
+		sched_instance_lost(instance, "restarted");
+		begin_life(instance, report->born_ms);
+		sched_instance_hold_at(instance, now_us);
+		return;
+	}
+	if (!instance->contacted || instance->unreachable)
+		gw_log(GW_EV_INSTANCE_BACK,
+		    "instance=%s pool=%s running=%u ends=%u", id, pool->name,
+		    report->running_count, report->end_count);
+	instance->contacted = true;
+	instance->unreachable = false;
+	instance->clock_ms = report->clock_ms;
+	instance->clock_us = now_us;
+	instance->report_us = now_us;
+	for (uint32_t i = 0; i < report->end_count; i++)
+		if (report->ends[i].number > instance->seen_number)
+			take_end(instance, &report->ends[i], now_us);
+	for (uint32_t i = 0; i < report->running_count; i++)
+		take_running(instance, &report->running[i], sent_us, now_us);
+	requeue_missing(instance, report, sent_us);
+	if (instance->tasks->len > 0 || report->running_count > 0)
+		sched_instance_hold_at(instance, now_us + SCHED_HOLD_PAUSE_US);
+	else if (instance->seen_number > instance->ack_number)
+		sched_instance_hold_at(instance, now_us + GW_US_PER_S / 2);
+}
--- /dev/null
+++ b/lib/sched/place.c
@@ -0,0 +1,361 @@
+#include <string.h>
+
+#include "sched/impl.h"
+
+/* A step is asked for advice again before its tickets end. */
+#define TICKET_MARGIN_US (200 * GW_US_PER_MS)
+#define ADVICE_INSTANCES_MAX 100
+
+/*
+ * Returns the processors that a task takes from its instance's capacity.
+ */
+uint64_t
+sched_step_cpu(const Gw__JobStep *step)
+{
+	return step->fills ? 0 : step->cpu_millis;
+}
+
+/*
+ * Tells whether the instance has room for one more task of the step.
+ */
+bool
+sched_place_fits(const sched_instance_t *instance, const Gw__JobStep *step)
+{
+	const sched_size_t *capacity = &instance->info.capacity;
+	const sched_size_t *used = &instance->used;
+
+	return used->cpu_millis + sched_step_cpu(step) <=
+	    capacity->cpu_millis &&
+	    used->memory_mib + step->memory_mib <= capacity->memory_mib &&
+	    used->accelerators + step->accelerators <= capacity->accelerators;
+}
+
+static bool
+has_label(const sched_instance_t *instance, const char *label)
+{
+	return label[0] == '\0' ||
+	    (instance->info.labels != NULL &&
+		g_strv_contains(
+		    (const char *const *)instance->info.labels, label));
+}
+
+/*
+ * Counts the tasks of the step and occurrence on the instance.
+ */
+static uint32_t
+count_step(const sched_instance_t *instance, const sched_task_t *task)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < instance->tasks->len; i++) {
+		const sched_task_t *other = instance->tasks->pdata[i];
+
+		count += other->job == task->job &&
+		    other->step == task->step &&
+		    other->occurrence == task->occurrence;
+	}
+	return count;
+}
+
+static bool
+may_run(const sched_instance_t *instance, const sched_task_t *task)
+{
+	const Gw__JobStep *step = sched_task_step(task);
+	const GHashTable *tickets = sched_task_counts(task)->tickets;
+
+	if (!has_label(instance, step->label))
+		return false;
+	if (task->job->spec->advice != NULL &&
+	    (tickets == NULL ||
+		!g_hash_table_contains(
+		    (GHashTable *)tickets, instance->info.id)))
+		return false;
+	return step->max_per_instance == 0 ||
+	    count_step(instance, task) < step->max_per_instance;
+}
+
+/*
+ * Rates an instance that fits; lower is better. Away from the data a task is
+ * slower; where it failed it may fail again; in another data centre the order
+ * costs more. Then the fullest is taken, so that others stay idle and can be
+ * lent or switched off; lasting tasks go to the emptiest, since they share an
+ * instance for long.
+ */
+static uint64_t
+rate(const sched_instance_t *instance, const sched_task_t *task)
+{
+	const Gw__JobStep *step = sched_task_step(task);
+	const sched_pool_t *pool = instance->pool;
+	uint64_t free_cpu = instance->info.capacity.cpu_millis -
+	    MIN(instance->info.capacity.cpu_millis, instance->used.cpu_millis);
+	uint64_t rating = 0;
+
+	if (strcmp(task->failed_on, instance->info.id) == 0)
+		rating += UINT64_C(1) << 50;
+	if (step->rack[0] != '\0' && g_strcmp0(step->rack, instance->rack) != 0)
+		rating += UINT64_C(1) << 49;
+	if (step->lasting)
+		return rating + (UINT64_C(1) << 40) - free_cpu;
+	if (strcmp(instance->info.data_centre, pool->data_centre) != 0)
+		rating += 500;
+	return rating + free_cpu;
+}
+
+/*
+ * Returns the best instance for the task, or NULL. only_rack limits the choice.
+ */
+static sched_instance_t *
+choose(sched_pool_t *pool, const sched_task_t *task, const char *only_rack,
+    uint64_t now_us)
+{
+	const Gw__JobStep *step = sched_task_step(task);
+	sched_instance_t *instance, *best = NULL;
+	uint64_t best_rating = 0, rating;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
+		if (!sched_instance_usable(instance, now_us) ||
+		    !sched_place_fits(instance, step) ||
+		    !may_run(instance, task))
+			continue;
+		if (only_rack != NULL &&
+		    g_strcmp0(instance->rack, only_rack) != 0)
+			continue;
+		rating = rate(instance, task);
+		if (best == NULL || rating < best_rating) {
+			best = instance;
+			best_rating = rating;
+		}
+	}
+	return best;
+}
+
+sched_instance_t *
+sched_place_task(
+    sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
+{
+	return choose(pool, task, NULL, now_us);
+}
+
+static void
+reserve(sched_pool_t *pool, sched_task_t *task, sched_instance_t *instance,
+    uint32_t run)
+{
+	const GHashTable *tickets = sched_task_counts(task)->tickets;
+
+	sched_instance_take(instance, task);
+	sched_task_counts(task)->waiting--;
+	task->state = SCHED_RESERVED;
+	task->run = run;
+	if (tickets != NULL)
+		task->ticket = g_strdup(g_hash_table_lookup(
+		    (GHashTable *)tickets, instance->info.id));
+	sched_job_mark(pool, task->job);
+}
+
+/*
+ * Asks for advice when the step's tickets are missing or about to end. Returns
+ * whether the step can be placed now.
+ */
+static bool
+have_advice(sched_pool_t *pool, sched_task_t *task, sched_step_t *step,
+    uint64_t now_us)
+{
+	g_autoptr(GPtrArray) ids = NULL;
+	sched_instance_t *instance;
+	GHashTableIter iter;
+	sched_ref_t ref;
+
+	if (task->job->spec->advice == NULL)
+		return true;
+	if (step->tickets != NULL &&
+	    now_us + TICKET_MARGIN_US < step->tickets_until_us)
+		return true;
+	if (step->asking || now_us < step->ask_after_us)
+		return false;
+	ids = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
+		if (sched_instance_usable(instance, now_us) &&
+		    ids->len < ADVICE_INSTANCES_MAX)
+			g_ptr_array_add(ids, instance->info.id);
+	if (ids->len == 0)
+		return false;
+	step->asking = true;
+	ref = sched_task_ref(task);
+	pool->ops->advise(&ref, ids, pool->arg);
+	return false;
+}
+
+static void
+place_tasks(sched_pool_t *pool, sched_occurrence_t *occurrence,
+    const sched_step_t *step, uint32_t count, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < count && step->waiting > 0; i++) {
+		sched_task_t *task = &occurrence->tasks[step->first + i];
+		sched_instance_t *instance;
+
+		if (task->state != SCHED_WAITING ||
+		    now_us < task->not_before_us)
+			continue;
+		instance = sched_place_task(pool, task, now_us);
+		if (instance == NULL)
+			return;
+		reserve(pool, task, instance, task->run + 1);
+	}
+}
+
+/*
+ * Reserves room for every member of a gang, or for none. Returns whether it
+ * did.
+ */
+static bool
+reserve_gang(sched_pool_t *pool, sched_occurrence_t *occurrence,
+    const sched_step_t *step, uint32_t count, const char *rack,
+    uint64_t now_us)
+{
+	uint32_t run = 0, placed;
+
+	for (uint32_t i = 0; i < count; i++)
+		run = MAX(run, occurrence->tasks[step->first + i].run);
+	for (placed = 0; placed < count; placed++) {
+		sched_task_t *task = &occurrence->tasks[step->first + placed];
+		sched_instance_t *instance =
+		    choose(pool, task, rack, now_us);
+
+		if (instance == NULL)
+			break;
+		reserve(pool, task, instance, run + 1);
+	}
+	if (placed == count)
+		return true;
+	while (placed-- > 0) {
+		sched_task_t *task = &occurrence->tasks[step->first + placed];
+
+		sched_instance_release(task);
+		task->state = SCHED_WAITING;
+		g_clear_pointer(&task->ticket, g_free);
+		sched_task_counts(task)->waiting++;
+	}
+	return false;
+}
+
+/*
+ * Gives all members one checkpoint, the newest; those of one gang are valid for
+ * each other.
+ */
+static void
+share_checkpoint(sched_occurrence_t *occurrence, const sched_step_t *step,
+    uint32_t count)
+{
+	const char *newest = NULL;
+	uint32_t best_run = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const sched_task_t *task = &occurrence->tasks[step->first + i];
+
+		if (task->checkpoint != NULL &&
+		    (newest == NULL || task->run > best_run)) {
+			newest = task->checkpoint;
+			best_run = task->run;
+		}
+	}
+	for (uint32_t i = 0; newest != NULL && i < count; i++) {
+		sched_task_t *task = &occurrence->tasks[step->first + i];
+
+		if (task->checkpoint == newest)
+			continue;
+		g_free(task->checkpoint);
+		task->checkpoint = g_strdup(newest);
+	}
+}
+
+/*
+ * Places a gang once all its members wait: in one rack if they need that and
+ * one has the room.
+ */
+static void
+place_gang(sched_pool_t *pool, sched_occurrence_t *occurrence,
+    const sched_step_t *step, const Gw__JobStep *spec, uint64_t now_us)
+{
+	g_autoptr(GHashTable) racks = g_hash_table_new(g_str_hash, g_str_equal);
+	sched_instance_t *instance;
+	GHashTableIter iter;
+	gpointer rack;
+
+	if (step->waiting < spec->count ||
+	    now_us < occurrence->tasks[step->first].not_before_us)
+		return;
+	share_checkpoint(occurrence, step, spec->count);
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
+		if (instance->rack != NULL)
+			g_hash_table_add(racks, (gpointer)instance->rack);
+	g_hash_table_iter_init(&iter, racks);
+	while (spec->same_rack && g_hash_table_iter_next(&iter, &rack, NULL))
+		if (reserve_gang(
+			pool, occurrence, step, spec->count, rack, now_us))
+			return;
+	(void)reserve_gang(pool, occurrence, step, spec->count, NULL, now_us);
+}
+
+static void
+place_occurrence(sched_pool_t *pool, sched_job_t *job,
+    sched_occurrence_t *occurrence, uint64_t now_us)
+{
+	for (size_t i = 0; i < job->spec->n_steps; i++) {
+		const Gw__JobStep *spec = job->spec->steps[i];
+		sched_step_t *step = &occurrence->steps[i];
+
+		if (step->waiting == 0 ||
+		    !sched_step_ready(job, occurrence, (uint32_t)i) ||
+		    !have_advice(pool, &occurrence->tasks[step->first], step,
+			now_us))
+			continue;
+		if (spec->gang)
+			place_gang(pool, occurrence, step, spec, now_us);
+		else
+			place_tasks(
+			    pool, occurrence, step, spec->count, now_us);
+	}
+}
+
+static bool
+has_waiting(const sched_job_t *job)
+{
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		const sched_occurrence_t *occurrence =
+		    job->occurrences->pdata[i];
+
+		for (uint32_t k = 0; k < occurrence->step_count; k++)
+			if (occurrence->steps[k].waiting > 0 &&
+			    sched_step_ready(job, occurrence, k))
+				return true;
+	}
+	return false;
+}
+
+/*
+ * Places what waits, job by job in their order, while there is room.
+ */
+void
+sched_place_round(sched_pool_t *pool, uint64_t now_us)
+{
+	g_autoptr(GPtrArray) jobs = g_ptr_array_new();
+
+	for (guint i = 0; i < pool->open->len; i++) {
+		sched_job_t *job = pool->open->pdata[i];
+
+		if (has_waiting(job))
+			g_ptr_array_add(jobs, job);
+	}
+	sched_order_jobs(pool, jobs, now_us);
+	for (guint i = 0; i < jobs->len; i++) {
+		sched_job_t *job = jobs->pdata[i];
+
+		for (guint k = 0; k < job->occurrences->len; k++)
+			place_occurrence(
+			    pool, job, job->occurrences->pdata[k], now_us);
+	}
+}
--- /dev/null
+++ b/lib/sched/pool.c
@@ -0,0 +1,279 @@
+#include <string.h>
+
+#include "gw/log.h"
+#include "sched/impl.h"
+
+/* A tick is due at least this often, for pauses that end without an event. */
+#define TICK_BUSY_US (50 * GW_US_PER_MS)
+#define TICK_IDLE_US (500 * GW_US_PER_MS)
+
+/*
+ * Returns a pool without jobs or instances. Nothing is decided before
+ * sched_pool_loaded().
+ */
+sched_pool_t *
+sched_pool_new(const char *name, const char *data_centre,
+    const gw_clock_t *clock, const sched_bounds_t *bounds,
+    const sched_ops_t *ops, void *arg)
+{
+	sched_pool_t *pool;
+
+	pool = g_new0(sched_pool_t, 1);
+	g_strlcpy(pool->name, name, sizeof(pool->name));
+	g_strlcpy(pool->data_centre, data_centre, sizeof(pool->data_centre));
+	pool->clock = clock;
+	pool->bounds = *bounds;
+	pool->ops = ops;
+	pool->arg = arg;
+	pool->jobs = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, sched_job_free);
+	pool->instances = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, sched_instance_free);
+	pool->open = g_ptr_array_new();
+	pool->settling = g_ptr_array_new();
+	pool->dirty = g_queue_new();
+	pool->ended = g_queue_new();
+	return pool;
+}
+
+/*
+ * Frees the pool. Callers that wait are told that the outcome is unknown.
+ */
+void
+sched_pool_free(sched_pool_t *pool)
+{
+	const sched_reply_t unknown = {
+	    .outcome = GW__CALL_OUTCOME__CALL_UNKNOWN, .reason = "owner-gone"};
+	GHashTableIter iter;
+	sched_job_t *job;
+
+	if (pool == NULL)
+		return;
+	g_hash_table_iter_init(&iter, pool->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job))
+		for (guint i = 0; i < job->waiters->len; i++) {
+			sched_waiter_t *waiter = &g_array_index(
+			    job->waiters, sched_waiter_t, i);
+			waiter->cb(&unknown, waiter->arg);
+		}
+	g_hash_table_destroy(pool->jobs);
+	g_hash_table_destroy(pool->instances);
+	g_ptr_array_free(pool->open, TRUE);
+	g_ptr_array_free(pool->settling, TRUE);
+	g_queue_free(pool->dirty);
+	g_queue_free(pool->ended);
+	g_free(pool);
+}
+
+/*
+ * Takes a job's specification as stored. Returns -1 when it is malformed.
+ */
+int
+sched_pool_load_spec(sched_pool_t *pool, const char *id, const void *data,
+    size_t size_bytes)
+{
+	Gw__JobSpec *spec = gw__job_spec__unpack(NULL, size_bytes, data);
+	sched_job_t *job;
+
+	if (spec == NULL)
+		return -1;
+	job = sched_job_new(pool, id);
+	job->spec_recorded = true;
+	sched_job_set_spec(job, spec);
+	return 0;
+}
+
+static void
+load_ended(sched_pool_t *pool, sched_job_t *job, const Gw__JobRecord *record)
+{
+	job->ended_us = gw_clock_now_us(pool->clock);
+	job->finished_wall_ms = record->finished_wall_ms;
+	g_queue_push_tail(pool->ended, job);
+}
+
+/*
+ * Takes a job's progress as stored, after all specifications. Returns -1 when
+ * it is malformed, or when an open job has no specification.
+ */
+int
+sched_pool_load_record(sched_pool_t *pool, const char *id, const void *data,
+    size_t size_bytes)
+{
+	Gw__JobRecord *record = gw__job_record__unpack(NULL, size_bytes, data);
+	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
+	int rc = 0;
+
+	if (record == NULL)
+		return -1;
+	if (job == NULL && record->state < GW__JOB_STATE__JOB_COMPLETED) {
+		gw__job_record__free_unpacked(record, NULL);
+		return -1;
+	}
+	if (job == NULL) {
+		job = sched_job_new(pool, id);
+		job->queue = g_strdup(record->queue);
+		job->spec_recorded = true;
+	}
+	job->state = job->recorded = record->state;
+	if (sched_job_ended(job))
+		load_ended(pool, job, record);
+	else
+		rc = sched_record_apply(pool, job, record);
+	gw__job_record__free_unpacked(record, NULL);
+	return rc;
+}
+
+/*
+ * Ends the load: all that the store has was given.
+ */
+void
+sched_pool_loaded(sched_pool_t *pool)
+{
+	uint32_t jobs = 0, placed = 0;
+	GHashTableIter iter;
+	sched_job_t *job;
+
+	g_hash_table_iter_init(&iter, pool->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job)) {
+		if (sched_job_ended(job))
+			continue;
+		g_ptr_array_add(pool->open, job);
+		jobs++;
+		placed += job->placed;
+	}
+	pool->loaded = true;
+	gw_log(GW_EV_ROLE_LOADED, "pool=%s open_jobs=%u placed=%u ended=%u",
+	    pool->name, jobs, placed, pool->ended->length);
+}
+
+/*
+ * Repeats orders that had no answer, and takes tasks off an instance that
+ * leaves.
+ */
+static void
+tick_instance(sched_instance_t *instance, uint64_t now_us)
+{
+	for (guint i = 0; i < instance->tasks->len; i++) {
+		sched_task_t *task = instance->tasks->pdata[i];
+
+		if (task->state == SCHED_STARTING && !instance->unreachable &&
+		    !task->refused_as_old &&
+		    now_us - task->sent_us > SCHED_START_RETRY_US)
+			sched_task_order(task, now_us);
+	}
+	sched_evacuate(instance, now_us);
+	sched_instance_tick(instance, now_us);
+}
+
+static uint64_t
+tick_instances(sched_pool_t *pool, uint64_t now_us)
+{
+	uint64_t due_us = UINT64_MAX;
+	sched_instance_t *instance;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
+		tick_instance(instance, now_us);
+		if (!instance->listed && instance->tasks->len == 0 &&
+		    !instance->holding) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		if (instance->hold_due_us != 0 && !instance->holding)
+			due_us = MIN(due_us, instance->hold_due_us);
+	}
+	return due_us;
+}
+
+/*
+ * Frees what an ended job needs no more, once nothing of it runs and its end is
+ * recorded.
+ */
+static void
+settle(sched_pool_t *pool)
+{
+	for (guint i = pool->settling->len; i-- > 0;) {
+		sched_job_t *job = pool->settling->pdata[i];
+
+		if (job->placed > 0 || job->in_batch || job->dirty ||
+		    job->recorded != job->state)
+			continue;
+		g_ptr_array_set_size(job->occurrences, 0);
+		gw__job_spec__free_unpacked(job->spec, NULL);
+		job->spec = NULL;
+		g_ptr_array_remove_index_fast(pool->settling, i);
+	}
+}
+
+/*
+ * Marks the ended jobs whose state need not be known any longer.
+ */
+static void
+expire(sched_pool_t *pool, uint64_t now_us)
+{
+	uint64_t kept_us = pool->bounds.status_s * GW_US_PER_S;
+
+	while (pool->ended->length > 0) {
+		sched_job_t *job = g_queue_peek_head(pool->ended);
+
+		if (now_us - job->ended_us < kept_us || job->spec != NULL)
+			return;
+		g_queue_pop_head(pool->ended);
+		job->expired = true;
+		sched_job_mark(pool, job);
+	}
+}
+
+static void
+open_occurrences(sched_pool_t *pool)
+{
+	for (guint i = 0; i < pool->open->len; i++) {
+		sched_job_t *job = pool->open->pdata[i];
+
+		if (job->next_occurrence < MAX(job->spec->repeats, 1))
+			sched_job_open_occurrences(job, pool->wall_ms);
+	}
+}
+
+uint64_t
+sched_pool_tick(sched_pool_t *pool, uint64_t wall_ms)
+{
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+	uint64_t due_us, delay_us;
+
+	pool->wall_ms = wall_ms;
+	if (!pool->loaded)
+		return TICK_BUSY_US;
+	open_occurrences(pool);
+	due_us = tick_instances(pool, now_us);
+	sched_place_round(pool, now_us);
+	settle(pool);
+	expire(pool, now_us);
+	delay_us = pool->open->len > 0 ? TICK_BUSY_US : TICK_IDLE_US;
+	if (due_us != UINT64_MAX)
+		delay_us =
+		    MIN(delay_us, due_us > now_us ? due_us - now_us : 1000);
+	return delay_us;
+}
+
+/*
+ * Keeps the instance free of new work for a while, and takes off what can be
+ * moved. Returns true once nothing is placed on it. An instance that this pool
+ * does not know counts as free.
+ */
+bool
+sched_pool_drain(sched_pool_t *pool, const char *id, uint32_t for_ms)
+{
+	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+
+	if (instance == NULL)
+		return true;
+	if (instance->drain_until_us < now_us)
+		gw_log(GW_EV_INSTANCE_DRAIN,
+		    "instance=%s pool=%s runs=%u for_ms=%u", id, pool->name,
+		    instance->tasks->len, for_ms);
+	instance->drain_until_us = now_us + for_ms * GW_US_PER_MS;
+	return instance->tasks->len == 0;
+}
--- /dev/null
+++ b/lib/sched/record.c
@@ -0,0 +1,180 @@
+#include <string.h>
+
+#include "sched/impl.h"
+
+/* The hosts of a record while it is built. */
+typedef struct {
+	GPtrArray *hosts; /* Gw__HostRecord */
+	GHashTable *index; /* instance -> place in hosts + 1 */
+} hosts_t;
+
+static uint32_t
+host_index(hosts_t *hosts, sched_instance_t *instance)
+{
+	gpointer found = g_hash_table_lookup(hosts->index, instance);
+	Gw__HostRecord *host;
+
+	if (found != NULL)
+		return GPOINTER_TO_UINT(found);
+	host = g_new(Gw__HostRecord, 1);
+	gw__host_record__init(host);
+	host->instance = instance->info.id;
+	host->born_ms = instance->info.born_ms;
+	g_ptr_array_add(hosts->hosts, host);
+	g_hash_table_insert(
+	    hosts->index, instance, GUINT_TO_POINTER(hosts->hosts->len));
+	return hosts->hosts->len;
+}
+
+static void
+fill_task(Gw__TaskRecord *record, const sched_task_t *task, hosts_t *hosts)
+{
+	gw__task_record__init(record);
+	record->run = task->run;
+	record->failures = task->failures;
+	if (task->state == SCHED_DONE) {
+		record->state = GW__TASK_STATE__TASK_DONE;
+		return;
+	}
+	if (task->checkpoint != NULL)
+		record->checkpoint = task->checkpoint;
+	if (task->instance == NULL)
+		return;
+	record->state = GW__TASK_STATE__TASK_PLACED;
+	record->host = host_index(hosts, task->instance);
+}
+
+static Gw__OccurrenceRecord *
+occurrence_record(const sched_occurrence_t *occurrence, hosts_t *hosts)
+{
+	Gw__OccurrenceRecord *record = g_new(Gw__OccurrenceRecord, 1);
+	Gw__TaskRecord *tasks = g_new(Gw__TaskRecord, occurrence->task_count);
+
+	gw__occurrence_record__init(record);
+	record->number = occurrence->number;
+	record->n_tasks = occurrence->task_count;
+	record->tasks = g_new(Gw__TaskRecord *, occurrence->task_count);
+	for (uint32_t i = 0; i < occurrence->task_count; i++) {
+		record->tasks[i] = &tasks[i];
+		fill_task(&tasks[i], &occurrence->tasks[i], hosts);
+	}
+	return record;
+}
+
+static void
+occurrence_record_free(gpointer data)
+{
+	Gw__OccurrenceRecord *record = data;
+
+	if (record->n_tasks > 0)
+		g_free(record->tasks[0]);
+	g_free(record->tasks);
+	g_free(record);
+}
+
+/*
+ * Returns the job's progress as the store keeps it. An ended job needs no
+ * tasks: what a later owner finds running of it is stopped.
+ */
+GBytes *
+sched_record_encode(const sched_job_t *job)
+{
+	g_autoptr(GPtrArray) occurrences =
+	    g_ptr_array_new_with_free_func(occurrence_record_free);
+	hosts_t hosts = {g_ptr_array_new_with_free_func(g_free),
+	    g_hash_table_new(NULL, NULL)};
+	Gw__JobRecord record = GW__JOB_RECORD__INIT;
+	uint8_t *data;
+	size_t size_bytes;
+
+	record.state = job->state;
+	record.queue = job->queue;
+	record.finished_wall_ms = job->finished_wall_ms;
+	record.first_open = job->next_occurrence;
+	for (guint i = 0; !sched_job_ended(job) && i < job->occurrences->len;
+	     i++)
+		g_ptr_array_add(occurrences,
+		    occurrence_record(job->occurrences->pdata[i], &hosts));
+	record.n_occurrences = occurrences->len;
+	record.occurrences = (Gw__OccurrenceRecord **)occurrences->pdata;
+	record.n_hosts = hosts.hosts->len;
+	record.hosts = (Gw__HostRecord **)hosts.hosts->pdata;
+	size_bytes = gw__job_record__get_packed_size(&record);
+	data = g_malloc(size_bytes);
+	gw__job_record__pack(&record, data);
+	g_ptr_array_free(hosts.hosts, TRUE);
+	g_hash_table_destroy(hosts.index);
+	return g_bytes_new_take(data, size_bytes);
+}
+
+/*
+ * Places a task as recorded. The order to start may never have been sent, or
+ * the run may have ended: the instance's next report tells.
+ */
+static void
+adopt_placed(sched_pool_t *pool, sched_task_t *task,
+    const Gw__HostRecord *host)
+{
+	sched_instance_t *instance;
+
+	instance = sched_instance_get(pool, host->instance);
+	if (instance->info.born_ms == 0)
+		instance->info.born_ms = host->born_ms;
+	if (instance->info.born_ms != host->born_ms)
+		return; /* that life has ended, and the run with it */
+	task->state = SCHED_RUNNING;
+	task->progress_us = gw_clock_now_us(pool->clock);
+	sched_instance_take(instance, task);
+	sched_task_counts(task)->waiting--;
+	task->job->begun = true;
+}
+
+static int
+apply_task(sched_pool_t *pool, sched_occurrence_t *occurrence,
+    sched_task_t *task, const Gw__JobRecord *record,
+    const Gw__TaskRecord *from)
+{
+	sched_step_t *step = &occurrence->steps[task->step];
+
+	task->run = from->run;
+	task->failures = from->failures;
+	task->job->begun |= from->run > 0;
+	if (from->checkpoint[0] != '\0')
+		task->checkpoint = g_strdup(from->checkpoint);
+	if (from->state == GW__TASK_STATE__TASK_DONE) {
+		task->state = SCHED_DONE;
+		step->waiting--;
+		step->open--;
+		occurrence->open--;
+	} else if (from->state == GW__TASK_STATE__TASK_PLACED) {
+		if (from->host == 0 || from->host > record->n_hosts)
+			return -1;
+		adopt_placed(pool, task, record->hosts[from->host - 1]);
+	}
+	return 0;
+}
+
+/*
+ * Brings a job with its specification to the recorded progress. Returns -1 when
+ * the record does not fit the specification.
+ */
+int
+sched_record_apply(
+    sched_pool_t *pool, sched_job_t *job, const Gw__JobRecord *record)
+{
+	job->next_occurrence = record->first_open;
+	for (size_t i = 0; i < record->n_occurrences; i++) {
+		const Gw__OccurrenceRecord *from = record->occurrences[i];
+		sched_occurrence_t *occurrence =
+		    sched_occurrence_new(job, from->number);
+
+		g_ptr_array_add(job->occurrences, occurrence);
+		if (from->n_tasks != occurrence->task_count)
+			return -1;
+		for (uint32_t k = 0; k < occurrence->task_count; k++)
+			if (apply_task(pool, occurrence, &occurrence->tasks[k],
+				record, from->tasks[k]) != 0)
+				return -1;
+	}
+	return 0;
+}
--- /dev/null
+++ b/lib/sched/run.c
@@ -0,0 +1,317 @@
+#include <string.h>
+
+#include "gw/log.h"
+#include "sched/impl.h"
+
+/* Pause before a task starts again that failed, or that was refused. */
+#define PAUSE_FAILED_US (50 * GW_US_PER_MS)
+#define PAUSE_REFUSED_US (20 * GW_US_PER_MS)
+
+static const char *
+end_name(sched_end_kind_t kind)
+{
+	static const char *const names[] = {
+	    "done", "failed", "stopped", "lapsed", "broken", "alone"};
+
+	return names[kind];
+}
+
+static sched_pool_t *
+pool_of(const sched_task_t *task)
+{
+	return task->instance->pool;
+}
+
+/*
+ * Takes a task from its instance; it waits for another run, unless its job has
+ * ended.
+ */
+void
+sched_task_requeue(sched_task_t *task, const char *reason)
+{
+	sched_pool_t *pool = pool_of(task);
+
+	gw_log(GW_EV_RUN_REQUEUED,
+	    "job=%s task=%u.%u.%u run=%u instance=%s reason=%s", task->job->id,
+	    task->occurrence, task->step, task->index, task->run,
+	    task->instance->info.id, reason);
+	sched_instance_release(task);
+	task->state = SCHED_WAITING;
+	task->refused_as_old = false;
+	task->percent = 0;
+	task->pace_percent = 100;
+	g_clear_pointer(&task->ticket, g_free);
+	sched_task_counts(task)->waiting++;
+	if (!sched_job_ended(task->job))
+		sched_job_mark(pool, task->job);
+}
+
+/*
+ * Orders the task's run; also again, after an order without an answer: the
+ * instance takes a run once.
+ */
+void
+sched_task_order(sched_task_t *task, uint64_t now_us)
+{
+	sched_instance_t *instance = task->instance;
+	sched_pool_t *pool = pool_of(task);
+	sched_start_t order = {.instance = instance->info.id,
+	    .address = instance->info.address,
+	    .ref = sched_task_ref(task),
+	    .run = task->run,
+	    .payload = task->job->spec->payload,
+	    .checkpoint = task->checkpoint == NULL ? "" : task->checkpoint,
+	    .ticket = task->ticket};
+
+	order.deadline_ms = sched_instance_extend(instance, now_us);
+	order.clock_ms = sched_instance_clock_ms(instance, now_us);
+	gw_log(GW_EV_RUN_START,
+	    "job=%s task=%u.%u.%u run=%u instance=%s attempt=%d "
+	    "used_cpu=%" PRIu64 " report_age_ms=%" PRIu64,
+	    order.ref.job, order.ref.occurrence, order.ref.step,
+	    order.ref.index, order.run, order.instance,
+	    task->state == SCHED_STARTING ? 2 : 1, instance->used.cpu_millis,
+	    (now_us - instance->report_us) / GW_US_PER_MS);
+	task->state = SCHED_STARTING;
+	task->sent_us = now_us;
+	task->progress_us = now_us;
+	task->job->begun = true;
+	if (task->job->state == GW__JOB_STATE__JOB_QUEUED)
+		task->job->state = GW__JOB_STATE__JOB_RUNNING;
+	pool->ops->start(&order, pool->arg);
+}
+
+/*
+ * Tells a placed task's run to stop. Its room is free once the end is listed.
+ */
+void
+sched_task_stop(sched_task_t *task)
+{
+	sched_instance_t *instance = task->instance;
+	sched_pool_t *pool;
+	sched_ref_t ref;
+
+	if (instance == NULL)
+		return;
+	pool = instance->pool;
+	if (task->state == SCHED_RESERVED) {
+		sched_task_requeue(task, "not-needed");
+		return;
+	}
+	ref = sched_task_ref(task);
+	task->state = SCHED_STOPPING;
+	task->sent_us = gw_clock_now_us(pool->clock);
+	gw_log(GW_EV_RUN_STOP,
+	    "job=%s task=%u.%u.%u run=%u instance=%s reason=%s", ref.job,
+	    ref.occurrence, ref.step, ref.index, task->run, instance->info.id,
+	    sched_job_ended(task->job) ? "job-ended" : "moved");
+	pool->ops->stop(instance->info.id, instance->info.address, &ref,
+	    task->run, pool->arg);
+	sched_instance_hold_at(instance, task->sent_us + SCHED_HOLD_PAUSE_US);
+}
+
+/*
+ * Marks the task done, and its job when nothing else is open.
+ */
+static void
+task_done(sched_pool_t *pool, sched_task_t *task)
+{
+	sched_job_t *job = task->job;
+	sched_occurrence_t *occurrence =
+	    sched_job_occurrence(job, task->occurrence);
+
+	if (task->instance != NULL)
+		sched_instance_release(task);
+	else
+		sched_task_counts(task)->waiting--;
+	task->state = SCHED_DONE;
+	sched_task_counts(task)->open--;
+	occurrence->open--;
+	if (occurrence->open > 0 || sched_job_ended(job))
+		return;
+	for (guint i = 0; i < job->occurrences->len; i++)
+		if (((sched_occurrence_t *)job->occurrences->pdata[i])->open >
+		    0)
+			return;
+	if (job->next_occurrence >= MAX(job->spec->repeats, 1))
+		sched_job_end(pool, job, GW__JOB_STATE__JOB_COMPLETED);
+}
+
+/*
+ * Ends all members of a gang with the one that is done.
+ */
+static void
+gang_done(sched_pool_t *pool, sched_task_t *task)
+{
+	sched_occurrence_t *occurrence =
+	    sched_job_occurrence(task->job, task->occurrence);
+	sched_step_t *step = &occurrence->steps[task->step];
+	uint32_t count = sched_task_step(task)->count;
+
+	for (uint32_t i = 0; i < count; i++) {
+		sched_task_t *member = &occurrence->tasks[step->first + i];
+
+		if (member != task && member->state != SCHED_DONE)
+			task_done(pool, member);
+	}
+	if (task->state != SCHED_DONE)
+		task_done(pool, task);
+}
+
+/*
+ * Counts a failed run; a task that has failed too often fails its job. Gangs
+ * count once: their members' other ends are not failures.
+ */
+static void
+task_failed(sched_pool_t *pool, sched_task_t *task, uint64_t now_us)
+{
+	sched_job_t *job = task->job;
+	uint32_t failures = 0;
+
+	task->not_before_us = now_us + PAUSE_FAILED_US;
+	if (sched_task_step(task)->lasting || sched_job_ended(job))
+		return;
+	task->failures++;
+	failures = task->failures;
+	if (sched_task_step(task)->gang) {
+		sched_occurrence_t *occurrence =
+		    sched_job_occurrence(job, task->occurrence);
+		uint32_t first = occurrence->steps[task->step].first;
+
+		failures = 0;
+		for (uint32_t i = 0; i < sched_task_step(task)->count; i++)
+			failures += occurrence->tasks[first + i].failures;
+	}
+	if (failures >= job->spec->max_attempts)
+		sched_job_end(pool, job, GW__JOB_STATE__JOB_FAILED);
+}
+
+/*
+ * Takes the end of a run that an instance listed. The end of an earlier run
+ * counts only when it is done: no later one can be under way then, since a run
+ * is followed by another only when it has surely ended.
+ */
+void
+sched_task_ended(
+    sched_task_t *task, sched_instance_t *instance, const sched_end_t *end)
+{
+	sched_pool_t *pool = instance->pool;
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+	bool is_current =
+	    task->instance == instance && task->run == end->run;
+
+	gw_log(GW_EV_RUN_END,
+	    "job=%s task=%u.%u.%u run=%u instance=%s end=%s number=%" PRIu64
+	    " current=%d ran_ms=%" PRIu64,
+	    end->ref.job, end->ref.occurrence, end->ref.step, end->ref.index,
+	    end->run, instance->info.id, end_name(end->kind), end->number,
+	    is_current,
+	    is_current ? (now_us - task->sent_us) / GW_US_PER_MS : 0);
+	if (!is_current || task->state == SCHED_DONE)
+		return;
+	if (end->checkpoint != NULL && end->checkpoint[0] != '\0') {
+		g_free(task->checkpoint);
+		task->checkpoint = g_strdup(end->checkpoint);
+	}
+	if (end->kind == SCHED_END_DONE && !sched_task_step(task)->lasting) {
+		if (sched_task_step(task)->gang)
+			gang_done(pool, task);
+		else
+			task_done(pool, task);
+		return;
+	}
+	if (end->kind == SCHED_END_FAILED)
+		g_strlcpy(task->failed_on, instance->info.id,
+		    sizeof(task->failed_on));
+	sched_task_requeue(task, end_name(end->kind));
+	if (end->kind == SCHED_END_FAILED)
+		task_failed(pool, task, now_us);
+}
+
+static void
+avoid(sched_instance_t *instance, uint64_t now_us)
+{
+	instance->avoid_until_us = now_us + SCHED_AVOID_REFUSED_US;
+	gw_log(GW_EV_INSTANCE_AVOIDED,
+	    "instance=%s pool=%s reason=refused for_ms=%" PRIu64,
+	    instance->info.id, instance->pool->name,
+	    SCHED_AVOID_REFUSED_US / GW_US_PER_MS);
+}
+
+static void
+refused(sched_task_t *task, sched_answer_t answer, uint64_t now_us)
+{
+	sched_instance_t *instance = task->instance;
+
+	switch (answer) {
+	case SCHED_ORDER_OLD:
+		/* It ran there: the next report has the end, or it is gone. */
+		task->refused_as_old = true;
+		sched_instance_hold_at(instance, now_us);
+		return;
+	case SCHED_ORDER_LATE:
+		/* The estimate of its clock is wrong. */
+		instance->contacted = false;
+		sched_instance_hold_at(instance, now_us);
+		sched_task_requeue(task, "late");
+		return;
+	case SCHED_ORDER_NO_ROOM:
+		task->not_before_us = now_us + PAUSE_REFUSED_US;
+		instance->avoid_until_us = now_us + PAUSE_REFUSED_US;
+		sched_instance_hold_at(instance, now_us);
+		sched_task_requeue(task, "no-room");
+		return;
+	case SCHED_ORDER_TICKET:
+		g_clear_pointer(
+		    &sched_task_counts(task)->tickets, g_hash_table_destroy);
+		sched_task_requeue(task, "ticket");
+		return;
+	case SCHED_ORDER_REFUSED:
+		avoid(instance, now_us);
+		task->not_before_us = now_us + PAUSE_REFUSED_US;
+		sched_task_requeue(task, "refused");
+		return;
+	default:
+		return;
+	}
+}
+
+/*
+ * Takes the answer to an order to start. Without one the order is repeated by
+ * sched_pool_tick(), or the instance found unreachable and waited out.
+ */
+void
+sched_pool_started(sched_pool_t *pool, const char *id, const sched_ref_t *ref,
+    uint32_t run, sched_answer_t answer, uint64_t clock_ms)
+{
+	sched_task_t *task = sched_pool_task(pool, ref);
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+	sched_instance_t *instance;
+
+	(void)clock_ms;
+	if (answer != SCHED_ORDER_OK)
+		gw_log(GW_EV_RUN_REFUSED,
+		    "job=%s task=%u.%u.%u run=%u instance=%s answer=%d",
+		    ref->job, ref->occurrence, ref->step, ref->index, run, id,
+		    answer);
+	if (answer == SCHED_ORDER_FENCED) {
+		pool->ops->fenced(id, pool->arg);
+		return;
+	}
+	if (task == NULL || task->instance == NULL || task->run != run ||
+	    strcmp(task->instance->info.id, id) != 0 ||
+	    task->state != SCHED_STARTING)
+		return;
+	instance = task->instance;
+	if (answer == SCHED_ORDER_OK) {
+		task->state = SCHED_RUNNING;
+		task->confirmed_us = now_us;
+		sched_instance_hold_at(instance, now_us + SCHED_HOLD_PAUSE_US);
+	} else if (answer == SCHED_ORDER_REPLACED) {
+		sched_pool_hold_failed(pool, id, answer);
+	} else if (answer == SCHED_ORDER_NO_ANSWER) {
+		sched_instance_hold_at(instance, now_us);
+	} else {
+		refused(task, answer, now_us);
+	}
+}
--- /dev/null
+++ b/lib/sched/sched.h
@@ -0,0 +1,231 @@
+#ifndef SCHED_SCHED_H
+#define SCHED_SCHED_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "gw/clock.h"
+#include "wire/gw.pb-c.h"
+
+/*
+ * The jobs of one pool and the instances that run them, as the pool's owner
+ * sees them. Pure state: what happened comes in through functions, what is to
+ * be done goes out through sched_ops_t. docs/notes/platform.md describes it.
+ */
+typedef struct sched_pool sched_pool_t;
+
+#define SCHED_JOB_ID_BYTES 17
+#define SCHED_NAME_BYTES 64
+
+/* One task: a job, an occurrence of it, a step and a number in the step. */
+typedef struct {
+	char job[SCHED_JOB_ID_BYTES];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+} sched_ref_t;
+
+typedef struct {
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	uint64_t accelerators;
+} sched_size_t;
+
+/* What the platform's registry says of an instance. */
+typedef struct {
+	char id[SCHED_NAME_BYTES];
+	char pool[SCHED_NAME_BYTES];
+	char address[SCHED_NAME_BYTES]; /* IP:PORT */
+	char data_centre[SCHED_NAME_BYTES];
+	char machine[SCHED_NAME_BYTES]; /* empty when not said */
+	uint64_t born_ms;		/* start of this life, since 1970 */
+	bool leaving;
+	uint32_t leaves_in_ms; /* while leaving: the least time left */
+	sched_size_t capacity;
+	GStrv labels;
+} sched_info_t;
+
+/* How a run ended. */
+typedef enum {
+	SCHED_END_DONE,
+	SCHED_END_FAILED,
+	SCHED_END_STOPPED,
+	SCHED_END_LAPSED,
+	SCHED_END_BROKEN, /* another member of the gang ended */
+	SCHED_END_ALONE	  /* the other members did not come */
+} sched_end_kind_t;
+
+typedef struct {
+	uint64_t number; /* 1, 2, ... in one life of the instance */
+	sched_ref_t ref;
+	uint32_t run;
+	sched_end_kind_t kind;
+	const char *checkpoint;
+} sched_end_t;
+
+typedef struct {
+	sched_ref_t ref;
+	uint32_t run;
+	const char *checkpoint;
+	uint32_t percent; /* of the work; 100 for a lasting task at work */
+	uint32_t gauge;	  /* tail in ms of a serving task, else cpu millis */
+} sched_running_t;
+
+/* An instance's answer to a hold. */
+typedef struct {
+	uint64_t clock_ms; /* of the instance */
+	uint64_t born_ms;  /* 0 when not said */
+	const sched_running_t *running;
+	uint32_t running_count;
+	const sched_end_t *ends;
+	uint32_t end_count;
+} sched_report_t;
+
+/* How an order was answered. */
+typedef enum {
+	SCHED_ORDER_OK,
+	SCHED_ORDER_FENCED,    /* the instance has seen a higher fence */
+	SCHED_ORDER_OLD,       /* a run as high as this has ended there */
+	SCHED_ORDER_LATE,      /* its deadline had passed */
+	SCHED_ORDER_NO_ROOM,
+	SCHED_ORDER_TICKET,
+	SCHED_ORDER_REFUSED,   /* not done: unhealthy, or malformed */
+	SCHED_ORDER_REPLACED,  /* another life answers at the address */
+	SCHED_ORDER_NO_ANSWER  /* may have been done, or may yet be */
+} sched_answer_t;
+
+/* An order to start a run. Valid during the call. */
+typedef struct {
+	const char *instance;
+	const char *address;
+	sched_ref_t ref;
+	uint32_t run;
+	const char *payload;
+	const char *checkpoint; /* empty: none */
+	const char *ticket;	/* NULL: none */
+	uint64_t deadline_ms;	/* on the instance's clock */
+	uint64_t clock_ms;	/* instance's clock when the order was made */
+} sched_start_t;
+
+/* An order to hold what runs, and to report. Valid during the call. */
+typedef struct {
+	const char *instance;
+	const char *address;
+	uint64_t deadline_ms; /* 0: do not extend */
+	uint64_t ack_number;  /* ends up to here are recorded */
+	uint32_t wait_ms;
+} sched_hold_t;
+
+/* The answer to a caller. */
+typedef struct {
+	Gw__CallOutcome outcome;
+	Gw__JobState state;
+	uint32_t pending;
+	uint32_t retry_after_ms;
+	const char *reason;
+} sched_reply_t;
+
+typedef void (*sched_reply_cb_t)(const sched_reply_t *, void *arg);
+
+/* A record to write or remove. */
+typedef struct {
+	char job[SCHED_JOB_ID_BYTES];
+	bool is_spec;  /* the job as submitted, else its progress */
+	GBytes *value; /* NULL: remove */
+} sched_write_t;
+
+/* Records to be written together, and what follows once they are. */
+typedef struct sched_batch sched_batch_t;
+
+typedef struct {
+	void (*start)(const sched_start_t *, void *arg);
+	void (*stop)(const char *instance, const char *address,
+	    const sched_ref_t *, uint32_t run, void *arg);
+	void (*pace)(const char *instance, const char *address,
+	    const sched_ref_t *, uint32_t run, uint32_t percent, void *arg);
+	/* A hold is due; at most one per instance is under way. */
+	void (*hold)(const sched_hold_t *, void *arg);
+	/* An instance that is asked which instances may run the step. */
+	void (*advise)(const sched_ref_t *, const GPtrArray *instances,
+	    void *arg);
+	/* An instance refuses the owner's fence. */
+	void (*fenced)(const char *instance, void *arg);
+} sched_ops_t;
+
+/* The platform's bounds that decisions depend on. */
+typedef struct {
+	uint32_t hold_max_ms;	/* longest lease of what runs */
+	uint32_t stop_grace_ms;
+	uint32_t gang_timeout_ms;
+	uint32_t status_s;	/* how long a finished job stays known */
+	uint32_t remote_permille; /* slow-down away from the data's rack */
+	uint32_t early_ms;
+	uint32_t restore_ms;
+	uint32_t notice_ms;
+	uint32_t harm_ms;
+	uint32_t pace_ms;
+	/* Longest time for which an owner that lost the store holds on. */
+	uint32_t hold_without_store_ms;
+} sched_bounds_t;
+
+sched_pool_t *sched_pool_new(const char *name, const char *data_centre,
+    const gw_clock_t *, const sched_bounds_t *, const sched_ops_t *, void *arg);
+void sched_pool_free(sched_pool_t *);
+
+/* Takeover: every record of the store, then sched_pool_loaded(). */
+int sched_pool_load_spec(
+    sched_pool_t *, const char *job, const void *, size_t size_bytes);
+int sched_pool_load_record(
+    sched_pool_t *, const char *job, const void *, size_t size_bytes);
+void sched_pool_loaded(sched_pool_t *);
+
+/* Instances. */
+void sched_pool_set_instance(sched_pool_t *, const sched_info_t *);
+void sched_pool_remove_instance(sched_pool_t *, const char *id);
+void sched_pool_report(sched_pool_t *, const char *instance,
+    const sched_report_t *, uint64_t sent_us);
+void sched_pool_hold_failed(
+    sched_pool_t *, const char *instance, sched_answer_t);
+void sched_pool_started(sched_pool_t *, const char *instance,
+    const sched_ref_t *, uint32_t run, sched_answer_t, uint64_t clock_ms);
+
+/* Advice on a step of a job. tickets[i] belongs to instances[i]. */
+void sched_pool_advised(sched_pool_t *, const sched_ref_t *step,
+    const char *const *instances, const char *const *tickets, uint32_t count,
+    uint32_t valid_ms);
+void sched_pool_advice_failed(sched_pool_t *, const sched_ref_t *step);
+
+/* Callers. The callback comes once, perhaps before the call returns. */
+void sched_pool_submit(
+    sched_pool_t *, const Gw__JobSpec *, sched_reply_cb_t, void *arg);
+void sched_pool_cancel(sched_pool_t *, const char *queue, const char *job,
+    sched_reply_cb_t, void *arg);
+sched_reply_t sched_pool_state(
+    const sched_pool_t *, const char *queue, const char *job);
+uint32_t sched_pool_pending(const sched_pool_t *, const char *queue);
+
+/* Store. One batch at a time; NULL when nothing is to be written. */
+sched_batch_t *sched_pool_take_batch(sched_pool_t *, uint32_t writes_max);
+uint32_t sched_batch_writes(const sched_batch_t *);
+const sched_write_t *sched_batch_write(const sched_batch_t *, uint32_t i);
+void sched_pool_batch_done(sched_pool_t *, sched_batch_t *);
+/*
+ * Frees a batch whose outcome does not matter any more, since the pool is given
+ * up. Its callers are told that the outcome is unknown.
+ */
+void sched_batch_drop(sched_batch_t *);
+bool sched_pool_dirty(const sched_pool_t *);
+
+/*
+ * Decides what is to be done now. wall_ms is the time of day, for jobs with a
+ * schedule. Returns the time until the next call is due.
+ */
+uint64_t sched_pool_tick(sched_pool_t *, uint64_t wall_ms);
+
+/* Planned work: no more starts there; true once nothing runs on it. */
+bool sched_pool_drain(sched_pool_t *, const char *instance, uint32_t for_ms);
+void sched_pool_load_of(const sched_pool_t *, Gw__PoolLoad *);
+
+#endif
--- a/lib/store/call.c
+++ b/lib/store/call.c
@@ -61,7 +61,8 @@
 	gw_err_t refused;
 
 	call->http = NULL;
-	if (response != NULL && response->status == 200) {
+	if (response != NULL &&
+	    (response->status == 200 || call->any_status)) {
 		call->end(call, response, NULL);
 		store_call_free(call);
 		return;
@@ -80,13 +81,21 @@
 void
 store_call_send(store_call_t *call, const char *path, char *body)
 {
-	store_t *store = call->store;
-
-	call->http = gw_httpc_call(
-	    store->http, "POST", path, body, store->timeout_ms, on_done, call);
+	store_call_send_to(call, "POST", path, body, call->store->timeout_ms);
 	free(body);
 }
 
+/*
+ * Sends the call with another method or time-out. body may be NULL.
+ */
+void
+store_call_send_to(store_call_t *call, const char *method, const char *path,
+    const char *body, uint64_t timeout_ms)
+{
+	call->http = gw_httpc_call(call->store->http, method, path, body,
+	    timeout_ms, on_done, call);
+}
+
 static void
 on_refusal(gw_timer_t *timer, void *arg)
 {
--- a/lib/store/call.h
+++ b/lib/store/call.h
@@ -12,6 +12,7 @@
 struct store {
 	gw_rt_t *rt;
 	gw_httpc_t *http;
+	const store_form_t *form; /* NULL: the gateway's own functions only */
 	uint64_t timeout_ms;
 	GQueue calls;	/* store_call_t that have not ended */
 	GQueue watches; /* store_watch_t that have not ended */
@@ -30,6 +31,7 @@
 	gw_timer_t refusal;
 	gw_err_t err;
 	bool is_write;
+	bool any_status; /* end also handles answers other than 200 */
 	store_call_end_t end;
 	char *key; /* NULL for leases */
 	GList link;
@@ -37,6 +39,9 @@
 		store_get_cb_t get;
 		store_put_cb_t put;
 		store_lease_cb_t lease;
+		store_page_cb_t page;
+		store_txn_cb_t txn;
+		store_ttl_cb_t ttl;
 	} cb;
 	void *arg;
 };
@@ -44,6 +49,8 @@
 store_call_t *store_call_new(
     store_t *, const char *key, bool is_write, store_call_end_t, void *arg);
 void store_call_send(store_call_t *, const char *path, char *body);
+void store_call_send_to(store_call_t *, const char *method, const char *path,
+    const char *body, uint64_t timeout_ms);
 void store_call_refuse(store_call_t *, gw_errc_t, const char *reason);
 void store_call_free(store_call_t *);
 void store_call_bad_answer(const store_call_t *, gw_err_t *);
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "gw/addr.h"
 #include "gw/err.h"
 #include "gw/runtime.h"
@@ -48,6 +50,80 @@
 	void (*on_end)(const gw_err_t *, void *arg);
 } store_watch_ops_t;
 
+/*
+ * The part below speaks a published form that is given as a table (form.h):
+ * several keys at a time, prefixes, leases in milliseconds.
+ */
+typedef struct store_form store_form_t;
+
+/* A condition: the key's mod_revision; 0 means that it is absent. */
+typedef struct {
+	const char *key;
+	uint64_t revision;
+} store_guard_t;
+
+typedef struct {
+	const char *key;
+	const void *value;
+	uint64_t size_bytes;
+	uint64_t lease_id; /* 0: none */
+} store_write_t;
+
+/* One atomic change. The arrays belong to the caller. */
+typedef struct {
+	const store_guard_t *guards;
+	uint32_t guard_count;
+	const store_write_t *writes;
+	uint32_t write_count;
+	const char *const *removes;
+	uint32_t remove_count;
+} store_txn_t;
+
+/* Entries that one transaction may hold, guards included. */
+#define STORE_TXN_ENTRIES_MAX 32
+
+/* A key as read, or its removal. */
+typedef struct {
+	char *key;
+	char *value; /* NUL-terminated */
+	uint64_t size_bytes;
+	uint64_t create_revision;
+	uint64_t mod_revision; /* of a removal: when it happened */
+	uint64_t lease_id;
+	bool removed;
+} store_item_t;
+
+/* Items in the order of the store. */
+typedef struct {
+	GPtrArray *items; /* store_item_t */
+	bool truncated;	  /* more follow after the last key */
+	uint64_t store_revision;
+} store_page_t;
+
+/* One of page and err is NULL. GW_ERR_NOT_FOUND: the history is gone. */
+typedef void (*store_page_cb_t)(
+    const store_page_t *, const gw_err_t *, void *arg);
+/*
+ * On success the revision of the change. On GW_ERR_CONFLICT nothing was done
+ * and current has the guarded keys; GW_ERR_NOT_FOUND: the lease has ended;
+ * GW_ERR_UNAVAILABLE: nothing was done; GW_ERR_UNKNOWN and GW_ERR_TIMEOUT: it
+ * may have taken effect, or may yet.
+ */
+typedef void (*store_txn_cb_t)(uint64_t revision, const store_page_t *current,
+    const gw_err_t *, void *arg);
+typedef void (*store_ttl_cb_t)(
+    uint64_t lease_id, uint32_t ttl_ms, const gw_err_t *, void *arg);
+
+void store_set_form(store_t *, const store_form_t *);
+void store_range(store_t *, const char *prefix, const char *after_key,
+    store_page_cb_t, void *arg);
+void store_txn(store_t *, const store_txn_t *, store_txn_cb_t, void *arg);
+void store_poll(store_t *, const char *prefix, uint64_t after_revision,
+    uint32_t wait_ms, store_page_cb_t, void *arg);
+void store_lease_open(store_t *, uint32_t ttl_ms, store_ttl_cb_t, void *arg);
+void store_lease_keep(store_t *, uint64_t lease_id, store_ttl_cb_t, void *arg);
+void store_lease_end(store_t *, uint64_t lease_id, store_ttl_cb_t, void *arg);
+
 store_t *store_new(gw_rt_t *, const gw_addr_t *, uint64_t timeout_ms);
 void store_free(store_t *);
 void store_get(store_t *, const char *key, store_get_cb_t, void *arg);
