--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -727,132 +727,1666 @@
   assert(message->base.descriptor == &gw__sponsor_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gw__envelope__init
-                     (Gw__Envelope         *message)
+void   gw__job_step__init
+                     (Gw__JobStep         *message)
 {
-  static const Gw__Envelope init_value = GW__ENVELOPE__INIT;
+  static const Gw__JobStep init_value = GW__JOB_STEP__INIT;
   *message = init_value;
 }
-size_t gw__envelope__get_packed_size
-                     (const Gw__Envelope *message)
+size_t gw__job_step__get_packed_size
+                     (const Gw__JobStep *message)
 {
-  assert(message->base.descriptor == &gw__envelope__descriptor);
+  assert(message->base.descriptor == &gw__job_step__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gw__envelope__pack
-                     (const Gw__Envelope *message,
+size_t gw__job_step__pack
+                     (const Gw__JobStep *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gw__envelope__descriptor);
+  assert(message->base.descriptor == &gw__job_step__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gw__envelope__pack_to_buffer
-                     (const Gw__Envelope *message,
+size_t gw__job_step__pack_to_buffer
+                     (const Gw__JobStep *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gw__envelope__descriptor);
+  assert(message->base.descriptor == &gw__job_step__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gw__Envelope *
-       gw__envelope__unpack
+Gw__JobStep *
+       gw__job_step__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gw__Envelope *)
-     protobuf_c_message_unpack (&gw__envelope__descriptor,
+  return (Gw__JobStep *)
+     protobuf_c_message_unpack (&gw__job_step__descriptor,
                                 allocator, len, data);
 }
-void   gw__envelope__free_unpacked
-                     (Gw__Envelope *message,
+void   gw__job_step__free_unpacked
+                     (Gw__JobStep *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gw__envelope__descriptor);
+  assert(message->base.descriptor == &gw__job_step__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gw__hello__field_descriptors[9] =
+void   gw__job_advice__init
+                     (Gw__JobAdvice         *message)
 {
-  {
-    "protocol",
+  static const Gw__JobAdvice init_value = GW__JOB_ADVICE__INIT;
+  *message = init_value;
+}
+size_t gw__job_advice__get_packed_size
+                     (const Gw__JobAdvice *message)
+{
+  assert(message->base.descriptor == &gw__job_advice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__job_advice__pack
+                     (const Gw__JobAdvice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__job_advice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__job_advice__pack_to_buffer
+                     (const Gw__JobAdvice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__job_advice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__JobAdvice *
+       gw__job_advice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__JobAdvice *)
+     protobuf_c_message_unpack (&gw__job_advice__descriptor,
+                                allocator, len, data);
+}
+void   gw__job_advice__free_unpacked
+                     (Gw__JobAdvice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__job_advice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__job_spec__init
+                     (Gw__JobSpec         *message)
+{
+  static const Gw__JobSpec init_value = GW__JOB_SPEC__INIT;
+  *message = init_value;
+}
+size_t gw__job_spec__get_packed_size
+                     (const Gw__JobSpec *message)
+{
+  assert(message->base.descriptor == &gw__job_spec__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__job_spec__pack
+                     (const Gw__JobSpec *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__job_spec__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__job_spec__pack_to_buffer
+                     (const Gw__JobSpec *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__job_spec__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__JobSpec *
+       gw__job_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__JobSpec *)
+     protobuf_c_message_unpack (&gw__job_spec__descriptor,
+                                allocator, len, data);
+}
+void   gw__job_spec__free_unpacked
+                     (Gw__JobSpec *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__job_spec__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__task_record__init
+                     (Gw__TaskRecord         *message)
+{
+  static const Gw__TaskRecord init_value = GW__TASK_RECORD__INIT;
+  *message = init_value;
+}
+size_t gw__task_record__get_packed_size
+                     (const Gw__TaskRecord *message)
+{
+  assert(message->base.descriptor == &gw__task_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__task_record__pack
+                     (const Gw__TaskRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__task_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__task_record__pack_to_buffer
+                     (const Gw__TaskRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__task_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__TaskRecord *
+       gw__task_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__TaskRecord *)
+     protobuf_c_message_unpack (&gw__task_record__descriptor,
+                                allocator, len, data);
+}
+void   gw__task_record__free_unpacked
+                     (Gw__TaskRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__task_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__host_record__init
+                     (Gw__HostRecord         *message)
+{
+  static const Gw__HostRecord init_value = GW__HOST_RECORD__INIT;
+  *message = init_value;
+}
+size_t gw__host_record__get_packed_size
+                     (const Gw__HostRecord *message)
+{
+  assert(message->base.descriptor == &gw__host_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__host_record__pack
+                     (const Gw__HostRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__host_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__host_record__pack_to_buffer
+                     (const Gw__HostRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__host_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__HostRecord *
+       gw__host_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__HostRecord *)
+     protobuf_c_message_unpack (&gw__host_record__descriptor,
+                                allocator, len, data);
+}
+void   gw__host_record__free_unpacked
+                     (Gw__HostRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__host_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__occurrence_record__init
+                     (Gw__OccurrenceRecord         *message)
+{
+  static const Gw__OccurrenceRecord init_value = GW__OCCURRENCE_RECORD__INIT;
+  *message = init_value;
+}
+size_t gw__occurrence_record__get_packed_size
+                     (const Gw__OccurrenceRecord *message)
+{
+  assert(message->base.descriptor == &gw__occurrence_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__occurrence_record__pack
+                     (const Gw__OccurrenceRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__occurrence_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__occurrence_record__pack_to_buffer
+                     (const Gw__OccurrenceRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__occurrence_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__OccurrenceRecord *
+       gw__occurrence_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__OccurrenceRecord *)
+     protobuf_c_message_unpack (&gw__occurrence_record__descriptor,
+                                allocator, len, data);
+}
+void   gw__occurrence_record__free_unpacked
+                     (Gw__OccurrenceRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__occurrence_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__job_record__init
+                     (Gw__JobRecord         *message)
+{
+  static const Gw__JobRecord init_value = GW__JOB_RECORD__INIT;
+  *message = init_value;
+}
+size_t gw__job_record__get_packed_size
+                     (const Gw__JobRecord *message)
+{
+  assert(message->base.descriptor == &gw__job_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__job_record__pack
+                     (const Gw__JobRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__job_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__job_record__pack_to_buffer
+                     (const Gw__JobRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__job_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__JobRecord *
+       gw__job_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__JobRecord *)
+     protobuf_c_message_unpack (&gw__job_record__descriptor,
+                                allocator, len, data);
+}
+void   gw__job_record__free_unpacked
+                     (Gw__JobRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__job_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__call__init
+                     (Gw__Call         *message)
+{
+  static const Gw__Call init_value = GW__CALL__INIT;
+  *message = init_value;
+}
+size_t gw__call__get_packed_size
+                     (const Gw__Call *message)
+{
+  assert(message->base.descriptor == &gw__call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__call__pack
+                     (const Gw__Call *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__call__pack_to_buffer
+                     (const Gw__Call *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Call *
+       gw__call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Call *)
+     protobuf_c_message_unpack (&gw__call__descriptor,
+                                allocator, len, data);
+}
+void   gw__call__free_unpacked
+                     (Gw__Call *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__pool_load__init
+                     (Gw__PoolLoad         *message)
+{
+  static const Gw__PoolLoad init_value = GW__POOL_LOAD__INIT;
+  *message = init_value;
+}
+size_t gw__pool_load__get_packed_size
+                     (const Gw__PoolLoad *message)
+{
+  assert(message->base.descriptor == &gw__pool_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__pool_load__pack
+                     (const Gw__PoolLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__pool_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__pool_load__pack_to_buffer
+                     (const Gw__PoolLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__pool_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__PoolLoad *
+       gw__pool_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__PoolLoad *)
+     protobuf_c_message_unpack (&gw__pool_load__descriptor,
+                                allocator, len, data);
+}
+void   gw__pool_load__free_unpacked
+                     (Gw__PoolLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__pool_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__reply__init
+                     (Gw__Reply         *message)
+{
+  static const Gw__Reply init_value = GW__REPLY__INIT;
+  *message = init_value;
+}
+size_t gw__reply__get_packed_size
+                     (const Gw__Reply *message)
+{
+  assert(message->base.descriptor == &gw__reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__reply__pack
+                     (const Gw__Reply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__reply__pack_to_buffer
+                     (const Gw__Reply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Reply *
+       gw__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Reply *)
+     protobuf_c_message_unpack (&gw__reply__descriptor,
+                                allocator, len, data);
+}
+void   gw__reply__free_unpacked
+                     (Gw__Reply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__envelope__init
+                     (Gw__Envelope         *message)
+{
+  static const Gw__Envelope init_value = GW__ENVELOPE__INIT;
+  *message = init_value;
+}
+size_t gw__envelope__get_packed_size
+                     (const Gw__Envelope *message)
+{
+  assert(message->base.descriptor == &gw__envelope__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__envelope__pack
+                     (const Gw__Envelope *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__envelope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__envelope__pack_to_buffer
+                     (const Gw__Envelope *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__envelope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Envelope *
+       gw__envelope__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Envelope *)
+     protobuf_c_message_unpack (&gw__envelope__descriptor,
+                                allocator, len, data);
+}
+void   gw__envelope__free_unpacked
+                     (Gw__Envelope *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__envelope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor gw__hello__field_descriptors[9] =
+{
+  {
+    "protocol",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, node_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "boot_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, boot_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "role",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, role),
+    &gw__role__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Hello, table_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Hello, n_held),
+    offsetof(Gw__Hello, held),
+    &gw__instance_in_flight__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__hello__field_indices_by_name[] = {
+  2,   /* field[2] = boot_id */
+  4,   /* field[4] = data_centre */
+  6,   /* field[6] = epoch */
+  5,   /* field[5] = generation */
+  8,   /* field[8] = held */
+  1,   /* field[1] = node_id */
+  0,   /* field[0] = protocol */
+  3,   /* field[3] = role */
+  7,   /* field[7] = table_version */
+};
+static const ProtobufCIntRange gw__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor gw__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Hello",
+  "Hello",
+  "Gw__Hello",
+  "gw",
+  sizeof(Gw__Hello),
+  9,
+  gw__hello__field_descriptors,
+  gw__hello__field_indices_by_name,
+  1,  gw__hello__number_ranges,
+  (ProtobufCMessageInit) gw__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__pool_demand__field_descriptors[5] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolDemand, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolDemand, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolDemand, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots_wanted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolDemand, slots_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolDemand, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__pool_demand__field_indices_by_name[] = {
+  2,   /* field[2] = in_flight */
+  0,   /* field[0] = pool */
+  1,   /* field[1] = queued */
+  4,   /* field[4] = refused */
+  3,   /* field[3] = slots_wanted */
+};
+static const ProtobufCIntRange gw__pool_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gw__pool_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.PoolDemand",
+  "PoolDemand",
+  "Gw__PoolDemand",
+  "gw",
+  sizeof(Gw__PoolDemand),
+  5,
+  gw__pool_demand__field_descriptors,
+  gw__pool_demand__field_indices_by_name,
+  1,  gw__pool_demand__number_ranges,
+  (ProtobufCMessageInit) gw__pool_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__instance_in_flight__field_descriptors[4] =
+{
+  {
+    "instance_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__InstanceInFlight, instance_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__InstanceInFlight, incarnation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__InstanceInFlight, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots_held",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__InstanceInFlight, slots_held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__instance_in_flight__field_indices_by_name[] = {
+  2,   /* field[2] = in_flight */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = instance_id */
+  3,   /* field[3] = slots_held */
+};
+static const ProtobufCIntRange gw__instance_in_flight__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gw__instance_in_flight__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.InstanceInFlight",
+  "InstanceInFlight",
+  "Gw__InstanceInFlight",
+  "gw",
+  sizeof(Gw__InstanceInFlight),
+  4,
+  gw__instance_in_flight__field_descriptors,
+  gw__instance_in_flight__field_indices_by_name,
+  1,  gw__instance_in_flight__number_ranges,
+  (ProtobufCMessageInit) gw__instance_in_flight__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__heartbeat__field_descriptors[7] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Heartbeat, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Heartbeat, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Heartbeat, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Heartbeat, table_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Heartbeat, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Heartbeat, n_demand),
+    offsetof(Gw__Heartbeat, demand),
+    &gw__pool_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Heartbeat, n_leaving),
+    offsetof(Gw__Heartbeat, leaving),
+    &gw__instance_in_flight__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__heartbeat__field_indices_by_name[] = {
+  5,   /* field[5] = demand */
+  2,   /* field[2] = epoch */
+  4,   /* field[4] = generation */
+  6,   /* field[6] = leaving */
+  1,   /* field[1] = sent_us */
+  0,   /* field[0] = sequence */
+  3,   /* field[3] = table_version */
+};
+static const ProtobufCIntRange gw__heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor gw__heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Heartbeat",
+  "Heartbeat",
+  "Gw__Heartbeat",
+  "gw",
+  sizeof(Gw__Heartbeat),
+  7,
+  gw__heartbeat__field_descriptors,
+  gw__heartbeat__field_indices_by_name,
+  1,  gw__heartbeat__number_ranges,
+  (ProtobufCMessageInit) gw__heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__contact__field_descriptors[2] =
+{
+  {
+    "epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Contact, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Contact, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__contact__field_indices_by_name[] = {
+  0,   /* field[0] = epoch */
+  1,   /* field[1] = sequence */
+};
+static const ProtobufCIntRange gw__contact__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__contact__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Contact",
+  "Contact",
+  "Gw__Contact",
+  "gw",
+  sizeof(Gw__Contact),
+  2,
+  gw__contact__field_descriptors,
+  gw__contact__field_indices_by_name,
+  1,  gw__contact__number_ranges,
+  (ProtobufCMessageInit) gw__contact__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__instance__field_descriptors[11] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, incarnation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "home_pool",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, home_pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, state),
+    &gw__instance_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "time_bound",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, time_bound),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Instance, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__instance__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  4,   /* field[4] = failure_domain */
+  10,   /* field[10] = granted */
+  6,   /* field[6] = home_pool */
+  0,   /* field[0] = id */
+  1,   /* field[1] = incarnation */
+  5,   /* field[5] = pool */
+  3,   /* field[3] = port */
+  9,   /* field[9] = slots */
+  7,   /* field[7] = state */
+  8,   /* field[8] = time_bound */
+};
+static const ProtobufCIntRange gw__instance__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor gw__instance__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Instance",
+  "Instance",
+  "Gw__Instance",
+  "gw",
+  sizeof(Gw__Instance),
+  11,
+  gw__instance__field_descriptors,
+  gw__instance__field_indices_by_name,
+  1,  gw__instance__number_ranges,
+  (ProtobufCMessageInit) gw__instance__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__view__field_descriptors[8] =
+{
+  {
+    "epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__View, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__View, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__View, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__View, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__View, n_instances),
+    offsetof(Gw__View, instances),
+    &gw__instance__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed_ids",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gw__View, n_removed_ids),
+    offsetof(Gw__View, removed_ids),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__View, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__View, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__view__field_indices_by_name[] = {
+  6,   /* field[6] = admitted */
+  2,   /* field[2] = base_version */
+  0,   /* field[0] = epoch */
+  3,   /* field[3] = full */
+  4,   /* field[4] = instances */
+  5,   /* field[5] = removed_ids */
+  7,   /* field[7] = sequence */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange gw__view__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gw__view__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.View",
+  "View",
+  "Gw__View",
+  "gw",
+  sizeof(Gw__View),
+  8,
+  gw__view__field_descriptors,
+  gw__view__field_indices_by_name,
+  1,  gw__view__number_ranges,
+  (ProtobufCMessageInit) gw__view__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__section__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Section, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hash",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Section, hash),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Section, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__section__field_indices_by_name[] = {
+  2,   /* field[2] = body */
+  1,   /* field[1] = hash */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange gw__section__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__section__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Section",
+  "Section",
+  "Gw__Section",
+  "gw",
+  sizeof(Gw__Section),
+  3,
+  gw__section__field_descriptors,
+  gw__section__field_indices_by_name,
+  1,  gw__section__number_ranges,
+  (ProtobufCMessageInit) gw__section__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__sections__field_descriptors[3] =
+{
+  {
+    "generation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Sections, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "root",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Sections, root),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sections",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Sections, n_sections),
+    offsetof(Gw__Sections, sections),
+    &gw__section__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__sections__field_indices_by_name[] = {
+  0,   /* field[0] = generation */
+  1,   /* field[1] = root */
+  2,   /* field[2] = sections */
+};
+static const ProtobufCIntRange gw__sections__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__sections__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Sections",
+  "Sections",
+  "Gw__Sections",
+  "gw",
+  sizeof(Gw__Sections),
+  3,
+  gw__sections__field_descriptors,
+  gw__sections__field_indices_by_name,
+  1,  gw__sections__number_ranges,
+  (ProtobufCMessageInit) gw__sections__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__ack__field_descriptors[5] =
+{
+  {
+    "epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Ack, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Ack, table_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Ack, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Ack, n_leaving),
+    offsetof(Gw__Ack, leaving),
+    &gw__instance_in_flight__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_sequence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Ack, view_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__ack__field_indices_by_name[] = {
+  0,   /* field[0] = epoch */
+  2,   /* field[2] = generation */
+  3,   /* field[3] = leaving */
+  1,   /* field[1] = table_version */
+  4,   /* field[4] = view_sequence */
+};
+static const ProtobufCIntRange gw__ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gw__ack__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Ack",
+  "Ack",
+  "Gw__Ack",
+  "gw",
+  sizeof(Gw__Ack),
+  5,
+  gw__ack__field_descriptors,
+  gw__ack__field_indices_by_name,
+  1,  gw__ack__number_ranges,
+  (ProtobufCMessageInit) gw__ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__instance_outcome__field_descriptors[6] =
+{
+  {
+    "instance_id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, protocol),
-    NULL,
+    offsetof(Gw__InstanceOutcome, instance_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "node_id",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, node_id),
+    offsetof(Gw__InstanceOutcome, incarnation),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "boot_id",
+    "started",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, boot_id),
+    offsetof(Gw__InstanceOutcome, started),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "role",
+    "succeeded",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, role),
-    &gw__role__descriptor,
+    offsetof(Gw__InstanceOutcome, succeeded),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
+    "failed",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, data_centre),
+    offsetof(Gw__InstanceOutcome, failed),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "generation",
+    "timed_out",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, generation),
+    offsetof(Gw__InstanceOutcome, timed_out),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__instance_outcome__field_indices_by_name[] = {
+  4,   /* field[4] = failed */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = instance_id */
+  2,   /* field[2] = started */
+  3,   /* field[3] = succeeded */
+  5,   /* field[5] = timed_out */
+};
+static const ProtobufCIntRange gw__instance_outcome__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor gw__instance_outcome__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.InstanceOutcome",
+  "InstanceOutcome",
+  "Gw__InstanceOutcome",
+  "gw",
+  sizeof(Gw__InstanceOutcome),
+  6,
+  gw__instance_outcome__field_descriptors,
+  gw__instance_outcome__field_indices_by_name,
+  1,  gw__instance_outcome__number_ranges,
+  (ProtobufCMessageInit) gw__instance_outcome__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__outcome__field_descriptors[1] =
+{
+  {
+    "instances",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Outcome, n_instances),
+    offsetof(Gw__Outcome, instances),
+    &gw__instance_outcome__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gw__outcome__field_indices_by_name[] = {
+  0,   /* field[0] = instances */
+};
+static const ProtobufCIntRange gw__outcome__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gw__outcome__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Outcome",
+  "Outcome",
+  "Gw__Outcome",
+  "gw",
+  sizeof(Gw__Outcome),
+  1,
+  gw__outcome__field_descriptors,
+  gw__outcome__field_indices_by_name,
+  1,  gw__outcome__number_ranges,
+  (ProtobufCMessageInit) gw__outcome__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__peer_state__field_descriptors[5] =
+{
   {
     "epoch",
-    7,
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, epoch),
+    offsetof(Gw__PeerState, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "planner_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PeerState, planner_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PeerState, generation),
     NULL,
     NULL,
     0,             /* flags */
@@ -860,1359 +2394,1435 @@
   },
   {
     "table_version",
-    8,
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Hello, table_version),
+    offsetof(Gw__PeerState, table_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "held",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Hello, n_held),
-    offsetof(Gw__Hello, held),
-    &gw__instance_in_flight__descriptor,
+    "table",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PeerState, table),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__hello__field_indices_by_name[] = {
-  2,   /* field[2] = boot_id */
-  4,   /* field[4] = data_centre */
-  6,   /* field[6] = epoch */
-  5,   /* field[5] = generation */
-  8,   /* field[8] = held */
-  1,   /* field[1] = node_id */
-  0,   /* field[0] = protocol */
-  3,   /* field[3] = role */
-  7,   /* field[7] = table_version */
+static const unsigned gw__peer_state__field_indices_by_name[] = {
+  0,   /* field[0] = epoch */
+  2,   /* field[2] = generation */
+  1,   /* field[1] = planner_id */
+  4,   /* field[4] = table */
+  3,   /* field[3] = table_version */
 };
-static const ProtobufCIntRange gw__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__peer_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor gw__hello__descriptor =
+const ProtobufCMessageDescriptor gw__peer_state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Hello",
-  "Hello",
-  "Gw__Hello",
+  "gw.PeerState",
+  "PeerState",
+  "Gw__PeerState",
   "gw",
-  sizeof(Gw__Hello),
-  9,
-  gw__hello__field_descriptors,
-  gw__hello__field_indices_by_name,
-  1,  gw__hello__number_ranges,
-  (ProtobufCMessageInit) gw__hello__init,
+  sizeof(Gw__PeerState),
+  5,
+  gw__peer_state__field_descriptors,
+  gw__peer_state__field_indices_by_name,
+  1,  gw__peer_state__number_ranges,
+  (ProtobufCMessageInit) gw__peer_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__pool_demand__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gw__goodbye__field_descriptors[1] =
 {
   {
-    "pool",
+    "boot_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Goodbye, boot_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__goodbye__field_indices_by_name[] = {
+  0,   /* field[0] = boot_id */
+};
+static const ProtobufCIntRange gw__goodbye__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gw__goodbye__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.Goodbye",
+  "Goodbye",
+  "Gw__Goodbye",
+  "gw",
+  sizeof(Gw__Goodbye),
+  1,
+  gw__goodbye__field_descriptors,
+  gw__goodbye__field_indices_by_name,
+  1,  gw__goodbye__number_ranges,
+  (ProtobufCMessageInit) gw__goodbye__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__sponsor_request__field_descriptors[7] =
+{
+  {
+    "node_id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__PoolDemand, pool),
+    offsetof(Gw__SponsorRequest, node_id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "queued",
+    "boot_id",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__PoolDemand, queued),
+    offsetof(Gw__SponsorRequest, boot_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__SponsorRequest, sequence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "in_flight",
-    3,
+    "sent_us",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__PoolDemand, in_flight),
+    offsetof(Gw__SponsorRequest, sent_us),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slots_wanted",
-    4,
+    "epoch",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__PoolDemand, slots_wanted),
+    offsetof(Gw__SponsorRequest, epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "refused",
-    5,
+    "table_version",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__PoolDemand, refused),
+    offsetof(Gw__SponsorRequest, table_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__SponsorRequest, n_leaving),
+    offsetof(Gw__SponsorRequest, leaving),
+    &gw__instance_in_flight__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned gw__pool_demand__field_indices_by_name[] = {
-  2,   /* field[2] = in_flight */
-  0,   /* field[0] = pool */
-  1,   /* field[1] = queued */
-  4,   /* field[4] = refused */
-  3,   /* field[3] = slots_wanted */
+static const unsigned gw__sponsor_request__field_indices_by_name[] = {
+  1,   /* field[1] = boot_id */
+  4,   /* field[4] = epoch */
+  6,   /* field[6] = leaving */
+  0,   /* field[0] = node_id */
+  3,   /* field[3] = sent_us */
+  2,   /* field[2] = sequence */
+  5,   /* field[5] = table_version */
 };
-static const ProtobufCIntRange gw__pool_demand__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__sponsor_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor gw__pool_demand__descriptor =
+const ProtobufCMessageDescriptor gw__sponsor_request__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.PoolDemand",
-  "PoolDemand",
-  "Gw__PoolDemand",
+  "gw.SponsorRequest",
+  "SponsorRequest",
+  "Gw__SponsorRequest",
   "gw",
-  sizeof(Gw__PoolDemand),
-  5,
-  gw__pool_demand__field_descriptors,
-  gw__pool_demand__field_indices_by_name,
-  1,  gw__pool_demand__number_ranges,
-  (ProtobufCMessageInit) gw__pool_demand__init,
+  sizeof(Gw__SponsorRequest),
+  7,
+  gw__sponsor_request__field_descriptors,
+  gw__sponsor_request__field_indices_by_name,
+  1,  gw__sponsor_request__number_ranges,
+  (ProtobufCMessageInit) gw__sponsor_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__instance_in_flight__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gw__sponsor_grant__field_descriptors[3] =
 {
   {
-    "instance_id",
+    "sequence",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__InstanceInFlight, instance_id),
+    offsetof(Gw__SponsorGrant, sequence),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "view",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__InstanceInFlight, incarnation),
+    offsetof(Gw__SponsorGrant, view),
+    &gw__view__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "in_flight",
+    "sections",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__InstanceInFlight, in_flight),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slots_held",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__InstanceInFlight, slots_held),
-    NULL,
+    offsetof(Gw__SponsorGrant, sections),
+    &gw__sections__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__instance_in_flight__field_indices_by_name[] = {
-  2,   /* field[2] = in_flight */
-  1,   /* field[1] = incarnation */
-  0,   /* field[0] = instance_id */
-  3,   /* field[3] = slots_held */
+static const unsigned gw__sponsor_grant__field_indices_by_name[] = {
+  2,   /* field[2] = sections */
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = view */
 };
-static const ProtobufCIntRange gw__instance_in_flight__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__sponsor_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor gw__instance_in_flight__descriptor =
+const ProtobufCMessageDescriptor gw__sponsor_grant__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.InstanceInFlight",
-  "InstanceInFlight",
-  "Gw__InstanceInFlight",
+  "gw.SponsorGrant",
+  "SponsorGrant",
+  "Gw__SponsorGrant",
   "gw",
-  sizeof(Gw__InstanceInFlight),
-  4,
-  gw__instance_in_flight__field_descriptors,
-  gw__instance_in_flight__field_indices_by_name,
-  1,  gw__instance_in_flight__number_ranges,
-  (ProtobufCMessageInit) gw__instance_in_flight__init,
+  sizeof(Gw__SponsorGrant),
+  3,
+  gw__sponsor_grant__field_descriptors,
+  gw__sponsor_grant__field_indices_by_name,
+  1,  gw__sponsor_grant__number_ranges,
+  (ProtobufCMessageInit) gw__sponsor_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__heartbeat__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gw__job_step__field_descriptors[19] =
 {
   {
-    "sequence",
+    "count",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Heartbeat, sequence),
+    offsetof(Gw__JobStep, count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_us",
+    "cpu_millis",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Heartbeat, sent_us),
+    offsetof(Gw__JobStep, cpu_millis),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "memory_mib",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Heartbeat, epoch),
+    offsetof(Gw__JobStep, memory_mib),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table_version",
+    "accelerators",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Heartbeat, table_version),
+    offsetof(Gw__JobStep, accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "generation",
+    "estimate_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Heartbeat, generation),
+    offsetof(Gw__JobStep, estimate_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "demand",
+    "after",
     6,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Heartbeat, n_demand),
-    offsetof(Gw__Heartbeat, demand),
-    &gw__pool_demand__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gw__JobStep, n_after),
+    offsetof(Gw__JobStep, after),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "leaving",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Heartbeat, n_leaving),
-    offsetof(Gw__Heartbeat, leaving),
-    &gw__instance_in_flight__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned gw__heartbeat__field_indices_by_name[] = {
-  5,   /* field[5] = demand */
-  2,   /* field[2] = epoch */
-  4,   /* field[4] = generation */
-  6,   /* field[6] = leaving */
-  1,   /* field[1] = sent_us */
-  0,   /* field[0] = sequence */
-  3,   /* field[3] = table_version */
-};
-static const ProtobufCIntRange gw__heartbeat__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor gw__heartbeat__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Heartbeat",
-  "Heartbeat",
-  "Gw__Heartbeat",
-  "gw",
-  sizeof(Gw__Heartbeat),
-  7,
-  gw__heartbeat__field_descriptors,
-  gw__heartbeat__field_indices_by_name,
-  1,  gw__heartbeat__number_ranges,
-  (ProtobufCMessageInit) gw__heartbeat__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__contact__field_descriptors[2] =
-{
   {
-    "epoch",
-    1,
+    "checkpoints",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Contact, epoch),
+    offsetof(Gw__JobStep, checkpoints),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sequence",
-    2,
+    "gang",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Contact, sequence),
+    offsetof(Gw__JobStep, gang),
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned gw__contact__field_indices_by_name[] = {
-  0,   /* field[0] = epoch */
-  1,   /* field[1] = sequence */
-};
-static const ProtobufCIntRange gw__contact__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor gw__contact__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Contact",
-  "Contact",
-  "Gw__Contact",
-  "gw",
-  sizeof(Gw__Contact),
-  2,
-  gw__contact__field_descriptors,
-  gw__contact__field_indices_by_name,
-  1,  gw__contact__number_ranges,
-  (ProtobufCMessageInit) gw__contact__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__instance__field_descriptors[11] =
-{
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
-    "id",
-    1,
+    "same_rack",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, id),
+    offsetof(Gw__JobStep, same_rack),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    2,
+    "label",
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, incarnation),
+    offsetof(Gw__JobStep, label),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
-    3,
+    "rack",
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, address),
+    offsetof(Gw__JobStep, rack),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "port",
-    4,
+    "max_per_instance",
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, port),
+    offsetof(Gw__JobStep, max_per_instance),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failure_domain",
-    5,
+    "concurrent",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, failure_domain),
+    offsetof(Gw__JobStep, concurrent),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pool",
-    6,
+    "lasting",
+    14,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, pool),
+    offsetof(Gw__JobStep, lasting),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "home_pool",
-    7,
+    "image",
+    15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, home_pool),
+    offsetof(Gw__JobStep, image),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
-    8,
+    "target_ms",
+    16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, state),
-    &gw__instance_state__descriptor,
+    offsetof(Gw__JobStep, target_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "time_bound",
-    9,
+    "fills",
+    17,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, time_bound),
+    offsetof(Gw__JobStep, fills),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slots",
-    10,
+    "max_unavailable",
+    18,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, slots),
+    offsetof(Gw__JobStep, max_unavailable),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "granted",
-    11,
+    "limits_unavailable",
+    19,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__Instance, granted),
+    offsetof(Gw__JobStep, limits_unavailable),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__instance__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  4,   /* field[4] = failure_domain */
-  10,   /* field[10] = granted */
-  6,   /* field[6] = home_pool */
-  0,   /* field[0] = id */
-  1,   /* field[1] = incarnation */
-  5,   /* field[5] = pool */
-  3,   /* field[3] = port */
-  9,   /* field[9] = slots */
-  7,   /* field[7] = state */
-  8,   /* field[8] = time_bound */
+static const unsigned gw__job_step__field_indices_by_name[] = {
+  3,   /* field[3] = accelerators */
+  5,   /* field[5] = after */
+  6,   /* field[6] = checkpoints */
+  12,   /* field[12] = concurrent */
+  0,   /* field[0] = count */
+  1,   /* field[1] = cpu_millis */
+  4,   /* field[4] = estimate_ms */
+  16,   /* field[16] = fills */
+  7,   /* field[7] = gang */
+  14,   /* field[14] = image */
+  9,   /* field[9] = label */
+  13,   /* field[13] = lasting */
+  18,   /* field[18] = limits_unavailable */
+  11,   /* field[11] = max_per_instance */
+  17,   /* field[17] = max_unavailable */
+  2,   /* field[2] = memory_mib */
+  10,   /* field[10] = rack */
+  8,   /* field[8] = same_rack */
+  15,   /* field[15] = target_ms */
 };
-static const ProtobufCIntRange gw__instance__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__job_step__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 19 }
 };
-const ProtobufCMessageDescriptor gw__instance__descriptor =
+const ProtobufCMessageDescriptor gw__job_step__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Instance",
-  "Instance",
-  "Gw__Instance",
+  "gw.JobStep",
+  "JobStep",
+  "Gw__JobStep",
   "gw",
-  sizeof(Gw__Instance),
-  11,
-  gw__instance__field_descriptors,
-  gw__instance__field_indices_by_name,
-  1,  gw__instance__number_ranges,
-  (ProtobufCMessageInit) gw__instance__init,
+  sizeof(Gw__JobStep),
+  19,
+  gw__job_step__field_descriptors,
+  gw__job_step__field_indices_by_name,
+  1,  gw__job_step__number_ranges,
+  (ProtobufCMessageInit) gw__job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__view__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gw__job_advice__field_descriptors[3] =
 {
   {
-    "epoch",
+    "decide_ms",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__View, epoch),
+    offsetof(Gw__JobAdvice, decide_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
+    "per_item_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__View, version),
+    offsetof(Gw__JobAdvice, per_item_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "base_version",
+    "valid_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__View, base_version),
+    offsetof(Gw__JobAdvice, valid_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gw__job_advice__field_indices_by_name[] = {
+  0,   /* field[0] = decide_ms */
+  1,   /* field[1] = per_item_ms */
+  2,   /* field[2] = valid_ms */
+};
+static const ProtobufCIntRange gw__job_advice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__job_advice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.JobAdvice",
+  "JobAdvice",
+  "Gw__JobAdvice",
+  "gw",
+  sizeof(Gw__JobAdvice),
+  3,
+  gw__job_advice__field_descriptors,
+  gw__job_advice__field_indices_by_name,
+  1,  gw__job_advice__number_ranges,
+  (ProtobufCMessageInit) gw__job_advice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__job_spec__field_descriptors[13] =
+{
   {
-    "full",
-    4,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__View, full),
+    offsetof(Gw__JobSpec, id),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, queue),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "instances",
-    5,
+    "payload",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, payload),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "steps",
+    4,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__View, n_instances),
-    offsetof(Gw__View, instances),
-    &gw__instance__descriptor,
+    offsetof(Gw__JobSpec, n_steps),
+    offsetof(Gw__JobSpec, steps),
+    &gw__job_step__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "removed_ids",
+    "repeats",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_due_wall_ms",
     6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Gw__View, n_removed_ids),
-    offsetof(Gw__View, removed_ids),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, first_due_wall_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "admitted",
+    "interval_ms",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__View, admitted),
+    offsetof(Gw__JobSpec, interval_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sequence",
+    "priority",
     8,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_attempts",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, max_attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objective_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, objective_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch_permille",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, stretch_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submitted_wall_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__View, sequence),
+    offsetof(Gw__JobSpec, submitted_wall_ms),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, advice),
+    &gw__job_advice__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__view__field_indices_by_name[] = {
-  6,   /* field[6] = admitted */
-  2,   /* field[2] = base_version */
-  0,   /* field[0] = epoch */
-  3,   /* field[3] = full */
-  4,   /* field[4] = instances */
-  5,   /* field[5] = removed_ids */
-  7,   /* field[7] = sequence */
-  1,   /* field[1] = version */
+static const unsigned gw__job_spec__field_indices_by_name[] = {
+  12,   /* field[12] = advice */
+  5,   /* field[5] = first_due_wall_ms */
+  0,   /* field[0] = id */
+  6,   /* field[6] = interval_ms */
+  8,   /* field[8] = max_attempts */
+  9,   /* field[9] = objective_ms */
+  2,   /* field[2] = payload */
+  7,   /* field[7] = priority */
+  1,   /* field[1] = queue */
+  4,   /* field[4] = repeats */
+  3,   /* field[3] = steps */
+  10,   /* field[10] = stretch_permille */
+  11,   /* field[11] = submitted_wall_ms */
 };
-static const ProtobufCIntRange gw__view__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__job_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 13 }
 };
-const ProtobufCMessageDescriptor gw__view__descriptor =
+const ProtobufCMessageDescriptor gw__job_spec__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.View",
-  "View",
-  "Gw__View",
+  "gw.JobSpec",
+  "JobSpec",
+  "Gw__JobSpec",
   "gw",
-  sizeof(Gw__View),
-  8,
-  gw__view__field_descriptors,
-  gw__view__field_indices_by_name,
-  1,  gw__view__number_ranges,
-  (ProtobufCMessageInit) gw__view__init,
+  sizeof(Gw__JobSpec),
+  13,
+  gw__job_spec__field_descriptors,
+  gw__job_spec__field_indices_by_name,
+  1,  gw__job_spec__number_ranges,
+  (ProtobufCMessageInit) gw__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__section__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__task_record__field_descriptors[5] =
 {
   {
-    "name",
-    1,
+    "state",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TaskRecord, state),
+    &gw__task_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TaskRecord, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Section, name),
+    offsetof(Gw__TaskRecord, failures),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hash",
-    2,
+    "host",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Section, hash),
+    offsetof(Gw__TaskRecord, host),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    3,
+    "checkpoint",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Section, body),
-    NULL,
+    offsetof(Gw__TaskRecord, checkpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__section__field_indices_by_name[] = {
-  2,   /* field[2] = body */
-  1,   /* field[1] = hash */
-  0,   /* field[0] = name */
+static const unsigned gw__task_record__field_indices_by_name[] = {
+  4,   /* field[4] = checkpoint */
+  2,   /* field[2] = failures */
+  3,   /* field[3] = host */
+  1,   /* field[1] = run */
+  0,   /* field[0] = state */
 };
-static const ProtobufCIntRange gw__section__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor gw__section__descriptor =
+const ProtobufCMessageDescriptor gw__task_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Section",
-  "Section",
-  "Gw__Section",
+  "gw.TaskRecord",
+  "TaskRecord",
+  "Gw__TaskRecord",
   "gw",
-  sizeof(Gw__Section),
-  3,
-  gw__section__field_descriptors,
-  gw__section__field_indices_by_name,
-  1,  gw__section__number_ranges,
-  (ProtobufCMessageInit) gw__section__init,
+  sizeof(Gw__TaskRecord),
+  5,
+  gw__task_record__field_descriptors,
+  gw__task_record__field_indices_by_name,
+  1,  gw__task_record__number_ranges,
+  (ProtobufCMessageInit) gw__task_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__sections__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__host_record__field_descriptors[2] =
 {
   {
-    "generation",
+    "instance",
     1,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__HostRecord, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Sections, generation),
+    offsetof(Gw__HostRecord, born_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned gw__host_record__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = instance */
+};
+static const ProtobufCIntRange gw__host_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__host_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.HostRecord",
+  "HostRecord",
+  "Gw__HostRecord",
+  "gw",
+  sizeof(Gw__HostRecord),
+  2,
+  gw__host_record__field_descriptors,
+  gw__host_record__field_indices_by_name,
+  1,  gw__host_record__number_ranges,
+  (ProtobufCMessageInit) gw__host_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__occurrence_record__field_descriptors[2] =
+{
   {
-    "root",
-    2,
+    "number",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Sections, root),
+    offsetof(Gw__OccurrenceRecord, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sections",
-    3,
+    "tasks",
+    2,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Sections, n_sections),
-    offsetof(Gw__Sections, sections),
-    &gw__section__descriptor,
+    offsetof(Gw__OccurrenceRecord, n_tasks),
+    offsetof(Gw__OccurrenceRecord, tasks),
+    &gw__task_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__sections__field_indices_by_name[] = {
-  0,   /* field[0] = generation */
-  1,   /* field[1] = root */
-  2,   /* field[2] = sections */
+static const unsigned gw__occurrence_record__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  1,   /* field[1] = tasks */
 };
-static const ProtobufCIntRange gw__sections__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__occurrence_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor gw__sections__descriptor =
+const ProtobufCMessageDescriptor gw__occurrence_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Sections",
-  "Sections",
-  "Gw__Sections",
+  "gw.OccurrenceRecord",
+  "OccurrenceRecord",
+  "Gw__OccurrenceRecord",
   "gw",
-  sizeof(Gw__Sections),
-  3,
-  gw__sections__field_descriptors,
-  gw__sections__field_indices_by_name,
-  1,  gw__sections__number_ranges,
-  (ProtobufCMessageInit) gw__sections__init,
+  sizeof(Gw__OccurrenceRecord),
+  2,
+  gw__occurrence_record__field_descriptors,
+  gw__occurrence_record__field_indices_by_name,
+  1,  gw__occurrence_record__number_ranges,
+  (ProtobufCMessageInit) gw__occurrence_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__ack__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[6] =
 {
   {
-    "epoch",
+    "state",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Gw__Ack, epoch),
-    NULL,
+    offsetof(Gw__JobRecord, state),
+    &gw__job_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table_version",
+    "queue",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__Ack, table_version),
-    NULL,
+    offsetof(Gw__JobRecord, queue),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "generation",
+    "occurrences",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Ack, generation),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__JobRecord, n_occurrences),
+    offsetof(Gw__JobRecord, occurrences),
+    &gw__occurrence_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "hosts",
     4,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Ack, n_leaving),
-    offsetof(Gw__Ack, leaving),
-    &gw__instance_in_flight__descriptor,
+    offsetof(Gw__JobRecord, n_hosts),
+    offsetof(Gw__JobRecord, hosts),
+    &gw__host_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "view_sequence",
+    "finished_wall_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Ack, view_sequence),
+    offsetof(Gw__JobRecord, finished_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_open",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobRecord, first_open),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__ack__field_indices_by_name[] = {
-  0,   /* field[0] = epoch */
-  2,   /* field[2] = generation */
-  3,   /* field[3] = leaving */
-  1,   /* field[1] = table_version */
-  4,   /* field[4] = view_sequence */
+static const unsigned gw__job_record__field_indices_by_name[] = {
+  4,   /* field[4] = finished_wall_ms */
+  5,   /* field[5] = first_open */
+  3,   /* field[3] = hosts */
+  2,   /* field[2] = occurrences */
+  1,   /* field[1] = queue */
+  0,   /* field[0] = state */
 };
-static const ProtobufCIntRange gw__ack__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor gw__ack__descriptor =
+const ProtobufCMessageDescriptor gw__job_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Ack",
-  "Ack",
-  "Gw__Ack",
+  "gw.JobRecord",
+  "JobRecord",
+  "Gw__JobRecord",
   "gw",
-  sizeof(Gw__Ack),
-  5,
-  gw__ack__field_descriptors,
-  gw__ack__field_indices_by_name,
-  1,  gw__ack__number_ranges,
-  (ProtobufCMessageInit) gw__ack__init,
+  sizeof(Gw__JobRecord),
+  6,
+  gw__job_record__field_descriptors,
+  gw__job_record__field_indices_by_name,
+  1,  gw__job_record__number_ranges,
+  (ProtobufCMessageInit) gw__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__instance_outcome__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gw__call__field_descriptors[7] =
 {
   {
-    "instance_id",
+    "number",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__InstanceOutcome, instance_id),
+    offsetof(Gw__Call, number),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "kind",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Gw__InstanceOutcome, incarnation),
+    offsetof(Gw__Call, kind),
+    &gw__call_kind__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "started",
+    "pool",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__InstanceOutcome, started),
-    NULL,
+    offsetof(Gw__Call, pool),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "succeeded",
+    "queue",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__InstanceOutcome, succeeded),
-    NULL,
+    offsetof(Gw__Call, queue),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failed",
+    "id",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__InstanceOutcome, failed),
-    NULL,
+    offsetof(Gw__Call, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "timed_out",
+    "spec",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__InstanceOutcome, timed_out),
-    NULL,
+    offsetof(Gw__Call, spec),
+    &gw__job_spec__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned gw__instance_outcome__field_indices_by_name[] = {
-  4,   /* field[4] = failed */
-  1,   /* field[1] = incarnation */
-  0,   /* field[0] = instance_id */
-  2,   /* field[2] = started */
-  3,   /* field[3] = succeeded */
-  5,   /* field[5] = timed_out */
-};
-static const ProtobufCIntRange gw__instance_outcome__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor gw__instance_outcome__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.InstanceOutcome",
-  "InstanceOutcome",
-  "Gw__InstanceOutcome",
-  "gw",
-  sizeof(Gw__InstanceOutcome),
-  6,
-  gw__instance_outcome__field_descriptors,
-  gw__instance_outcome__field_indices_by_name,
-  1,  gw__instance_outcome__number_ranges,
-  (ProtobufCMessageInit) gw__instance_outcome__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__outcome__field_descriptors[1] =
-{
   {
-    "instances",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Outcome, n_instances),
-    offsetof(Gw__Outcome, instances),
-    &gw__instance_outcome__descriptor,
+    "instance",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Call, instance),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__outcome__field_indices_by_name[] = {
-  0,   /* field[0] = instances */
+static const unsigned gw__call__field_indices_by_name[] = {
+  4,   /* field[4] = id */
+  6,   /* field[6] = instance */
+  1,   /* field[1] = kind */
+  0,   /* field[0] = number */
+  2,   /* field[2] = pool */
+  3,   /* field[3] = queue */
+  5,   /* field[5] = spec */
 };
-static const ProtobufCIntRange gw__outcome__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor gw__outcome__descriptor =
+const ProtobufCMessageDescriptor gw__call__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Outcome",
-  "Outcome",
-  "Gw__Outcome",
+  "gw.Call",
+  "Call",
+  "Gw__Call",
   "gw",
-  sizeof(Gw__Outcome),
-  1,
-  gw__outcome__field_descriptors,
-  gw__outcome__field_indices_by_name,
-  1,  gw__outcome__number_ranges,
-  (ProtobufCMessageInit) gw__outcome__init,
+  sizeof(Gw__Call),
+  7,
+  gw__call__field_descriptors,
+  gw__call__field_indices_by_name,
+  1,  gw__call__number_ranges,
+  (ProtobufCMessageInit) gw__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__peer_state__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[5] =
 {
   {
-    "epoch",
+    "instances",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__PeerState, epoch),
+    offsetof(Gw__PoolLoad, instances),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "planner_id",
+    "capacity_cpu_millis",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__PeerState, planner_id),
+    offsetof(Gw__PoolLoad, capacity_cpu_millis),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "generation",
+    "used_cpu_millis",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__PeerState, generation),
+    offsetof(Gw__PoolLoad, used_cpu_millis),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table_version",
+    "waiting_cpu_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__PeerState, table_version),
+    offsetof(Gw__PoolLoad, waiting_cpu_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table",
+    "idle_instances",
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Gw__PeerState, table),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gw__PoolLoad, n_idle_instances),
+    offsetof(Gw__PoolLoad, idle_instances),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__peer_state__field_indices_by_name[] = {
-  0,   /* field[0] = epoch */
-  2,   /* field[2] = generation */
-  1,   /* field[1] = planner_id */
-  4,   /* field[4] = table */
-  3,   /* field[3] = table_version */
+static const unsigned gw__pool_load__field_indices_by_name[] = {
+  1,   /* field[1] = capacity_cpu_millis */
+  4,   /* field[4] = idle_instances */
+  0,   /* field[0] = instances */
+  2,   /* field[2] = used_cpu_millis */
+  3,   /* field[3] = waiting_cpu_ms */
 };
-static const ProtobufCIntRange gw__peer_state__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 5 }
 };
-const ProtobufCMessageDescriptor gw__peer_state__descriptor =
+const ProtobufCMessageDescriptor gw__pool_load__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.PeerState",
-  "PeerState",
-  "Gw__PeerState",
+  "gw.PoolLoad",
+  "PoolLoad",
+  "Gw__PoolLoad",
   "gw",
-  sizeof(Gw__PeerState),
+  sizeof(Gw__PoolLoad),
   5,
-  gw__peer_state__field_descriptors,
-  gw__peer_state__field_indices_by_name,
-  1,  gw__peer_state__number_ranges,
-  (ProtobufCMessageInit) gw__peer_state__init,
+  gw__pool_load__field_descriptors,
+  gw__pool_load__field_indices_by_name,
+  1,  gw__pool_load__number_ranges,
+  (ProtobufCMessageInit) gw__pool_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__goodbye__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gw__reply__field_descriptors[8] =
 {
   {
-    "boot_id",
+    "number",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Goodbye, boot_id),
+    offsetof(Gw__Reply, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned gw__goodbye__field_indices_by_name[] = {
-  0,   /* field[0] = boot_id */
-};
-static const ProtobufCIntRange gw__goodbye__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor gw__goodbye__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.Goodbye",
-  "Goodbye",
-  "Gw__Goodbye",
-  "gw",
-  sizeof(Gw__Goodbye),
-  1,
-  gw__goodbye__field_descriptors,
-  gw__goodbye__field_indices_by_name,
-  1,  gw__goodbye__number_ranges,
-  (ProtobufCMessageInit) gw__goodbye__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__sponsor_request__field_descriptors[7] =
-{
-  {
-    "node_id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__SponsorRequest, node_id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
-    "boot_id",
+    "outcome",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Gw__SponsorRequest, boot_id),
-    NULL,
+    offsetof(Gw__Reply, outcome),
+    &gw__call_outcome__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sequence",
+    "state",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Gw__SponsorRequest, sequence),
-    NULL,
+    offsetof(Gw__Reply, state),
+    &gw__job_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_us",
+    "pending",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__SponsorRequest, sent_us),
+    offsetof(Gw__Reply, pending),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "retry_after_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__SponsorRequest, epoch),
+    offsetof(Gw__Reply, retry_after_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table_version",
+    "reason",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gw__SponsorRequest, table_version),
-    NULL,
+    offsetof(Gw__Reply, reason),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "drained",
     7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__SponsorRequest, n_leaving),
-    offsetof(Gw__SponsorRequest, leaving),
-    &gw__instance_in_flight__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned gw__sponsor_request__field_indices_by_name[] = {
-  1,   /* field[1] = boot_id */
-  4,   /* field[4] = epoch */
-  6,   /* field[6] = leaving */
-  0,   /* field[0] = node_id */
-  3,   /* field[3] = sent_us */
-  2,   /* field[2] = sequence */
-  5,   /* field[5] = table_version */
-};
-static const ProtobufCIntRange gw__sponsor_request__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor gw__sponsor_request__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.SponsorRequest",
-  "SponsorRequest",
-  "Gw__SponsorRequest",
-  "gw",
-  sizeof(Gw__SponsorRequest),
-  7,
-  gw__sponsor_request__field_descriptors,
-  gw__sponsor_request__field_indices_by_name,
-  1,  gw__sponsor_request__number_ranges,
-  (ProtobufCMessageInit) gw__sponsor_request__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__sponsor_grant__field_descriptors[3] =
-{
-  {
-    "sequence",
-    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gw__SponsorGrant, sequence),
+    offsetof(Gw__Reply, drained),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "view",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Gw__SponsorGrant, view),
-    &gw__view__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sections",
-    3,
+    "load",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Gw__SponsorGrant, sections),
-    &gw__sections__descriptor,
+    offsetof(Gw__Reply, load),
+    &gw__pool_load__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gw__sponsor_grant__field_indices_by_name[] = {
-  2,   /* field[2] = sections */
-  0,   /* field[0] = sequence */
-  1,   /* field[1] = view */
+static const unsigned gw__reply__field_indices_by_name[] = {
+  6,   /* field[6] = drained */
+  7,   /* field[7] = load */
+  0,   /* field[0] = number */
+  1,   /* field[1] = outcome */
+  3,   /* field[3] = pending */
+  5,   /* field[5] = reason */
+  4,   /* field[4] = retry_after_ms */
+  2,   /* field[2] = state */
 };
-static const ProtobufCIntRange gw__sponsor_grant__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor gw__sponsor_grant__descriptor =
+const ProtobufCMessageDescriptor gw__reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.SponsorGrant",
-  "SponsorGrant",
-  "Gw__SponsorGrant",
+  "gw.Reply",
+  "Reply",
+  "Gw__Reply",
   "gw",
-  sizeof(Gw__SponsorGrant),
-  3,
-  gw__sponsor_grant__field_descriptors,
-  gw__sponsor_grant__field_indices_by_name,
-  1,  gw__sponsor_grant__number_ranges,
-  (ProtobufCMessageInit) gw__sponsor_grant__init,
+  sizeof(Gw__Reply),
+  8,
+  gw__reply__field_descriptors,
+  gw__reply__field_indices_by_name,
+  1,  gw__reply__number_ranges,
+  (ProtobufCMessageInit) gw__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__envelope__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gw__envelope__field_descriptors[13] =
 {
   {
     "hello",
@@ -2346,15 +3956,41 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "call",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Envelope, body_case),
+    offsetof(Gw__Envelope, call),
+    &gw__call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Envelope, body_case),
+    offsetof(Gw__Envelope, reply),
+    &gw__reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__envelope__field_indices_by_name[] = {
   5,   /* field[5] = ack */
+  11,   /* field[11] = call */
   2,   /* field[2] = contact */
   8,   /* field[8] = goodbye */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
   6,   /* field[6] = outcome */
   7,   /* field[7] = peer_state */
+  12,   /* field[12] = reply */
   4,   /* field[4] = sections */
   10,   /* field[10] = sponsor_grant */
   9,   /* field[9] = sponsor_request */
@@ -2363,7 +3999,7 @@
 static const ProtobufCIntRange gw__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gw__envelope__descriptor =
 {
@@ -2373,7 +4009,7 @@
   "Gw__Envelope",
   "gw",
   sizeof(Gw__Envelope),
-  11,
+  13,
   gw__envelope__field_descriptors,
   gw__envelope__field_indices_by_name,
   1,  gw__envelope__number_ranges,
@@ -2452,3 +4088,135 @@
   gw__instance_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue gw__task_state__enum_values_by_number[3] =
+{
+  { "TASK_WAITING", "GW__TASK_STATE__TASK_WAITING", 0 },
+  { "TASK_PLACED", "GW__TASK_STATE__TASK_PLACED", 1 },
+  { "TASK_DONE", "GW__TASK_STATE__TASK_DONE", 2 },
+};
+static const ProtobufCIntRange gw__task_state__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex gw__task_state__enum_values_by_name[3] =
+{
+  { "TASK_DONE", 2 },
+  { "TASK_PLACED", 1 },
+  { "TASK_WAITING", 0 },
+};
+const ProtobufCEnumDescriptor gw__task_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gw.TaskState",
+  "TaskState",
+  "Gw__TaskState",
+  "gw",
+  3,
+  gw__task_state__enum_values_by_number,
+  3,
+  gw__task_state__enum_values_by_name,
+  1,
+  gw__task_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue gw__job_state__enum_values_by_number[5] =
+{
+  { "JOB_QUEUED", "GW__JOB_STATE__JOB_QUEUED", 0 },
+  { "JOB_RUNNING", "GW__JOB_STATE__JOB_RUNNING", 1 },
+  { "JOB_COMPLETED", "GW__JOB_STATE__JOB_COMPLETED", 2 },
+  { "JOB_FAILED", "GW__JOB_STATE__JOB_FAILED", 3 },
+  { "JOB_CANCELLED", "GW__JOB_STATE__JOB_CANCELLED", 4 },
+};
+static const ProtobufCIntRange gw__job_state__value_ranges[] = {
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex gw__job_state__enum_values_by_name[5] =
+{
+  { "JOB_CANCELLED", 4 },
+  { "JOB_COMPLETED", 2 },
+  { "JOB_FAILED", 3 },
+  { "JOB_QUEUED", 0 },
+  { "JOB_RUNNING", 1 },
+};
+const ProtobufCEnumDescriptor gw__job_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gw.JobState",
+  "JobState",
+  "Gw__JobState",
+  "gw",
+  5,
+  gw__job_state__enum_values_by_number,
+  5,
+  gw__job_state__enum_values_by_name,
+  1,
+  gw__job_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[6] =
+{
+  { "CALL_SUBMIT", "GW__CALL_KIND__CALL_SUBMIT", 0 },
+  { "CALL_STATE", "GW__CALL_KIND__CALL_STATE", 1 },
+  { "CALL_CANCEL", "GW__CALL_KIND__CALL_CANCEL", 2 },
+  { "CALL_PENDING", "GW__CALL_KIND__CALL_PENDING", 3 },
+  { "CALL_DRAIN", "GW__CALL_KIND__CALL_DRAIN", 4 },
+  { "CALL_LOAD", "GW__CALL_KIND__CALL_LOAD", 5 },
+};
+static const ProtobufCIntRange gw__call_kind__value_ranges[] = {
+{0, 0},{0, 6}
+};
+static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[6] =
+{
+  { "CALL_CANCEL", 2 },
+  { "CALL_DRAIN", 4 },
+  { "CALL_LOAD", 5 },
+  { "CALL_PENDING", 3 },
+  { "CALL_STATE", 1 },
+  { "CALL_SUBMIT", 0 },
+};
+const ProtobufCEnumDescriptor gw__call_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gw.CallKind",
+  "CallKind",
+  "Gw__CallKind",
+  "gw",
+  6,
+  gw__call_kind__enum_values_by_number,
+  6,
+  gw__call_kind__enum_values_by_name,
+  1,
+  gw__call_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue gw__call_outcome__enum_values_by_number[4] =
+{
+  { "CALL_OK", "GW__CALL_OUTCOME__CALL_OK", 0 },
+  { "CALL_ABSENT", "GW__CALL_OUTCOME__CALL_ABSENT", 1 },
+  { "CALL_REFUSED", "GW__CALL_OUTCOME__CALL_REFUSED", 2 },
+  { "CALL_UNKNOWN", "GW__CALL_OUTCOME__CALL_UNKNOWN", 3 },
+};
+static const ProtobufCIntRange gw__call_outcome__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex gw__call_outcome__enum_values_by_name[4] =
+{
+  { "CALL_ABSENT", 1 },
+  { "CALL_OK", 0 },
+  { "CALL_REFUSED", 2 },
+  { "CALL_UNKNOWN", 3 },
+};
+const ProtobufCEnumDescriptor gw__call_outcome__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gw.CallOutcome",
+  "CallOutcome",
+  "Gw__CallOutcome",
+  "gw",
+  4,
+  gw__call_outcome__enum_values_by_number,
+  4,
+  gw__call_outcome__enum_values_by_name,
+  1,
+  gw__call_outcome__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -31,6 +31,16 @@
 typedef struct Gw__Goodbye Gw__Goodbye;
 typedef struct Gw__SponsorRequest Gw__SponsorRequest;
 typedef struct Gw__SponsorGrant Gw__SponsorGrant;
+typedef struct Gw__JobStep Gw__JobStep;
+typedef struct Gw__JobAdvice Gw__JobAdvice;
+typedef struct Gw__JobSpec Gw__JobSpec;
+typedef struct Gw__TaskRecord Gw__TaskRecord;
+typedef struct Gw__HostRecord Gw__HostRecord;
+typedef struct Gw__OccurrenceRecord Gw__OccurrenceRecord;
+typedef struct Gw__JobRecord Gw__JobRecord;
+typedef struct Gw__Call Gw__Call;
+typedef struct Gw__PoolLoad Gw__PoolLoad;
+typedef struct Gw__Reply Gw__Reply;
 typedef struct Gw__Envelope Gw__Envelope;
 
 
@@ -54,6 +64,48 @@
   GW__INSTANCE_STATE__STATE_ENDED = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__INSTANCE_STATE)
 } Gw__InstanceState;
+typedef enum _Gw__TaskState {
+  GW__TASK_STATE__TASK_WAITING = 0,
+  GW__TASK_STATE__TASK_PLACED = 1,
+  GW__TASK_STATE__TASK_DONE = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__TASK_STATE)
+} Gw__TaskState;
+typedef enum _Gw__JobState {
+  GW__JOB_STATE__JOB_QUEUED = 0,
+  GW__JOB_STATE__JOB_RUNNING = 1,
+  GW__JOB_STATE__JOB_COMPLETED = 2,
+  GW__JOB_STATE__JOB_FAILED = 3,
+  GW__JOB_STATE__JOB_CANCELLED = 4
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__JOB_STATE)
+} Gw__JobState;
+/*
+ * A caller's request that an entry instance passes to the owner of the pool.
+ */
+typedef enum _Gw__CallKind {
+  GW__CALL_KIND__CALL_SUBMIT = 0,
+  GW__CALL_KIND__CALL_STATE = 1,
+  GW__CALL_KIND__CALL_CANCEL = 2,
+  GW__CALL_KIND__CALL_PENDING = 3,
+  GW__CALL_KIND__CALL_DRAIN = 4,
+  GW__CALL_KIND__CALL_LOAD = 5
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__CALL_KIND)
+} Gw__CallKind;
+typedef enum _Gw__CallOutcome {
+  GW__CALL_OUTCOME__CALL_OK = 0,
+  /*
+   * No such job, or queue.
+   */
+  GW__CALL_OUTCOME__CALL_ABSENT = 1,
+  /*
+   * Not accepted; it will never run.
+   */
+  GW__CALL_OUTCOME__CALL_REFUSED = 2,
+  /*
+   * The outcome is not known.
+   */
+  GW__CALL_OUTCOME__CALL_UNKNOWN = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__CALL_OUTCOME)
+} Gw__CallOutcome;
 
 /* --- messages --- */
 
@@ -322,6 +374,223 @@
     , 0, NULL, NULL }
 
 
+/*
+ * A step of a job: count equal tasks. Sizes are per task.
+ */
+struct  Gw__JobStep
+{
+  ProtobufCMessage base;
+  uint32_t count;
+  uint32_t cpu_millis;
+  uint32_t memory_mib;
+  uint32_t accelerators;
+  uint32_t estimate_ms;
+  /*
+   * Numbers of the earlier steps that must be done first.
+   */
+  size_t n_after;
+  uint32_t *after;
+  protobuf_c_boolean checkpoints;
+  protobuf_c_boolean gang;
+  protobuf_c_boolean same_rack;
+  char *label;
+  char *rack;
+  /*
+   * Tasks of this step on one instance; 0 means no limit.
+   */
+  uint32_t max_per_instance;
+  protobuf_c_boolean concurrent;
+  /*
+   * The tasks run until the job is cancelled.
+   */
+  protobuf_c_boolean lasting;
+  char *image;
+  /*
+   * Bound on the tail latency that a serving task gives; 0 means none.
+   */
+  uint32_t target_ms;
+  /*
+   * The processors are taken from what the other tasks leave unused.
+   */
+  protobuf_c_boolean fills;
+  uint32_t max_unavailable;
+  protobuf_c_boolean limits_unavailable;
+};
+#define GW__JOB_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__job_step__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * How the placement service of a queue is asked; valid_ms 0 means no advice.
+ */
+struct  Gw__JobAdvice
+{
+  ProtobufCMessage base;
+  uint32_t decide_ms;
+  uint32_t per_item_ms;
+  uint32_t valid_ms;
+};
+#define GW__JOB_ADVICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__job_advice__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * A job as submitted, with the settings of its queue at that time.
+ */
+struct  Gw__JobSpec
+{
+  ProtobufCMessage base;
+  char *id;
+  char *queue;
+  char *payload;
+  size_t n_steps;
+  Gw__JobStep **steps;
+  /*
+   * 0 for a job without a schedule.
+   */
+  uint32_t repeats;
+  uint64_t first_due_wall_ms;
+  uint64_t interval_ms;
+  uint32_t priority;
+  uint32_t max_attempts;
+  uint32_t objective_ms;
+  uint32_t stretch_permille;
+  uint64_t submitted_wall_ms;
+  Gw__JobAdvice *advice;
+};
+#define GW__JOB_SPEC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__job_spec__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL }
+
+
+struct  Gw__TaskRecord
+{
+  ProtobufCMessage base;
+  Gw__TaskState state;
+  /*
+   * Number of the last run; 0 before the first.
+   */
+  uint32_t run;
+  uint32_t failures;
+  /*
+   * Index into JobRecord.hosts plus 1; 0 when not placed.
+   */
+  uint32_t host;
+  char *checkpoint;
+};
+#define GW__TASK_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__task_record__descriptor) \
+    , GW__TASK_STATE__TASK_WAITING, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Gw__HostRecord
+{
+  ProtobufCMessage base;
+  char *instance;
+  uint64_t born_ms;
+};
+#define GW__HOST_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__host_record__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Gw__OccurrenceRecord
+{
+  ProtobufCMessage base;
+  uint32_t number;
+  /*
+   * All steps' tasks, in order.
+   */
+  size_t n_tasks;
+  Gw__TaskRecord **tasks;
+};
+#define GW__OCCURRENCE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__occurrence_record__descriptor) \
+    , 0, 0,NULL }
+
+
+/*
+ * What the owner of a pool records of a job's progress.
+ */
+struct  Gw__JobRecord
+{
+  ProtobufCMessage base;
+  Gw__JobState state;
+  char *queue;
+  size_t n_occurrences;
+  Gw__OccurrenceRecord **occurrences;
+  size_t n_hosts;
+  Gw__HostRecord **hosts;
+  uint64_t finished_wall_ms;
+  /*
+   * Occurrences before this number are done.
+   */
+  uint32_t first_open;
+};
+#define GW__JOB_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__job_record__descriptor) \
+    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0 }
+
+
+struct  Gw__Call
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  Gw__CallKind kind;
+  char *pool;
+  char *queue;
+  char *id;
+  Gw__JobSpec *spec;
+  /*
+   * Of CALL_DRAIN: the instance is about to be stopped.
+   */
+  char *instance;
+};
+#define GW__CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__call__descriptor) \
+    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string }
+
+
+/*
+ * What the planner needs to know of a pool.
+ */
+struct  Gw__PoolLoad
+{
+  ProtobufCMessage base;
+  uint32_t instances;
+  uint64_t capacity_cpu_millis;
+  uint64_t used_cpu_millis;
+  uint64_t waiting_cpu_ms;
+  size_t n_idle_instances;
+  char **idle_instances;
+};
+#define GW__POOL_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__pool_load__descriptor) \
+    , 0, 0, 0, 0, 0,NULL }
+
+
+struct  Gw__Reply
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  Gw__CallOutcome outcome;
+  Gw__JobState state;
+  uint32_t pending;
+  uint32_t retry_after_ms;
+  char *reason;
+  /*
+   * Of CALL_DRAIN: nothing runs on the instance, and nothing will for a while.
+   */
+  protobuf_c_boolean drained;
+  Gw__PoolLoad *load;
+};
+#define GW__REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__reply__descriptor) \
+    , 0, GW__CALL_OUTCOME__CALL_OK, GW__JOB_STATE__JOB_QUEUED, 0, 0, (char *)protobuf_c_empty_string, 0, NULL }
+
+
 typedef enum {
   GW__ENVELOPE__BODY__NOT_SET = 0,
   GW__ENVELOPE__BODY_HELLO = 1,
@@ -334,7 +603,9 @@
   GW__ENVELOPE__BODY_PEER_STATE = 8,
   GW__ENVELOPE__BODY_GOODBYE = 9,
   GW__ENVELOPE__BODY_SPONSOR_REQUEST = 10,
-  GW__ENVELOPE__BODY_SPONSOR_GRANT = 11
+  GW__ENVELOPE__BODY_SPONSOR_GRANT = 11,
+  GW__ENVELOPE__BODY_CALL = 12,
+  GW__ENVELOPE__BODY_REPLY = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__ENVELOPE__BODY__CASE)
 } Gw__Envelope__BodyCase;
 
@@ -354,6 +625,8 @@
     Gw__Goodbye *goodbye;
     Gw__SponsorRequest *sponsor_request;
     Gw__SponsorGrant *sponsor_grant;
+    Gw__Call *call;
+    Gw__Reply *reply;
   };
 };
 #define GW__ENVELOPE__INIT \
@@ -665,6 +938,196 @@
 void   gw__sponsor_grant__free_unpacked
                      (Gw__SponsorGrant *message,
                       ProtobufCAllocator *allocator);
+/* Gw__JobStep methods */
+void   gw__job_step__init
+                     (Gw__JobStep         *message);
+size_t gw__job_step__get_packed_size
+                     (const Gw__JobStep   *message);
+size_t gw__job_step__pack
+                     (const Gw__JobStep   *message,
+                      uint8_t             *out);
+size_t gw__job_step__pack_to_buffer
+                     (const Gw__JobStep   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__JobStep *
+       gw__job_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__job_step__free_unpacked
+                     (Gw__JobStep *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__JobAdvice methods */
+void   gw__job_advice__init
+                     (Gw__JobAdvice         *message);
+size_t gw__job_advice__get_packed_size
+                     (const Gw__JobAdvice   *message);
+size_t gw__job_advice__pack
+                     (const Gw__JobAdvice   *message,
+                      uint8_t             *out);
+size_t gw__job_advice__pack_to_buffer
+                     (const Gw__JobAdvice   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__JobAdvice *
+       gw__job_advice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__job_advice__free_unpacked
+                     (Gw__JobAdvice *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__JobSpec methods */
+void   gw__job_spec__init
+                     (Gw__JobSpec         *message);
+size_t gw__job_spec__get_packed_size
+                     (const Gw__JobSpec   *message);
+size_t gw__job_spec__pack
+                     (const Gw__JobSpec   *message,
+                      uint8_t             *out);
+size_t gw__job_spec__pack_to_buffer
+                     (const Gw__JobSpec   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__JobSpec *
+       gw__job_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__job_spec__free_unpacked
+                     (Gw__JobSpec *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__TaskRecord methods */
+void   gw__task_record__init
+                     (Gw__TaskRecord         *message);
+size_t gw__task_record__get_packed_size
+                     (const Gw__TaskRecord   *message);
+size_t gw__task_record__pack
+                     (const Gw__TaskRecord   *message,
+                      uint8_t             *out);
+size_t gw__task_record__pack_to_buffer
+                     (const Gw__TaskRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__TaskRecord *
+       gw__task_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__task_record__free_unpacked
+                     (Gw__TaskRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__HostRecord methods */
+void   gw__host_record__init
+                     (Gw__HostRecord         *message);
+size_t gw__host_record__get_packed_size
+                     (const Gw__HostRecord   *message);
+size_t gw__host_record__pack
+                     (const Gw__HostRecord   *message,
+                      uint8_t             *out);
+size_t gw__host_record__pack_to_buffer
+                     (const Gw__HostRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__HostRecord *
+       gw__host_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__host_record__free_unpacked
+                     (Gw__HostRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__OccurrenceRecord methods */
+void   gw__occurrence_record__init
+                     (Gw__OccurrenceRecord         *message);
+size_t gw__occurrence_record__get_packed_size
+                     (const Gw__OccurrenceRecord   *message);
+size_t gw__occurrence_record__pack
+                     (const Gw__OccurrenceRecord   *message,
+                      uint8_t             *out);
+size_t gw__occurrence_record__pack_to_buffer
+                     (const Gw__OccurrenceRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__OccurrenceRecord *
+       gw__occurrence_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__occurrence_record__free_unpacked
+                     (Gw__OccurrenceRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__JobRecord methods */
+void   gw__job_record__init
+                     (Gw__JobRecord         *message);
+size_t gw__job_record__get_packed_size
+                     (const Gw__JobRecord   *message);
+size_t gw__job_record__pack
+                     (const Gw__JobRecord   *message,
+                      uint8_t             *out);
+size_t gw__job_record__pack_to_buffer
+                     (const Gw__JobRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__JobRecord *
+       gw__job_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__job_record__free_unpacked
+                     (Gw__JobRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__Call methods */
+void   gw__call__init
+                     (Gw__Call         *message);
+size_t gw__call__get_packed_size
+                     (const Gw__Call   *message);
+size_t gw__call__pack
+                     (const Gw__Call   *message,
+                      uint8_t             *out);
+size_t gw__call__pack_to_buffer
+                     (const Gw__Call   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Call *
+       gw__call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__call__free_unpacked
+                     (Gw__Call *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__PoolLoad methods */
+void   gw__pool_load__init
+                     (Gw__PoolLoad         *message);
+size_t gw__pool_load__get_packed_size
+                     (const Gw__PoolLoad   *message);
+size_t gw__pool_load__pack
+                     (const Gw__PoolLoad   *message,
+                      uint8_t             *out);
+size_t gw__pool_load__pack_to_buffer
+                     (const Gw__PoolLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__PoolLoad *
+       gw__pool_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__pool_load__free_unpacked
+                     (Gw__PoolLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__Reply methods */
+void   gw__reply__init
+                     (Gw__Reply         *message);
+size_t gw__reply__get_packed_size
+                     (const Gw__Reply   *message);
+size_t gw__reply__pack
+                     (const Gw__Reply   *message,
+                      uint8_t             *out);
+size_t gw__reply__pack_to_buffer
+                     (const Gw__Reply   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Reply *
+       gw__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__reply__free_unpacked
+                     (Gw__Reply *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Envelope methods */
 void   gw__envelope__init
                      (Gw__Envelope         *message);
@@ -734,6 +1197,36 @@
 typedef void (*Gw__SponsorGrant_Closure)
                  (const Gw__SponsorGrant *message,
                   void *closure_data);
+typedef void (*Gw__JobStep_Closure)
+                 (const Gw__JobStep *message,
+                  void *closure_data);
+typedef void (*Gw__JobAdvice_Closure)
+                 (const Gw__JobAdvice *message,
+                  void *closure_data);
+typedef void (*Gw__JobSpec_Closure)
+                 (const Gw__JobSpec *message,
+                  void *closure_data);
+typedef void (*Gw__TaskRecord_Closure)
+                 (const Gw__TaskRecord *message,
+                  void *closure_data);
+typedef void (*Gw__HostRecord_Closure)
+                 (const Gw__HostRecord *message,
+                  void *closure_data);
+typedef void (*Gw__OccurrenceRecord_Closure)
+                 (const Gw__OccurrenceRecord *message,
+                  void *closure_data);
+typedef void (*Gw__JobRecord_Closure)
+                 (const Gw__JobRecord *message,
+                  void *closure_data);
+typedef void (*Gw__Call_Closure)
+                 (const Gw__Call *message,
+                  void *closure_data);
+typedef void (*Gw__PoolLoad_Closure)
+                 (const Gw__PoolLoad *message,
+                  void *closure_data);
+typedef void (*Gw__Reply_Closure)
+                 (const Gw__Reply *message,
+                  void *closure_data);
 typedef void (*Gw__Envelope_Closure)
                  (const Gw__Envelope *message,
                   void *closure_data);
@@ -745,6 +1238,10 @@
 
 extern const ProtobufCEnumDescriptor    gw__role__descriptor;
 extern const ProtobufCEnumDescriptor    gw__instance_state__descriptor;
+extern const ProtobufCEnumDescriptor    gw__task_state__descriptor;
+extern const ProtobufCEnumDescriptor    gw__job_state__descriptor;
+extern const ProtobufCEnumDescriptor    gw__call_kind__descriptor;
+extern const ProtobufCEnumDescriptor    gw__call_outcome__descriptor;
 extern const ProtobufCMessageDescriptor gw__hello__descriptor;
 extern const ProtobufCMessageDescriptor gw__pool_demand__descriptor;
 extern const ProtobufCMessageDescriptor gw__instance_in_flight__descriptor;
@@ -761,6 +1258,16 @@
 extern const ProtobufCMessageDescriptor gw__goodbye__descriptor;
 extern const ProtobufCMessageDescriptor gw__sponsor_request__descriptor;
 extern const ProtobufCMessageDescriptor gw__sponsor_grant__descriptor;
+extern const ProtobufCMessageDescriptor gw__job_step__descriptor;
+extern const ProtobufCMessageDescriptor gw__job_advice__descriptor;
+extern const ProtobufCMessageDescriptor gw__job_spec__descriptor;
+extern const ProtobufCMessageDescriptor gw__task_record__descriptor;
+extern const ProtobufCMessageDescriptor gw__host_record__descriptor;
+extern const ProtobufCMessageDescriptor gw__occurrence_record__descriptor;
+extern const ProtobufCMessageDescriptor gw__job_record__descriptor;
+extern const ProtobufCMessageDescriptor gw__call__descriptor;
+extern const ProtobufCMessageDescriptor gw__pool_load__descriptor;
+extern const ProtobufCMessageDescriptor gw__reply__descriptor;
 extern const ProtobufCMessageDescriptor gw__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -2,7 +2,9 @@
 # Settings shared by all directories. TOP is the root of the tree.
 # VARIANT is release (default) or asan (AddressSanitizer and UBSan).
 VARIANT ?= release
-BUILD = $(TOP)/build/$(VARIANT)
+# BUILD_ROOT is where everything goes that is built.
+BUILD_ROOT ?= build
+BUILD = $(TOP)/$(BUILD_ROOT)/$(VARIANT)
 HERE := $(patsubst $(realpath $(TOP))/%,%,$(CURDIR))
 OBJDIR = $(BUILD)/$(HERE)
 LIBDIR = $(BUILD)/lib
@@ -13,7 +15,7 @@
 WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wpointer-arith -Wformat=2
 PKG_CFLAGS := $(shell pkg-config --cflags glib-2.0)
-CPPFLAGS += -D_GNU_SOURCE -I$(TOP)/lib -I$(OBJDIR) $(PKG_CFLAGS)
+CPPFLAGS += -D_GNU_SOURCE -I$(TOP)/lib -I$(TOP) -I$(OBJDIR) $(PKG_CFLAGS)
 CFLAGS_release = -O2 -g
 CFLAGS_asan = -O1 -g -fsanitize=address,undefined \
 	-fno-sanitize-recover=undefined -fno-omit-frame-pointer
