Maintain machines in waves and move them by demand

Change: a planner role with its records and orders; holds to a silent instance extend nothing; the planner and the registry tell owners of ended instances.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -7,6 +7,7 @@
 #include "front.h"
 #include "gw/log.h"
 #include "http/httpd.h"
+#include "planner.h"
 #include "platform/kv.h"
 #include "roles.h"
 #include "service.h"
@@ -34,6 +35,7 @@
 	roles_t *roles;
 	view_t *view;
 	service_t *service;
+	planner_t *planner; /* NULL unless this process plans */
 	dispatch_t *dispatch;
 	front_t *front;
 	gw_httpd_t *ready;
@@ -55,12 +57,43 @@
 	service_set_instance(arg, info);
 }
 
+static void on_deposed(const char *, const char *, void *);
+
+static const planner_ops_t planner_ops = {.on_deposed = on_deposed};
+
+static void
+plan_instance(const sched_info_t *info, void *arg)
+{
+	planner_instance_up(arg, info);
+}
+
+static void
+plan_wave(const plat_wave_t *wave, void *arg)
+{
+	planner_set_wave(arg, wave);
+}
+
+static void
+start_planner(entry_t *entry, uint64_t fence)
+{
+	entry->planner = planner_new(entry->rt, entry->store, entry->dispatch,
+	    &entry->settings, fence, &planner_ops, entry);
+	if (view_config(entry->view) != NULL)
+		planner_set_config(entry->planner, view_config(entry->view));
+	view_replay(entry->view, plan_instance, entry->planner);
+	view_replay_waves(entry->view, plan_wave, entry->planner);
+}
+
 static void
 on_gain(const char *role, uint64_t fence, void *arg)
 {
 	entry_t *entry = arg;
 
 	view_want_instances(entry->view);
+	if (strcmp(role, PLANNER_ROLE) == 0) {
+		start_planner(entry, fence);
+		return;
+	}
 	service_add(entry->service, role, fence);
 	view_replay(entry->view, replay_instance, entry->service);
 }
@@ -71,7 +104,10 @@
 	entry_t *entry = arg;
 
 	(void)reason;
-	service_remove(entry->service, role);
+	if (strcmp(role, PLANNER_ROLE) == 0)
+		g_clear_pointer(&entry->planner, planner_free);
+	else
+		service_remove(entry->service, role);
 }
 
 static const roles_ops_t roles_ops = {.on_gain = on_gain, .on_lose = on_lose};
@@ -94,6 +130,10 @@
 	entry_t *entry = arg;
 
 	front_set_config(entry->front, config);
+	if (entry->planner != NULL)
+		planner_set_config(entry->planner, config);
+	if (entry->settings.has_machines)
+		roles_want(entry->roles, PLANNER_ROLE);
 	for (guint i = 0; i < config->pools->len; i++)
 		roles_want(entry->roles,
 		    g_array_index(config->pools, sched_pool_config_t, i).name);
@@ -105,6 +145,8 @@
 	entry_t *entry = arg;
 
 	service_set_instance(entry->service, info);
+	if (entry->planner != NULL)
+		planner_instance_up(entry->planner, info);
 }
 
 static void
@@ -113,14 +155,17 @@
 	entry_t *entry = arg;
 
 	service_remove_instance(entry->service, id);
+	if (entry->planner != NULL)
+		planner_instance_gone(entry->planner, id);
 }
 
 static void
 on_wave(const plat_wave_t *wave, void *arg)
 {
-	(void)arg;
-	gw_log(GW_EV_MAINTENANCE, "wave=%" PRIu64 " machines=%u state=read",
-	    wave->number, wave->machines->len);
+	entry_t *entry = arg;
+
+	if (entry->planner != NULL)
+		planner_set_wave(entry->planner, wave);
 }
 
 static const view_ops_t view_ops = {.on_config = on_config,
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -124,6 +124,7 @@
 
 	if (req == NULL)
 		return;
+	request->req = NULL;
 	gw_timer_stop(&request->deadline);
 	stats_request(front->stats, request->kind, status, took_us);
 	if (status != STATUS_OK || !is_read)
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -30,6 +31,7 @@
 	uint64_t fence;	   /* not 0 while it is this process's */
 	bool wanted;
 	bool claiming;
+	uint32_t owned_then; /* when the claim was scheduled */
 	gw_timer_t claim;
 } role_t;
 
@@ -170,7 +172,7 @@
 	    roles->released || !role->wanted)
 		return;
 	if (roles->lease_id == 0 || !roles_lease_valid(roles) ||
-	    !roles->listed) {
+	    !roles->listed || owned(roles) > role->owned_then) {
 		schedule_claim(role);
 		return;
 	}
@@ -183,6 +185,21 @@
 	store_txn(roles->store, &txn, on_claimed, role);
 }
 
+/*
+ * Returns a number that differs between processes and between roles.
+ */
+static uint32_t
+spread(const role_t *role)
+{
+	g_autofree char *text =
+	    g_strdup_printf("%s %s", role->roles->boot, role->name);
+	char digest[GW_ID_TEXT_BYTES];
+
+	gw_id_content(text, strlen(text), digest);
+	digest[7] = '\0';
+	return (uint32_t)strtoul(digest, NULL, 16);
+}
+
 /*
  * Claims a role without an owner after a pause that depends on what this
  * process owns already.
@@ -191,16 +208,15 @@
 schedule_claim(role_t *role)
 {
 	roles_t *roles = role->roles;
-	g_autofree char *text =
-	    g_strdup_printf("%s %s", roles->node, role->name);
 	uint64_t now_us = gw_rt_now_us(roles->rt);
 	uint64_t delay_us;
 
 	if (role->owner != NULL || role->claiming || !role->wanted ||
 	    roles->released)
 		return;
-	delay_us = (CLAIM_BASE_MS + CLAIM_PER_ROLE_MS * owned(roles) +
-		       g_str_hash(text) % CLAIM_SPREAD_MS) *
+	role->owned_then = owned(roles);
+	delay_us = (CLAIM_BASE_MS + CLAIM_PER_ROLE_MS * role->owned_then +
+		       spread(role) % CLAIM_SPREAD_MS) *
 	    GW_US_PER_MS;
 	if (now_us < roles->started_us + CLAIM_START_MS * GW_US_PER_MS)
 		delay_us += CLAIM_START_MS * GW_US_PER_MS;
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -96,8 +96,12 @@
 	/* It may have belonged to another pool before. */
 	g_hash_table_iter_init(&iter, service->owners);
 	while (g_hash_table_iter_next(&iter, &name, (gpointer *)&owner))
+	{
+		sched_pool_machine_runs(
+		    owner_pool(owner), info->machine, info->id);
 		if (strcmp(name, info->pool) != 0)
 			owner_remove_instance(owner, info->id);
+	}
 }
 
 void
@@ -190,6 +194,9 @@
 	Gw__Reply reply = GW__REPLY__INIT;
 
 	reply.outcome = GW__CALL_OUTCOME__CALL_OK;
+	if (call->ended)
+		sched_pool_end_instance(
+		    owner_pool(owner), call->instance, "machine-stopped");
 	reply.drained =
 	    sched_pool_drain(owner_pool(owner), call->instance, DRAIN_MS);
 	owner_kick(owner);
--- a/gwentryd/view.c
+++ b/gwentryd/view.c
@@ -16,6 +16,7 @@
 	store_follow_t *registry;
 	sched_config_t *config;
 	GHashTable *instances; /* id -> sched_info_t */
+	GPtrArray *waves;      /* plat_wave_t */
 };
 
 static void
@@ -65,8 +66,8 @@
 		    err.text);
 		return;
 	}
+	g_ptr_array_add(view->waves, wave);
 	view->ops->on_wave(wave, view->arg);
-	plat_wave_free(wave);
 }
 
 static void
@@ -149,6 +150,8 @@
 	view->arg = arg;
 	view->instances =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, info_free);
+	view->waves = g_ptr_array_new_with_free_func(
+	    (GDestroyNotify)plat_wave_free);
 	view->operators =
 	    store_follow(store, PLAT_OPERATOR_PREFIX, &operator_ops, view);
 	return view;
@@ -166,6 +169,7 @@
 	store_follow_free(view->registry);
 	g_hash_table_destroy(view->instances);
 	sched_config_free(view->config);
+	g_ptr_array_free(view->waves, TRUE);
 	g_free(view);
 }
 
@@ -194,3 +198,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&info))
 		cb(info, arg);
 }
+
+void
+view_replay_waves(
+    const view_t *view, void (*cb)(const plat_wave_t *, void *), void *arg)
+{
+	for (guint i = 0; i < view->waves->len; i++)
+		cb(view->waves->pdata[i], arg);
+}
--- a/gwentryd/view.h
+++ b/gwentryd/view.h
@@ -27,6 +27,9 @@
 /* NULL before the first one was read. */
 const sched_config_t *view_config(const view_t *);
 /* Reports every known instance again, for a new owner. */
-void view_replay(const view_t *, void (*)(const sched_info_t *, void *), void *);
+void view_replay(
+    const view_t *, void (*)(const sched_info_t *, void *), void *arg);
+void view_replay_waves(
+    const view_t *, void (*)(const plat_wave_t *, void *), void *arg);
 
 #endif
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -43,10 +43,19 @@
 		sched_job_set_spec(job, copy_spec(spec));
 		g_ptr_array_add(pool->open, job);
 		gw_log(GW_EV_SCHED_ACCEPTED,
-		    "job=%s pool=%s queue=%s steps=%zu chain_ms=%u "
+		    "job=%s pool=%s queue=%s steps=%zu tasks=%u cpu_millis=%u "
+		    "lasting=%d target_ms=%u fills=%d max_unavailable=%u "
+		    "per_instance=%u chain_ms=%u objective_ms=%u priority=%u "
 		    "open_jobs=%u",
 		    job->id, pool->name, job->queue, job->spec->n_steps,
-		    job->chain_ms, pool->open->len);
+		    job->spec->steps[0]->count,
+		    job->spec->steps[0]->cpu_millis, job->lasting,
+		    job->spec->steps[0]->target_ms,
+		    job->spec->steps[0]->fills,
+		    job->spec->steps[0]->max_unavailable,
+		    job->spec->steps[0]->max_per_instance,
+		    job->chain_ms, job->spec->objective_ms,
+		    job->spec->priority, pool->open->len);
 	}
 	wait_for_record(pool, job, cb, arg);
 }
--- /dev/null
+++ b/lib/sched/fleet_impl.h
@@ -0,0 +1,89 @@
+#ifndef SCHED_FLEET_IMPL_H
+#define SCHED_FLEET_IMPL_H
+
+#include "sched/fleet.h"
+
+/* What a machine is being prepared for. */
+typedef enum {
+	GOAL_NONE,
+	GOAL_MAINTAIN,
+	GOAL_MOVE
+} goal_t;
+
+typedef enum {
+	PHASE_DRAIN,   /* its instance is being freed */
+	PHASE_ORDERED, /* the order is under way */
+	PHASE_AWAY     /* done; its next instance is not up yet */
+} phase_t;
+
+typedef struct {
+	fleet_machine_t at;
+	bool listed; /* in the list under way */
+	goal_t goal;
+	phase_t phase;
+	uint64_t since_us; /* when the phase began */
+	uint64_t asked_us; /* the last drain or order */
+	uint64_t retry_us; /* no order before this */
+	uint64_t wave;
+	char target[SCHED_NAME_BYTES]; /* pool of a move */
+	char before[SCHED_NAME_BYTES]; /* instance that the order ended */
+} machine_t;
+
+typedef struct {
+	char name[SCHED_NAME_BYTES];
+	bool standby;
+	uint64_t load_us; /* when its owner reported; 0: never */
+	uint32_t instances;
+	uint64_t capacity_cpu_millis;
+	uint64_t used_cpu_millis;
+	uint64_t waiting_cpu_ms;
+	GHashTable *idle; /* instance -> NULL */
+	uint64_t surplus_since_us;
+	uint32_t wanted; /* machines, as the lending policy has it */
+	uint64_t hot_us; /* when it last needed more than it had */
+} pool_t;
+
+typedef struct {
+	uint64_t number;
+	GPtrArray *machines; /* char * */
+	GHashTable *done;    /* machine -> NULL */
+	uint32_t at_once_max;
+	uint64_t seen_us;
+	uint64_t end_us;
+	bool running_said;
+	bool completed;
+} wave_t;
+
+struct fleet {
+	const gw_clock_t *clock;
+	const fleet_lending_t *lending;
+	const fleet_ops_t *ops;
+	void *arg;
+	GHashTable *machines; /* name -> machine_t */
+	GHashTable *pools;    /* name -> pool_t */
+	GPtrArray *waves;     /* wave_t */
+	bool listed;
+	uint64_t list_us;
+};
+
+struct fleet_lending {
+	const char *name;
+	/* Sets wanted of each pool that is not on standby. */
+	void (*decide)(fleet_t *, uint64_t now_us);
+};
+
+pool_t *fleet_pool(fleet_t *, const char *name);
+machine_t *fleet_machine_of(const fleet_t *, const char *instance);
+bool fleet_is_idle(fleet_t *, const machine_t *);
+void fleet_begin(fleet_t *, machine_t *, goal_t);
+uint32_t fleet_pool_machines(const fleet_t *, const char *pool);
+
+/* fleet_wave.c */
+void fleet_waves(fleet_t *, uint64_t now_us);
+void fleet_wave_done(fleet_t *, uint64_t number, const char *machine);
+void fleet_wave_free(gpointer);
+
+/* fleet_lend.c */
+void fleet_lend(fleet_t *, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/lib/sched/fleet_lend.c
@@ -0,0 +1,201 @@
+#include <string.h>
+
+#include "gw/log.h"
+#include "sched/fleet_impl.h"
+
+/* A report older than this decides nothing. */
+#define LOAD_FRESH_US (1500 * GW_US_PER_MS)
+/* Waiting work should be done within this time. */
+#define BACKLOG_MS 1500
+/* Machines beyond the need, for what comes next. */
+#define RESERVE 1
+#define MACHINES_MIN 2
+/* A surplus this old goes to the standby pool; shorter ones come back. */
+#define SURPLUS_US (1500 * GW_US_PER_MS)
+
+/*
+ * The demand of a pool decides: processors in use, and those that would do the
+ * waiting work within BACKLOG_MS.
+ */
+static void
+want_by_demand(fleet_t *fleet, uint64_t now_us)
+{
+	GHashTableIter iter;
+	pool_t *pool;
+
+	g_hash_table_iter_init(&iter, fleet->pools);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
+		uint64_t each, need;
+
+		if (pool->standby || pool->instances == 0)
+			continue;
+		each = MAX(pool->capacity_cpu_millis / pool->instances, 1);
+		need = pool->used_cpu_millis +
+		    pool->waiting_cpu_ms * 1000 / BACKLOG_MS;
+		pool->wanted = MAX(MACHINES_MIN,
+		    (uint32_t)((need + each - 1) / each) + RESERVE);
+	}
+	(void)now_us;
+}
+
+static void
+want_nothing(fleet_t *fleet, uint64_t now_us)
+{
+	GHashTableIter iter;
+	pool_t *pool;
+
+	(void)now_us;
+	g_hash_table_iter_init(&iter, fleet->pools);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
+		pool->wanted = fleet_pool_machines(fleet, pool->name);
+}
+
+const fleet_lending_t fleet_lending_none = {"none", want_nothing};
+const fleet_lending_t fleet_lending_demand = {"demand", want_by_demand};
+
+static bool
+is_fresh(const pool_t *pool, uint64_t now_us)
+{
+	return pool->load_us != 0 && now_us - pool->load_us < LOAD_FRESH_US;
+}
+
+/*
+ * Returns an idle machine of the pool, or NULL.
+ */
+static machine_t *
+idle_machine(fleet_t *fleet, const pool_t *pool, uint64_t now_us)
+{
+	GHashTableIter iter;
+	machine_t *machine;
+
+	g_hash_table_iter_init(&iter, fleet->machines);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
+		if (strcmp(machine->at.pool, pool->name) == 0 &&
+		    machine->goal == GOAL_NONE && machine->at.up &&
+		    now_us >= machine->retry_us &&
+		    fleet_is_idle(fleet, machine))
+			return machine;
+	return NULL;
+}
+
+static pool_t *
+standby_pool(fleet_t *fleet)
+{
+	GHashTableIter iter;
+	pool_t *pool;
+
+	g_hash_table_iter_init(&iter, fleet->pools);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
+		if (pool->standby)
+			return pool;
+	return NULL;
+}
+
+/*
+ * Returns how many machines the pool has beyond what it wants.
+ */
+static int32_t
+surplus(const fleet_t *fleet, const pool_t *pool)
+{
+	return (int32_t)fleet_pool_machines(fleet, pool->name) -
+	    (int32_t)pool->wanted;
+}
+
+static void
+move(fleet_t *fleet, machine_t *machine, const pool_t *to)
+{
+	g_strlcpy(machine->target, to->name, sizeof(machine->target));
+	machine->wave = 0;
+	fleet_begin(fleet, machine, GOAL_MOVE);
+}
+
+/*
+ * Finds a machine for a pool that lacks some: from the standby pool, else from
+ * the pool with the largest surplus.
+ */
+static machine_t *
+lender(fleet_t *fleet, const pool_t *to, uint64_t now_us)
+{
+	pool_t *standby = standby_pool(fleet), *pool;
+	machine_t *machine = NULL;
+	GHashTableIter iter;
+	int32_t most = 0;
+
+	if (standby != NULL)
+		machine = idle_machine(fleet, standby, now_us);
+	if (machine != NULL)
+		return machine;
+	g_hash_table_iter_init(&iter, fleet->pools);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
+		machine_t *found;
+
+		if (pool == to || pool->standby || !is_fresh(pool, now_us) ||
+		    surplus(fleet, pool) <= most)
+			continue;
+		found = idle_machine(fleet, pool, now_us);
+		if (found == NULL)
+			continue;
+		machine = found;
+		most = surplus(fleet, pool);
+	}
+	return machine;
+}
+
+static void
+fill(fleet_t *fleet, pool_t *pool, uint64_t now_us)
+{
+	while (surplus(fleet, pool) < 0) {
+		machine_t *machine = lender(fleet, pool, now_us);
+
+		if (machine == NULL)
+			return;
+		move(fleet, machine, pool);
+	}
+}
+
+/*
+ * Switches off what a pool has had too much of for a while.
+ */
+static void
+give_back(fleet_t *fleet, pool_t *pool, uint64_t now_us)
+{
+	pool_t *standby = standby_pool(fleet);
+	machine_t *machine;
+
+	if (standby == NULL || surplus(fleet, pool) <= 0) {
+		pool->surplus_since_us = 0;
+		return;
+	}
+	if (pool->surplus_since_us == 0)
+		pool->surplus_since_us = now_us;
+	if (now_us - pool->surplus_since_us < SURPLUS_US)
+		return;
+	while (surplus(fleet, pool) > 0) {
+		machine = idle_machine(fleet, pool, now_us);
+		if (machine == NULL)
+			return;
+		move(fleet, machine, standby);
+	}
+}
+
+/*
+ * Moves machines to where they are wanted.
+ */
+void
+fleet_lend(fleet_t *fleet, uint64_t now_us)
+{
+	GHashTableIter iter;
+	pool_t *pool;
+
+	if (fleet->lending == &fleet_lending_none)
+		return;
+	fleet->lending->decide(fleet, now_us);
+	g_hash_table_iter_init(&iter, fleet->pools);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
+		if (!pool->standby && is_fresh(pool, now_us))
+			fill(fleet, pool, now_us);
+	g_hash_table_iter_init(&iter, fleet->pools);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
+		if (!pool->standby && is_fresh(pool, now_us))
+			give_back(fleet, pool, now_us);
+}
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -224,9 +224,10 @@
 	if (!was_listed || is_new_life ||
 	    info->leaving != instance->info.leaving)
 		gw_log(GW_EV_INSTANCE_LISTED,
-		    "instance=%s pool=%s address=%s born=%" PRIu64
+		    "instance=%s pool=%s machine=%s address=%s born=%" PRIu64
 		    " leaving=%d leaves_in_ms=%u cpu_millis=%" PRIu64,
-		    info->id, pool->name, info->address, info->born_ms,
+		    info->id, pool->name, info->machine, info->address,
+		    info->born_ms,
 		    info->leaving, info->leaves_in_ms,
 		    info->capacity.cpu_millis);
 	g_strfreev(instance->info.labels);
@@ -238,6 +239,43 @@
 		sched_instance_hold_at(instance, now_us);
 }
 
+/*
+ * Takes the proof that an instance's life has ended: its machine was stopped,
+ * or runs another instance.
+ */
+void
+sched_pool_end_instance(sched_pool_t *pool, const char *id, const char *reason)
+{
+	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
+
+	if (instance == NULL)
+		return;
+	sched_instance_lost(instance, reason);
+	instance->listed = false;
+	instance->contacted = false;
+}
+
+/*
+ * Takes the news that a machine runs the instance id: others that it ran have
+ * ended.
+ */
+void
+sched_pool_machine_runs(
+    sched_pool_t *pool, const char *machine, const char *id)
+{
+	sched_instance_t *instance;
+	GHashTableIter iter;
+
+	if (machine[0] == '\0')
+		return;
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
+		if (strcmp(instance->info.machine, machine) == 0 &&
+		    strcmp(instance->info.id, id) != 0)
+			sched_pool_end_instance(
+			    pool, instance->info.id, "machine-restarted");
+}
+
 /*
  * Takes the removal of the registry's entry. What runs there is held on as long
  * as the instance answers, and waited out otherwise.
@@ -255,7 +293,8 @@
 }
 
 /*
- * Sends a hold. Ends are acknowledged only to an instance that was in contact
+ * Sends a hold. One to an instance that does not answer extends no lease:
+ * otherwise the wait for its lapse would never end. Ends are acknowledged only to an instance that was in contact
  * just now: to another life under the same id the number means another end.
  */
 static void
@@ -268,7 +307,7 @@
 	sched_hold_t hold = {.instance = instance->info.id,
 	    .address = instance->info.address};
 
-	if (is_busy && instance->clock_ms != 0)
+	if (is_busy && instance->clock_ms != 0 && !instance->unreachable)
 		hold.deadline_ms = sched_instance_extend(instance, now_us);
 	hold.ack_number = is_fresh ? instance->ack_number : 0;
 	hold.wait_ms = is_fresh && is_busy ? SCHED_HOLD_WAIT_MS : 0;
@@ -479,6 +518,10 @@
 	instance->clock_ms = report->clock_ms;
 	instance->clock_us = now_us;
 	instance->report_us = now_us;
+	/* What comes before the first listed end was acknowledged earlier. */
+	if (report->end_count > 0)
+		instance->ack_number = MAX(
+		    instance->ack_number, report->ends[0].number - 1);
 	for (uint32_t i = 0; i < report->end_count; i++)
 		if (report->ends[i].number > instance->seen_number)
 			take_end(instance, &report->ends[i], now_us);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -5,6 +5,8 @@
 /* A step is asked for advice again before its tickets end. */
 #define TICKET_MARGIN_US (200 * GW_US_PER_MS)
 #define ADVICE_INSTANCES_MAX 100
+/* Lasting tasks of one step that share an instance. */
+#define LASTING_TOGETHER 2
 
 /*
  * Returns the processors that a task takes from its instance's capacity.
@@ -74,12 +76,21 @@
 	    count_step(instance, task) < step->max_per_instance;
 }
 
+static bool
+hosts_lasting(const sched_instance_t *instance)
+{
+	for (guint i = 0; i < instance->tasks->len; i++)
+		if (sched_task_step(instance->tasks->pdata[i])->lasting)
+			return true;
+	return false;
+}
+
 /*
  * Rates an instance that fits; lower is better. Away from the data a task is
  * slower; where it failed it may fail again; in another data centre the order
  * costs more. Then the fullest is taken, so that others stay idle and can be
- * lent or switched off; lasting tasks go to the emptiest, since they share an
- * instance for long.
+ * lent or switched off. Lasting tasks share instances for the same reason, but
+ * few of one step, since an instance may fail.
  */
 static uint64_t
 rate(const sched_instance_t *instance, const sched_task_t *task)
@@ -94,8 +105,12 @@
 		rating += UINT64_C(1) << 50;
 	if (step->rack[0] != '\0' && g_strcmp0(step->rack, instance->rack) != 0)
 		rating += UINT64_C(1) << 49;
-	if (step->lasting)
-		return rating + (UINT64_C(1) << 40) - free_cpu;
+	if (step->lasting) {
+		if (count_step(instance, task) >= LASTING_TOGETHER)
+			rating += UINT64_C(1) << 48;
+		if (!hosts_lasting(instance))
+			rating += UINT64_C(1) << 47;
+	}
 	if (strcmp(instance->info.data_centre, pool->data_centre) != 0)
 		rating += 500;
 	return rating + free_cpu;
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3487,7 +3487,7 @@
   (ProtobufCMessageInit) gw__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__call__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gw__call__field_descriptors[8] =
 {
   {
     "number",
@@ -3573,8 +3573,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Call, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__call__field_indices_by_name[] = {
+  7,   /* field[7] = ended */
   4,   /* field[4] = id */
   6,   /* field[6] = instance */
   1,   /* field[1] = kind */
@@ -3586,7 +3599,7 @@
 static const ProtobufCIntRange gw__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gw__call__descriptor =
 {
@@ -3596,7 +3609,7 @@
   "Gw__Call",
   "gw",
   sizeof(Gw__Call),
-  7,
+  8,
   gw__call__field_descriptors,
   gw__call__field_indices_by_name,
   1,  gw__call__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -544,13 +544,14 @@
   char *id;
   Gw__JobSpec *spec;
   /*
-   * Of CALL_DRAIN: the instance is about to be stopped.
+   * Of CALL_DRAIN: the instance is about to be stopped, or has ended.
    */
   char *instance;
+  protobuf_c_boolean ended;
 };
 #define GW__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__call__descriptor) \
-    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string }
+    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
