--- a/gwentryd/agents.c
+++ b/gwentryd/agents.c
@@ -133,8 +133,8 @@
 	if (agent != NULL)
 		agents_forget(agents, instance);
 	if (gw_addr_parse(&addr, address, &err) != 0) {
-		gw_log(GW_EV_ENTRY_IGNORED, "instance=%s text=\"%s\"",
-		    instance, err.text);
+		gw_log(GW_EV_ENTRY_IGNORED, "instance=%s text=\"%s\"", instance,
+		    err.text);
 		return NULL;
 	}
 	agent = g_new0(agent_t, 1);
--- a/gwentryd/agents.h
+++ b/gwentryd/agents.h
@@ -13,8 +13,7 @@
 	    uint32_t run, sched_answer_t, uint64_t clock_ms, void *arg);
 	void (*on_report)(const char *instance, const sched_report_t *,
 	    uint64_t sent_us, void *arg);
-	void (*on_hold_failed)(
-	    const char *instance, sched_answer_t, void *arg);
+	void (*on_hold_failed)(const char *instance, sched_answer_t, void *arg);
 } agents_ops_t;
 
 agents_t *agents_new(
--- a/gwentryd/dispatch.c
+++ b/gwentryd/dispatch.c
@@ -70,8 +70,8 @@
 static void
 retry_until(trip_t *trip, uint64_t limit_us, const char *reason)
 {
-	uint64_t next_us = gw_rt_now_us(trip->dispatch->rt) +
-	    TAKEOVER_RETRY_MS * GW_US_PER_MS;
+	uint64_t next_us =
+	    gw_rt_now_us(trip->dispatch->rt) + TAKEOVER_RETRY_MS * GW_US_PER_MS;
 
 	if (next_us >= MIN(limit_us, trip->deadline_us)) {
 		trip_fail(trip, reason);
@@ -117,9 +117,9 @@
 	}
 	trip->may_be_taken |= failure == PEERS_BROKEN;
 	retry_until(trip,
-	    failure == PEERS_BROKEN ? UINT64_MAX
-				    : trip->started_us +
-		    TAKEOVER_WAIT_MS * GW_US_PER_MS,
+	    failure == PEERS_BROKEN
+		? UINT64_MAX
+		: trip->started_us + TAKEOVER_WAIT_MS * GW_US_PER_MS,
 	    failure == PEERS_BROKEN ? "owner-silent" : "owner-unreachable");
 }
 
@@ -143,8 +143,7 @@
 		return;
 	}
 	peers_call(dispatch->peers, owner, trip->call,
-	    MIN(ATTEMPT_MS,
-		(trip->deadline_us - now_us) / GW_US_PER_MS + 1),
+	    MIN(ATTEMPT_MS, (trip->deadline_us - now_us) / GW_US_PER_MS + 1),
 	    on_peer_reply, trip);
 }
 
--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -242,8 +242,7 @@
 
 	entry->ready =
 	    gw_httpd_new(entry->rt, &limits, on_ready_request, entry);
-	return gw_httpd_listen(
-	    entry->ready, &entry->settings.ready, NULL, err);
+	return gw_httpd_listen(entry->ready, &entry->settings.ready, NULL, err);
 }
 
 /*
@@ -310,14 +309,14 @@
 	}
 	if (now_us >= entry->drain_end_us ||
 	    (entry->closed && front_requests(entry->front) == 0 &&
-		now_us >= entry->drain_listen_us +
-			DRAIN_LINGER_MS * GW_US_PER_MS)) {
+		now_us >=
+		    entry->drain_listen_us + DRAIN_LINGER_MS * GW_US_PER_MS)) {
 		release(entry);
 		gw_rt_stop(entry->rt);
 		return;
 	}
-	gw_timer_start(entry->rt, timer, DRAIN_CHECK_MS * GW_US_PER_MS,
-	    on_drain, entry);
+	gw_timer_start(
+	    entry->rt, timer, DRAIN_CHECK_MS * GW_US_PER_MS, on_drain, entry);
 }
 
 /*
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -118,7 +118,8 @@
 {
 	front_t *front = request->front;
 	h2o_req_t *req = request->req;
-	uint64_t took_us = gw_rt_now_us(front->rt) - request->arrived_us;
+	uint64_t took_us =
+	    gw_elapsed_us(gw_rt_now_us(front->rt), request->arrived_us);
 	bool is_read = request->kind == GW__CALL_KIND__CALL_STATE ||
 	    request->kind == GW__CALL_KIND__CALL_PENDING;
 
@@ -129,8 +130,8 @@
 	stats_request(front->stats, request->kind, status, took_us);
 	if (status != STATUS_OK || !is_read)
 		gw_log(GW_EV_REQUEST,
-		    "job=%s queue=%s kind=%s status=%d reason=%s took_us=%" PRIu64
-		    " retry_after_ms=%u config=%" PRIu64,
+		    "job=%s queue=%s kind=%s status=%d reason=%s "
+		    "took_us=%" PRIu64 " retry_after_ms=%u config=%" PRIu64,
 		    request->id, request->queue, kind_name(request->kind),
 		    status, reason, took_us, retry_after_ms,
 		    front->config == NULL ? 0 : front->config->version);
@@ -155,8 +156,8 @@
 
 	switch (request->kind) {
 	case GW__CALL_KIND__CALL_STATE:
-		answer(request, STATUS_OK, plat_state_body(reply->state), "ok",
-		    0);
+		answer(
+		    request, STATUS_OK, plat_state_body(reply->state), "ok", 0);
 		return;
 	case GW__CALL_KIND__CALL_PENDING:
 		plat_pending_body(body, sizeof(body), reply->pending);
@@ -211,8 +212,8 @@
 deadline_ms(const h2o_req_t *req)
 {
 	static const char name[] = "x-deadline-ms";
-	ssize_t at = h2o_find_header_by_str(
-	    &req->headers, name, sizeof(name) - 1, -1);
+	ssize_t at =
+	    h2o_find_header_by_str(&req->headers, name, sizeof(name) - 1, -1);
 	char text[24];
 	uint64_t wait_ms = DEADLINE_DEFAULT_MS;
 
@@ -255,8 +256,7 @@
 	Gw__JobSpec *spec;
 	gw_err_t err;
 
-	spec = plat_job_decode(
-	    request->id, queue, body->base, body->len, &err);
+	spec = plat_job_decode(request->id, queue, body->base, body->len, &err);
 	if (spec == NULL) {
 		gw_log(GW_EV_ENTRY_IGNORED, "job=%s text=\"%s\"", request->id,
 		    err.text);
@@ -278,8 +278,7 @@
 	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("POST")))
 		request->kind = GW__CALL_KIND__CALL_SUBMIT;
 	else if (has_id &&
-	    h2o_memis(
-		req->method.base, req->method.len, H2O_STRLIT("DELETE")))
+	    h2o_memis(req->method.base, req->method.len, H2O_STRLIT("DELETE")))
 		request->kind = GW__CALL_KIND__CALL_CANCEL;
 	else if (h2o_memis(
 		     req->method.base, req->method.len, H2O_STRLIT("GET")))
@@ -296,8 +295,8 @@
 	front_t *front = arg;
 	request_t *request = request_new(front, req);
 	const char *query = memchr(req->path.base, '?', req->path.len);
-	size_t path_bytes = query == NULL ? req->path.len
-					  : (size_t)(query - req->path.base);
+	size_t path_bytes =
+	    query == NULL ? req->path.len : (size_t)(query - req->path.base);
 	const sched_queue_t *queue;
 	size_t prefix_bytes;
 	bool has_id;
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -166,8 +166,7 @@
 {
 	owner_t *owner = arg;
 
-	sched_pool_started(
-	    owner->pool, instance, ref, run, answer, clock_ms);
+	sched_pool_started(owner->pool, instance, ref, run, answer, clock_ms);
 	owner_kick(owner);
 }
 
@@ -246,8 +245,7 @@
 conflict(owner_t *owner, const store_page_t *current)
 {
 	const store_item_t *role = find_item(current, owner->role_key);
-	const store_item_t *sequence =
-	    find_item(current, owner->sequence_key);
+	const store_item_t *sequence = find_item(current, owner->sequence_key);
 	char expected[KEY_BYTES];
 
 	sequence_value(owner, expected, sizeof(expected));
@@ -266,9 +264,8 @@
 	gw_log(GW_EV_COMMIT_FAILED,
 	    "pool=%s sequence=%" PRIu64 " writes=%u err=%s text=\"%s\" "
 	    "retry_ms=%u",
-	    owner->pool_name, owner->sequence,
-	    sched_batch_writes(owner->batch), gw_errc_name(err->code),
-	    err->text, owner->retry_ms);
+	    owner->pool_name, owner->sequence, sched_batch_writes(owner->batch),
+	    gw_errc_name(err->code), err->text, owner->retry_ms);
 	gw_timer_start(owner->rt, &owner->commit,
 	    owner->retry_ms * GW_US_PER_MS, on_commit_due, owner);
 	owner->retry_ms = MIN(owner->retry_ms * 2, RETRY_MAX_MS);
@@ -312,11 +309,10 @@
 	    .removes = remove};
 
 	sequence_value(owner, sequence, sizeof(sequence));
-	write[writes++] = (store_write_t){
-	    owner->sequence_key, sequence, strlen(sequence), 0};
+	write[writes++] =
+	    (store_write_t){owner->sequence_key, sequence, strlen(sequence), 0};
 	for (uint32_t i = 0; i < count; i++) {
-		const sched_write_t *from =
-		    sched_batch_write(owner->batch, i);
+		const sched_write_t *from = sched_batch_write(owner->batch, i);
 		gsize size_bytes = 0;
 
 		(void)snprintf(keys[i], RECORD_KEY_BYTES, "%s%s",
@@ -357,8 +353,7 @@
 			    due_us - now_us, on_commit_due, owner);
 			return;
 		}
-		owner->batch =
-		    sched_pool_take_batch(owner->pool, RECORDS_MAX);
+		owner->batch = sched_pool_take_batch(owner->pool, RECORDS_MAX);
 		owner->sequence++;
 		owner->commit_since_us = now_us;
 	}
@@ -469,8 +464,7 @@
 	if (owner->dead || owner->calling)
 		return;
 	owner->calling = true;
-	store_range(
-	    owner->store, prefix, owner->load_after, on_page, owner);
+	store_range(owner->store, prefix, owner->load_after, on_page, owner);
 }
 
 /*
@@ -554,7 +548,7 @@
 owner_can_write(const owner_t *owner)
 {
 	return owner->commit_since_us == 0 ||
-	    gw_rt_now_us(owner->rt) - owner->commit_since_us <
+	    gw_elapsed_us(gw_rt_now_us(owner->rt), owner->commit_since_us) <
 	    WRITE_LOST_MS * GW_US_PER_MS;
 }
 
--- a/gwentryd/owner.h
+++ b/gwentryd/owner.h
@@ -24,8 +24,8 @@
 	sched_bounds_t bounds;
 } owner_role_t;
 
-owner_t *owner_new(gw_rt_t *, store_t *, const owner_role_t *,
-    const owner_ops_t *, void *arg);
+owner_t *owner_new(
+    gw_rt_t *, store_t *, const owner_role_t *, const owner_ops_t *, void *arg);
 void owner_free(owner_t *);
 bool owner_loaded(const owner_t *);
 void owner_set_instance(owner_t *, const sched_info_t *);
--- a/gwentryd/peers.c
+++ b/gwentryd/peers.c
@@ -119,8 +119,9 @@
 	envelope.reply = reply;
 	if (caller->conn != NULL &&
 	    gw_conn_send(caller->conn, &envelope, &err) != 0)
-		gw_log(GW_EV_PEER_CLOSED, "peer=%s step=\"%s\" err=%s text=\"%s\"",
-		    err.peer, err.step, gw_errc_name(err.code), err.text);
+		gw_log(GW_EV_PEER_CLOSED,
+		    "peer=%s step=\"%s\" err=%s text=\"%s\"", err.peer,
+		    err.step, gw_errc_name(err.code), err.text);
 	caller_unref(caller);
 	g_free(ticket);
 }
@@ -238,8 +239,7 @@
 
 	if (gw_addr_parse(&addr, peer->address, &err) != 0)
 		return -1;
-	peer->conn =
-	    gw_conn_connect(peer->peers->rt, &addr, &peer_ops, peer);
+	peer->conn = gw_conn_connect(peer->peers->rt, &addr, &peer_ops, peer);
 	gw_timer_start(peer->peers->rt, &peer->connect,
 	    CONNECT_TIMEOUT_MS * GW_US_PER_MS, on_connect_timeout, peer);
 	return 0;
--- a/gwentryd/peers.h
+++ b/gwentryd/peers.h
@@ -17,16 +17,14 @@
 } peers_failure_t;
 
 /* One of reply and failure counts: reply is NULL for a failure. */
-typedef void (*peers_reply_cb_t)(
-    const Gw__Reply *, peers_failure_t, void *arg);
+typedef void (*peers_reply_cb_t)(const Gw__Reply *, peers_failure_t, void *arg);
 
 /*
  * Handles a call of another process. It answers once with peers_answer(); the
  * ticket is valid until then, also when the connection has gone.
  */
 typedef struct peers_ticket peers_ticket_t;
-typedef void (*peers_call_cb_t)(
-    const Gw__Call *, peers_ticket_t *, void *arg);
+typedef void (*peers_call_cb_t)(const Gw__Call *, peers_ticket_t *, void *arg);
 
 peers_t *peers_new(
     gw_rt_t *, const gw_addr_t *listen, peers_call_cb_t, void *arg, gw_err_t *);
--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -49,11 +49,11 @@
 	const planner_ops_t *ops;
 	void *arg;
 	fleet_t *fleet;
-	gw_httpc_t *machines; /* NULL: the platform moves none */
-	GHashTable *pools;    /* name -> NULL, not on standby */
-	GHashTable *waves;    /* number -> wave_record_t */
-	GArray *orders;	      /* order_t, not yet recorded */
-	GArray *recording;    /* order_t, in the write under way */
+	gw_httpc_t *machines;  /* NULL: the platform moves none */
+	GHashTable *pools;     /* name -> NULL, not on standby */
+	GHashTable *waves;     /* number -> wave_record_t */
+	GArray *orders;	       /* order_t, not yet recorded */
+	GArray *recording;     /* order_t, in the write under way */
 	GPtrArray *wave_queue; /* plat_wave_t, until the records are read */
 	char *page;
 	gw_timer_t tick;
@@ -130,10 +130,8 @@
 	asked_t *asked = arg;
 	planner_t *planner = asked->planner;
 
-	if (call_ended(planner) &&
-	    reply->outcome == GW__CALL_OUTCOME__CALL_OK)
-		fleet_drained(
-		    planner->fleet, asked->machine, reply->drained);
+	if (call_ended(planner) && reply->outcome == GW__CALL_OUTCOME__CALL_OK)
+		fleet_drained(planner->fleet, asked->machine, reply->drained);
 	g_free(asked);
 }
 
@@ -146,8 +144,8 @@
 	call.kind = GW__CALL_KIND__CALL_DRAIN;
 	call.pool = (char *)pool;
 	call.instance = (char *)instance;
-	dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS,
-	    on_drain_reply, asked_new(planner, instance));
+	dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS, on_drain_reply,
+	    asked_new(planner, instance));
 }
 
 static void
@@ -162,8 +160,8 @@
 	call.ended = true;
 	/* The reply tells nothing more; a lost call is made up for by the
 	 * registry. */
-	dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS,
-	    on_drain_reply, asked_new(planner, ""));
+	dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS, on_drain_reply,
+	    asked_new(planner, ""));
 }
 
 static void
@@ -224,8 +222,8 @@
 
 		g_strlcpy(machine.name, from->name, sizeof(machine.name));
 		g_strlcpy(machine.pool, from->pool, sizeof(machine.pool));
-		g_strlcpy(machine.instance, from->instance,
-		    sizeof(machine.instance));
+		g_strlcpy(
+		    machine.instance, from->instance, sizeof(machine.instance));
 		fleet_list_machine(planner->fleet, &machine);
 	}
 	g_array_free(machines, TRUE);
@@ -280,8 +278,7 @@
 static wave_record_t *
 wave_record(planner_t *planner, uint64_t number)
 {
-	wave_record_t *record =
-	    g_hash_table_lookup(planner->waves, &number);
+	wave_record_t *record = g_hash_table_lookup(planner->waves, &number);
 
 	if (record != NULL)
 		return record;
@@ -420,16 +417,16 @@
 	if (err != NULL) {
 		gw_log(GW_EV_COMMIT_FAILED, "pool=%s err=%s text=\"%s\"",
 		    PLANNER_ROLE, gw_errc_name(err->code), err->text);
-		g_array_prepend_vals(planner->orders,
-		    planner->recording->data, planner->recording->len);
+		g_array_prepend_vals(planner->orders, planner->recording->data,
+		    planner->recording->len);
 		g_array_set_size(planner->recording, 0);
 		gw_timer_start(planner->rt, &planner->retry,
 		    RETRY_MS * GW_US_PER_MS, on_retry, planner);
 		return;
 	}
 	for (guint i = 0; i < planner->recording->len; i++)
-		send_order(planner,
-		    &g_array_index(planner->recording, order_t, i));
+		send_order(
+		    planner, &g_array_index(planner->recording, order_t, i));
 	g_array_set_size(planner->recording, 0);
 	flush(planner);
 }
@@ -488,8 +485,8 @@
 		goto out;
 	g_hash_table_iter_init(&iter, planner->waves);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&record))
-		if (record->dirty && changes.writes->len + 3 <
-			STORE_TXN_ENTRIES_MAX)
+		if (record->dirty &&
+		    changes.writes->len + 3 < STORE_TXN_ENTRIES_MAX)
 			add_wave(&changes, record);
 	if (planner->orders->len > 0 && now_us >= planner->first_order_us) {
 		add_change(&changes, g_strdup(ORDERS_KEY),
@@ -580,7 +577,8 @@
 	planner_t *planner = arg;
 	uint64_t now_us = gw_rt_now_us(planner->rt);
 
-	if (now_us - planner->load_us >= LOAD_EVERY_MS * GW_US_PER_MS) {
+	if (gw_elapsed_us(now_us, planner->load_us) >=
+	    LOAD_EVERY_MS * GW_US_PER_MS) {
 		planner->load_us = now_us;
 		ask_loads(planner);
 	}
@@ -588,8 +586,8 @@
 		list_machines(planner);
 	if (planner->records_read && now_us >= planner->first_order_us)
 		fleet_tick(planner->fleet);
-	gw_timer_start(planner->rt, timer, TICK_MS * GW_US_PER_MS, on_tick,
-	    planner);
+	gw_timer_start(
+	    planner->rt, timer, TICK_MS * GW_US_PER_MS, on_tick, planner);
 }
 
 /*
@@ -623,8 +621,8 @@
 	    g_int64_hash, g_int64_equal, NULL, wave_record_free);
 	planner->orders = g_array_new(FALSE, FALSE, sizeof(order_t));
 	planner->recording = g_array_new(FALSE, FALSE, sizeof(order_t));
-	planner->wave_queue = g_ptr_array_new_with_free_func(
-	    (GDestroyNotify)plat_wave_free);
+	planner->wave_queue =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)plat_wave_free);
 	read_records(planner);
 	on_tick(&planner->tick, planner);
 	return planner;
@@ -655,8 +653,7 @@
 
 		fleet_set_pool(planner->fleet, pool->name, pool->standby);
 		if (!pool->standby)
-			g_hash_table_add(
-			    planner->pools, g_strdup(pool->name));
+			g_hash_table_add(planner->pools, g_strdup(pool->name));
 	}
 }
 
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -26,7 +26,7 @@
 typedef struct {
 	roles_t *roles;
 	char name[96];
-	char *owner; /* address, NULL: none */
+	char *owner;	   /* address, NULL: none */
 	uint64_t revision; /* of the newest state seen */
 	uint64_t fence;	   /* not 0 while it is this process's */
 	bool wanted;
@@ -46,7 +46,7 @@
 	GHashTable *by_name; /* role_t */
 	store_follow_t *follow;
 	uint64_t lease_id;
-	uint64_t sent_us;     /* when the request under way was sent */
+	uint64_t sent_us; /* when the request under way was sent */
 	uint64_t valid_until_us;
 	uint64_t started_us;
 	bool listed;
@@ -311,8 +311,8 @@
 static void
 lease_lost(roles_t *roles, const char *reason)
 {
-	gw_log(GW_EV_LEASE_LOST, "lease=%" PRIu64 " reason=%s",
-	    roles->lease_id, reason);
+	gw_log(GW_EV_LEASE_LOST, "lease=%" PRIu64 " reason=%s", roles->lease_id,
+	    reason);
 	roles->lease_id = 0;
 	lose_all(roles, reason);
 }
@@ -339,15 +339,15 @@
 			gw_log(GW_EV_LEASE_OPEN, "lease=%" PRIu64 " ttl_ms=%u",
 			    lease_id, ttl_ms);
 		}
-		roles->valid_until_us =
-		    roles->sent_us + (ttl_ms == 0 ? ROLES_TTL_MS : ttl_ms) * GW_US_PER_MS;
+		roles->valid_until_us = roles->sent_us +
+		    (ttl_ms == 0 ? ROLES_TTL_MS : ttl_ms) * GW_US_PER_MS;
 	} else {
 		if (err->code == GW_ERR_NOT_FOUND && roles->lease_id != 0)
 			lease_lost(roles, "ended");
 		delay_ms = RETRY_MS;
 	}
-	gw_timer_start(roles->rt, &roles->renew, delay_ms * GW_US_PER_MS,
-	    on_renew, roles);
+	gw_timer_start(
+	    roles->rt, &roles->renew, delay_ms * GW_US_PER_MS, on_renew, roles);
 }
 
 /*
@@ -369,8 +369,7 @@
 	roles->sent_us = now_us;
 	roles->lease_calling = true;
 	if (roles->lease_id == 0)
-		store_lease_open(
-		    roles->store, ROLES_TTL_MS, on_lease, roles);
+		store_lease_open(roles->store, ROLES_TTL_MS, on_lease, roles);
 	else
 		store_lease_keep(
 		    roles->store, roles->lease_id, on_lease, roles);
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -39,14 +39,14 @@
 
 	service->rt = rt;
 	service->store = store;
-	g_strlcpy(service->data_centre, data_centre,
-	    sizeof(service->data_centre));
+	g_strlcpy(
+	    service->data_centre, data_centre, sizeof(service->data_centre));
 	service->bounds = *bounds;
 	service->bounds.hold_without_store_ms = ROLES_TTL_MS + ROLES_GRACE_MS;
 	service->ops = ops;
 	service->arg = arg;
-	service->owners = g_hash_table_new_full(g_str_hash, g_str_equal,
-	    g_free, (GDestroyNotify)owner_free);
+	service->owners = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)owner_free);
 	return service;
 }
 
@@ -95,8 +95,7 @@
 		owner_set_instance(owner, info);
 	/* It may have belonged to another pool before. */
 	g_hash_table_iter_init(&iter, service->owners);
-	while (g_hash_table_iter_next(&iter, &name, (gpointer *)&owner))
-	{
+	while (g_hash_table_iter_next(&iter, &name, (gpointer *)&owner)) {
 		sched_pool_machine_runs(
 		    owner_pool(owner), info->machine, info->id);
 		if (strcmp(name, info->pool) != 0)
@@ -145,8 +144,8 @@
  * is just changing.
  */
 static void
-refuse(uint32_t retry_after_ms, const char *reason, dispatch_reply_t cb,
-    void *arg)
+refuse(
+    uint32_t retry_after_ms, const char *reason, dispatch_reply_t cb, void *arg)
 {
 	Gw__Reply reply = GW__REPLY__INIT;
 
@@ -177,8 +176,8 @@
 }
 
 static void
-answer_pending(owner_t *owner, const Gw__Call *call, dispatch_reply_t cb,
-    void *arg)
+answer_pending(
+    owner_t *owner, const Gw__Call *call, dispatch_reply_t cb, void *arg)
 {
 	Gw__Reply reply = GW__REPLY__INIT;
 
@@ -188,8 +187,8 @@
 }
 
 static void
-answer_drain(owner_t *owner, const Gw__Call *call, dispatch_reply_t cb,
-    void *arg)
+answer_drain(
+    owner_t *owner, const Gw__Call *call, dispatch_reply_t cb, void *arg)
 {
 	Gw__Reply reply = GW__REPLY__INIT;
 
--- a/gwentryd/stats.c
+++ b/gwentryd/stats.c
@@ -54,9 +54,9 @@
 		}
 		(void)snprintf(
 		    labels, sizeof(labels), "kind=\"%s\"", kind_names[k]);
-		stats->took[k] = gw_metrics_add_histogram(stats->set,
-		    "gw_entry_answer_us", labels,
-		    "time from a request to its answer");
+		stats->took[k] =
+		    gw_metrics_add_histogram(stats->set, "gw_entry_answer_us",
+			labels, "time from a request to its answer");
 	}
 	stats->pools = gw_metrics_add(stats->set, GW_METRIC_GAUGE,
 	    "gw_entry_pools", "", "pools that this process owns");
@@ -94,8 +94,7 @@
 }
 
 void
-stats_request(
-    stats_t *stats, Gw__CallKind kind, int status, uint64_t took_us)
+stats_request(stats_t *stats, Gw__CallKind kind, int status, uint64_t took_us)
 {
 	if ((int)kind >= KINDS)
 		return;
--- a/gwentryd/stats.h
+++ b/gwentryd/stats.h
@@ -12,8 +12,7 @@
 stats_t *stats_new(void);
 void stats_free(stats_t *);
 /* A caller's request was answered. */
-void stats_request(
-    stats_t *, Gw__CallKind, int status, uint64_t took_us);
+void stats_request(stats_t *, Gw__CallKind, int status, uint64_t took_us);
 /* Current values, set before the text is made. */
 void stats_gauges(stats_t *, uint32_t pools, uint32_t connections,
     uint64_t config_version, bool lease_valid);
--- a/gwentryd/view.c
+++ b/gwentryd/view.c
@@ -150,8 +150,8 @@
 	view->arg = arg;
 	view->instances =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, info_free);
-	view->waves = g_ptr_array_new_with_free_func(
-	    (GDestroyNotify)plat_wave_free);
+	view->waves =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)plat_wave_free);
 	view->operators =
 	    store_follow(store, PLAT_OPERATOR_PREFIX, &operator_ops, view);
 	return view;
@@ -177,8 +177,8 @@
 view_want_instances(view_t *view)
 {
 	if (view->registry == NULL)
-		view->registry = store_follow(view->store,
-		    PLAT_INSTANCES_PREFIX, &registry_ops, view);
+		view->registry = store_follow(
+		    view->store, PLAT_INSTANCES_PREFIX, &registry_ops, view);
 }
 
 const sched_config_t *
--- a/lib/gw/clock.c
+++ b/lib/gw/clock.c
@@ -69,6 +69,16 @@
 	return clock->ops->now_us(clock);
 }
 
+/*
+ * Returns the time between two readings. One that was taken in the course of a
+ * round may be later than the round's own.
+ */
+uint64_t
+gw_elapsed_us(uint64_t now_us, uint64_t then_us)
+{
+	return now_us > then_us ? now_us - then_us : 0;
+}
+
 /*
  * Returns the seconds since 1970 on the system's clock, which may be set back.
  */
--- a/lib/gw/clock.h
+++ b/lib/gw/clock.h
@@ -22,6 +22,8 @@
 void gw_clock_init_paused(gw_clock_t *, uint64_t now_us);
 void gw_clock_advance(gw_clock_t *, uint64_t delta_us);
 uint64_t gw_clock_now_us(const gw_clock_t *);
+/* Time from then_us to now_us; 0 when then_us was read later than now_us. */
+uint64_t gw_elapsed_us(uint64_t now_us, uint64_t then_us);
 /* Seconds since 1970, for people to read; never for a decision. */
 uint64_t gw_clock_wall_s(void);
 
--- a/lib/http/httpc.c
+++ b/lib/http/httpc.c
@@ -315,8 +315,8 @@
 
 static gw_httpc_call_t *
 call_start(gw_httpc_t *client, const char *method, const char *path,
-    const char *headers, const char *body, gw_httpc_chunk_t on_chunk, gw_httpc_done_t done,
-    void *arg)
+    const char *headers, const char *body, gw_httpc_chunk_t on_chunk,
+    gw_httpc_done_t done, void *arg)
 {
 	gw_httpc_call_t *call;
 
@@ -342,8 +342,8 @@
 call_connect(gw_httpc_call_t *call)
 {
 	call->starting = true;
-	h2o_http1client_connect_with_pool(&call->http, call, &call->link->ctx,
-	    &call->link->pool, on_connect);
+	h2o_http1client_connect_with_pool(
+	    &call->http, call, &call->link->ctx, &call->link->pool, on_connect);
 	call->starting = false;
 }
 
@@ -387,8 +387,7 @@
 {
 	gw_httpc_call_t *call;
 
-	call = call_start(
-	    client, method, path, "", body, on_chunk, done, arg);
+	call = call_start(client, method, path, "", body, on_chunk, done, arg);
 	call_connect(call);
 	return call;
 }
--- a/lib/sched/advice.c
+++ b/lib/sched/advice.c
@@ -27,8 +27,8 @@
 	step->asking = false;
 	if (step->tickets != NULL)
 		g_hash_table_destroy(step->tickets);
-	step->tickets = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, g_free);
+	step->tickets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	for (uint32_t i = 0; i < count; i++)
 		g_hash_table_insert(step->tickets, g_strdup(instances[i]),
 		    g_strdup(tickets[i]));
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -66,8 +66,8 @@
 		sched_occurrence_t *occurrence = job->occurrences->pdata[i];
 
 		for (uint32_t k = 0; k < occurrence->task_count; k++) {
-			sched_planned_t planned = {&occurrence->tasks[k],
-			    occurrence->tasks[k].run};
+			sched_planned_t planned = {
+			    &occurrence->tasks[k], occurrence->tasks[k].run};
 
 			if (planned.task->state == SCHED_RESERVED)
 				g_array_append_val(batch->starts, planned);
@@ -183,8 +183,7 @@
 			g_hash_table_remove(pool->jobs, job->id);
 	}
 	for (guint i = 0; i < batch->acks->len; i++)
-		acknowledge(
-		    pool, &g_array_index(batch->acks, sched_ack_t, i));
+		acknowledge(pool, &g_array_index(batch->acks, sched_ack_t, i));
 	for (guint i = 0; i < batch->waiters->len; i++) {
 		const sched_waiter_t *waiter =
 		    &g_array_index(batch->waiters, sched_waiter_t, i);
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -28,8 +28,8 @@
  * caller is told once the store has it.
  */
 void
-sched_pool_submit(sched_pool_t *pool, const Gw__JobSpec *spec,
-    sched_reply_cb_t cb, void *arg)
+sched_pool_submit(
+    sched_pool_t *pool, const Gw__JobSpec *spec, sched_reply_cb_t cb, void *arg)
 {
 	const sched_reply_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, spec->id);
@@ -48,14 +48,13 @@
 		    "per_instance=%u chain_ms=%u objective_ms=%u priority=%u "
 		    "open_jobs=%u",
 		    job->id, pool->name, job->queue, job->spec->n_steps,
-		    job->spec->steps[0]->count,
-		    job->spec->steps[0]->cpu_millis, job->lasting,
-		    job->spec->steps[0]->target_ms,
+		    job->spec->steps[0]->count, job->spec->steps[0]->cpu_millis,
+		    job->lasting, job->spec->steps[0]->target_ms,
 		    job->spec->steps[0]->fills,
 		    job->spec->steps[0]->max_unavailable,
-		    job->spec->steps[0]->max_per_instance,
-		    job->chain_ms, job->spec->objective_ms,
-		    job->spec->priority, pool->open->len);
+		    job->spec->steps[0]->max_per_instance, job->chain_ms,
+		    job->spec->objective_ms, job->spec->priority,
+		    pool->open->len);
 	}
 	wait_for_record(pool, job, cb, arg);
 }
@@ -98,8 +97,7 @@
  * the job runs.
  */
 sched_reply_t
-sched_pool_state(
-    const sched_pool_t *pool, const char *queue, const char *id)
+sched_pool_state(const sched_pool_t *pool, const char *queue, const char *id)
 {
 	sched_reply_t reply = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 	const sched_job_t *job = find(pool, queue, id);
--- a/lib/sched/evacuate.c
+++ b/lib/sched/evacuate.c
@@ -42,7 +42,7 @@
 should_move(const sched_task_t *task, uint64_t left_ms, uint64_t now_us)
 {
 	const Gw__JobStep *step = sched_task_step(task);
-	uint64_t ran_ms = (now_us - task->sent_us) / GW_US_PER_MS;
+	uint64_t ran_ms = (gw_elapsed_us(now_us, task->sent_us)) / GW_US_PER_MS;
 
 	if (step->lasting || step->checkpoints)
 		return true;
@@ -60,8 +60,7 @@
 	bool is_draining = now_us < instance->drain_until_us;
 	uint64_t left_ms = instance->info.leaves_in_ms;
 
-	if (instance->unreachable ||
-	    (!instance->info.leaving && !is_draining))
+	if (instance->unreachable || (!instance->info.leaving && !is_draining))
 		return;
 	for (guint i = instance->tasks->len; i-- > 0;) {
 		sched_task_t *task = instance->tasks->pdata[i];
@@ -71,7 +70,7 @@
 		if (instance->info.leaving
 			? should_move(task, left_ms, now_us)
 			: (sched_task_step(task)->lasting ||
-				  sched_task_step(task)->checkpoints) &&
+			      sched_task_step(task)->checkpoints) &&
 			    within_bound(task))
 			sched_task_stop(task);
 	}
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -91,8 +91,7 @@
 	pool->waiting_cpu_ms = load->waiting_cpu_ms;
 	g_hash_table_remove_all(pool->idle);
 	for (size_t i = 0; i < load->n_idle_instances; i++)
-		g_hash_table_add(
-		    pool->idle, g_strdup(load->idle_instances[i]));
+		g_hash_table_add(pool->idle, g_strdup(load->idle_instances[i]));
 }
 
 static machine_t *
@@ -147,7 +146,7 @@
 	gw_log(GW_EV_MACHINE_ORDER,
 	    "machine=%s instance=%s state=back away_ms=%" PRIu64,
 	    machine->at.name, instance,
-	    (gw_clock_now_us(fleet->clock) - machine->since_us) /
+	    gw_elapsed_us(gw_clock_now_us(fleet->clock), machine->since_us) /
 		GW_US_PER_MS);
 	machine->goal = GOAL_NONE;
 }
@@ -164,8 +163,9 @@
 	    strcmp(machine->at.pool, from->pool) == 0)
 		return;
 	machine->at = *from;
-	if (from->up && (from->instance[0] != '\0' ||
-			    fleet_pool(fleet, from->pool)->standby))
+	if (from->up &&
+	    (from->instance[0] != '\0' ||
+		fleet_pool(fleet, from->pool)->standby))
 		come_back(fleet, machine, from->instance);
 }
 
@@ -192,8 +192,7 @@
 		return;
 	machine = machine_get(fleet, info->machine);
 	g_strlcpy(machine->at.pool, info->pool, sizeof(machine->at.pool));
-	g_strlcpy(
-	    machine->at.instance, info->id, sizeof(machine->at.instance));
+	g_strlcpy(machine->at.instance, info->id, sizeof(machine->at.instance));
 	machine->at.cpu_millis = info->capacity.cpu_millis;
 	machine->at.up = !info->leaving;
 	if (machine->at.up)
@@ -236,8 +235,8 @@
 		if (machine->goal == GOAL_MOVE)
 			count += strcmp(machine->target, pool) == 0;
 		else if (strcmp(machine->at.pool, pool) == 0)
-			count += machine->at.up ||
-			    machine->goal == GOAL_MAINTAIN;
+			count +=
+			    machine->at.up || machine->goal == GOAL_MAINTAIN;
 	}
 	return count;
 }
@@ -272,10 +271,10 @@
 	    " target=%s list_age_ms=%" PRIu64,
 	    machine->at.name, machine->at.pool, machine->before,
 	    machine->goal == GOAL_MOVE ? "move" : "maintain", machine->wave,
-	    machine->target, (now_us - fleet->list_us) / GW_US_PER_MS);
+	    machine->target,
+	    (gw_elapsed_us(now_us, fleet->list_us)) / GW_US_PER_MS);
 	if (machine->goal == GOAL_MOVE)
-		fleet->ops->move(
-		    machine->at.name, machine->target, fleet->arg);
+		fleet->ops->move(machine->at.name, machine->target, fleet->arg);
 	else
 		fleet->ops->maintain(
 		    machine->at.name, machine->wave, fleet->arg);
@@ -350,18 +349,18 @@
 		order(fleet, machine, now_us);
 	} else if (machine->phase == PHASE_DRAIN &&
 	    machine->goal == GOAL_MOVE &&
-	    now_us - machine->since_us > MOVE_DRAIN_MAX_US) {
+	    gw_elapsed_us(now_us, machine->since_us) > MOVE_DRAIN_MAX_US) {
 		machine->goal = GOAL_NONE;
 	} else if (machine->phase == PHASE_DRAIN &&
-	    now_us - machine->asked_us > DRAIN_REPEAT_US) {
+	    gw_elapsed_us(now_us, machine->asked_us) > DRAIN_REPEAT_US) {
 		machine->asked_us = now_us;
 		fleet->ops->drain(
 		    machine->at.pool, machine->at.instance, fleet->arg);
 	} else if (machine->phase == PHASE_ORDERED &&
-	    now_us - machine->asked_us > 2 * ORDER_RETRY_US) {
+	    gw_elapsed_us(now_us, machine->asked_us) > 2 * ORDER_RETRY_US) {
 		order(fleet, machine, now_us);
 	} else if (machine->phase == PHASE_AWAY &&
-	    now_us - machine->since_us > 4 * AWAY_MAX_US) {
+	    gw_elapsed_us(now_us, machine->since_us) > 4 * AWAY_MAX_US) {
 		/* It does not come back: lost, or the news were. */
 		machine->goal = GOAL_NONE;
 	}
@@ -375,7 +374,7 @@
 fleet_wants_list(const fleet_t *fleet)
 {
 	uint64_t now_us = gw_clock_now_us(fleet->clock);
-	uint64_t age_us = now_us - fleet->list_us;
+	uint64_t age_us = gw_elapsed_us(now_us, fleet->list_us);
 	GHashTableIter iter;
 	machine_t *machine;
 
@@ -387,7 +386,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
 		if (machine->goal != GOAL_NONE &&
 		    machine->phase == PHASE_AWAY &&
-		    now_us - machine->since_us > AWAY_MAX_US)
+		    gw_elapsed_us(now_us, machine->since_us) > AWAY_MAX_US)
 			return true;
 	return false;
 }
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -26,7 +26,8 @@
 } fleet_answer_t;
 
 typedef struct {
-	/* Asks the pool's owner to free the instance; fleet_drained() follows. */
+	/* Asks the pool's owner to free the instance; fleet_drained() follows.
+	 */
 	void (*drain)(const char *pool, const char *instance, void *arg);
 	/* The instance has ended with its machine's order. */
 	void (*ended)(const char *pool, const char *instance, void *arg);
@@ -44,7 +45,7 @@
  * successor run on the same load.
  */
 typedef struct fleet_lending fleet_lending_t;
-extern const fleet_lending_t fleet_lending_none;    /* baseline: no moves */
+extern const fleet_lending_t fleet_lending_none; /* baseline: no moves */
 extern const fleet_lending_t fleet_lending_demand;
 
 fleet_t *fleet_new(const gw_clock_t *, const fleet_lending_t *,
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -56,7 +56,8 @@
 static bool
 is_fresh(const pool_t *pool, uint64_t now_us)
 {
-	return pool->load_us != 0 && now_us - pool->load_us < LOAD_FRESH_US;
+	return pool->load_us != 0 &&
+	    gw_elapsed_us(now_us, pool->load_us) < LOAD_FRESH_US;
 }
 
 /*
@@ -168,7 +169,7 @@
 	}
 	if (pool->surplus_since_us == 0)
 		pool->surplus_since_us = now_us;
-	if (now_us - pool->surplus_since_us < SURPLUS_US)
+	if (gw_elapsed_us(now_us, pool->surplus_since_us) < SURPLUS_US)
 		return;
 	while (surplus(fleet, pool) > 0) {
 		machine = idle_machine(fleet, pool, now_us);
--- a/lib/sched/fleet_wave.c
+++ b/lib/sched/fleet_wave.c
@@ -121,8 +121,8 @@
 
 	if (now_us >= wave->end_us)
 		return wave->at_once_max;
-	time_ms = (wave->end_us - now_us) / GW_US_PER_MS * TIME_SHARE_PERCENT /
-	    100;
+	time_ms =
+	    (wave->end_us - now_us) / GW_US_PER_MS * TIME_SHARE_PERCENT / 100;
 	if (time_ms < TURN_MS)
 		return wave->at_once_max;
 	return MIN(wave->at_once_max,
@@ -130,8 +130,8 @@
 }
 
 static machine_t *
-available(const fleet_t *fleet, const wave_t *wave, const char *name,
-    uint64_t now_us)
+available(
+    const fleet_t *fleet, const wave_t *wave, const char *name, uint64_t now_us)
 {
 	machine_t *machine = g_hash_table_lookup(fleet->machines, name);
 
@@ -153,8 +153,8 @@
 	uint32_t best_away = 0;
 
 	for (guint i = 0; i < wave->machines->len; i++) {
-		machine_t *machine = available(
-		    fleet, wave, wave->machines->pdata[i], now_us);
+		machine_t *machine =
+		    available(fleet, wave, wave->machines->pdata[i], now_us);
 		uint32_t away;
 
 		if (machine == NULL)
@@ -209,13 +209,12 @@
 		    "wave=%" PRIu64 " machines=%u state=completed "
 		    "took_ms=%" PRIu64,
 		    wave->number, wave->machines->len,
-		    (now_us - wave->seen_us) / GW_US_PER_MS);
+		    (gw_elapsed_us(now_us, wave->seen_us)) / GW_US_PER_MS);
 		fleet->ops->wave_state(wave->number, true, fleet->arg);
 		return;
 	}
 	while (busy < wave->at_once_max) {
-		machine_t *machine =
-		    choose(fleet, wave, busy < needed, now_us);
+		machine_t *machine = choose(fleet, wave, busy < needed, now_us);
 
 		if (machine == NULL)
 			return;
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -51,11 +51,11 @@
 	sched_instance_t *instance; /* NULL while waiting or done */
 	char *checkpoint;
 	char *ticket;
-	bool refused_as_old; /* the next report decides */
-	uint64_t sent_us;      /* the last order */
-	uint64_t confirmed_us; /* when it was known to run; 0: not yet */
+	bool refused_as_old;	/* the next report decides */
+	uint64_t sent_us;	/* the last order */
+	uint64_t confirmed_us;	/* when it was known to run; 0: not yet */
 	uint64_t not_before_us; /* a pause before the next start */
-	uint64_t progress_us;  /* when percent last rose */
+	uint64_t progress_us;	/* when percent last rose */
 	uint32_t percent;
 	uint32_t gauge;
 	uint32_t pace_percent;
@@ -101,7 +101,7 @@
 	char id[SCHED_JOB_ID_BYTES];
 	char *queue;
 	Gw__JobState state;
-	Gw__JobState recorded; /* what the store has */
+	Gw__JobState recorded;	/* what the store has */
 	GPtrArray *occurrences; /* sched_occurrence_t that are not done */
 	uint32_t next_occurrence;
 	uint64_t accepted_us; /* on the pool's clock */
@@ -112,11 +112,11 @@
 	bool dirty;
 	bool in_batch;
 	bool expired; /* its record is to be removed */
-	bool begun;  /* a task has started */
+	bool begun;   /* a task has started */
 	bool lasting;
-	uint32_t placed; /* tasks with an instance */
-	GArray *acks;	 /* sched_ack_t */
-	GArray *waiters; /* sched_waiter_t */
+	uint32_t placed;   /* tasks with an instance */
+	GArray *acks;	   /* sched_ack_t */
+	GArray *waiters;   /* sched_waiter_t */
 	uint32_t chain_ms; /* estimate of its longest chain of steps */
 	/* Of the round under way. */
 	uint32_t rank_class;
@@ -126,17 +126,17 @@
 struct sched_instance {
 	sched_pool_t *pool;
 	sched_info_t info;
-	bool listed; /* in the registry */
-	bool contacted; /* answered with this owner's fence */
-	bool unreachable; /* the last call had no answer */
-	bool holding;	/* a hold is under way */
+	bool listed;	      /* in the registry */
+	bool contacted;	      /* answered with this owner's fence */
+	bool unreachable;     /* the last call had no answer */
+	bool holding;	      /* a hold is under way */
 	uint64_t hold_due_us; /* 0: none wanted */
 	uint64_t hold_sent_us;
 	uint64_t clock_ms; /* last reading of its clock, and when */
 	uint64_t clock_us;
-	uint64_t report_us; /* when the last report came */
+	uint64_t report_us;   /* when the last report came */
 	uint64_t deadline_ms; /* what runs there is held until */
-	uint64_t lapse_us; /* by then the lease has surely lapsed */
+	uint64_t lapse_us;    /* by then the lease has surely lapsed */
 	uint64_t seen_number; /* ends handled */
 	uint64_t ack_number;  /* ends recorded, without a gap */
 	GHashTable *recorded; /* ends recorded beyond a gap */
@@ -199,8 +199,7 @@
 
 /* record.c */
 GBytes *sched_record_encode(const sched_job_t *);
-int sched_record_apply(
-    sched_pool_t *, sched_job_t *, const Gw__JobRecord *);
+int sched_record_apply(sched_pool_t *, sched_job_t *, const Gw__JobRecord *);
 
 /* instance.c */
 sched_instance_t *sched_instance_get(sched_pool_t *, const char *id);
@@ -219,8 +218,7 @@
 void sched_task_requeue(sched_task_t *, const char *reason);
 void sched_task_order(sched_task_t *, uint64_t now_us);
 void sched_task_stop(sched_task_t *);
-void sched_task_ended(
-    sched_task_t *, sched_instance_t *, const sched_end_t *);
+void sched_task_ended(sched_task_t *, sched_instance_t *, const sched_end_t *);
 
 /* place.c */
 sched_instance_t *sched_place_task(
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -23,8 +23,8 @@
 	instance->pool = pool;
 	g_strlcpy(instance->info.id, id, sizeof(instance->info.id));
 	instance->tasks = g_ptr_array_new();
-	instance->recorded = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, NULL);
+	instance->recorded =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	wait_ms = pool->bounds.hold_without_store_ms + SCHED_HOLD_MS;
 	instance->lapse_us = gw_clock_now_us(pool->clock) +
 	    wait_ms * (1000 + SCHED_DRIFT_PERMILLE);
@@ -99,7 +99,7 @@
 sched_instance_clock_ms(const sched_instance_t *instance, uint64_t now_us)
 {
 	return instance->clock_ms +
-	    (now_us - instance->clock_us) / GW_US_PER_MS;
+	    (gw_elapsed_us(now_us, instance->clock_us)) / GW_US_PER_MS;
 }
 
 /*
@@ -110,7 +110,7 @@
 uint64_t
 sched_instance_extend(sched_instance_t *instance, uint64_t now_us)
 {
-	uint64_t elapsed_us = now_us - instance->clock_us;
+	uint64_t elapsed_us = gw_elapsed_us(now_us, instance->clock_us);
 	uint64_t lag_us = elapsed_us * SCHED_DRIFT_PERMILLE / 1000;
 	uint64_t left_us, lapse_us;
 
@@ -141,8 +141,8 @@
 			break;
 		instance->ack_number++;
 	}
-	sched_instance_hold_at(instance,
-	    gw_clock_now_us(instance->pool->clock) + GW_US_PER_S);
+	sched_instance_hold_at(
+	    instance, gw_clock_now_us(instance->pool->clock) + GW_US_PER_S);
 }
 
 /*
@@ -227,8 +227,7 @@
 		    "instance=%s pool=%s machine=%s address=%s born=%" PRIu64
 		    " leaving=%d leaves_in_ms=%u cpu_millis=%" PRIu64,
 		    info->id, pool->name, info->machine, info->address,
-		    info->born_ms,
-		    info->leaving, info->leaves_in_ms,
+		    info->born_ms, info->leaving, info->leaves_in_ms,
 		    info->capacity.cpu_millis);
 	g_strfreev(instance->info.labels);
 	instance->info = *info;
@@ -260,8 +259,7 @@
  * ended.
  */
 void
-sched_pool_machine_runs(
-    sched_pool_t *pool, const char *machine, const char *id)
+sched_pool_machine_runs(sched_pool_t *pool, const char *machine, const char *id)
 {
 	sched_instance_t *instance;
 	GHashTableIter iter;
@@ -294,8 +292,9 @@
 
 /*
  * Sends a hold. One to an instance that does not answer extends no lease:
- * otherwise the wait for its lapse would never end. Ends are acknowledged only to an instance that was in contact
- * just now: to another life under the same id the number means another end.
+ * otherwise the wait for its lapse would never end. Ends are acknowledged only
+ * to an instance that was in contact just now: to another life under the same
+ * id the number means another end.
  */
 static void
 send_hold(sched_instance_t *instance, uint64_t now_us)
@@ -303,9 +302,9 @@
 	sched_pool_t *pool = instance->pool;
 	bool is_busy = instance->tasks->len > 0;
 	bool is_fresh = instance->contacted && !instance->unreachable &&
-	    now_us - instance->report_us < SCHED_ACK_FRESH_US;
-	sched_hold_t hold = {.instance = instance->info.id,
-	    .address = instance->info.address};
+	    gw_elapsed_us(now_us, instance->report_us) < SCHED_ACK_FRESH_US;
+	sched_hold_t hold = {
+	    .instance = instance->info.id, .address = instance->info.address};
 
 	if (is_busy && instance->clock_ms != 0 && !instance->unreachable)
 		hold.deadline_ms = sched_instance_extend(instance, now_us);
@@ -324,8 +323,8 @@
 void
 sched_instance_tick(sched_instance_t *instance, uint64_t now_us)
 {
-	bool no_contact = instance->unreachable || !instance->listed ||
-	    !instance->contacted;
+	bool no_contact =
+	    instance->unreachable || !instance->listed || !instance->contacted;
 
 	if (instance->tasks->len > 0 && no_contact &&
 	    now_us >= instance->lapse_us)
@@ -386,7 +385,8 @@
 	/* One more failure after the pause is enough for another. */
 	instance->failed_in_row = SCHED_FAILURES_MAX - 1;
 	gw_log(GW_EV_INSTANCE_AVOIDED,
-	    "instance=%s pool=%s reason=failing failed_in_row=%u for_ms=%" PRIu64,
+	    "instance=%s pool=%s reason=failing failed_in_row=%u "
+	    "for_ms=%" PRIu64,
 	    instance->info.id, instance->pool->name, SCHED_FAILURES_MAX,
 	    SCHED_AVOID_FAILING_US / GW_US_PER_MS);
 }
@@ -447,7 +447,7 @@
 	}
 	/* Its job has ended, or a stop had no answer: tell it again. */
 	if (task->state == SCHED_STOPPING &&
-	    now_us - task->sent_us > SCHED_START_RETRY_US)
+	    gw_elapsed_us(now_us, task->sent_us) > SCHED_START_RETRY_US)
 		sched_task_stop(task);
 }
 
@@ -459,8 +459,8 @@
 	for (uint32_t i = 0; i < report->running_count; i++) {
 		const sched_running_t *row = &report->running[i];
 
-		if (row->run == task->run &&
-		    row->ref.index == ref.index && row->ref.step == ref.step &&
+		if (row->run == task->run && row->ref.index == ref.index &&
+		    row->ref.step == ref.step &&
 		    row->ref.occurrence == ref.occurrence &&
 		    strcmp(row->ref.job, ref.job) == 0)
 			return true;
@@ -475,8 +475,8 @@
  * that is still on its way is refused, since this owner's fence is there.
  */
 static void
-requeue_missing(sched_instance_t *instance, const sched_report_t *report,
-    uint64_t sent_us)
+requeue_missing(
+    sched_instance_t *instance, const sched_report_t *report, uint64_t sent_us)
 {
 	for (guint i = instance->tasks->len; i-- > 0;) {
 		sched_task_t *task = instance->tasks->pdata[i];
@@ -502,8 +502,7 @@
 	if (instance == NULL)
 		return;
 	instance->holding = false;
-	if (report->born_ms != 0 &&
-	    report->born_ms != instance->info.born_ms) {
+	if (report->born_ms != 0 && report->born_ms != instance->info.born_ms) {
 		sched_instance_lost(instance, "restarted");
 		begin_life(instance, report->born_ms);
 		sched_instance_hold_at(instance, now_us);
@@ -520,8 +519,8 @@
 	instance->report_us = now_us;
 	/* What comes before the first listed end was acknowledged earlier. */
 	if (report->end_count > 0)
-		instance->ack_number = MAX(
-		    instance->ack_number, report->ends[0].number - 1);
+		instance->ack_number =
+		    MAX(instance->ack_number, report->ends[0].number - 1);
 	for (uint32_t i = 0; i < report->end_count; i++)
 		if (report->ends[i].number > instance->seen_number)
 			take_end(instance, &report->ends[i], now_us);
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -119,9 +119,8 @@
 	uint32_t total = MAX(spec->repeats, 1);
 
 	while (job->next_occurrence < total) {
-		uint64_t due_ms = spec->repeats == 0
-		    ? 0
-		    : spec->first_due_wall_ms +
+		uint64_t due_ms = spec->repeats == 0 ? 0
+						     : spec->first_due_wall_ms +
 			job->next_occurrence * spec->interval_ms;
 
 		if (due_ms > wall_ms)
@@ -166,8 +165,8 @@
  * Tells whether all steps that this one comes after are done.
  */
 bool
-sched_step_ready(const sched_job_t *job, const sched_occurrence_t *occurrence,
-    uint32_t step)
+sched_step_ready(
+    const sched_job_t *job, const sched_occurrence_t *occurrence, uint32_t step)
 {
 	const Gw__JobStep *spec = job->spec->steps[step];
 
@@ -224,12 +223,14 @@
 	g_ptr_array_add(pool->settling, job);
 	stop_tasks(job);
 	sched_job_mark(pool, job);
-	gw_log(GW_EV_SCHED_ENDED, "job=%s pool=%s queue=%s state=%s age_ms=%" PRIu64,
-	    job->id, pool->name, job->queue,
-	    state == GW__JOB_STATE__JOB_COMPLETED	? "completed"
+	gw_log(GW_EV_SCHED_ENDED,
+	    "job=%s pool=%s queue=%s state=%s age_ms=%" PRIu64, job->id,
+	    pool->name, job->queue,
+	    state == GW__JOB_STATE__JOB_COMPLETED    ? "completed"
 		: state == GW__JOB_STATE__JOB_FAILED ? "failed"
 						     : "cancelled",
-	    (gw_clock_now_us(pool->clock) - job->accepted_us) / GW_US_PER_MS);
+	    gw_elapsed_us(gw_clock_now_us(pool->clock), job->accepted_us) /
+		GW_US_PER_MS);
 }
 
 /*
@@ -248,8 +249,8 @@
 	occurrence = sched_job_occurrence(job, ref->occurrence);
 	if (occurrence == NULL)
 		return NULL;
-	return &occurrence->tasks[occurrence->steps[ref->step].first +
-	    ref->index];
+	return &occurrence
+		    ->tasks[occurrence->steps[ref->step].first + ref->index];
 }
 
 sched_ref_t
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -64,7 +64,8 @@
 static void
 rank(sched_job_t *job, uint64_t now_us)
 {
-	uint64_t age_ms = (now_us - job->accepted_us) / GW_US_PER_MS;
+	uint64_t age_ms =
+	    (gw_elapsed_us(now_us, job->accepted_us)) / GW_US_PER_MS;
 	uint64_t objective_ms = job->spec->objective_ms +
 	    (uint64_t)job->chain_ms * job->spec->stretch_permille / 1000;
 	uint32_t chain_ms = 0;
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -52,8 +52,7 @@
 	for (guint i = 0; i < instance->tasks->len; i++) {
 		const sched_task_t *other = instance->tasks->pdata[i];
 
-		count += other->job == task->job &&
-		    other->step == task->step &&
+		count += other->job == task->job && other->step == task->step &&
 		    other->occurrence == task->occurrence;
 	}
 	return count;
@@ -147,8 +146,7 @@
 }
 
 sched_instance_t *
-sched_place_task(
-    sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
+sched_place_task(sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
 {
 	return choose(pool, task, NULL, now_us);
 }
@@ -174,8 +172,8 @@
  * whether the step can be placed now.
  */
 static bool
-have_advice(sched_pool_t *pool, sched_task_t *task, sched_step_t *step,
-    uint64_t now_us)
+have_advice(
+    sched_pool_t *pool, sched_task_t *task, sched_step_t *step, uint64_t now_us)
 {
 	g_autoptr(GPtrArray) ids = NULL;
 	sched_instance_t *instance;
@@ -227,8 +225,7 @@
  */
 static bool
 reserve_gang(sched_pool_t *pool, sched_occurrence_t *occurrence,
-    const sched_step_t *step, uint32_t count, const char *rack,
-    uint64_t now_us)
+    const sched_step_t *step, uint32_t count, const char *rack, uint64_t now_us)
 {
 	uint32_t run = 0, placed;
 
@@ -236,8 +233,7 @@
 		run = MAX(run, occurrence->tasks[step->first + i].run);
 	for (placed = 0; placed < count; placed++) {
 		sched_task_t *task = &occurrence->tasks[step->first + placed];
-		sched_instance_t *instance =
-		    choose(pool, task, rack, now_us);
+		sched_instance_t *instance = choose(pool, task, rack, now_us);
 
 		if (instance == NULL)
 			break;
@@ -261,8 +257,8 @@
  * each other.
  */
 static void
-share_checkpoint(sched_occurrence_t *occurrence, const sched_step_t *step,
-    uint32_t count)
+share_checkpoint(
+    sched_occurrence_t *occurrence, const sched_step_t *step, uint32_t count)
 {
 	const char *newest = NULL;
 	uint32_t best_run = 0;
@@ -325,8 +321,8 @@
 
 		if (step->waiting == 0 ||
 		    !sched_step_ready(job, occurrence, (uint32_t)i) ||
-		    !have_advice(pool, &occurrence->tasks[step->first], step,
-			now_us))
+		    !have_advice(
+			pool, &occurrence->tasks[step->first], step, now_us))
 			continue;
 		if (spec->gang)
 			place_gang(pool, occurrence, step, spec, now_us);
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -52,8 +52,8 @@
 	g_hash_table_iter_init(&iter, pool->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job))
 		for (guint i = 0; i < job->waiters->len; i++) {
-			sched_waiter_t *waiter = &g_array_index(
-			    job->waiters, sched_waiter_t, i);
+			sched_waiter_t *waiter =
+			    &g_array_index(job->waiters, sched_waiter_t, i);
 			waiter->cb(&unknown, waiter->arg);
 		}
 	g_hash_table_destroy(pool->jobs);
@@ -69,8 +69,8 @@
  * Takes a job's specification as stored. Returns -1 when it is malformed.
  */
 int
-sched_pool_load_spec(sched_pool_t *pool, const char *id, const void *data,
-    size_t size_bytes)
+sched_pool_load_spec(
+    sched_pool_t *pool, const char *id, const void *data, size_t size_bytes)
 {
 	Gw__JobSpec *spec = gw__job_spec__unpack(NULL, size_bytes, data);
 	sched_job_t *job;
@@ -96,8 +96,8 @@
  * it is malformed, or when an open job has no specification.
  */
 int
-sched_pool_load_record(sched_pool_t *pool, const char *id, const void *data,
-    size_t size_bytes)
+sched_pool_load_record(
+    sched_pool_t *pool, const char *id, const void *data, size_t size_bytes)
 {
 	Gw__JobRecord *record = gw__job_record__unpack(NULL, size_bytes, data);
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
@@ -158,7 +158,7 @@
 
 		if (task->state == SCHED_STARTING && !instance->unreachable &&
 		    !task->refused_as_old &&
-		    now_us - task->sent_us > SCHED_START_RETRY_US)
+		    gw_elapsed_us(now_us, task->sent_us) > SCHED_START_RETRY_US)
 			sched_task_order(task, now_us);
 	}
 	sched_evacuate(instance, now_us);
@@ -217,7 +217,8 @@
 	while (pool->ended->length > 0) {
 		sched_job_t *job = g_queue_peek_head(pool->ended);
 
-		if (now_us - job->ended_us < kept_us || job->spec != NULL)
+		if (gw_elapsed_us(now_us, job->ended_us) < kept_us ||
+		    job->spec != NULL)
 			return;
 		g_queue_pop_head(pool->ended);
 		job->expired = true;
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -4,7 +4,7 @@
 
 /* The hosts of a record while it is built. */
 typedef struct {
-	GPtrArray *hosts; /* Gw__HostRecord */
+	GPtrArray *hosts;  /* Gw__HostRecord */
 	GHashTable *index; /* instance -> place in hosts + 1 */
 } hosts_t;
 
@@ -112,8 +112,7 @@
  * the run may have ended: the instance's next report tells.
  */
 static void
-adopt_placed(sched_pool_t *pool, sched_task_t *task,
-    const Gw__HostRecord *host)
+adopt_placed(sched_pool_t *pool, sched_task_t *task, const Gw__HostRecord *host)
 {
 	sched_instance_t *instance;
 
@@ -131,8 +130,7 @@
 
 static int
 apply_task(sched_pool_t *pool, sched_occurrence_t *occurrence,
-    sched_task_t *task, const Gw__JobRecord *record,
-    const Gw__TaskRecord *from)
+    sched_task_t *task, const Gw__JobRecord *record, const Gw__TaskRecord *from)
 {
 	sched_step_t *step = &occurrence->steps[task->step];
 
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -71,7 +71,7 @@
 	    order.ref.job, order.ref.occurrence, order.ref.step,
 	    order.ref.index, order.run, order.instance,
 	    task->state == SCHED_STARTING ? 2 : 1, instance->used.cpu_millis,
-	    (now_us - instance->report_us) / GW_US_PER_MS);
+	    (gw_elapsed_us(now_us, instance->report_us)) / GW_US_PER_MS);
 	task->state = SCHED_STARTING;
 	task->sent_us = now_us;
 	task->progress_us = now_us;
@@ -197,8 +197,7 @@
 {
 	sched_pool_t *pool = instance->pool;
 	uint64_t now_us = gw_clock_now_us(pool->clock);
-	bool is_current =
-	    task->instance == instance && task->run == end->run;
+	bool is_current = task->instance == instance && task->run == end->run;
 
 	gw_log(GW_EV_RUN_END,
 	    "job=%s task=%u.%u.%u run=%u instance=%s end=%s number=%" PRIu64
@@ -206,7 +205,8 @@
 	    end->ref.job, end->ref.occurrence, end->ref.step, end->ref.index,
 	    end->run, instance->info.id, end_name(end->kind), end->number,
 	    is_current,
-	    is_current ? (now_us - task->sent_us) / GW_US_PER_MS : 0);
+	    is_current ? (gw_elapsed_us(now_us, task->sent_us)) / GW_US_PER_MS
+		       : 0);
 	if (!is_current || task->state == SCHED_DONE)
 		return;
 	if (end->checkpoint != NULL && end->checkpoint[0] != '\0') {
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -86,14 +86,14 @@
 /* How an order was answered. */
 typedef enum {
 	SCHED_ORDER_OK,
-	SCHED_ORDER_FENCED,    /* the instance has seen a higher fence */
-	SCHED_ORDER_OLD,       /* a run as high as this has ended there */
-	SCHED_ORDER_LATE,      /* its deadline had passed */
+	SCHED_ORDER_FENCED, /* the instance has seen a higher fence */
+	SCHED_ORDER_OLD,    /* a run as high as this has ended there */
+	SCHED_ORDER_LATE,   /* its deadline had passed */
 	SCHED_ORDER_NO_ROOM,
 	SCHED_ORDER_TICKET,
-	SCHED_ORDER_REFUSED,   /* not done: unhealthy, or malformed */
-	SCHED_ORDER_REPLACED,  /* another life answers at the address */
-	SCHED_ORDER_NO_ANSWER  /* may have been done, or may yet be */
+	SCHED_ORDER_REFUSED,  /* not done: unhealthy, or malformed */
+	SCHED_ORDER_REPLACED, /* another life answers at the address */
+	SCHED_ORDER_NO_ANSWER /* may have been done, or may yet be */
 } sched_answer_t;
 
 /* An order to start a run. Valid during the call. */
@@ -148,18 +148,18 @@
 	/* A hold is due; at most one per instance is under way. */
 	void (*hold)(const sched_hold_t *, void *arg);
 	/* An instance that is asked which instances may run the step. */
-	void (*advise)(const sched_ref_t *, const GPtrArray *instances,
-	    void *arg);
+	void (*advise)(
+	    const sched_ref_t *, const GPtrArray *instances, void *arg);
 	/* An instance refuses the owner's fence. */
 	void (*fenced)(const char *instance, void *arg);
 } sched_ops_t;
 
 /* The platform's bounds that decisions depend on. */
 typedef struct {
-	uint32_t hold_max_ms;	/* longest lease of what runs */
+	uint32_t hold_max_ms; /* longest lease of what runs */
 	uint32_t stop_grace_ms;
 	uint32_t gang_timeout_ms;
-	uint32_t status_s;	/* how long a finished job stays known */
+	uint32_t status_s;	  /* how long a finished job stays known */
 	uint32_t remote_permille; /* slow-down away from the data's rack */
 	uint32_t early_ms;
 	uint32_t restore_ms;
--- a/lib/store/call.c
+++ b/lib/store/call.c
@@ -61,8 +61,7 @@
 	gw_err_t refused;
 
 	call->http = NULL;
-	if (response != NULL &&
-	    (response->status == 200 || call->any_status)) {
+	if (response != NULL && (response->status == 200 || call->any_status)) {
 		call->end(call, response, NULL);
 		store_call_free(call);
 		return;
@@ -92,8 +91,8 @@
 store_call_send_to(store_call_t *call, const char *method, const char *path,
     const char *body, uint64_t timeout_ms)
 {
-	call->http = gw_httpc_call(call->store->http, method, path, body,
-	    timeout_ms, on_done, call);
+	call->http = gw_httpc_call(
+	    call->store->http, method, path, body, timeout_ms, on_done, call);
 }
 
 static void
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -56,8 +56,7 @@
 	} else {
 		known = g_new(uint64_t, 1);
 		*known = item->mod_revision;
-		g_hash_table_replace(
-		    follow->known, g_strdup(item->key), known);
+		g_hash_table_replace(follow->known, g_strdup(item->key), known);
 	}
 	follow->ops->on_item(item, follow->arg);
 }
--- a/lib/store/form.c
+++ b/lib/store/form.c
@@ -67,8 +67,7 @@
 }
 
 static void
-send_request(
-    store_call_t *call, store_request_t *request, uint64_t timeout_ms)
+send_request(store_call_t *call, store_request_t *request, uint64_t timeout_ms)
 {
 	store_call_send_to(
 	    call, request->method, request->path, request->body, timeout_ms);
@@ -170,8 +169,7 @@
  * Makes one atomic change.
  */
 void
-store_txn(
-    store_t *store, const store_txn_t *txn, store_txn_cb_t cb, void *arg)
+store_txn(store_t *store, const store_txn_t *txn, store_txn_cb_t cb, void *arg)
 {
 	store_call_t *call = form_call(store, true, end_txn, arg);
 	store_request_t request = {0};
@@ -201,8 +199,7 @@
  * Asks for a lease of ttl_ms, which runs from the arrival of the call.
  */
 void
-store_lease_open(
-    store_t *store, uint32_t ttl_ms, store_ttl_cb_t cb, void *arg)
+store_lease_open(store_t *store, uint32_t ttl_ms, store_ttl_cb_t cb, void *arg)
 {
 	store_call_t *call = form_call(store, true, end_ttl, arg);
 	store_request_t request = {0};
@@ -231,8 +228,7 @@
  * Ends a lease and removes its keys.
  */
 void
-store_lease_end(
-    store_t *store, uint64_t lease_id, store_ttl_cb_t cb, void *arg)
+store_lease_end(store_t *store, uint64_t lease_id, store_ttl_cb_t cb, void *arg)
 {
 	store_call_t *call = form_call(store, true, end_ttl, arg);
 	store_request_t request = {0};
