--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -96,8 +96,7 @@
 	/* It may have belonged to another pool before. */
 	g_hash_table_iter_init(&iter, service->owners);
 	while (g_hash_table_iter_next(&iter, &name, (gpointer *)&owner)) {
-		sched_pool_machine_runs(
-		    owner_pool(owner), info->machine, info->id);
+		sched_pool_machine_runs(owner_pool(owner), info);
 		if (strcmp(name, info->pool) != 0)
 			owner_remove_instance(owner, info->id);
 	}
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -255,21 +255,21 @@
 }
 
 /*
- * Takes the news that a machine runs the instance id: others that it ran have
- * ended.
+ * Takes the news that a machine runs an instance: earlier ones that it ran have
+ * ended. News may come out of order, so the start of the life counts.
  */
 void
-sched_pool_machine_runs(sched_pool_t *pool, const char *machine, const char *id)
+sched_pool_machine_runs(sched_pool_t *pool, const sched_info_t *info)
 {
 	sched_instance_t *instance;
 	GHashTableIter iter;
 
-	if (machine[0] == '\0')
+	if (info->machine[0] == '\0')
 		return;
 	g_hash_table_iter_init(&iter, pool->instances);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
-		if (strcmp(instance->info.machine, machine) == 0 &&
-		    strcmp(instance->info.id, id) != 0)
+		if (strcmp(instance->info.machine, info->machine) == 0 &&
+		    instance->info.born_ms < info->born_ms)
 			sched_pool_end_instance(
 			    pool, instance->info.id, "machine-restarted");
 }
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -186,8 +186,7 @@
 void sched_pool_remove_instance(sched_pool_t *, const char *id);
 void sched_pool_end_instance(
     sched_pool_t *, const char *id, const char *reason);
-void sched_pool_machine_runs(
-    sched_pool_t *, const char *machine, const char *id);
+void sched_pool_machine_runs(sched_pool_t *, const sched_info_t *);
 void sched_pool_report(sched_pool_t *, const char *instance,
     const sched_report_t *, uint64_t sent_us);
 void sched_pool_hold_failed(
