Settle a run by a refusal only when no other order of it is on its way

Ruled out: a wrong lease bound (the lapse fell after the second start). Change: with several orders out the run is stopped first; it is settled once the stop is answered and a later report does not list it.

--- a/gwentryd/agents.h
+++ b/gwentryd/agents.h
@@ -11,6 +11,8 @@
 typedef struct {
 	void (*on_started)(const char *instance, const sched_ref_t *,
 	    uint32_t run, sched_answer_t, uint64_t clock_ms, void *arg);
+	void (*on_stopped)(const char *instance, const sched_ref_t *,
+	    uint32_t run, sched_answer_t, void *arg);
 	void (*on_report)(const char *instance, const sched_report_t *,
 	    uint64_t sent_us, void *arg);
 	void (*on_hold_failed)(const char *instance, sched_answer_t, void *arg);
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -170,6 +170,16 @@
 	owner_kick(owner);
 }
 
+static void
+on_stopped(const char *instance, const sched_ref_t *ref, uint32_t run,
+    sched_answer_t answer, void *arg)
+{
+	owner_t *owner = arg;
+
+	sched_pool_stopped(owner->pool, instance, ref, run, answer);
+	owner_kick(owner);
+}
+
 static void
 on_report(const char *instance, const sched_report_t *report, uint64_t sent_us,
     void *arg)
@@ -190,6 +200,7 @@
 }
 
 static const agents_ops_t agent_ops = {.on_started = on_started,
+    .on_stopped = on_stopped,
     .on_report = on_report,
     .on_hold_failed = on_hold_failed};
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -52,6 +52,8 @@
 	char *checkpoint;
 	char *ticket;
 	bool refused_as_old;	/* the next report decides */
+	uint32_t orders;	/* sent for this run, answered or not */
+	uint64_t stopped_us;	/* when the stop was answered; 0: not yet */
 	uint64_t sent_us;	/* the last order */
 	uint64_t confirmed_us;	/* when it was known to run; 0: not yet */
 	uint64_t not_before_us; /* a pause before the next start */
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -469,10 +469,29 @@
 }
 
 /*
- * Ends the runs that the instance no longer has: they were known to run (or
- * were refused, or adopted) before the hold was sent, and are not listed. Their
- * end was acknowledged to a former owner, or they were never started; a start
- * that is still on its way is refused, since this owner's fence is there.
+ * Tells whether the instance had the run, or had refused it for good, before it
+ * was asked at sent_us. Runs of a former owner are refused since this owner's
+ * fence is there; a run that was told to stop, once the stop was answered.
+ */
+static bool
+was_settled(const sched_task_t *task, uint64_t sent_us)
+{
+	if (task->refused_as_old)
+		return true;
+	if (task->state == SCHED_RUNNING)
+		return task->confirmed_us < sent_us;
+	if (task->state != SCHED_STOPPING)
+		return false;
+	if (task->stopped_us != 0)
+		return task->stopped_us < sent_us;
+	return task->orders == 0 ||
+	    (task->confirmed_us != 0 && task->confirmed_us < sent_us);
+}
+
+/*
+ * Ends the runs that the instance no longer has: they are not listed, and no
+ * order can bring them back. Their end was acknowledged to a former owner, or
+ * they were never started.
  */
 static void
 requeue_missing(
@@ -480,11 +499,8 @@
 {
 	for (guint i = instance->tasks->len; i-- > 0;) {
 		sched_task_t *task = instance->tasks->pdata[i];
-		bool was_there = task->state == SCHED_RUNNING ||
-		    task->state == SCHED_STOPPING || task->refused_as_old;
 
-		if (was_there && task->confirmed_us < sent_us &&
-		    !is_listed(report, task))
+		if (was_settled(task, sent_us) && !is_listed(report, task))
 			sched_task_requeue(task, "missing");
 	}
 }
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -160,6 +160,11 @@
 		    !task->refused_as_old &&
 		    gw_elapsed_us(now_us, task->sent_us) > SCHED_START_RETRY_US)
 			sched_task_order(task, now_us);
+		else if (task->state == SCHED_STOPPING &&
+		    !instance->unreachable && task->stopped_us == 0 &&
+		    gw_elapsed_us(now_us, task->sent_us) >
+			SCHED_START_RETRY_US)
+			sched_task_stop(task);
 	}
 	sched_evacuate(instance, now_us);
 	sched_instance_tick(instance, now_us);
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -38,6 +38,8 @@
 	sched_instance_release(task);
 	task->state = SCHED_WAITING;
 	task->refused_as_old = false;
+	task->orders = 0;
+	task->stopped_us = 0;
 	task->percent = 0;
 	task->pace_percent = 100;
 	g_clear_pointer(&task->ticket, g_free);
@@ -73,6 +75,7 @@
 	    task->state == SCHED_STARTING ? 2 : 1, instance->used.cpu_millis,
 	    (gw_elapsed_us(now_us, instance->report_us)) / GW_US_PER_MS);
 	task->state = SCHED_STARTING;
+	task->orders++;
 	task->sent_us = now_us;
 	task->progress_us = now_us;
 	task->job->begun = true;
@@ -276,6 +279,27 @@
 	}
 }
 
+/*
+ * Takes the answer to an order to stop: no start of this run, however late it
+ * arrives, is taken any more. The next report tells whether the run was there.
+ */
+void
+sched_pool_stopped(sched_pool_t *pool, const char *id, const sched_ref_t *ref,
+    uint32_t run, sched_answer_t answer)
+{
+	sched_task_t *task = sched_pool_task(pool, ref);
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+
+	if (task == NULL || task->instance == NULL || task->run != run ||
+	    strcmp(task->instance->info.id, id) != 0 ||
+	    task->state != SCHED_STOPPING ||
+	    (answer != SCHED_ORDER_OK && answer != SCHED_ORDER_OLD))
+		return;
+	if (task->stopped_us == 0)
+		task->stopped_us = now_us;
+	sched_instance_hold_at(task->instance, now_us);
+}
+
 /*
  * Takes the answer to an order to start. Without one the order is repeated by
  * sched_pool_tick(), or the instance found unreachable and waited out.
@@ -311,6 +335,9 @@
 		sched_pool_hold_failed(pool, id, answer);
 	} else if (answer == SCHED_ORDER_NO_ANSWER) {
 		sched_instance_hold_at(instance, now_us);
+	} else if (task->orders > 1 && answer != SCHED_ORDER_OLD) {
+		/* Another order of this run may still arrive and be taken. */
+		sched_task_stop(task);
 	} else {
 		refused(task, answer, now_us);
 	}
