--- a/gwentryd/agents.c
+++ b/gwentryd/agents.c
@@ -202,8 +202,8 @@
 		agents->ops->on_started(instance, &order->ref, order->run,
 		    answer, clock_ms, agents->arg);
 	else if (order->kind == ORDER_STOP)
-		agents->ops->on_stopped(instance, &order->ref, order->run,
-		    answer, agents->arg);
+		agents->ops->on_stopped(
+		    instance, &order->ref, order->run, answer, agents->arg);
 	order_free(order);
 }
 
--- a/gwentryd/dispatch.c
+++ b/gwentryd/dispatch.c
@@ -172,6 +172,39 @@
 	attempt(trip);
 }
 
+/* A question to a former owner. */
+typedef struct {
+	dispatch_reply_t cb;
+	void *arg;
+} question_t;
+
+static void
+on_former_reply(const Gw__Reply *reply, peers_failure_t failure, void *arg)
+{
+	question_t *question = arg;
+	Gw__Reply unknown = GW__REPLY__INIT;
+
+	(void)failure;
+	unknown.outcome = GW__CALL_OUTCOME__CALL_UNKNOWN;
+	question->cb(reply == NULL ? &unknown : reply, question->arg);
+	g_free(question);
+}
+
+void
+dispatch_ask_former(dispatch_t *dispatch, const char *address, const char *pool,
+    uint64_t timeout_ms, dispatch_reply_t cb, void *arg)
+{
+	question_t *question = g_new(question_t, 1);
+	Gw__Call call = GW__CALL__INIT;
+
+	question->cb = cb;
+	question->arg = arg;
+	call.kind = GW__CALL_KIND__CALL_OWNS;
+	call.pool = (char *)pool;
+	peers_call(dispatch->peers, address, &call, timeout_ms, on_former_reply,
+	    question);
+}
+
 static void
 on_served(const Gw__Reply *reply, void *arg)
 {
--- a/gwentryd/dispatch.h
+++ b/gwentryd/dispatch.h
@@ -23,6 +23,9 @@
  * Sends the request (copied) and reports one reply within timeout_ms. Refused
  * means that it surely was not taken; unknown that it may have been.
  */
+/* Asks the process at address whether it still owns the pool. */
+void dispatch_ask_former(dispatch_t *, const char *address, const char *pool,
+    uint64_t timeout_ms, dispatch_reply_t, void *arg);
 void dispatch_call(dispatch_t *, const Gw__Call *, uint64_t timeout_ms,
     dispatch_reply_t, void *arg);
 
--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -27,10 +27,15 @@
 /* Between the end of the last request and the exit. */
 #define DRAIN_LINGER_MS 300
 #define MS_PER_S 1000
+/* A former owner is asked while its answer could still shorten the wait. */
+#define FORMER_TIMEOUT_MS 400
+#define FORMER_RETRY_MS 200
+#define FORMER_TRIES_MAX 8
 
 struct entry {
 	gw_rt_t *rt;
 	plat_settings_t settings;
+	char peer_address[GW_ADDR_TEXT_BYTES];
 	store_t *store;
 	roles_t *roles;
 	view_t *view;
@@ -84,10 +89,57 @@
 	view_replay_waves(entry->view, plan_wave, entry->planner);
 }
 
+/* A question to the former owner of a pool. */
+typedef struct {
+	entry_t *entry;
+	char pool[SCHED_NAME_BYTES];
+	char address[SCHED_NAME_BYTES];
+	uint32_t tries;
+	gw_timer_t timer;
+} former_t;
+
+static void ask_former(former_t *);
+
 static void
-on_gain(const char *role, uint64_t fence, void *arg)
+on_ask_former(gw_timer_t *timer, void *arg)
+{
+	(void)timer;
+	ask_former(arg);
+}
+
+/*
+ * A process that says that it does not own the pool has given it up, or has
+ * been started again; one that does not answer is asked again.
+ */
+static void
+on_former(const Gw__Reply *reply, void *arg)
+{
+	former_t *former = arg;
+	owner_t *owner = service_owner(former->entry->service, former->pool);
+
+	if (owner != NULL && reply->outcome == GW__CALL_OUTCOME__CALL_ABSENT)
+		sched_pool_former_gone(owner_pool(owner));
+	if (owner == NULL || reply->outcome == GW__CALL_OUTCOME__CALL_ABSENT ||
+	    ++former->tries >= FORMER_TRIES_MAX) {
+		g_free(former);
+		return;
+	}
+	gw_timer_start(former->entry->rt, &former->timer,
+	    FORMER_RETRY_MS * GW_US_PER_MS, on_ask_former, former);
+}
+
+static void
+ask_former(former_t *former)
+{
+	dispatch_ask_former(former->entry->dispatch, former->address,
+	    former->pool, FORMER_TIMEOUT_MS, on_former, former);
+}
+
+static void
+on_gain(const char *role, uint64_t fence, const char *address, void *arg)
 {
 	entry_t *entry = arg;
+	former_t *former;
 
 	view_want_instances(entry->view);
 	if (strcmp(role, PLANNER_ROLE) == 0) {
@@ -96,6 +148,19 @@
 	}
 	service_add(entry->service, role, fence);
 	view_replay(entry->view, replay_instance, entry->service);
+	if (address == NULL)
+		return;
+	if (strcmp(address, entry->peer_address) == 0) {
+		/* It was an earlier life of this process. */
+		sched_pool_former_gone(
+		    owner_pool(service_owner(entry->service, role)));
+		return;
+	}
+	former = g_new0(former_t, 1);
+	former->entry = entry;
+	g_strlcpy(former->pool, role, sizeof(former->pool));
+	g_strlcpy(former->address, address, sizeof(former->address));
+	ask_former(former);
 }
 
 static void
@@ -252,7 +317,6 @@
 entry_new(gw_rt_t *rt, const plat_settings_t *settings, gw_err_t *err)
 {
 	entry_t *entry = g_new0(entry_t, 1);
-	char text[GW_ADDR_TEXT_BYTES];
 	gw_addr_t peer;
 
 	entry->rt = rt;
@@ -265,7 +329,7 @@
 	entry->service = service_new(rt, entry->store, settings->data_centre,
 	    &settings->bounds, &owner_ops, entry);
 	entry->roles = roles_new(rt, entry->store, settings->node,
-	    gw_addr_text(&peer, text), &roles_ops, entry);
+	    gw_addr_text(&peer, entry->peer_address), &roles_ops, entry);
 	entry->dispatch =
 	    dispatch_new(rt, entry->roles, &peer, on_call, entry, err);
 	if (entry->dispatch == NULL)
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -11,7 +11,7 @@
 
 #define ROLE_PREFIX "gw/role/"
 #define ROLE_KEY_BYTES 200
-#define RENEW_MS 600
+#define RENEW_MS 450
 #define RETRY_MS 100
 /*
  * Pause before a claim: the processes that own least come first, and others
@@ -27,6 +27,7 @@
 	roles_t *roles;
 	char name[96];
 	char *owner;	   /* address, NULL: none */
+	char *former;	   /* address of the last other owner, NULL: none */
 	uint64_t revision; /* of the newest state seen */
 	uint64_t fence;	   /* not 0 while it is this process's */
 	bool wanted;
@@ -88,6 +89,7 @@
 
 	gw_timer_stop(&role->claim);
 	g_free(role->owner);
+	g_free(role->former);
 	g_free(role);
 }
 
@@ -131,7 +133,7 @@
 	role->owner = g_strdup(roles->address);
 	gw_log(GW_EV_ROLE_GAINED, "role=%s fence=%" PRIu64 " owned=%u",
 	    role->name, fence, owned(roles));
-	roles->ops->on_gain(role->name, fence, roles->arg);
+	roles->ops->on_gain(role->name, fence, role->former, roles->arg);
 }
 
 static void schedule_claim(role_t *);
@@ -235,8 +237,11 @@
 	role->owner = g_strdup(words[0]);
 	if (strcmp(words[1], roles->boot) == 0 && !roles->released)
 		gain(role, item->create_revision);
-	else
+	else {
+		g_free(role->former);
+		role->former = g_strdup(words[0]);
 		lose(role, "other-owner");
+	}
 }
 
 static void
--- a/gwentryd/roles.h
+++ b/gwentryd/roles.h
@@ -14,15 +14,19 @@
 typedef struct roles roles_t;
 
 /* Time after which the store ends the lease of a process that is gone. */
-#define ROLES_TTL_MS 2500
+#define ROLES_TTL_MS 2000
 /*
  * An owner that cannot renew its lease goes on holding what runs for this long
- * after the lease may have ended, so that an outage of the store ends no work.
+ * after the lease may have ended. With the lease of what runs, an outage of the
+ * store of some seconds ends no work; a later owner waits for as long before it
+ * takes runs as ended that it cannot reach.
  */
-#define ROLES_GRACE_MS 7500
+#define ROLES_GRACE_MS 2000
 
 typedef struct {
-	void (*on_gain)(const char *role, uint64_t fence, void *arg);
+	/* former is the address of the last owner seen, or NULL. */
+	void (*on_gain)(
+	    const char *role, uint64_t fence, const char *former, void *arg);
 	void (*on_lose)(const char *role, const char *reason, void *arg);
 } roles_ops_t;
 
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -238,6 +238,16 @@
 	owner_kick(owner);
 }
 
+static void
+answer_owns(const owner_t *owner, dispatch_reply_t cb, void *arg)
+{
+	Gw__Reply reply = GW__REPLY__INIT;
+
+	reply.outcome = owner == NULL ? GW__CALL_OUTCOME__CALL_ABSENT
+				      : GW__CALL_OUTCOME__CALL_OK;
+	cb(&reply, arg);
+}
+
 /*
  * Answers a request for a pool, now or once the store has what it asks for.
  */
@@ -247,6 +257,10 @@
 {
 	owner_t *owner = service_owner(service, call->pool);
 
+	if (call->kind == GW__CALL_KIND__CALL_OWNS) {
+		answer_owns(owner, cb, arg);
+		return;
+	}
 	if (owner == NULL || !owner_loaded(owner)) {
 		refuse(0, owner == NULL ? "not-owner" : "loading", cb, arg);
 		return;
--- a/lib/sched/evacuate.c
+++ b/lib/sched/evacuate.c
@@ -12,7 +12,8 @@
 
 /*
  * Tells whether a lasting task may be made unavailable: fewer others of its
- * step than the bound are away.
+ * step than the bound are away. It counts as at work itself, whatever the last
+ * report said: it may have begun since.
  */
 static bool
 within_bound(const sched_task_t *task)
@@ -22,7 +23,7 @@
 	    sched_job_occurrence(task->job, task->occurrence);
 	uint32_t away = 0;
 
-	if (!step->limits_unavailable || !at_work(task))
+	if (!step->limits_unavailable)
 		return true;
 	for (uint32_t i = 0; i < step->count; i++) {
 		const sched_task_t *other =
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -7,7 +7,7 @@
  * How far ahead what runs is held. Longer than a takeover (lease of the owner
  * and the load), shorter than the platform's bound.
  */
-#define SCHED_HOLD_MS 4500
+#define SCHED_HOLD_MS 4000
 /* An instance's clock may run 2% slow; 1% more for rounding. */
 #define SCHED_DRIFT_PERMILLE 30
 /* An instance is looked at this often while something runs on it. */
@@ -178,6 +178,7 @@
 	GQueue *ended;	       /* sched_job_t in the order of their end */
 	GPtrArray *settling;   /* ended, with tasks or a specification left */
 	bool loaded;
+	bool former_gone; /* no former owner holds anything */
 	uint64_t wall_ms; /* at the last tick */
 };
 
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -25,7 +25,9 @@
 	instance->tasks = g_ptr_array_new();
 	instance->recorded =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	wait_ms = pool->bounds.hold_without_store_ms + SCHED_HOLD_MS;
+	wait_ms = SCHED_HOLD_MS;
+	if (!pool->former_gone)
+		wait_ms += pool->bounds.hold_without_store_ms;
 	instance->lapse_us = gw_clock_now_us(pool->clock) +
 	    wait_ms * (1000 + SCHED_DRIFT_PERMILLE);
 	g_hash_table_insert(pool->instances, instance->info.id, instance);
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -146,6 +146,27 @@
 	    pool->name, jobs, placed, pool->ended->length);
 }
 
+/*
+ * Shortens the wait for instances that were never reached: their leases run no
+ * longer than one hold from now.
+ */
+void
+sched_pool_former_gone(sched_pool_t *pool)
+{
+	uint64_t lapse_us = gw_clock_now_us(pool->clock) +
+	    SCHED_HOLD_MS * (1000 + SCHED_DRIFT_PERMILLE);
+	sched_instance_t *instance;
+	GHashTableIter iter;
+
+	pool->former_gone = true;
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
+		if (!instance->contacted)
+			instance->lapse_us = MIN(instance->lapse_us, lapse_us);
+	gw_log(
+	    GW_EV_FORMER_GONE, "pool=%s wait_ms=%d", pool->name, SCHED_HOLD_MS);
+}
+
 /*
  * Repeats orders that had no answer, and takes tasks off an instance that
  * leaves.
@@ -162,8 +183,7 @@
 			sched_task_order(task, now_us);
 		else if (task->state == SCHED_STOPPING &&
 		    !instance->unreachable && task->stopped_us == 0 &&
-		    gw_elapsed_us(now_us, task->sent_us) >
-			SCHED_START_RETRY_US)
+		    gw_elapsed_us(now_us, task->sent_us) > SCHED_START_RETRY_US)
 			sched_task_stop(task);
 	}
 	sched_evacuate(instance, now_us);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -180,6 +180,8 @@
 int sched_pool_load_record(
     sched_pool_t *, const char *job, const void *, size_t size_bytes);
 void sched_pool_loaded(sched_pool_t *);
+/* The former owner surely orders and holds nothing any more. */
+void sched_pool_former_gone(sched_pool_t *);
 
 /* Instances. */
 void sched_pool_set_instance(sched_pool_t *, const sched_info_t *);
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -4165,7 +4165,7 @@
   gw__job_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[6] =
+static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[7] =
 {
   { "CALL_SUBMIT", "GW__CALL_KIND__CALL_SUBMIT", 0 },
   { "CALL_STATE", "GW__CALL_KIND__CALL_STATE", 1 },
@@ -4173,15 +4173,17 @@
   { "CALL_PENDING", "GW__CALL_KIND__CALL_PENDING", 3 },
   { "CALL_DRAIN", "GW__CALL_KIND__CALL_DRAIN", 4 },
   { "CALL_LOAD", "GW__CALL_KIND__CALL_LOAD", 5 },
+  { "CALL_OWNS", "GW__CALL_KIND__CALL_OWNS", 6 },
 };
 static const ProtobufCIntRange gw__call_kind__value_ranges[] = {
-{0, 0},{0, 6}
+{0, 0},{0, 7}
 };
-static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[6] =
+static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[7] =
 {
   { "CALL_CANCEL", 2 },
   { "CALL_DRAIN", 4 },
   { "CALL_LOAD", 5 },
+  { "CALL_OWNS", 6 },
   { "CALL_PENDING", 3 },
   { "CALL_STATE", 1 },
   { "CALL_SUBMIT", 0 },
@@ -4193,9 +4195,9 @@
   "CallKind",
   "Gw__CallKind",
   "gw",
-  6,
+  7,
   gw__call_kind__enum_values_by_number,
-  6,
+  7,
   gw__call_kind__enum_values_by_name,
   1,
   gw__call_kind__value_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -87,7 +87,11 @@
   GW__CALL_KIND__CALL_CANCEL = 2,
   GW__CALL_KIND__CALL_PENDING = 3,
   GW__CALL_KIND__CALL_DRAIN = 4,
-  GW__CALL_KIND__CALL_LOAD = 5
+  GW__CALL_KIND__CALL_LOAD = 5,
+  /*
+   * Absent: the process does not own the pool, and orders nothing there.
+   */
+  GW__CALL_KIND__CALL_OWNS = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__CALL_KIND)
 } Gw__CallKind;
 typedef enum _Gw__CallOutcome {
