Order nothing after the lease, and test the owner by scripts

Cause: a scripted run showed that a process that stood still went on to repeat starts with new deadlines, and that the wait for a silent instance counted the time of a former owner even after this owner's fence was there. Change: starts are bound to the lease, holds to the lease and a grace time; the first contact bounds the wait by one hold. regress/sched plays scripts against the pool on a paused clock.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -185,7 +185,16 @@
 	roles_give_up(entry->roles, pool, reason);
 }
 
-static const owner_ops_t owner_ops = {.on_deposed = on_deposed};
+static uint64_t
+lease_until_us(void *arg)
+{
+	entry_t *entry = arg;
+
+	return roles_lease_until_us(entry->roles);
+}
+
+static const owner_ops_t owner_ops = {
+    .on_deposed = on_deposed, .lease_until_us = lease_until_us};
 
 /* From the view. */
 
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -142,6 +142,14 @@
 		owner->ops->on_deposed(owner->pool_name, reason, owner->arg);
 }
 
+static uint64_t
+lease_until_us(void *arg)
+{
+	owner_t *owner = arg;
+
+	return owner->ops->lease_until_us(owner->arg);
+}
+
 static void
 on_fenced(const char *instance, void *arg)
 {
@@ -156,6 +164,7 @@
     .pace = on_pace,
     .hold = on_hold,
     .advise = on_advise,
+    .lease_until_us = lease_until_us,
     .fenced = on_fenced};
 
 /* Answers come in. */
--- a/gwentryd/owner.h
+++ b/gwentryd/owner.h
@@ -15,6 +15,8 @@
 typedef struct {
 	/* Another process has the role, or may have it. */
 	void (*on_deposed)(const char *pool, const char *reason, void *arg);
+	/* Until when the store cannot have ended this process's lease. */
+	uint64_t (*lease_until_us)(void *arg);
 } owner_ops_t;
 
 typedef struct {
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -449,6 +449,12 @@
 	return role != NULL && role->fence != 0;
 }
 
+uint64_t
+roles_lease_until_us(const roles_t *roles)
+{
+	return roles->lease_id == 0 ? 0 : roles->valid_until_us;
+}
+
 bool
 roles_lease_valid(const roles_t *roles)
 {
--- a/gwentryd/roles.h
+++ b/gwentryd/roles.h
@@ -37,6 +37,8 @@
 /* Address of the owner, or NULL when none is known. */
 const char *roles_owner(const roles_t *, const char *role);
 bool roles_is_mine(const roles_t *, const char *role);
+/* Until when the store cannot have ended this process's lease. */
+uint64_t roles_lease_until_us(const roles_t *);
 /* True while the store cannot have ended this process's lease. */
 bool roles_lease_valid(const roles_t *);
 /* The owner learned that its key is gone. */
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -42,7 +42,8 @@
 	g_strlcpy(
 	    service->data_centre, data_centre, sizeof(service->data_centre));
 	service->bounds = *bounds;
-	service->bounds.hold_without_store_ms = ROLES_TTL_MS + ROLES_GRACE_MS;
+	service->bounds.hold_grace_ms = ROLES_GRACE_MS;
+	service->bounds.former_holds_ms = ROLES_TTL_MS + ROLES_GRACE_MS;
 	service->ops = ops;
 	service->arg = arg;
 	service->owners = g_hash_table_new_full(
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -27,7 +27,7 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	wait_ms = SCHED_HOLD_MS;
 	if (!pool->former_gone)
-		wait_ms += pool->bounds.hold_without_store_ms;
+		wait_ms += pool->bounds.former_holds_ms;
 	instance->lapse_us = gw_clock_now_us(pool->clock) +
 	    wait_ms * (1000 + SCHED_DRIFT_PERMILLE);
 	g_hash_table_insert(pool->instances, instance->info.id, instance);
@@ -308,7 +308,9 @@
 	sched_hold_t hold = {
 	    .instance = instance->info.id, .address = instance->info.address};
 
-	if (is_busy && instance->clock_ms != 0 && !instance->unreachable)
+	if (is_busy && instance->clock_ms != 0 && !instance->unreachable &&
+	    now_us < pool->ops->lease_until_us(pool->arg) +
+		    pool->bounds.hold_grace_ms * GW_US_PER_MS)
 		hold.deadline_ms = sched_instance_extend(instance, now_us);
 	hold.ack_number = is_fresh ? instance->ack_number : 0;
 	hold.wait_ms = is_fresh && is_busy ? SCHED_HOLD_WAIT_MS : 0;
@@ -530,6 +532,10 @@
 		gw_log(GW_EV_INSTANCE_BACK,
 		    "instance=%s pool=%s running=%u ends=%u", id, pool->name,
 		    report->running_count, report->end_count);
+	/* From now on the fence keeps a former owner's holds away. */
+	if (!instance->contacted)
+		instance->lapse_us = now_us +
+		    SCHED_HOLD_MS * (1000 + SCHED_DRIFT_PERMILLE);
 	instance->contacted = true;
 	instance->unreachable = false;
 	instance->clock_ms = report->clock_ms;
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -227,10 +227,13 @@
 reserve_gang(sched_pool_t *pool, sched_occurrence_t *occurrence,
     const sched_step_t *step, uint32_t count, const char *rack, uint64_t now_us)
 {
+	g_autofree uint32_t *run_before = g_new(uint32_t, count);
 	uint32_t run = 0, placed;
 
 	for (uint32_t i = 0; i < count; i++)
 		run = MAX(run, occurrence->tasks[step->first + i].run);
+	for (uint32_t i = 0; i < count; i++)
+		run_before[i] = occurrence->tasks[step->first + i].run;
 	for (placed = 0; placed < count; placed++) {
 		sched_task_t *task = &occurrence->tasks[step->first + placed];
 		sched_instance_t *instance = choose(pool, task, rack, now_us);
@@ -246,6 +249,7 @@
 
 		sched_instance_release(task);
 		task->state = SCHED_WAITING;
+		task->run = run_before[placed];
 		g_clear_pointer(&task->ticket, g_free);
 		sched_task_counts(task)->waiting++;
 	}
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -65,18 +65,21 @@
 	    .checkpoint = task->checkpoint == NULL ? "" : task->checkpoint,
 	    .ticket = task->ticket};
 
+	task->state = SCHED_STARTING;
+	task->sent_us = now_us;
+	/* A process that stood still may have been replaced meanwhile. */
+	if (now_us >= pool->ops->lease_until_us(pool->arg))
+		return;
 	order.deadline_ms = sched_instance_extend(instance, now_us);
 	order.clock_ms = sched_instance_clock_ms(instance, now_us);
 	gw_log(GW_EV_RUN_START,
-	    "job=%s task=%u.%u.%u run=%u instance=%s attempt=%d "
+	    "job=%s task=%u.%u.%u run=%u instance=%s attempt=%u "
 	    "used_cpu=%" PRIu64 " report_age_ms=%" PRIu64,
 	    order.ref.job, order.ref.occurrence, order.ref.step,
-	    order.ref.index, order.run, order.instance,
-	    task->state == SCHED_STARTING ? 2 : 1, instance->used.cpu_millis,
+	    order.ref.index, order.run, order.instance, task->orders + 1,
+	    instance->used.cpu_millis,
 	    (gw_elapsed_us(now_us, instance->report_us)) / GW_US_PER_MS);
-	task->state = SCHED_STARTING;
 	task->orders++;
-	task->sent_us = now_us;
 	task->progress_us = now_us;
 	task->job->begun = true;
 	if (task->job->state == GW__JOB_STATE__JOB_QUEUED)
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -150,6 +150,11 @@
 	/* An instance that is asked which instances may run the step. */
 	void (*advise)(
 	    const sched_ref_t *, const GPtrArray *instances, void *arg);
+	/*
+	 * Until when no other process can own the pool. Starts are ordered
+	 * before, and what runs is held for hold_grace_ms longer.
+	 */
+	uint64_t (*lease_until_us)(void *arg);
 	/* An instance refuses the owner's fence. */
 	void (*fenced)(const char *instance, void *arg);
 } sched_ops_t;
@@ -166,8 +171,10 @@
 	uint32_t notice_ms;
 	uint32_t harm_ms;
 	uint32_t pace_ms;
-	/* Longest time for which an owner that lost the store holds on. */
-	uint32_t hold_without_store_ms;
+	/* How long an owner holds on after its lease may have ended. */
+	uint32_t hold_grace_ms;
+	/* Longest time for which a former owner may hold on, from takeover. */
+	uint32_t former_holds_ms;
 } sched_bounds_t;
 
 sched_pool_t *sched_pool_new(const char *name, const char *data_centre,
--- /dev/null
+++ b/regress/sched/lasting.sh
@@ -0,0 +1,55 @@
+#!/bin/sh
+# Tasks that last, and planned work around them.
+. ./lib.subr
+
+# Guards against planned work that takes more tasks of a step away than allowed,
+# also when the last report is older than the task's start.
+play "a drain takes one task of the step at a time" <<'EOT'
+pool
+instance i1
+instance i2 dc=dc-b
+instance i3 dc=dc-b
+tick
+report i1 clock=100
+report i2 clock=100
+report i3 clock=100
+submit j1 3:1000:0:lasting:keep
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j1.0.0.1 1 ok
+started i2 j1.0.0.2 1 ok
+drain i1 2500
+advance 50
+report i1 clock=200 run:j1.0.0.0:1:100 run:j1.0.0.1:1:100
+report i2 clock=200 run:j1.0.0.2:1:100
+advance 15
+stopped i1 j1.0.0.1 1 ok
+report i1 clock=230 run:j1.0.0.0:1:100 end:1:j1.0.0.1:1:stopped
+commit
+drain i1 2500
+advance 30
+started i2 j1.0.0.1 2 ok
+advance 30
+report i2 clock=300 run:j1.0.0.2:1:100 run:j1.0.0.1:2:100
+advance 30
+EOT
+
+# Guards against a lasting task that stays down, however it ended.
+play "it starts again, however it ends" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 attempts=1 1:1000:0:lasting
+commit
+started i1 j1.0.0.0 1 ok
+advance 20
+report i1 clock=120 end:1:j1.0.0.0:1:failed
+advance 60
+commit
+started i1 j1.0.0.0 2 ok
+advance 20
+report i1 clock=200 end:2:j1.0.0.0:2:done
+advance 60
+commit
+EOT
--- /dev/null
+++ b/regress/sched/orders.sh
@@ -0,0 +1,101 @@
+#!/bin/sh
+# Orders without an answer, late orders, and when a run is settled.
+. ./lib.subr
+
+# Guards against a second run while a repeated order of the first is on its way:
+# one order is refused as late, the other, with a later deadline, arrives.
+play "a refusal settles nothing while another order is out" <<'EOT'
+pool
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=100
+report i2 clock=100
+submit j1 1:1000:500
+commit
+advance 410
+started i1 j1.0.0.0 1 late
+stopped i1 j1.0.0.0 1 none
+advance 405
+stopped i1 j1.0.0.0 1 ok
+tick
+# Asked before the stop was answered: proves nothing.
+report i1 clock=900 sent=700
+commit
+advance 5
+report i1 clock=920
+commit
+EOT
+
+# Guards against an order that is refused and never sent elsewhere.
+play "a refusal of the only order settles it" <<'EOT'
+pool
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=100
+report i2 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 refused
+advance 25
+commit
+EOT
+
+# Guards against a lost order being taken as not done, and sent elsewhere.
+play "an order without an answer is repeated where it went" <<'EOT'
+pool
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=100
+report i2 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 none
+advance 405
+report i1 clock=505 run:j1.0.0.0:1:10
+state j1
+EOT
+
+# Guards against a run that goes on for ever on an instance that is silent: a
+# hold that has no answer must not extend the wait.
+play "a silent instance is waited out once" <<'EOT'
+pool
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=100
+report i2 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+advance 20
+hold-failed i1 none
+advance 155
+hold-failed i1 none
+advance 1000
+hold-failed i1 none
+advance 2900
+hold-failed i1 none
+advance 100
+commit
+advance 100
+commit
+EOT
+
+# Guards against waiting for a lease where another life proves the end.
+play "another life at the address ends the runs at once" <<'EOT'
+pool
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=100
+report i2 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+advance 20
+hold-failed i1 replaced
+commit
+EOT
--- /dev/null
+++ b/regress/sched/schedplay.c
@@ -0,0 +1,600 @@
+/*
+ * Plays a script of events against a pool's owner on a paused clock, and prints
+ * what it orders, records and answers. One command a line; see commands[].
+ */
+#include <err.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gw/log.h"
+#include "sched/sched.h"
+
+#define WORDS_MAX 40
+#define START_US UINT64_C(1000000000)
+#define WALL_START_MS UINT64_C(1800000000000)
+
+static gw_clock_t clock_state;
+static sched_pool_t *pool;
+static uint64_t lease_us = UINT64_MAX / 2; /* the owner's lease ends then */
+static GHashTable *store;	       /* "spec/ID" or "record/ID" -> GBytes */
+static sched_batch_t *batch;
+static char *words[WORDS_MAX];
+static int word_count;
+static const sched_bounds_t bounds = {.hold_max_ms = 6000,
+    .stop_grace_ms = 900,
+    .gang_timeout_ms = 3000,
+    .status_s = 120,
+    .remote_permille = 3000,
+    .early_ms = 250,
+    .restore_ms = 600,
+    .notice_ms = 4500,
+    .harm_ms = 4000,
+    .pace_ms = 100,
+    .hold_grace_ms = 2000,
+    .former_holds_ms = 4000};
+
+static uint64_t
+now_ms(void)
+{
+	return (gw_clock_now_us(&clock_state) - START_US) / GW_US_PER_MS;
+}
+
+static const char *
+value_of(const char *key, const char *missing)
+{
+	size_t key_bytes = strlen(key);
+
+	for (int i = 1; i < word_count; i++)
+		if (strncmp(words[i], key, key_bytes) == 0 &&
+		    words[i][key_bytes] == '=')
+			return words[i] + key_bytes + 1;
+	return missing;
+}
+
+static uint64_t
+number_of(const char *key, uint64_t missing)
+{
+	const char *text = value_of(key, NULL);
+
+	return text == NULL ? missing : strtoull(text, NULL, 10);
+}
+
+static bool
+has(const char *flag)
+{
+	for (int i = 1; i < word_count; i++)
+		if (strcmp(words[i], flag) == 0)
+			return true;
+	return false;
+}
+
+static sched_ref_t
+ref_of(const char *text)
+{
+	sched_ref_t ref = {0};
+
+	if (sscanf(text, "%16[^.].%u.%u.%u", ref.job, &ref.occurrence,
+		&ref.step, &ref.index) != 4)
+		errx(1, "'%s' is not a task", text);
+	return ref;
+}
+
+static void
+print_ref(const sched_ref_t *ref)
+{
+	printf(
+	    " %s.%u.%u.%u", ref->job, ref->occurrence, ref->step, ref->index);
+}
+
+static void
+on_start(const sched_start_t *start, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " start %s", now_ms(), start->instance);
+	print_ref(&start->ref);
+	printf(" run=%u deadline=%" PRIu64 "%s%s%s%s\n", start->run,
+	    start->deadline_ms,
+	    start->checkpoint[0] == '\0' ? "" : " from=", start->checkpoint,
+	    start->ticket == NULL ? "" : " ticket=",
+	    start->ticket == NULL ? "" : start->ticket);
+}
+
+static void
+on_stop(const char *instance, const char *address, const sched_ref_t *ref,
+    uint32_t run, void *arg)
+{
+	(void)address;
+	(void)arg;
+	printf("%6" PRIu64 " stop %s", now_ms(), instance);
+	print_ref(ref);
+	printf(" run=%u\n", run);
+}
+
+static void
+on_pace(const char *instance, const char *address, const sched_ref_t *ref,
+    uint32_t run, uint32_t percent, void *arg)
+{
+	(void)address;
+	(void)arg;
+	printf("%6" PRIu64 " pace %s", now_ms(), instance);
+	print_ref(ref);
+	printf(" run=%u percent=%u\n", run, percent);
+}
+
+static void
+on_hold(const sched_hold_t *hold, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " hold %s deadline=%" PRIu64 " ack=%" PRIu64
+	       " wait=%u\n",
+	    now_ms(), hold->instance, hold->deadline_ms, hold->ack_number,
+	    hold->wait_ms);
+}
+
+static void
+on_advise(const sched_ref_t *ref, const GPtrArray *instances, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " advise", now_ms());
+	print_ref(ref);
+	printf(" instances=%u\n", instances->len);
+}
+
+static uint64_t
+lease_until_us(void *arg)
+{
+	(void)arg;
+	return lease_us;
+}
+
+static void
+on_fenced(const char *instance, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " fenced %s\n", now_ms(), instance);
+}
+
+static const sched_ops_t ops = {.start = on_start,
+    .stop = on_stop,
+    .pace = on_pace,
+    .hold = on_hold,
+    .advise = on_advise,
+    .lease_until_us = lease_until_us,
+    .fenced = on_fenced};
+
+static void
+on_reply(const sched_reply_t *reply, void *arg)
+{
+	static const char *const names[] = {
+	    "ok", "absent", "refused", "unknown"};
+
+	printf("%6" PRIu64 " reply %s %s\n", now_ms(), (char *)arg,
+	    names[reply->outcome]);
+	g_free(arg);
+}
+
+/* pool: a new owner without records. */
+static void
+do_pool(void)
+{
+	pool = sched_pool_new("p", "dc-a", &clock_state, &bounds, &ops, NULL);
+	sched_pool_loaded(pool);
+}
+
+static void
+load(const char *prefix,
+    int (*take)(sched_pool_t *, const char *, const void *, size_t))
+{
+	GList *keys = g_hash_table_get_keys(store);
+
+	keys = g_list_sort(keys, (GCompareFunc)strcmp);
+	for (GList *link = keys; link != NULL; link = link->next) {
+		const char *key = link->data;
+		gsize size_bytes;
+		const void *data;
+
+		if (!g_str_has_prefix(key, prefix))
+			continue;
+		data = g_bytes_get_data(
+		    g_hash_table_lookup(store, key), &size_bytes);
+		if (take(pool, key + strlen(prefix), data, size_bytes) != 0)
+			printf("%6" PRIu64 " bad record %s\n", now_ms(), key);
+	}
+	g_list_free(keys);
+}
+
+/* takeover: another owner reads what was recorded. */
+static void
+do_takeover(void)
+{
+	if (batch != NULL)
+		sched_batch_drop(batch);
+	batch = NULL;
+	sched_pool_free(pool);
+	pool = sched_pool_new("p", "dc-a", &clock_state, &bounds, &ops, NULL);
+	load("spec/", sched_pool_load_spec);
+	load("record/", sched_pool_load_record);
+	sched_pool_loaded(pool);
+	if (has("former-gone"))
+		sched_pool_former_gone(pool);
+}
+
+/* instance ID [machine=] [born=] [cpu=] [mem=] [labels=] [leaving=MS] */
+static void
+do_instance(void)
+{
+	g_auto(GStrv) labels =
+	    g_strsplit(value_of("labels", "a,r1-1"), ",", -1);
+	sched_info_t info = {.born_ms = number_of("born", 1),
+	    .leaving = value_of("leaving", NULL) != NULL,
+	    .leaves_in_ms = (uint32_t)number_of("leaving", 0),
+	    .capacity = {number_of("cpu", 4000), number_of("mem", 65536), 0},
+	    .labels = labels};
+
+	g_strlcpy(info.id, words[1], sizeof(info.id));
+	g_strlcpy(info.pool, "p", sizeof(info.pool));
+	g_strlcpy(info.address, "10.0.0.1:80", sizeof(info.address));
+	g_strlcpy(
+	    info.data_centre, value_of("dc", "dc-a"), sizeof(info.data_centre));
+	g_strlcpy(info.machine, value_of("machine", ""), sizeof(info.machine));
+	sched_pool_set_instance(pool, &info);
+	sched_pool_machine_runs(pool, &info);
+}
+
+static void
+do_gone(void)
+{
+	sched_pool_remove_instance(pool, words[1]);
+}
+
+static void
+do_ended(void)
+{
+	sched_pool_end_instance(pool, words[1], "machine-stopped");
+}
+
+/* submit ID STEP... where STEP is count:cpu:est[:flag...] */
+static void
+do_submit(void)
+{
+	Gw__JobStep steps[WORDS_MAX], *list[WORDS_MAX];
+	uint32_t after[WORDS_MAX];
+	Gw__JobSpec spec = GW__JOB_SPEC__INIT;
+
+	spec.id = words[1];
+	spec.queue = "q";
+	spec.payload = "x";
+	spec.max_attempts = (uint32_t)number_of("attempts", 3);
+	spec.objective_ms = (uint32_t)number_of("objective", 600);
+	spec.stretch_permille = 1600;
+	spec.repeats = (uint32_t)number_of("repeats", 0);
+	spec.interval_ms = number_of("interval", 0);
+	spec.first_due_wall_ms = WALL_START_MS + number_of("first", 0);
+	spec.steps = list;
+	for (int i = 2; i < word_count; i++) {
+		g_auto(GStrv) parts = NULL;
+		Gw__JobStep *step = &steps[spec.n_steps];
+
+		if (strchr(words[i], ':') == NULL)
+			continue;
+		parts = g_strsplit(words[i], ":", -1);
+		gw__job_step__init(step);
+		step->count = (uint32_t)atoi(parts[0]);
+		step->cpu_millis = (uint32_t)atoi(parts[1]);
+		step->estimate_ms = (uint32_t)atoi(parts[2]);
+		step->memory_mib = 100;
+		for (char **flag = parts + 3; *flag != NULL; flag++) {
+			step->lasting |= strcmp(*flag, "lasting") == 0;
+			step->gang |= strcmp(*flag, "gang") == 0;
+			step->checkpoints |= strcmp(*flag, "saves") == 0;
+			step->fills |= strcmp(*flag, "fills") == 0;
+			step->same_rack |= strcmp(*flag, "rack") == 0;
+			if (strcmp(*flag, "keep") == 0) {
+				step->limits_unavailable = true;
+				step->max_unavailable = 1;
+			}
+			if (strcmp(*flag, "apart") == 0)
+				step->max_per_instance = 1;
+			if (strcmp(*flag, "serves") == 0)
+				step->target_ms = 100;
+		}
+		if (spec.n_steps > 0) {
+			after[spec.n_steps] = (uint32_t)spec.n_steps - 1;
+			step->n_after = 1;
+			step->after = &after[spec.n_steps];
+		}
+		list[spec.n_steps++] = step;
+	}
+	sched_pool_submit(pool, &spec, on_reply, g_strdup(words[1]));
+}
+
+static void
+do_cancel(void)
+{
+	sched_pool_cancel(pool, "q", words[1], on_reply, g_strdup(words[1]));
+}
+
+static void
+do_state(void)
+{
+	static const char *const names[] = {
+	    "queued", "running", "completed", "failed", "cancelled"};
+	sched_reply_t reply = sched_pool_state(pool, "q", words[1]);
+
+	printf("%6" PRIu64 " state %s %s\n", now_ms(), words[1],
+	    reply.outcome == GW__CALL_OUTCOME__CALL_ABSENT
+		? "absent"
+		: names[reply.state]);
+}
+
+static void
+do_pending(void)
+{
+	printf("%6" PRIu64 " pending %u\n", now_ms(),
+	    sched_pool_pending(pool, "q"));
+}
+
+/* advance MS: in steps of 5 ms, with a round at each. */
+static void
+do_advance(void)
+{
+	uint64_t end_ms = now_ms() + strtoull(words[1], NULL, 10);
+
+	while (now_ms() < end_ms) {
+		gw_clock_advance(&clock_state, 5 * GW_US_PER_MS);
+		(void)sched_pool_tick(pool, WALL_START_MS + now_ms());
+	}
+}
+
+/* jump MS: without a round, as when the process stands still. */
+static void
+do_jump(void)
+{
+	gw_clock_advance(
+	    &clock_state, strtoull(words[1], NULL, 10) * GW_US_PER_MS);
+}
+
+/* lease MS: the owner's lease ends MS from now. */
+static void
+do_lease(void)
+{
+	lease_us = gw_clock_now_us(&clock_state) +
+	    strtoull(words[1], NULL, 10) * GW_US_PER_MS;
+}
+
+static void
+do_tick(void)
+{
+	(void)sched_pool_tick(pool, WALL_START_MS + now_ms());
+}
+
+/* take: a batch goes to the store; done: the store has it. */
+static void
+do_take(void)
+{
+	batch = sched_pool_take_batch(pool, 28);
+	if (batch == NULL) {
+		printf("%6" PRIu64 " nothing to write\n", now_ms());
+		return;
+	}
+	for (uint32_t i = 0; i < sched_batch_writes(batch); i++) {
+		const sched_write_t *write = sched_batch_write(batch, i);
+		char *key = g_strdup_printf(
+		    "%s/%s", write->is_spec ? "spec" : "record", write->job);
+
+		printf("%6" PRIu64 " %s %s\n", now_ms(),
+		    write->value == NULL ? "remove" : "write", key);
+		if (write->value == NULL) {
+			g_hash_table_remove(store, key);
+			g_free(key);
+		} else {
+			g_hash_table_replace(
+			    store, key, g_bytes_ref(write->value));
+		}
+	}
+}
+
+static void
+do_done(void)
+{
+	sched_batch_t *taken = batch;
+
+	batch = NULL;
+	if (taken != NULL)
+		sched_pool_batch_done(pool, taken);
+}
+
+static void
+do_commit(void)
+{
+	do_tick();
+	do_take();
+	do_done();
+}
+
+/*
+ * report ID clock=MS [born=] [sent=MS] run:TASK:RUN[:PERCENT[:GAUGE]]...
+ * end:N:TASK:RUN:HOW[:CHECKPOINT]...
+ */
+static void
+do_report(void)
+{
+	static const char *const kinds[] = {
+	    "done", "failed", "stopped", "lapsed", "broken", "alone"};
+	sched_running_t running[WORDS_MAX] = {0};
+	sched_end_t ends[WORDS_MAX] = {0};
+	g_autoptr(GPtrArray) parsed =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)g_strfreev);
+	sched_report_t report = {.clock_ms = number_of("clock", now_ms()),
+	    .born_ms = number_of("born", 1),
+	    .running = running,
+	    .ends = ends};
+
+	for (int i = 2; i < word_count; i++) {
+		char **parts = g_strsplit(words[i], ":", -1);
+		guint count = g_strv_length(parts);
+
+		g_ptr_array_add(parsed, parts);
+		if (strcmp(parts[0], "run") == 0 && count >= 3) {
+			sched_running_t *row = &running[report.running_count++];
+
+			row->ref = ref_of(parts[1]);
+			row->run = (uint32_t)atoi(parts[2]);
+			row->checkpoint = "";
+			row->percent = count > 3 ? (uint32_t)atoi(parts[3]) : 0;
+			row->gauge = count > 4 ? (uint32_t)atoi(parts[4]) : 0;
+		} else if (strcmp(parts[0], "end") == 0 && count >= 5) {
+			sched_end_t *row = &ends[report.end_count++];
+
+			row->number = strtoull(parts[1], NULL, 10);
+			row->ref = ref_of(parts[2]);
+			row->run = (uint32_t)atoi(parts[3]);
+			for (int k = 0; k < (int)G_N_ELEMENTS(kinds); k++)
+				if (strcmp(parts[4], kinds[k]) == 0)
+					row->kind = (sched_end_kind_t)k;
+			row->checkpoint = count > 5 ? parts[5] : "";
+		}
+	}
+	sched_pool_report(pool, words[1], &report,
+	    START_US + number_of("sent", now_ms()) * GW_US_PER_MS);
+}
+
+static sched_answer_t
+answer_of(const char *text)
+{
+	static const char *const names[] = {"ok", "fence", "old", "late",
+	    "room", "ticket", "refused", "replaced", "none"};
+
+	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++)
+		if (strcmp(names[i], text) == 0)
+			return (sched_answer_t)i;
+	errx(1, "'%s' is not an answer", text);
+}
+
+/* started ID TASK RUN ANSWER */
+static void
+do_started(void)
+{
+	sched_ref_t ref = ref_of(words[2]);
+
+	sched_pool_started(pool, words[1], &ref, (uint32_t)atoi(words[3]),
+	    answer_of(words[4]), 0);
+}
+
+static void
+do_stopped(void)
+{
+	sched_ref_t ref = ref_of(words[2]);
+
+	sched_pool_stopped(pool, words[1], &ref, (uint32_t)atoi(words[3]),
+	    answer_of(words[4]));
+}
+
+static void
+do_hold_failed(void)
+{
+	sched_pool_hold_failed(pool, words[1], answer_of(words[2]));
+}
+
+/* drain ID MS */
+static void
+do_drain(void)
+{
+	printf("%6" PRIu64 " drained %s %d\n", now_ms(), words[1],
+	    sched_pool_drain(pool, words[1], (uint32_t)atoi(words[2])));
+}
+
+/* advised TASK valid=MS ID:TICKET... */
+static void
+do_advised(void)
+{
+	const char *instances[WORDS_MAX], *tickets[WORDS_MAX];
+	g_autoptr(GPtrArray) parsed =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)g_strfreev);
+	sched_ref_t ref = ref_of(words[1]);
+	uint32_t count = 0;
+
+	for (int i = 2; i < word_count; i++) {
+		char **parts = g_strsplit(words[i], ":", 2);
+
+		g_ptr_array_add(parsed, parts);
+		if (parts[1] == NULL)
+			continue;
+		instances[count] = parts[0];
+		tickets[count++] = parts[1];
+	}
+	sched_pool_advised(pool, &ref, instances, tickets, count,
+	    (uint32_t)number_of("valid", 3000));
+}
+
+static const struct {
+	const char *name;
+	int words_min;
+	void (*run)(void);
+} commands[] = {
+    {"pool", 1, do_pool},
+    {"takeover", 1, do_takeover},
+    {"instance", 2, do_instance},
+    {"gone", 2, do_gone},
+    {"ended", 2, do_ended},
+    {"submit", 3, do_submit},
+    {"cancel", 2, do_cancel},
+    {"state", 2, do_state},
+    {"pending", 1, do_pending},
+    {"advance", 2, do_advance},
+    {"jump", 2, do_jump},
+    {"lease", 2, do_lease},
+    {"tick", 1, do_tick},
+    {"take", 1, do_take},
+    {"done", 1, do_done},
+    {"commit", 1, do_commit},
+    {"report", 2, do_report},
+    {"started", 5, do_started},
+    {"stopped", 5, do_stopped},
+    {"hold-failed", 3, do_hold_failed},
+    {"drain", 3, do_drain},
+    {"advised", 2, do_advised},
+};
+
+static void
+run_line(char *line)
+{
+	char *save = NULL;
+
+	word_count = 0;
+	for (char *word = strtok_r(line, " \t\n", &save);
+	     word != NULL && word_count < WORDS_MAX;
+	     word = strtok_r(NULL, " \t\n", &save))
+		words[word_count++] = word;
+	if (word_count == 0 || words[0][0] == '#')
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(commands[i].name, words[0]) != 0)
+			continue;
+		if (word_count < commands[i].words_min)
+			errx(1, "%s: too few words", words[0]);
+		commands[i].run();
+		return;
+	}
+	errx(1, "'%s' is not a command", words[0]);
+}
+
+int
+main(void)
+{
+	char line[2048];
+
+	gw_clock_init_paused(&clock_state, START_US);
+	store = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+	while (fgets(line, sizeof(line), stdin) != NULL)
+		run_line(line);
+	if (batch != NULL)
+		sched_batch_drop(batch);
+	sched_pool_free(pool);
+	g_hash_table_destroy(store);
+	gw_log_flush();
+	return 0;
+}
