--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -132,6 +132,26 @@
 	return pending;
 }
 
+/*
+ * Adds the work of an occurrence that waits.
+ */
+static void
+add_waiting(Gw__PoolLoad *load, const sched_job_t *job,
+    const sched_occurrence_t *occurrence)
+{
+	for (uint32_t i = 0; i < occurrence->step_count; i++) {
+		const Gw__JobStep *step = job->spec->steps[i];
+		uint64_t waiting = occurrence->steps[i].waiting;
+
+		load->waiting_cpu_ms +=
+		    waiting * sched_step_cpu(step) * step->estimate_ms / 1000;
+		load->waiting_memory_mib_ms +=
+		    waiting * step->memory_mib * step->estimate_ms;
+		if (step->lasting)
+			load->lasting_waiting += (uint32_t)waiting;
+	}
+}
+
 /*
  * Sums up the pool for the planner. The strings belong to the pool, the list of
  * idle instances is freed with g_free().
@@ -153,6 +173,8 @@
 		load->instances++;
 		load->capacity_cpu_millis += instance->info.capacity.cpu_millis;
 		load->used_cpu_millis += instance->used.cpu_millis;
+		load->capacity_memory_mib += instance->info.capacity.memory_mib;
+		load->used_memory_mib += instance->used.memory_mib;
 		if (instance->tasks->len == 0)
 			load->idle_instances[load->n_idle_instances++] =
 			    instance->info.id;
@@ -160,15 +182,7 @@
 	for (guint i = 0; i < pool->open->len; i++) {
 		const sched_job_t *job = pool->open->pdata[i];
 
-		for (guint k = 0; k < job->occurrences->len; k++) {
-			const sched_occurrence_t *occurrence =
-			    job->occurrences->pdata[k];
-
-			for (uint32_t n = 0; n < occurrence->step_count; n++)
-				load->waiting_cpu_ms +=
-				    (uint64_t)occurrence->steps[n].waiting *
-				    job->spec->steps[n]->cpu_millis *
-				    job->spec->steps[n]->estimate_ms / 1000;
-		}
+		for (guint k = 0; k < job->occurrences->len; k++)
+			add_waiting(load, job, job->occurrences->pdata[k]);
 	}
 }
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -89,6 +89,10 @@
 	pool->capacity_cpu_millis = load->capacity_cpu_millis;
 	pool->used_cpu_millis = load->used_cpu_millis;
 	pool->waiting_cpu_ms = load->waiting_cpu_ms;
+	pool->capacity_memory_mib = load->capacity_memory_mib;
+	pool->used_memory_mib = load->used_memory_mib;
+	pool->waiting_memory_mib_ms = load->waiting_memory_mib_ms;
+	pool->lasting_waiting = load->lasting_waiting;
 	g_hash_table_remove_all(pool->idle);
 	for (size_t i = 0; i < load->n_idle_instances; i++)
 		g_hash_table_add(pool->idle, g_strdup(load->idle_instances[i]));
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -37,6 +37,10 @@
 	uint64_t capacity_cpu_millis;
 	uint64_t used_cpu_millis;
 	uint64_t waiting_cpu_ms;
+	uint64_t capacity_memory_mib;
+	uint64_t used_memory_mib;
+	uint64_t waiting_memory_mib_ms;
+	uint32_t lasting_waiting;
 	GHashTable *idle; /* instance -> NULL */
 	uint64_t surplus_since_us;
 	uint32_t wanted; /* machines, as the lending policy has it */
@@ -64,6 +68,7 @@
 	GPtrArray *waves;     /* wave_t */
 	bool listed;
 	uint64_t list_us;
+	uint64_t logged_us; /* when the wanted numbers were logged */
 };
 
 struct fleet_lending {
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -10,12 +10,25 @@
 /* Machines beyond the need, for what comes next. */
 #define RESERVE 1
 #define MACHINES_MIN 2
+#define LOG_EVERY_US (500 * GW_US_PER_MS)
 /* A surplus this old goes to the standby pool; shorter ones come back. */
 #define SURPLUS_US (1500 * GW_US_PER_MS)
 
 /*
- * The demand of a pool decides: processors in use, and those that would do the
- * waiting work within BACKLOG_MS.
+ * Returns how many machines hold need, when all of them together hold capacity.
+ */
+static uint32_t
+machines_for(const pool_t *pool, uint64_t need, uint64_t capacity)
+{
+	uint64_t each = MAX(capacity / pool->instances, 1);
+
+	return (uint32_t)((need + each - 1) / each);
+}
+
+/*
+ * The demand of a pool decides: processors and memory in use, and those that
+ * would do the waiting work within BACKLOG_MS. A lasting task that has no room
+ * calls for one machine more, whatever the sums say.
  */
 static void
 want_by_demand(fleet_t *fleet, uint64_t now_us)
@@ -23,19 +36,30 @@
 	GHashTableIter iter;
 	pool_t *pool;
 
+	(void)now_us;
 	g_hash_table_iter_init(&iter, fleet->pools);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
-		uint64_t each, need;
+		uint32_t by_cpu, by_memory;
 
-		if (pool->standby || pool->instances == 0)
+		if (pool->standby)
+			continue;
+		if (pool->instances == 0) {
+			pool->wanted = MAX(pool->wanted, MACHINES_MIN);
 			continue;
-		each = MAX(pool->capacity_cpu_millis / pool->instances, 1);
-		need = pool->used_cpu_millis +
-		    pool->waiting_cpu_ms * 1000 / BACKLOG_MS;
-		pool->wanted = MAX(MACHINES_MIN,
-		    (uint32_t)((need + each - 1) / each) + RESERVE);
+		}
+		by_cpu = machines_for(pool,
+		    pool->used_cpu_millis +
+			pool->waiting_cpu_ms * 1000 / BACKLOG_MS,
+		    pool->capacity_cpu_millis);
+		by_memory = machines_for(pool,
+		    pool->used_memory_mib +
+			pool->waiting_memory_mib_ms / BACKLOG_MS,
+		    pool->capacity_memory_mib);
+		pool->wanted =
+		    MAX(MACHINES_MIN, MAX(by_cpu, by_memory) + RESERVE);
+		if (pool->lasting_waiting > 0)
+			pool->wanted = MAX(pool->wanted, pool->instances + 1);
 	}
-	(void)now_us;
 }
 
 static void
@@ -179,6 +203,31 @@
 	}
 }
 
+/*
+ * Logs what is wanted, with what it was decided by.
+ */
+static void
+log_wanted(fleet_t *fleet, uint64_t now_us)
+{
+	GHashTableIter iter;
+	pool_t *pool;
+
+	if (gw_elapsed_us(now_us, fleet->logged_us) < LOG_EVERY_US)
+		return;
+	fleet->logged_us = now_us;
+	g_hash_table_iter_init(&iter, fleet->pools);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
+		gw_log(GW_EV_POOL_WANT,
+		    "pool=%s standby=%d machines=%u wanted=%u usable=%u "
+		    "idle=%u used_cpu=%" PRIu64 " waiting_cpu_ms=%" PRIu64
+		    " load_age_ms=%" PRIu64,
+		    pool->name, pool->standby,
+		    fleet_pool_machines(fleet, pool->name), pool->wanted,
+		    pool->instances, g_hash_table_size(pool->idle),
+		    pool->used_cpu_millis, pool->waiting_cpu_ms,
+		    gw_elapsed_us(now_us, pool->load_us) / GW_US_PER_MS);
+}
+
 /*
  * Moves machines to where they are wanted.
  */
@@ -191,6 +240,7 @@
 	if (fleet->lending == &fleet_lending_none)
 		return;
 	fleet->lending->decide(fleet, now_us);
+	log_wanted(fleet, now_us);
 	g_hash_table_iter_init(&iter, fleet->pools);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
 		if (!pool->standby && is_fresh(pool, now_us))
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -534,8 +534,8 @@
 		    report->running_count, report->end_count);
 	/* From now on the fence keeps a former owner's holds away. */
 	if (!instance->contacted)
-		instance->lapse_us = now_us +
-		    SCHED_HOLD_MS * (1000 + SCHED_DRIFT_PERMILLE);
+		instance->lapse_us =
+		    now_us + SCHED_HOLD_MS * (1000 + SCHED_DRIFT_PERMILLE);
 	instance->contacted = true;
 	instance->unreachable = false;
 	instance->clock_ms = report->clock_ms;
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3616,7 +3616,7 @@
   (ProtobufCMessageInit) gw__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[9] =
 {
   {
     "instances",
@@ -3678,18 +3678,70 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacity_memory_mib",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolLoad, capacity_memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used_memory_mib",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolLoad, used_memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting_memory_mib_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolLoad, waiting_memory_mib_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lasting_waiting",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolLoad, lasting_waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__pool_load__field_indices_by_name[] = {
   1,   /* field[1] = capacity_cpu_millis */
+  5,   /* field[5] = capacity_memory_mib */
   4,   /* field[4] = idle_instances */
   0,   /* field[0] = instances */
+  8,   /* field[8] = lasting_waiting */
   2,   /* field[2] = used_cpu_millis */
+  6,   /* field[6] = used_memory_mib */
   3,   /* field[3] = waiting_cpu_ms */
+  7,   /* field[7] = waiting_memory_mib_ms */
 };
 static const ProtobufCIntRange gw__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gw__pool_load__descriptor =
 {
@@ -3699,7 +3751,7 @@
   "Gw__PoolLoad",
   "gw",
   sizeof(Gw__PoolLoad),
-  5,
+  9,
   gw__pool_load__field_descriptors,
   gw__pool_load__field_indices_by_name,
   1,  gw__pool_load__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -570,10 +570,20 @@
   uint64_t waiting_cpu_ms;
   size_t n_idle_instances;
   char **idle_instances;
+  uint64_t capacity_memory_mib;
+  uint64_t used_memory_mib;
+  /*
+   * Of waiting tasks, memory times estimated duration.
+   */
+  uint64_t waiting_memory_mib_ms;
+  /*
+   * Lasting tasks that no instance has room for.
+   */
+  uint32_t lasting_waiting;
 };
 #define GW__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__pool_load__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Gw__Reply
--- a/regress/platform/platplay.c
+++ b/regress/platform/platplay.c
@@ -80,8 +80,8 @@
 	Gw__JobSpec *spec;
 	gw_err_t error;
 
-	spec = plat_job_decode("0123456789abcdef", &queue, json, strlen(json),
-	    &error);
+	spec = plat_job_decode(
+	    "0123456789abcdef", &queue, json, strlen(json), &error);
 	if (spec == NULL) {
 		print_error(&error);
 		return;
@@ -228,8 +228,7 @@
 
 	store_page_init(&page);
 	if (decode(&response, &page, &error) != 0)
-		printf("error: %s: %s\n", gw_errc_name(error.code),
-		    error.text);
+		printf("error: %s: %s\n", gw_errc_name(error.code), error.text);
 	else
 		printf("page at=%" PRIu64 " truncated=%d\n",
 		    page.store_revision, page.truncated);
--- /dev/null
+++ b/regress/sched/fleet.sh
@@ -0,0 +1,81 @@
+#!/bin/sh
+# Maintenance waves and moves.
+. ./lib.subr
+
+# Guards against more machines down than the wave allows, a wave that is said to
+# be complete too early, and a busy machine that is stopped before it is free.
+play_fleet "a wave keeps its bound" <<'EOT'
+fleet
+pool p
+list m1:p:i1:up m2:p:i2:up m3:p:i3:up
+load p instances=3 i1 i2
+wave 7 20000 1 m1 m2 m3
+advance 100
+drained i1
+ordered m1 ok
+advance 1000
+up n1 m1 p
+load p instances=3 n1 i2
+advance 100
+drained i2
+ordered m2 ok
+up n2 m2 p
+load p instances=3 n1 n2
+advance 15000
+drained i3
+ordered m3 none
+advance 1100
+ordered m3 ok
+advance 100
+up n3 m3 p
+advance 100
+EOT
+
+# Guards against machines that are maintained twice after a change of planner,
+# and against a wave that waits for a machine that has gone.
+play_fleet "another planner goes on" <<'EOT'
+fleet
+pool p
+list m1:p:i1:up m2:p:i2:up
+load p instances=2 i1 i2
+wave 7 20000 2 m1 m2 m9
+known-done 7 m1
+advance 100
+drained i2
+ordered m2 rejected
+advance 100
+EOT
+
+# Guards against a move that is given up in the round in which it began: a phase
+# may start later than the round's own reading of the clock.
+play_fleet "a surplus goes to standby, a need is met from there" <<'EOT'
+fleet lend
+pool p
+pool s standby
+list m1:p:i1:up m2:p:i2:up m3:p:i3:up m4:p:i4:up m5:s::up
+load p instances=4 i1 i2 i3 i4
+advance 1000
+load p instances=4 i1 i2 i3 i4
+advance 700
+drained i1
+drained i2
+drained i3
+drained i4
+ordered m1 ok
+ordered m2 ok
+ordered m3 ok
+ordered m4 ok
+load p instances=2 used=32000 waiting=60000
+advance 100
+EOT
+
+# Guards against a lasting task that finds no room while its pool counts as large
+# enough by the processors in use.
+play_fleet "a lasting task without room calls for a machine" <<'EOT'
+fleet lend
+pool p
+pool s standby
+list m1:p:i1:up m2:p:i2:up m3:s::up
+load p instances=2 used=8000 lasting=1
+advance 100
+EOT
--- /dev/null
+++ b/regress/sched/fleetplay.c
@@ -0,0 +1,268 @@
+/*
+ * Plays a script of events against the planner's view of the machines on a
+ * paused clock, and prints what it orders. One command a line; see commands[].
+ */
+#include <err.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gw/log.h"
+#include "sched/fleet.h"
+
+#define WORDS_MAX 40
+#define START_US UINT64_C(1000000000)
+#define TICK_MS 100
+
+static gw_clock_t clock_state;
+static fleet_t *fleet;
+static char *words[WORDS_MAX];
+static int word_count;
+
+static uint64_t
+now_ms(void)
+{
+	return (gw_clock_now_us(&clock_state) - START_US) / GW_US_PER_MS;
+}
+
+static uint64_t
+number_of(const char *key, uint64_t missing)
+{
+	size_t key_bytes = strlen(key);
+
+	for (int i = 1; i < word_count; i++)
+		if (strncmp(words[i], key, key_bytes) == 0 &&
+		    words[i][key_bytes] == '=')
+			return strtoull(words[i] + key_bytes + 1, NULL, 10);
+	return missing;
+}
+
+static void
+on_drain(const char *pool, const char *instance, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " drain %s %s\n", now_ms(), pool, instance);
+}
+
+static void
+on_ended(const char *pool, const char *instance, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " ended %s %s\n", now_ms(), pool, instance);
+}
+
+static void
+on_maintain(const char *machine, uint64_t wave, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " maintain %s wave=%" PRIu64 "\n", now_ms(), machine,
+	    wave);
+}
+
+static void
+on_move(const char *machine, const char *pool, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " move %s to %s\n", now_ms(), machine, pool);
+}
+
+static void
+on_wave_state(uint64_t wave, bool completed, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " wave %" PRIu64 " %s\n", now_ms(), wave,
+	    completed ? "completed" : "running");
+}
+
+static void
+on_wave_machine(uint64_t wave, const char *machine, void *arg)
+{
+	(void)arg;
+	printf(
+	    "%6" PRIu64 " wave %" PRIu64 " has %s\n", now_ms(), wave, machine);
+}
+
+static const fleet_ops_t ops = {.drain = on_drain,
+    .ended = on_ended,
+    .maintain = on_maintain,
+    .move = on_move,
+    .wave_state = on_wave_state,
+    .wave_machine = on_wave_machine};
+
+/* fleet [lend] */
+static void
+do_fleet(void)
+{
+	fleet_free(fleet);
+	fleet = fleet_new(&clock_state,
+	    word_count > 1 ? &fleet_lending_demand : &fleet_lending_none, &ops,
+	    NULL);
+}
+
+/* pool NAME [standby] */
+static void
+do_pool(void)
+{
+	fleet_set_pool(fleet, words[1], word_count > 2);
+}
+
+/* list NAME:POOL:INSTANCE:up... ; an empty instance is allowed */
+static void
+do_list(void)
+{
+	fleet_begin_list(fleet);
+	for (int i = 1; i < word_count; i++) {
+		g_auto(GStrv) parts = g_strsplit(words[i], ":", -1);
+		fleet_machine_t machine = {.cpu_millis = 16000};
+
+		if (g_strv_length(parts) != 4)
+			errx(1, "'%s' is not a machine", words[i]);
+		g_strlcpy(machine.name, parts[0], sizeof(machine.name));
+		g_strlcpy(machine.pool, parts[1], sizeof(machine.pool));
+		g_strlcpy(machine.instance, parts[2], sizeof(machine.instance));
+		machine.up = strcmp(parts[3], "up") == 0;
+		fleet_list_machine(fleet, &machine);
+	}
+	fleet_end_list(fleet);
+}
+
+/* up INSTANCE MACHINE POOL */
+static void
+do_up(void)
+{
+	sched_info_t info = {.capacity = {16000, 65536, 0}};
+
+	g_strlcpy(info.id, words[1], sizeof(info.id));
+	g_strlcpy(info.machine, words[2], sizeof(info.machine));
+	g_strlcpy(info.pool, words[3], sizeof(info.pool));
+	fleet_instance_up(fleet, &info);
+}
+
+/* load POOL instances= used= waiting= lasting= IDLE... */
+static void
+do_load(void)
+{
+	Gw__PoolLoad load = GW__POOL_LOAD__INIT;
+	char *idle[WORDS_MAX];
+
+	load.instances = (uint32_t)number_of("instances", 1);
+	load.capacity_cpu_millis = load.instances * UINT64_C(16000);
+	load.capacity_memory_mib = load.instances * UINT64_C(65536);
+	load.used_cpu_millis = number_of("used", 0);
+	load.waiting_cpu_ms = number_of("waiting", 0);
+	load.lasting_waiting = (uint32_t)number_of("lasting", 0);
+	for (int i = 2; i < word_count; i++)
+		if (strchr(words[i], '=') == NULL)
+			idle[load.n_idle_instances++] = words[i];
+	load.idle_instances = idle;
+	fleet_set_load(fleet, words[1], &load);
+}
+
+/* wave NUMBER DURATION_MS AT_ONCE MACHINE... */
+static void
+do_wave(void)
+{
+	g_autoptr(GPtrArray) machines = g_ptr_array_new();
+
+	for (int i = 4; i < word_count; i++)
+		g_ptr_array_add(machines, words[i]);
+	fleet_set_wave(fleet, strtoull(words[1], NULL, 10), machines,
+	    (uint32_t)atoi(words[2]), (uint32_t)atoi(words[3]));
+}
+
+static void
+do_known_done(void)
+{
+	fleet_wave_known_done(fleet, strtoull(words[1], NULL, 10), words[2]);
+}
+
+static void
+do_drained(void)
+{
+	fleet_drained(fleet, words[1], true);
+}
+
+/* ordered MACHINE ok|busy|rejected|none */
+static void
+do_ordered(void)
+{
+	static const char *const names[] = {"ok", "busy", "rejected", "none"};
+
+	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++)
+		if (strcmp(names[i], words[2]) == 0)
+			fleet_ordered(fleet, words[1], (fleet_answer_t)i);
+}
+
+/* advance MS: in rounds of TICK_MS. */
+static void
+do_advance(void)
+{
+	uint64_t end_ms = now_ms() + strtoull(words[1], NULL, 10);
+
+	while (now_ms() < end_ms) {
+		gw_clock_advance(&clock_state, TICK_MS * GW_US_PER_MS);
+		fleet_tick(fleet);
+	}
+}
+
+static void
+do_wants_list(void)
+{
+	printf(
+	    "%6" PRIu64 " wants list %d\n", now_ms(), fleet_wants_list(fleet));
+}
+
+static const struct {
+	const char *name;
+	int words_min;
+	void (*run)(void);
+} commands[] = {
+    {"fleet", 1, do_fleet},
+    {"pool", 2, do_pool},
+    {"list", 1, do_list},
+    {"up", 4, do_up},
+    {"load", 2, do_load},
+    {"wave", 5, do_wave},
+    {"known-done", 3, do_known_done},
+    {"drained", 2, do_drained},
+    {"ordered", 3, do_ordered},
+    {"advance", 2, do_advance},
+    {"wants-list", 1, do_wants_list},
+};
+
+static void
+run_line(char *line)
+{
+	char *save = NULL;
+
+	word_count = 0;
+	for (char *word = strtok_r(line, " \t\n", &save);
+	     word != NULL && word_count < WORDS_MAX;
+	     word = strtok_r(NULL, " \t\n", &save))
+		words[word_count++] = word;
+	if (word_count == 0 || words[0][0] == '#')
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(commands[i].name, words[0]) != 0)
+			continue;
+		if (word_count < commands[i].words_min)
+			errx(1, "%s: too few words", words[0]);
+		commands[i].run();
+		return;
+	}
+	errx(1, "'%s' is not a command", words[0]);
+}
+
+int
+main(void)
+{
+	char line[2048];
+
+	gw_clock_init_paused(&clock_state, START_US);
+	while (fgets(line, sizeof(line), stdin) != NULL)
+		run_line(line);
+	fleet_free(fleet);
+	gw_log_flush();
+	return 0;
+}
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -18,7 +18,7 @@
 static gw_clock_t clock_state;
 static sched_pool_t *pool;
 static uint64_t lease_us = UINT64_MAX / 2; /* the owner's lease ends then */
-static GHashTable *store;	       /* "spec/ID" or "record/ID" -> GBytes */
+static GHashTable *store; /* "spec/ID" or "record/ID" -> GBytes */
 static sched_batch_t *batch;
 static char *words[WORDS_MAX];
 static int word_count;
