Keep room for lasting tasks, and hand leases on to the next owner

Change: one instance is kept free for a lasting task; a machine that is being freed counts as had, and one more is lent; a former owner that gave its role back tells how long its leases run.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -118,7 +118,8 @@
 	owner_t *owner = service_owner(former->entry->service, former->pool);
 
 	if (owner != NULL && reply->outcome == GW__CALL_OUTCOME__CALL_ABSENT)
-		sched_pool_former_gone(owner_pool(owner));
+		sched_pool_former_gone(
+		    owner_pool(owner), reply->leases, reply->n_leases);
 	if (owner == NULL || reply->outcome == GW__CALL_OUTCOME__CALL_ABSENT ||
 	    ++former->tries >= FORMER_TRIES_MAX) {
 		g_free(former);
@@ -153,7 +154,7 @@
 	if (strcmp(address, entry->peer_address) == 0) {
 		/* It was an earlier life of this process. */
 		sched_pool_former_gone(
-		    owner_pool(service_owner(entry->service, role)));
+		    owner_pool(service_owner(entry->service, role)), NULL, 0);
 		return;
 	}
 	former = g_new0(former_t, 1);
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -18,7 +18,8 @@
 	sched_bounds_t bounds;
 	const owner_ops_t *ops;
 	void *arg;
-	GHashTable *owners; /* pool -> owner_t */
+	GHashTable *owners;   /* pool -> owner_t */
+	GHashTable *given_up; /* pool -> GArray of sched_lease_t */
 	bool closing;
 };
 
@@ -57,6 +58,7 @@
 	if (service == NULL)
 		return;
 	g_hash_table_destroy(service->owners);
+	g_hash_table_destroy(service->given_up);
 	g_free(service);
 }
 
@@ -76,6 +78,11 @@
 void
 service_remove(service_t *service, const char *pool)
 {
+	owner_t *owner = service_owner(service, pool);
+
+	if (owner != NULL)
+		g_hash_table_replace(service->given_up, g_strdup(pool),
+		    sched_pool_leases(owner_pool(owner)));
 	g_hash_table_remove(service->owners, pool);
 }
 
@@ -239,16 +246,58 @@
 	owner_kick(owner);
 }
 
+/*
+ * Tells a later owner how long the leases may run that this process gave.
+ */
 static void
-answer_owns(const owner_t *owner, dispatch_reply_t cb, void *arg)
+answer_given_up(
+    service_t *service, const GArray *leases, dispatch_reply_t cb, void *arg)
 {
+	g_autofree Gw__LeaseLeft *rows = g_new(Gw__LeaseLeft, leases->len + 1);
+	g_autofree Gw__LeaseLeft **list =
+	    g_new(Gw__LeaseLeft *, leases->len + 1);
+	uint64_t now_us = gw_rt_now_us(service->rt);
 	Gw__Reply reply = GW__REPLY__INIT;
 
-	reply.outcome = owner == NULL ? GW__CALL_OUTCOME__CALL_ABSENT
-				      : GW__CALL_OUTCOME__CALL_OK;
+	for (guint i = 0; i < leases->len; i++) {
+		sched_lease_t *lease = &g_array_index(leases, sched_lease_t, i);
+
+		list[i] = &rows[i];
+		gw__lease_left__init(list[i]);
+		list[i]->instance = lease->instance;
+		list[i]->born_ms = lease->born_ms;
+		list[i]->left_ms =
+		    (uint32_t)(gw_elapsed_us(lease->lapse_us, now_us) /
+			    GW_US_PER_MS +
+			1);
+	}
+	reply.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
+	reply.has_leases = true;
+	reply.n_leases = leases->len;
+	reply.leases = list;
 	cb(&reply, arg);
 }
 
+static void
+answer_owns(
+    service_t *service, const Gw__Call *call, dispatch_reply_t cb, void *arg)
+{
+	const GArray *leases =
+	    g_hash_table_lookup(service->given_up, call->pool);
+	Gw__Reply reply = GW__REPLY__INIT;
+
+	if (service_owner(service, call->pool) != NULL) {
+		reply.outcome = GW__CALL_OUTCOME__CALL_OK;
+		cb(&reply, arg);
+	} else if (leases != NULL) {
+		answer_given_up(service, leases, cb, arg);
+	} else {
+		/* This process has never owned it: a former one has ended. */
+		reply.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
+		cb(&reply, arg);
+	}
+}
+
 /*
  * Answers a request for a pool, now or once the store has what it asks for.
  */
@@ -259,7 +308,7 @@
 	owner_t *owner = service_owner(service, call->pool);
 
 	if (call->kind == GW__CALL_KIND__CALL_OWNS) {
-		answer_owns(owner, cb, arg);
+		answer_owns(service, call, cb, arg);
 		return;
 	}
 	if (owner == NULL || !owner_loaded(owner)) {
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -25,6 +25,26 @@
 	return (uint32_t)((need + each - 1) / each);
 }
 
+/*
+ * Returns one machine more than the pool has, unless one is on its way. Those
+ * that are being freed count as had: they give no room, and may wait for it
+ * themselves before they can be stopped.
+ */
+static uint32_t
+one_more(const fleet_t *fleet, const pool_t *pool)
+{
+	uint32_t count = fleet_pool_machines(fleet, pool->name);
+	GHashTableIter iter;
+	machine_t *machine;
+
+	g_hash_table_iter_init(&iter, fleet->machines);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
+		if (machine->goal == GOAL_MOVE &&
+		    strcmp(machine->target, pool->name) == 0)
+			return count;
+	return count + 1;
+}
+
 /*
  * The demand of a pool decides: processors and memory in use, and those that
  * would do the waiting work within BACKLOG_MS. A lasting task that has no room
@@ -58,7 +78,7 @@
 		pool->wanted =
 		    MAX(MACHINES_MIN, MAX(by_cpu, by_memory) + RESERVE);
 		if (pool->lasting_waiting > 0)
-			pool->wanted = MAX(pool->wanted, pool->instances + 1);
+			pool->wanted = MAX(pool->wanted, one_more(fleet, pool));
 	}
 }
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -147,7 +147,8 @@
 	uint64_t avoid_until_us;
 	uint64_t drain_until_us;
 	uint32_t failed_in_row;
-	const char *rack; /* label in info, or NULL */
+	uint64_t kept_round; /* the round in which it is kept for a task */
+	const char *rack;    /* label in info, or NULL */
 };
 
 /* A run that is ordered once its record is written. */
@@ -178,8 +179,10 @@
 	GQueue *ended;	       /* sched_job_t in the order of their end */
 	GPtrArray *settling;   /* ended, with tasks or a specification left */
 	bool loaded;
-	bool former_gone; /* no former owner holds anything */
-	uint64_t wall_ms; /* at the last tick */
+	uint64_t round;		   /* of placement */
+	bool former_gone;	   /* no former owner holds anything */
+	GHashTable *former_leases; /* instance -> lapse (uint64_t *) */
+	uint64_t wall_ms;	   /* at the last tick */
 };
 
 /* job.c */
@@ -217,6 +220,10 @@
 void sched_instance_hold_at(sched_instance_t *, uint64_t due_us);
 void sched_instance_tick(sched_instance_t *, uint64_t now_us);
 
+/* pool.c */
+uint64_t sched_pool_former_lapse_us(
+    const sched_pool_t *, const char *instance, uint64_t now_us);
+
 /* run.c */
 void sched_task_requeue(sched_task_t *, const char *reason);
 void sched_task_order(sched_task_t *, uint64_t now_us);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -15,7 +15,6 @@
 sched_instance_get(sched_pool_t *pool, const char *id)
 {
 	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
-	uint64_t wait_ms;
 
 	if (instance != NULL)
 		return instance;
@@ -25,11 +24,8 @@
 	instance->tasks = g_ptr_array_new();
 	instance->recorded =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	wait_ms = SCHED_HOLD_MS;
-	if (!pool->former_gone)
-		wait_ms += pool->bounds.former_holds_ms;
-	instance->lapse_us = gw_clock_now_us(pool->clock) +
-	    wait_ms * (1000 + SCHED_DRIFT_PERMILLE);
+	instance->lapse_us =
+	    sched_pool_former_lapse_us(pool, id, gw_clock_now_us(pool->clock));
 	g_hash_table_insert(pool->instances, instance->info.id, instance);
 	return instance;
 }
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -130,6 +130,7 @@
 	g_hash_table_iter_init(&iter, pool->instances);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
 		if (!sched_instance_usable(instance, now_us) ||
+		    instance->kept_round == pool->round ||
 		    !sched_place_fits(instance, step) ||
 		    !may_run(instance, task))
 			continue;
@@ -145,6 +146,46 @@
 	return best;
 }
 
+/*
+ * Keeps the emptiest instance that may run the task free of others for this
+ * round: in a full pool what comes free would go to smaller tasks for ever.
+ */
+static void
+keep_room(sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
+{
+	const sched_size_t *capacity;
+	sched_instance_t *instance, *best = NULL;
+	GHashTableIter iter;
+	uint64_t best_free = 0;
+
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
+		uint64_t free_share;
+
+		if (!sched_instance_usable(instance, now_us) ||
+		    instance->kept_round == pool->round ||
+		    !may_run(instance, task))
+			continue;
+		capacity = &instance->info.capacity;
+		/* The scarcer of processors and memory, in thousandths. */
+		free_share = 1 +
+		    MIN((capacity->cpu_millis -
+			    MIN(capacity->cpu_millis,
+				instance->used.cpu_millis)) *
+			    1000 / MAX(capacity->cpu_millis, 1),
+			(capacity->memory_mib -
+			    MIN(capacity->memory_mib,
+				instance->used.memory_mib)) *
+			    1000 / MAX(capacity->memory_mib, 1));
+		if (free_share > best_free) {
+			best = instance;
+			best_free = free_share;
+		}
+	}
+	if (best != NULL)
+		best->kept_round = pool->round;
+}
+
 sched_instance_t *
 sched_place_task(sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
 {
@@ -213,8 +254,11 @@
 		    now_us < task->not_before_us)
 			continue;
 		instance = sched_place_task(pool, task, now_us);
-		if (instance == NULL)
+		if (instance == NULL) {
+			if (sched_task_step(task)->lasting)
+				keep_room(pool, task, now_us);
 			return;
+		}
 		reserve(pool, task, instance, task->run + 1);
 	}
 }
@@ -359,6 +403,7 @@
 {
 	g_autoptr(GPtrArray) jobs = g_ptr_array_new();
 
+	pool->round++;
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
 
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -29,6 +29,8 @@
 	    g_str_hash, g_str_equal, NULL, sched_job_free);
 	pool->instances = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, sched_instance_free);
+	pool->former_leases =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->open = g_ptr_array_new();
 	pool->settling = g_ptr_array_new();
 	pool->dirty = g_queue_new();
@@ -58,6 +60,7 @@
 		}
 	g_hash_table_destroy(pool->jobs);
 	g_hash_table_destroy(pool->instances);
+	g_hash_table_destroy(pool->former_leases);
 	g_ptr_array_free(pool->open, TRUE);
 	g_ptr_array_free(pool->settling, TRUE);
 	g_queue_free(pool->dirty);
@@ -147,24 +150,67 @@
 }
 
 /*
- * Shortens the wait for instances that were never reached: their leases run no
- * longer than one hold from now.
+ * Returns the time by which a former owner's lease has surely lapsed.
  */
+uint64_t
+sched_pool_former_lapse_us(
+    const sched_pool_t *pool, const char *instance, uint64_t now_us)
+{
+	const uint64_t *lapse_us =
+	    g_hash_table_lookup(pool->former_leases, instance);
+	uint64_t wait_ms = SCHED_HOLD_MS;
+
+	if (lapse_us != NULL)
+		return *lapse_us;
+	if (!pool->former_gone)
+		wait_ms += pool->bounds.former_holds_ms;
+	return now_us + wait_ms * (1000 + SCHED_DRIFT_PERMILLE);
+}
+
 void
-sched_pool_former_gone(sched_pool_t *pool)
+sched_pool_former_gone(
+    sched_pool_t *pool, Gw__LeaseLeft *const *leases, size_t lease_count)
 {
-	uint64_t lapse_us = gw_clock_now_us(pool->clock) +
-	    SCHED_HOLD_MS * (1000 + SCHED_DRIFT_PERMILLE);
+	uint64_t now_us = gw_clock_now_us(pool->clock);
 	sched_instance_t *instance;
 	GHashTableIter iter;
 
 	pool->former_gone = true;
+	for (size_t i = 0; i < lease_count; i++) {
+		uint64_t *lapse_us = g_new(uint64_t, 1);
+
+		*lapse_us =
+		    now_us + leases[i]->left_ms * (1000 + SCHED_DRIFT_PERMILLE);
+		g_hash_table_replace(pool->former_leases,
+		    g_strdup(leases[i]->instance), lapse_us);
+	}
 	g_hash_table_iter_init(&iter, pool->instances);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
 		if (!instance->contacted)
-			instance->lapse_us = MIN(instance->lapse_us, lapse_us);
+			instance->lapse_us = MIN(instance->lapse_us,
+			    sched_pool_former_lapse_us(
+				pool, instance->info.id, now_us));
 	gw_log(
-	    GW_EV_FORMER_GONE, "pool=%s wait_ms=%d", pool->name, SCHED_HOLD_MS);
+	    GW_EV_FORMER_GONE, "pool=%s leases=%zu", pool->name, lease_count);
+}
+
+GArray *
+sched_pool_leases(const sched_pool_t *pool)
+{
+	GArray *leases = g_array_new(FALSE, TRUE, sizeof(sched_lease_t));
+	sched_instance_t *instance;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
+		sched_lease_t lease = {.born_ms = instance->info.born_ms,
+		    .lapse_us = instance->lapse_us};
+
+		g_strlcpy(
+		    lease.instance, instance->info.id, sizeof(lease.instance));
+		g_array_append_val(leases, lease);
+	}
+	return leases;
 }
 
 /*
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -187,8 +187,20 @@
 int sched_pool_load_record(
     sched_pool_t *, const char *job, const void *, size_t size_bytes);
 void sched_pool_loaded(sched_pool_t *);
-/* The former owner surely orders and holds nothing any more. */
-void sched_pool_former_gone(sched_pool_t *);
+/*
+ * The former owner surely orders and holds nothing any more. With its leases,
+ * an instance that cannot be reached is waited out no longer than they run.
+ */
+void sched_pool_former_gone(
+    sched_pool_t *, Gw__LeaseLeft *const *leases, size_t lease_count);
+/* Until when what runs on an instance may be held, for the next owner. */
+typedef struct {
+	char instance[SCHED_NAME_BYTES];
+	uint64_t born_ms;
+	uint64_t lapse_us; /* on the pool's clock */
+} sched_lease_t;
+/* The pool's leases (sched_lease_t); freed with g_array_free(). */
+GArray *sched_pool_leases(const sched_pool_t *);
 
 /* Instances. */
 void sched_pool_set_instance(sched_pool_t *, const sched_info_t *);
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &gw__pool_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__lease_left__init
+                     (Gw__LeaseLeft         *message)
+{
+  static const Gw__LeaseLeft init_value = GW__LEASE_LEFT__INIT;
+  *message = init_value;
+}
+size_t gw__lease_left__get_packed_size
+                     (const Gw__LeaseLeft *message)
+{
+  assert(message->base.descriptor == &gw__lease_left__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__lease_left__pack
+                     (const Gw__LeaseLeft *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__lease_left__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__lease_left__pack_to_buffer
+                     (const Gw__LeaseLeft *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__lease_left__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__LeaseLeft *
+       gw__lease_left__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__LeaseLeft *)
+     protobuf_c_message_unpack (&gw__lease_left__descriptor,
+                                allocator, len, data);
+}
+void   gw__lease_left__free_unpacked
+                     (Gw__LeaseLeft *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__lease_left__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__reply__init
                      (Gw__Reply         *message)
 {
@@ -3758,7 +3803,71 @@
   (ProtobufCMessageInit) gw__pool_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__reply__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gw__lease_left__field_descriptors[3] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeaseLeft, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeaseLeft, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeaseLeft, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__lease_left__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = instance */
+  2,   /* field[2] = left_ms */
+};
+static const ProtobufCIntRange gw__lease_left__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__lease_left__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.LeaseLeft",
+  "LeaseLeft",
+  "Gw__LeaseLeft",
+  "gw",
+  sizeof(Gw__LeaseLeft),
+  3,
+  gw__lease_left__field_descriptors,
+  gw__lease_left__field_indices_by_name,
+  1,  gw__lease_left__number_ranges,
+  (ProtobufCMessageInit) gw__lease_left__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__reply__field_descriptors[10] =
 {
   {
     "number",
@@ -3856,9 +3965,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_leases",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Reply, has_leases),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leases",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Reply, n_leases),
+    offsetof(Gw__Reply, leases),
+    &gw__lease_left__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__reply__field_indices_by_name[] = {
   6,   /* field[6] = drained */
+  8,   /* field[8] = has_leases */
+  9,   /* field[9] = leases */
   7,   /* field[7] = load */
   0,   /* field[0] = number */
   1,   /* field[1] = outcome */
@@ -3870,7 +4005,7 @@
 static const ProtobufCIntRange gw__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gw__reply__descriptor =
 {
@@ -3880,7 +4015,7 @@
   "Gw__Reply",
   "gw",
   sizeof(Gw__Reply),
-  8,
+  10,
   gw__reply__field_descriptors,
   gw__reply__field_indices_by_name,
   1,  gw__reply__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Gw__JobRecord Gw__JobRecord;
 typedef struct Gw__Call Gw__Call;
 typedef struct Gw__PoolLoad Gw__PoolLoad;
+typedef struct Gw__LeaseLeft Gw__LeaseLeft;
 typedef struct Gw__Reply Gw__Reply;
 typedef struct Gw__Envelope Gw__Envelope;
 
@@ -586,6 +587,21 @@
     , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
+/*
+ * Until when an instance's runs may be held by a former owner.
+ */
+struct  Gw__LeaseLeft
+{
+  ProtobufCMessage base;
+  char *instance;
+  uint64_t born_ms;
+  uint32_t left_ms;
+};
+#define GW__LEASE_LEFT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__lease_left__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Gw__Reply
 {
   ProtobufCMessage base;
@@ -600,10 +616,16 @@
    */
   protobuf_c_boolean drained;
   Gw__PoolLoad *load;
+  /*
+   * Of CALL_OWNS by a process that gave the pool up itself.
+   */
+  protobuf_c_boolean has_leases;
+  size_t n_leases;
+  Gw__LeaseLeft **leases;
 };
 #define GW__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__reply__descriptor) \
-    , 0, GW__CALL_OUTCOME__CALL_OK, GW__JOB_STATE__JOB_QUEUED, 0, 0, (char *)protobuf_c_empty_string, 0, NULL }
+    , 0, GW__CALL_OUTCOME__CALL_OK, GW__JOB_STATE__JOB_QUEUED, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, 0, 0,NULL }
 
 
 typedef enum {
@@ -1124,6 +1146,25 @@
 void   gw__pool_load__free_unpacked
                      (Gw__PoolLoad *message,
                       ProtobufCAllocator *allocator);
+/* Gw__LeaseLeft methods */
+void   gw__lease_left__init
+                     (Gw__LeaseLeft         *message);
+size_t gw__lease_left__get_packed_size
+                     (const Gw__LeaseLeft   *message);
+size_t gw__lease_left__pack
+                     (const Gw__LeaseLeft   *message,
+                      uint8_t             *out);
+size_t gw__lease_left__pack_to_buffer
+                     (const Gw__LeaseLeft   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__LeaseLeft *
+       gw__lease_left__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__lease_left__free_unpacked
+                     (Gw__LeaseLeft *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Reply methods */
 void   gw__reply__init
                      (Gw__Reply         *message);
@@ -1239,6 +1280,9 @@
 typedef void (*Gw__PoolLoad_Closure)
                  (const Gw__PoolLoad *message,
                   void *closure_data);
+typedef void (*Gw__LeaseLeft_Closure)
+                 (const Gw__LeaseLeft *message,
+                  void *closure_data);
 typedef void (*Gw__Reply_Closure)
                  (const Gw__Reply *message,
                   void *closure_data);
@@ -1282,6 +1326,7 @@
 extern const ProtobufCMessageDescriptor gw__job_record__descriptor;
 extern const ProtobufCMessageDescriptor gw__call__descriptor;
 extern const ProtobufCMessageDescriptor gw__pool_load__descriptor;
+extern const ProtobufCMessageDescriptor gw__lease_left__descriptor;
 extern const ProtobufCMessageDescriptor gw__reply__descriptor;
 extern const ProtobufCMessageDescriptor gw__envelope__descriptor;
 
--- a/regress/sched/fleet.sh
+++ b/regress/sched/fleet.sh
@@ -75,7 +75,24 @@
 fleet lend
 pool p
 pool s standby
-list m1:p:i1:up m2:p:i2:up m3:s::up
+list m1:p:i1:up m2:p:i2:up m3:s::up m4:s::up
+load p instances=2 used=8000 lasting=1
+advance 100
+ordered m3 ok
 load p instances=2 used=8000 lasting=1
 advance 100
 EOT
+
+# Guards against a drain that waits for ever: the machine being freed counts as
+# had, and its lasting task has nowhere to go.
+play_fleet "a machine that is being freed gives no room" <<'EOT'
+fleet lend
+pool p
+pool s standby
+list m1:p:i1:up m2:p:i2:up m3:s::up
+load p instances=2 used=8000
+wave 7 4000 1 m1
+advance 100
+load p instances=1 used=8000 lasting=1
+advance 100
+EOT
--- a/regress/sched/lasting.sh
+++ b/regress/sched/lasting.sh
@@ -53,3 +53,24 @@
 advance 60
 commit
 EOT
+
+# Guards against a lasting task that waits for ever in a full pool, since each
+# piece of room that comes free goes to a smaller task.
+play "it gets room in a full pool" <<'EOT'
+pool
+instance i1 cpu=2000
+tick
+report i1 clock=100
+submit b1 2:1000:500
+submit b2 2:1000:500
+commit
+started i1 b1.0.0.0 1 ok
+started i1 b1.0.0.1 1 ok
+submit j1 1:1500:0:lasting
+commit
+advance 20
+report i1 clock=120 run:b1.0.0.1:1:50 end:1:b1.0.0.0:1:done
+commit
+report i1 clock=140 end:2:b1.0.0.1:1:done
+commit
+EOT
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -218,7 +218,14 @@
 	load("record/", sched_pool_load_record);
 	sched_pool_loaded(pool);
 	if (has("former-gone"))
-		sched_pool_former_gone(pool);
+		sched_pool_former_gone(pool, NULL, 0);
+	if (has("left")) {
+		Gw__LeaseLeft lease = GW__LEASE_LEFT__INIT, *list = &lease;
+
+		lease.instance = "i1";
+		lease.left_ms = (uint32_t)number_of("ms", 0);
+		sched_pool_former_gone(pool, &list, 1);
+	}
 }
 
 /* instance ID [machine=] [born=] [cpu=] [mem=] [labels=] [leaving=MS] */
--- a/regress/sched/takeover.sh
+++ b/regress/sched/takeover.sh
@@ -59,6 +59,27 @@
 commit
 EOT
 
+# Guards against a wait that begins anew with every owner: each tells the next
+# how long its leases run.
+play "the former owner tells how long its leases run" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 1:1000:500
+commit
+takeover left ms=1500
+instance i1
+instance i2 dc=dc-b
+tick
+report i2 clock=300
+hold-failed i1 none
+advance 1540
+commit
+advance 15
+commit
+EOT
+
 # Guards against an owner that stands still, is deposed, and goes on: it starts
 # nothing after its lease, and holds nothing beyond the grace time.
 play "an owner whose lease has ended" <<'EOT'
