Take machines on standby as back after the platform's time

Change: it is back after the time that the settings name and a margin. A request whose outcome is unknown is repeated while its caller waits. The table of handed-on leases is made (GLib had logged its absence).

--- a/gwentryd/dispatch.c
+++ b/gwentryd/dispatch.c
@@ -83,27 +83,26 @@
 
 /*
  * Takes the owner's reply. An owner that is not ready yet, or not any more, is
- * asked again for a short while. A refusal after an attempt that may have been
- * taken tells nothing about that one.
+ * asked again for a short while. Once an attempt may have been taken, only an
+ * owner that knows the job tells what came of it: the request, which is
+ * idempotent by the job's id, is repeated while the caller waits.
  */
 static void
 on_reply(const Gw__Reply *reply, void *arg)
 {
 	trip_t *trip = arg;
+	bool is_refused = reply->outcome == GW__CALL_OUTCOME__CALL_REFUSED;
 
-	if (reply->outcome == GW__CALL_OUTCOME__CALL_REFUSED &&
-	    reply->retry_after_ms == 0) {
+	trip->may_be_taken |= reply->outcome == GW__CALL_OUTCOME__CALL_UNKNOWN;
+	if (trip->may_be_taken && reply->outcome != GW__CALL_OUTCOME__CALL_OK &&
+	    reply->outcome != GW__CALL_OUTCOME__CALL_ABSENT)
+		retry_until(trip, UINT64_MAX, "outcome-unknown");
+	else if (is_refused && reply->retry_after_ms == 0)
 		retry_until(trip,
 		    trip->started_us + TAKEOVER_WAIT_MS * GW_US_PER_MS,
 		    "owner-changing");
-		return;
-	}
-	if (reply->outcome == GW__CALL_OUTCOME__CALL_REFUSED &&
-	    trip->may_be_taken) {
-		trip_fail(trip, "outcome-unknown");
-		return;
-	}
-	trip_end(trip, reply);
+	else
+		trip_end(trip, reply);
 }
 
 static void
@@ -139,7 +138,10 @@
 		return;
 	}
 	if (owner == NULL) {
-		trip_fail(trip, "no-owner");
+		if (trip->may_be_taken)
+			retry_until(trip, UINT64_MAX, "no-owner");
+		else
+			trip_fail(trip, "no-owner");
 		return;
 	}
 	peers_call(dispatch->peers, owner, trip->call,
--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -599,6 +599,7 @@
     const plat_settings_t *settings, uint64_t fence, const planner_ops_t *ops,
     void *arg)
 {
+	const fleet_times_t times = {settings->move_ms, settings->maintain_ms};
 	planner_t *planner = g_new0(planner_t, 1);
 
 	planner->rt = rt;
@@ -611,8 +612,8 @@
 	    (settings->order_turn_ms + TURN_MARGIN_MS) * GW_US_PER_MS;
 	planner->ops = ops;
 	planner->arg = arg;
-	planner->fleet = fleet_new(
-	    gw_rt_clock(rt), &fleet_lending_demand, &fleet_ops, planner);
+	planner->fleet = fleet_new(gw_rt_clock(rt), &fleet_lending_demand,
+	    &times, &fleet_ops, planner);
 	if (settings->has_machines)
 		planner->machines = gw_httpc_new(rt, &settings->machines);
 	planner->pools =
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -49,6 +49,8 @@
 	service->arg = arg;
 	service->owners = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)owner_free);
+	service->given_up = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
 	return service;
 }
 
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -9,6 +9,8 @@
 #define MOVE_DRAIN_MAX_US (3 * GW_US_PER_S)
 /* An order without an answer, or refused as busy, is repeated. */
 #define ORDER_RETRY_US (500 * GW_US_PER_MS)
+/* Beyond the time that the platform names for an order. */
+#define AWAY_MARGIN_US (300 * GW_US_PER_MS)
 /* A machine that has not come back by then is read from the list. */
 #define AWAY_MAX_US (4 * GW_US_PER_S)
 #define LIST_EVERY_US (5 * GW_US_PER_S)
@@ -28,12 +30,13 @@
  */
 fleet_t *
 fleet_new(const gw_clock_t *clock, const fleet_lending_t *lending,
-    const fleet_ops_t *ops, void *arg)
+    const fleet_times_t *times, const fleet_ops_t *ops, void *arg)
 {
 	fleet_t *fleet = g_new0(fleet_t, 1);
 
 	fleet->clock = clock;
 	fleet->lending = lending;
+	fleet->times = *times;
 	fleet->ops = ops;
 	fleet->arg = arg;
 	fleet->machines =
@@ -167,9 +170,7 @@
 	    strcmp(machine->at.pool, from->pool) == 0)
 		return;
 	machine->at = *from;
-	if (from->up &&
-	    (from->instance[0] != '\0' ||
-		fleet_pool(fleet, from->pool)->standby))
+	if (from->up && from->instance[0] != '\0')
 		come_back(fleet, machine, from->instance);
 }
 
@@ -338,6 +339,23 @@
 	}
 }
 
+/*
+ * Tells whether a machine that runs no instance must be back by now: nothing
+ * else reports it.
+ */
+static bool
+is_back_on_standby(fleet_t *fleet, const machine_t *machine, uint64_t now_us)
+{
+	uint32_t away_ms = machine->goal == GOAL_MOVE
+	    ? fleet->times.move_ms
+	    : fleet->times.maintain_ms;
+
+	return machine->phase == PHASE_AWAY &&
+	    fleet_pool(fleet, machine->at.pool)->standby &&
+	    gw_elapsed_us(now_us, machine->since_us) >
+	    away_ms * GW_US_PER_MS + AWAY_MARGIN_US;
+}
+
 /*
  * Asks again for what has no answer yet.
  */
@@ -349,7 +367,11 @@
 
 	if (machine->goal == GOAL_NONE)
 		return;
-	if (machine->phase == PHASE_DRAIN && is_off) {
+	if (is_back_on_standby(fleet, machine, now_us)) {
+		machine->goal = GOAL_NONE;
+		machine->at.up = true;
+		machine->at.instance[0] = '\0';
+	} else if (machine->phase == PHASE_DRAIN && is_off) {
 		order(fleet, machine, now_us);
 	} else if (machine->phase == PHASE_DRAIN &&
 	    machine->goal == GOAL_MOVE &&
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -48,8 +48,14 @@
 extern const fleet_lending_t fleet_lending_none; /* baseline: no moves */
 extern const fleet_lending_t fleet_lending_demand;
 
+/* How long a machine is away for an order, from the order's answer. */
+typedef struct {
+	uint32_t move_ms;
+	uint32_t maintain_ms;
+} fleet_times_t;
+
 fleet_t *fleet_new(const gw_clock_t *, const fleet_lending_t *,
-    const fleet_ops_t *, void *arg);
+    const fleet_times_t *, const fleet_ops_t *, void *arg);
 void fleet_free(fleet_t *);
 
 /* A pool as configured, and as its owner reports it. */
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -61,6 +61,7 @@
 struct fleet {
 	const gw_clock_t *clock;
 	const fleet_lending_t *lending;
+	fleet_times_t times;
 	const fleet_ops_t *ops;
 	void *arg;
 	GHashTable *machines; /* name -> machine_t */
--- a/regress/sched/fleet.sh
+++ b/regress/sched/fleet.sh
@@ -96,3 +96,19 @@
 load p instances=1 used=8000 lasting=1
 advance 100
 EOT
+
+# Guards against machines on standby that count as away for ever: they run no
+# instance that could report.
+play_fleet "a machine on standby is back after the platform's time" <<'EOT'
+fleet lend
+pool p
+pool s standby
+list m1:p:i1:up m2:s::up
+load p instances=1 used=8000
+wave 7 20000 1 m2
+advance 100
+ordered m2 ok
+advance 2300
+load p instances=1 used=16000 waiting=60000
+advance 200
+EOT
--- a/regress/sched/fleetplay.c
+++ b/regress/sched/fleetplay.c
@@ -94,10 +94,12 @@
 static void
 do_fleet(void)
 {
+	const fleet_times_t times = {1500, 2000};
+
 	fleet_free(fleet);
 	fleet = fleet_new(&clock_state,
-	    word_count > 1 ? &fleet_lending_demand : &fleet_lending_none, &ops,
-	    NULL);
+	    word_count > 1 ? &fleet_lending_demand : &fleet_lending_none,
+	    &times, &ops, NULL);
 }
 
 /* pool NAME [standby] */
