Let a new planner leave alone only the machines ordered of late

Change: the planner records its orders of late with each write; the next one keeps away from those machines, and counts those of a wave as down.

--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -18,8 +18,9 @@
 /* Beyond the bound between two holders' orders to one machine. */
 #define TURN_MARGIN_MS 400
 #define KEY_BYTES 200
-#define WAVE_RECORD_PREFIX "gw/wave/"
-#define ORDERS_KEY "gw/planner/orders"
+#define RECORD_PREFIX "gw/planner/"
+#define WAVE_RECORD_PREFIX RECORD_PREFIX "wave/"
+#define ORDERS_KEY RECORD_PREFIX "orders"
 #define DONE_WORD "done"
 
 /* An order that waits for its record. */
@@ -29,6 +30,12 @@
 	uint64_t wave;
 } order_t;
 
+/* An order that was recorded, and when. */
+typedef struct {
+	order_t order;
+	uint64_t recorded_us;
+} recent_t;
+
 /* What is recorded of a wave. */
 typedef struct {
 	uint64_t number;
@@ -45,7 +52,8 @@
 	char node[SCHED_NAME_BYTES];
 	char role_key[KEY_BYTES];
 	uint64_t fence;
-	uint64_t first_order_us; /* none before */
+	uint64_t turn_us; /* between two planners' orders to a machine */
+	GArray *recent;	  /* recent_t, no older than turn_us */
 	const planner_ops_t *ops;
 	void *arg;
 	fleet_t *fleet;
@@ -90,6 +98,7 @@
 	gw_httpc_free(planner->machines);
 	g_hash_table_destroy(planner->pools);
 	g_hash_table_destroy(planner->waves);
+	g_array_free(planner->recent, TRUE);
 	g_array_free(planner->orders, TRUE);
 	g_array_free(planner->recording, TRUE);
 	g_ptr_array_free(planner->wave_queue, TRUE);
@@ -467,6 +476,36 @@
 	record->dirty = false;
 }
 
+/*
+ * Adds the record of the orders of late, these included: another planner keeps
+ * away from their machines for a while.
+ */
+static void
+add_orders(planner_t *planner, changes_t *changes, uint64_t now_us)
+{
+	GString *value = g_string_new(NULL);
+
+	for (guint i = planner->recent->len; i-- > 0;)
+		if (gw_elapsed_us(now_us,
+			g_array_index(planner->recent, recent_t, i)
+			    .recorded_us) > planner->turn_us)
+			g_array_remove_index_fast(planner->recent, i);
+	for (guint i = 0; i < planner->orders->len; i++) {
+		recent_t recent = {
+		    g_array_index(planner->orders, order_t, i), now_us};
+
+		g_array_append_val(planner->recent, recent);
+	}
+	for (guint i = 0; i < planner->recent->len; i++) {
+		const order_t *order =
+		    &g_array_index(planner->recent, recent_t, i).order;
+
+		g_string_append_printf(
+		    value, "%s %" PRIu64 "\n", order->machine, order->wave);
+	}
+	add_change(changes, g_strdup(ORDERS_KEY), g_string_free(value, FALSE));
+}
+
 /*
  * Writes what is to be recorded, then sends the orders of that write.
  */
@@ -488,10 +527,8 @@
 		if (record->dirty &&
 		    changes.writes->len + 3 < STORE_TXN_ENTRIES_MAX)
 			add_wave(&changes, record);
-	if (planner->orders->len > 0 && now_us >= planner->first_order_us) {
-		add_change(&changes, g_strdup(ORDERS_KEY),
-		    g_strdup_printf("%s %" PRIu64 " %u", planner->node,
-			planner->fence, planner->orders->len));
+	if (planner->orders->len > 0) {
+		add_orders(planner, &changes, now_us);
 		g_array_append_vals(planner->recording, planner->orders->data,
 		    planner->orders->len);
 		g_array_set_size(planner->orders, 0);
@@ -522,6 +559,24 @@
 			    g_strdup(*line + strlen(DONE_WORD " ")));
 }
 
+/*
+ * Takes the former planner's orders of late.
+ */
+static void
+take_orders(planner_t *planner, const store_item_t *item)
+{
+	g_auto(GStrv) lines = g_strsplit(item->value, "\n", -1);
+
+	for (char **line = lines; *line != NULL; line++) {
+		g_auto(GStrv) words = g_strsplit(*line, " ", 2);
+
+		if (g_strv_length(words) == 2)
+			fleet_ordered_before(planner->fleet, words[0],
+			    g_ascii_strtoull(words[1], NULL, 10),
+			    planner->turn_us / GW_US_PER_MS);
+	}
+}
+
 static void
 plan_wave(planner_t *planner, const plat_wave_t *wave)
 {
@@ -555,8 +610,14 @@
 		    RETRY_MS * GW_US_PER_MS, on_read_retry, planner);
 		return;
 	}
-	for (guint i = 0; i < page->items->len; i++)
-		take_record(planner, page->items->pdata[i]);
+	for (guint i = 0; i < page->items->len; i++) {
+		const store_item_t *item = page->items->pdata[i];
+
+		if (strcmp(item->key, ORDERS_KEY) == 0)
+			take_orders(planner, item);
+		else if (g_str_has_prefix(item->key, WAVE_RECORD_PREFIX))
+			take_record(planner, item);
+	}
 	planner->records_read = true;
 	for (guint i = 0; i < planner->wave_queue->len; i++)
 		plan_wave(planner, planner->wave_queue->pdata[i]);
@@ -567,8 +628,7 @@
 read_records(planner_t *planner)
 {
 	planner->refs++;
-	store_range(
-	    planner->store, WAVE_RECORD_PREFIX, NULL, on_records, planner);
+	store_range(planner->store, RECORD_PREFIX, NULL, on_records, planner);
 }
 
 static void
@@ -584,15 +644,16 @@
 	}
 	if (fleet_wants_list(planner->fleet))
 		list_machines(planner);
-	if (planner->records_read && now_us >= planner->first_order_us)
+	if (planner->records_read)
 		fleet_tick(planner->fleet);
 	gw_timer_start(
 	    planner->rt, timer, TICK_MS * GW_US_PER_MS, on_tick, planner);
 }
 
 /*
- * Begins to plan. A former planner's orders may still be under way: the first
- * order waits for the platform's bound between two holders.
+ * Begins to plan. A former planner's orders may still be under way: machines
+ * that it ordered of late are left alone for the platform's bound between two
+ * holders.
  */
 planner_t *
 planner_new(gw_rt_t *rt, store_t *store, dispatch_t *dispatch,
@@ -608,8 +669,9 @@
 	g_strlcpy(planner->node, settings->node, sizeof(planner->node));
 	roles_key(PLANNER_ROLE, planner->role_key, KEY_BYTES);
 	planner->fence = fence;
-	planner->first_order_us = gw_rt_now_us(rt) +
+	planner->turn_us =
 	    (settings->order_turn_ms + TURN_MARGIN_MS) * GW_US_PER_MS;
+	planner->recent = g_array_new(FALSE, FALSE, sizeof(recent_t));
 	planner->ops = ops;
 	planner->arg = arg;
 	planner->fleet = fleet_new(gw_rt_clock(rt), &fleet_lending_demand,
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -18,8 +18,8 @@
  * are spread so that few claims collide.
  */
 #define CLAIM_BASE_MS 20
-#define CLAIM_PER_ROLE_MS 250
-#define CLAIM_SPREAD_MS 200
+#define CLAIM_PER_ROLE_MS 150
+#define CLAIM_SPREAD_MS 100
 /* Time for all processes of a system that has just started to see the roles. */
 #define CLAIM_START_MS 300
 
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -114,6 +114,18 @@
 	return machine;
 }
 
+void
+fleet_ordered_before(
+    fleet_t *fleet, const char *name, uint64_t wave, uint64_t for_ms)
+{
+	machine_t *machine = machine_get(fleet, name);
+
+	machine->before_until_us =
+	    gw_clock_now_us(fleet->clock) + for_ms * GW_US_PER_MS;
+	machine->before_wave = wave;
+	machine->retry_us = machine->before_until_us;
+}
+
 /*
  * Returns the machine that runs the instance, or NULL.
  */
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -73,6 +73,9 @@
     uint32_t duration_ms, uint32_t at_once_max);
 /* A former planner had the machine maintained. */
 void fleet_wave_known_done(fleet_t *, uint64_t number, const char *machine);
+/* A former planner ordered the machine; it is left alone for a while. */
+void fleet_ordered_before(
+    fleet_t *, const char *machine, uint64_t wave, uint64_t for_ms);
 /* Answers. */
 void fleet_drained(fleet_t *, const char *instance, bool drained);
 void fleet_ordered(fleet_t *, const char *machine, fleet_answer_t);
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -25,6 +25,8 @@
 	uint64_t asked_us; /* the last drain or order */
 	uint64_t retry_us; /* no order before this */
 	uint64_t wave;
+	uint64_t before_until_us;      /* a former planner's order may go on */
+	uint64_t before_wave;	       /* its wave; 0: a move */
 	char target[SCHED_NAME_BYTES]; /* pool of a move */
 	char before[SCHED_NAME_BYTES]; /* instance that the order ended */
 } machine_t;
--- a/lib/sched/fleet_wave.c
+++ b/lib/sched/fleet_wave.c
@@ -81,7 +81,7 @@
  * Counts the machines of the wave that are down for it or may be about to.
  */
 static uint32_t
-under_way(const fleet_t *fleet, const wave_t *wave)
+under_way(const fleet_t *fleet, const wave_t *wave, uint64_t now_us)
 {
 	GHashTableIter iter;
 	machine_t *machine;
@@ -89,8 +89,10 @@
 
 	g_hash_table_iter_init(&iter, fleet->machines);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
-		count += machine->goal == GOAL_MAINTAIN &&
-		    machine->wave == wave->number;
+		count += (machine->goal == GOAL_MAINTAIN &&
+			     machine->wave == wave->number) ||
+		    (machine->before_wave == wave->number &&
+			now_us < machine->before_until_us);
 	return count;
 }
 
@@ -196,7 +198,7 @@
 work_on(fleet_t *fleet, wave_t *wave, uint64_t now_us)
 {
 	uint32_t left = count_left(fleet, wave);
-	uint32_t busy = under_way(fleet, wave);
+	uint32_t busy = under_way(fleet, wave, now_us);
 	uint32_t needed = needed_at_once(wave, left, now_us);
 
 	if (!wave->running_said) {
--- a/regress/sched/fleet.sh
+++ b/regress/sched/fleet.sh
@@ -112,3 +112,18 @@
 load p instances=1 used=16000 waiting=60000
 advance 200
 EOT
+
+# Guards against two planners whose orders to one machine take turns, and against
+# too many machines down while the former planner's orders go on.
+play_fleet "machines that a former planner ordered are left alone" <<'EOT'
+fleet
+pool p
+pool s standby
+before m1 7 3400
+list m1:s::up m2:s::up m3:s::up
+wave 7 20000 2 m1 m2 m3
+advance 200
+ordered m2 ok
+advance 2400
+advance 1000
+EOT
--- a/regress/sched/fleetplay.c
+++ b/regress/sched/fleetplay.c
@@ -179,6 +179,14 @@
 	fleet_wave_known_done(fleet, strtoull(words[1], NULL, 10), words[2]);
 }
 
+/* before MACHINE WAVE MS */
+static void
+do_before(void)
+{
+	fleet_ordered_before(fleet, words[1], strtoull(words[2], NULL, 10),
+	    strtoull(words[3], NULL, 10));
+}
+
 static void
 do_drained(void)
 {
@@ -227,6 +235,7 @@
     {"load", 2, do_load},
     {"wave", 5, do_wave},
     {"known-done", 3, do_known_done},
+    {"before", 4, do_before},
     {"drained", 2, do_drained},
     {"ordered", 3, do_ordered},
     {"advance", 2, do_advance},
