--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -222,6 +222,7 @@
 	reply.load = &load;
 	cb(&reply, arg);
 	g_free(load.idle_instances);
+	g_free(load.lasting_instances);
 }
 
 /*
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -154,7 +154,8 @@
 
 /*
  * Sums up the pool for the planner. The strings belong to the pool, the list of
- * idle instances is freed with g_free().
+ * idle and of lasting instances are freed with
+ * g_free().
  */
 void
 sched_pool_load_of(const sched_pool_t *pool, Gw__PoolLoad *load)
@@ -166,6 +167,8 @@
 	gw__pool_load__init(load);
 	load->idle_instances =
 	    g_new0(char *, g_hash_table_size(pool->instances) + 1);
+	load->lasting_instances =
+	    g_new0(char *, g_hash_table_size(pool->instances) + 1);
 	g_hash_table_iter_init(&iter, pool->instances);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
 		if (!sched_instance_usable(instance, now_us))
@@ -178,6 +181,9 @@
 		if (instance->tasks->len == 0)
 			load->idle_instances[load->n_idle_instances++] =
 			    instance->info.id;
+		else if (sched_instance_hosts_lasting(instance))
+			load->lasting_instances[load->n_lasting_instances++] =
+			    instance->info.id;
 	}
 	for (guint i = 0; i < pool->open->len; i++) {
 		const sched_job_t *job = pool->open->pdata[i];
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -22,6 +22,7 @@
 	pool_t *pool = data;
 
 	g_hash_table_destroy(pool->idle);
+	g_hash_table_destroy(pool->lasting);
 	g_free(pool);
 }
 
@@ -72,6 +73,8 @@
 	g_strlcpy(pool->name, name, sizeof(pool->name));
 	pool->idle =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	pool->lasting =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_hash_table_insert(fleet->pools, pool->name, pool);
 	return pool;
 }
@@ -82,6 +85,14 @@
 	fleet_pool(fleet, name)->standby = standby;
 }
 
+static void
+set_names(GHashTable *names, char *const *from, size_t count)
+{
+	g_hash_table_remove_all(names);
+	for (size_t i = 0; i < count; i++)
+		g_hash_table_add(names, g_strdup(from[i]));
+}
+
 void
 fleet_set_load(fleet_t *fleet, const char *name, const Gw__PoolLoad *load)
 {
@@ -96,9 +107,9 @@
 	pool->used_memory_mib = load->used_memory_mib;
 	pool->waiting_memory_mib_ms = load->waiting_memory_mib_ms;
 	pool->lasting_waiting = load->lasting_waiting;
-	g_hash_table_remove_all(pool->idle);
-	for (size_t i = 0; i < load->n_idle_instances; i++)
-		g_hash_table_add(pool->idle, g_strdup(load->idle_instances[i]));
+	set_names(pool->idle, load->idle_instances, load->n_idle_instances);
+	set_names(
+	    pool->lasting, load->lasting_instances, load->n_lasting_instances);
 }
 
 static machine_t *
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -43,7 +43,8 @@
 	uint64_t used_memory_mib;
 	uint64_t waiting_memory_mib_ms;
 	uint32_t lasting_waiting;
-	GHashTable *idle; /* instance -> NULL */
+	GHashTable *idle;    /* instance -> NULL */
+	GHashTable *lasting; /* instances that never become idle */
 	uint64_t surplus_since_us;
 	uint32_t wanted; /* machines, as the lending policy has it */
 	uint64_t hot_us; /* when it last needed more than it had */
--- a/lib/sched/fleet_wave.c
+++ b/lib/sched/fleet_wave.c
@@ -145,11 +145,29 @@
 }
 
 /*
- * Returns the machine to take next: an idle one, which costs nothing; a busy
- * one only when time calls for it, and not too many of one pool.
+ * Tells whether a busy machine may be taken: one with lasting tasks never
+ * becomes idle, so that it is taken early, one of a pool at a time; others only
+ * when time calls for it, and not too many of one pool.
+ */
+static bool
+may_take_busy(
+    fleet_t *fleet, const machine_t *machine, bool time_calls, uint32_t away)
+{
+	pool_t *pool = fleet_pool(fleet, machine->at.pool);
+
+	if (g_hash_table_contains(pool->lasting, machine->at.instance))
+		return away == 0;
+	return time_calls &&
+	    away * 100 <=
+	    POOL_SHARE_PERCENT * fleet_pool_machines(fleet, machine->at.pool);
+}
+
+/*
+ * Returns the machine to take next: an idle one, which costs nothing, else a
+ * busy one of the pool that has the fewest away.
  */
 static machine_t *
-choose(fleet_t *fleet, const wave_t *wave, bool may_be_busy, uint64_t now_us)
+choose(fleet_t *fleet, const wave_t *wave, bool time_calls, uint64_t now_us)
 {
 	machine_t *best = NULL;
 	uint32_t best_away = 0;
@@ -164,9 +182,7 @@
 		if (fleet_is_idle(fleet, machine))
 			return machine;
 		away = away_of_pool(fleet, machine->at.pool);
-		if (!may_be_busy ||
-		    away * 100 > POOL_SHARE_PERCENT *
-			    fleet_pool_machines(fleet, machine->at.pool))
+		if (!may_take_busy(fleet, machine, time_calls, away))
 			continue;
 		if (best == NULL || away < best_away) {
 			best = machine;
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -211,6 +211,7 @@
 sched_instance_t *sched_instance_get(sched_pool_t *, const char *id);
 void sched_instance_free(gpointer);
 bool sched_instance_usable(const sched_instance_t *, uint64_t now_us);
+bool sched_instance_hosts_lasting(const sched_instance_t *);
 void sched_instance_take(sched_instance_t *, sched_task_t *);
 void sched_instance_release(sched_task_t *);
 uint64_t sched_instance_clock_ms(const sched_instance_t *, uint64_t now_us);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -56,6 +56,18 @@
 	    now_us >= instance->drain_until_us;
 }
 
+/*
+ * Tells whether a lasting task is placed on the instance.
+ */
+bool
+sched_instance_hosts_lasting(const sched_instance_t *instance)
+{
+	for (guint i = 0; i < instance->tasks->len; i++)
+		if (sched_task_step(instance->tasks->pdata[i])->lasting)
+			return true;
+	return false;
+}
+
 /*
  * Places the task on the instance and takes its room.
  */
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -75,15 +75,6 @@
 	    count_step(instance, task) < step->max_per_instance;
 }
 
-static bool
-hosts_lasting(const sched_instance_t *instance)
-{
-	for (guint i = 0; i < instance->tasks->len; i++)
-		if (sched_task_step(instance->tasks->pdata[i])->lasting)
-			return true;
-	return false;
-}
-
 /*
  * Rates an instance that fits; lower is better. Away from the data a task is
  * slower; where it failed it may fail again; in another data centre the order
@@ -107,7 +98,7 @@
 	if (step->lasting) {
 		if (count_step(instance, task) >= LASTING_TOGETHER)
 			rating += UINT64_C(1) << 48;
-		if (!hosts_lasting(instance))
+		if (!sched_instance_hosts_lasting(instance))
 			rating += UINT64_C(1) << 47;
 	}
 	if (strcmp(instance->info.data_centre, pool->data_centre) != 0)
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3661,7 +3661,7 @@
   (ProtobufCMessageInit) gw__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[10] =
 {
   {
     "instances",
@@ -3771,12 +3771,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lasting_instances",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gw__PoolLoad, n_lasting_instances),
+    offsetof(Gw__PoolLoad, lasting_instances),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__pool_load__field_indices_by_name[] = {
   1,   /* field[1] = capacity_cpu_millis */
   5,   /* field[5] = capacity_memory_mib */
   4,   /* field[4] = idle_instances */
   0,   /* field[0] = instances */
+  9,   /* field[9] = lasting_instances */
   8,   /* field[8] = lasting_waiting */
   2,   /* field[2] = used_cpu_millis */
   6,   /* field[6] = used_memory_mib */
@@ -3786,7 +3799,7 @@
 static const ProtobufCIntRange gw__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gw__pool_load__descriptor =
 {
@@ -3796,7 +3809,7 @@
   "Gw__PoolLoad",
   "gw",
   sizeof(Gw__PoolLoad),
-  9,
+  10,
   gw__pool_load__field_descriptors,
   gw__pool_load__field_indices_by_name,
   1,  gw__pool_load__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -581,10 +581,15 @@
    * Lasting tasks that no instance has room for.
    */
   uint32_t lasting_waiting;
+  /*
+   * Instances that run lasting tasks, and so never become idle.
+   */
+  size_t n_lasting_instances;
+  char **lasting_instances;
 };
 #define GW__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__pool_load__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 /*
