--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -15,7 +15,7 @@
 /* Events are gathered for this long before the pool decides. */
 #define KICK_MS 2
 /* Pause between writes, so that each holds what came in the meantime. */
-#define COMMIT_PAUSE_MS 6
+#define COMMIT_PAUSE_MS 20
 #define RETRY_MIN_MS 40
 #define RETRY_MAX_MS 400
 /* Writes that fail for so long mean that the store takes none. */
