--- a/regress/base/http_test.c
+++ b/regress/base/http_test.c
@@ -46,13 +46,16 @@
 test_call_outcomes(void)
 {
 	gw_httpd_limits_t limits = {1024, 1000, 16};
-	gw_rt_t *rt = gw_rt_new();
-	result_t result = {.rt = rt};
+	/* Not freed, as libh2o keeps the connection of the open request. */
+	static gw_httpd_t *httpd;
+	static gw_rt_t *rt;
+	result_t result = {0};
 	gw_addr_t addr, bound;
-	gw_httpd_t *httpd;
 	gw_httpc_t *client, *nobody;
 	gw_err_t err;
 
+	rt = gw_rt_new();
+	result.rt = rt;
 	httpd = gw_httpd_new(rt, &limits, echo, NULL);
 	g_assert_cmpint(gw_addr_parse(&addr, "127.0.0.1:0", &err), ==, 0);
 	g_assert_cmpint(gw_httpd_listen(httpd, &addr, &bound, &err), ==, 0);
