Own pools in parts

Change: jobs and instances belong to a part by hash; the number of parts is set once by the size of the pools. A full page of ends proves nothing missing.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -7,9 +7,11 @@
 #include "front.h"
 #include "gw/log.h"
 #include "http/httpd.h"
+#include "layout.h"
 #include "planner.h"
 #include "platform/kv.h"
 #include "roles.h"
+#include "sched/parts.h"
 #include "service.h"
 #include "stats.h"
 #include "view.h"
@@ -43,6 +45,7 @@
 	planner_t *planner; /* NULL unless this process plans */
 	dispatch_t *dispatch;
 	front_t *front;
+	layout_t *layout;
 	gw_httpd_t *ready;
 	stats_t *stats;
 	gw_timer_t drain;
@@ -82,7 +85,8 @@
 start_planner(entry_t *entry, uint64_t fence)
 {
 	entry->planner = planner_new(entry->rt, entry->store, entry->dispatch,
-	    &entry->settings, fence, &planner_ops, entry);
+	    &entry->settings, fence, layout_parts(entry->layout), &planner_ops,
+	    entry);
 	if (view_config(entry->view) != NULL)
 		planner_set_config(entry->planner, view_config(entry->view));
 	view_replay(entry->view, plan_instance, entry->planner);
@@ -206,6 +210,53 @@
 
 /* From the view. */
 
+/*
+ * Lets this process claim the parts of all pools, and the planner's role.
+ */
+static void
+want_roles(entry_t *entry)
+{
+	const sched_config_t *config = view_config(entry->view);
+	uint32_t parts = layout_parts(entry->layout);
+	char name[PARTS_NAME_BYTES];
+
+	if (config == NULL || parts == 0)
+		return;
+	if (entry->settings.has_machines)
+		roles_want(entry->roles, PLANNER_ROLE);
+	for (guint i = 0; i < config->pools->len; i++) {
+		const sched_pool_config_t *pool =
+		    &g_array_index(config->pools, sched_pool_config_t, i);
+
+		for (uint32_t part = 0; part < parts; part++) {
+			parts_name(pool->name, part, parts, name);
+			roles_want(entry->roles, name);
+		}
+	}
+}
+
+static uint32_t
+largest_pool(void *arg)
+{
+	entry_t *entry = arg;
+
+	view_want_instances(entry->view);
+	return view_largest_pool(entry->view);
+}
+
+static void
+on_layout(uint32_t parts, void *arg)
+{
+	entry_t *entry = arg;
+
+	service_set_parts(entry->service, parts);
+	front_set_parts(entry->front, parts);
+	want_roles(entry);
+}
+
+static const layout_ops_t layout_ops = {
+    .largest_pool = largest_pool, .on_known = on_layout};
+
 static void
 on_config(const sched_config_t *config, void *arg)
 {
@@ -214,11 +265,7 @@
 	front_set_config(entry->front, config);
 	if (entry->planner != NULL)
 		planner_set_config(entry->planner, config);
-	if (entry->settings.has_machines)
-		roles_want(entry->roles, PLANNER_ROLE);
-	for (guint i = 0; i < config->pools->len; i++)
-		roles_want(entry->roles,
-		    g_array_index(config->pools, sched_pool_config_t, i).name);
+	want_roles(entry);
 }
 
 static void
@@ -346,7 +393,8 @@
 	entry->service = service_new(rt, entry->store, settings->data_centre,
 	    &settings->bounds, &owner_ops, entry);
 	entry->roles = roles_new(rt, entry->store, settings->node,
-	    gw_addr_text(&peer, entry->peer_address), &roles_ops, entry);
+	    gw_addr_text(&peer, entry->peer_address), settings->cpu_permille,
+	    &roles_ops, entry);
 	entry->dispatch =
 	    dispatch_new(rt, entry->roles, &peer, on_call, entry, err);
 	if (entry->dispatch == NULL)
@@ -356,6 +404,7 @@
 	if (entry->front == NULL || listen_ready(entry, err) != 0)
 		goto fail;
 	entry->view = view_new(rt, entry->store, &view_ops, entry);
+	entry->layout = layout_new(rt, entry->store, &layout_ops, entry);
 	return entry;
 fail:
 	/* The process ends with the error; its sockets go with it. */
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -8,6 +8,7 @@
 #include "gw/log.h"
 #include "http/httpd.h"
 #include "platform/caller.h"
+#include "sched/parts.h"
 
 #define BODY_MAX_BYTES (1024 * 1024)
 #define IDLE_TIMEOUT_MS 60000
@@ -34,6 +35,7 @@
 	stats_t *stats;
 	gw_httpd_t *httpd;
 	const sched_config_t *config;
+	uint32_t parts; /* in which each pool is owned; 0: not known yet */
 	uint32_t requests;
 };
 
@@ -46,7 +48,9 @@
 	char queue[SCHED_NAME_BYTES];
 	uint64_t arrived_us;
 	gw_timer_t deadline;
-	bool waiting; /* for the owner's reply */
+	uint32_t waiting; /* replies of owners that are still to come */
+	uint32_t pending; /* the sum of those that came */
+	bool failed;	  /* one did not tell */
 	uint32_t refs;
 } request_t;
 
@@ -165,7 +169,7 @@
 		    request, STATUS_OK, plat_state_body(reply->state), "ok", 0);
 		return;
 	case GW__CALL_KIND__CALL_PENDING:
-		plat_pending_body(body, sizeof(body), reply->pending);
+		plat_pending_body(body, sizeof(body), request->pending);
 		answer(request, STATUS_OK, body, "ok", 0);
 		return;
 	default:
@@ -173,6 +177,19 @@
 	}
 }
 
+/*
+ * Sums up the replies of a pool's parts. One that is missing leaves the sum
+ * unknown.
+ */
+static bool
+all_parts_replied(request_t *request, const Gw__Reply *reply)
+{
+	request->waiting--;
+	request->pending += reply->pending;
+	request->failed |= reply->outcome != GW__CALL_OUTCOME__CALL_OK;
+	return request->waiting == 0 || request->failed;
+}
+
 /*
  * Turns the owner's reply into the answer. Refused means that nothing was
  * taken; a read that got no reply is safe to repeat in any case.
@@ -186,7 +203,10 @@
 	const char *reason = reply->reason == NULL ? "" : reply->reason;
 	char body[96];
 
-	request->waiting = false;
+	if (!all_parts_replied(request, reply)) {
+		request_unref(request);
+		return;
+	}
 	(void)snprintf(body, sizeof(body), "{\"error\":\"%.60s\"}", reason);
 	if (reply->outcome == GW__CALL_OUTCOME__CALL_OK)
 		answer_ok(request, reply);
@@ -235,23 +255,47 @@
 						: wait_ms / 2;
 }
 
+/*
+ * Sends the request to the owner of one part of the pool.
+ */
+static void
+send_to_part(
+    request_t *request, Gw__Call *call, const char *pool, uint32_t part)
+{
+	front_t *front = request->front;
+	uint64_t wait_ms = deadline_ms(request->req);
+	char name[PARTS_NAME_BYTES];
+
+	parts_name(pool, part, front->parts, name);
+	call->pool = name;
+	request->refs++;
+	dispatch_call(front->dispatch, call, wait_ms, on_reply, request);
+}
+
+/*
+ * Passes the request on to the owner of the job, or, to count a queue, to the
+ * owners of all parts of its pool.
+ */
 static void
 pass_on(request_t *request, const sched_queue_t *queue, Gw__JobSpec *spec)
 {
+	front_t *front = request->front;
+	bool is_count = request->kind == GW__CALL_KIND__CALL_PENDING;
+	uint32_t first = is_count ? 0 : parts_of(request->id, front->parts);
+	uint32_t count = is_count ? front->parts : 1;
 	Gw__Call call = GW__CALL__INIT;
-	uint64_t wait_ms = deadline_ms(request->req);
 
 	call.kind = request->kind;
-	call.pool = (char *)queue->pool;
 	call.queue = queue->name;
 	call.id = request->id;
 	call.spec = spec;
-	request->waiting = true;
+	request->waiting = count;
+	gw_timer_start(front->rt, &request->deadline,
+	    deadline_ms(request->req) * GW_US_PER_MS, on_deadline, request);
 	request->refs++;
-	gw_timer_start(request->front->rt, &request->deadline,
-	    wait_ms * GW_US_PER_MS, on_deadline, request);
-	dispatch_call(
-	    request->front->dispatch, &call, wait_ms, on_reply, request);
+	for (uint32_t i = 0; i < count && request->req != NULL; i++)
+		send_to_part(request, &call, queue->pool, first + i);
+	request_unref(request);
 }
 
 static void
@@ -306,7 +350,7 @@
 	size_t prefix_bytes;
 	bool has_id;
 
-	if (front->config == NULL) {
+	if (front->config == NULL || front->parts == 0) {
 		refuse(request, STATUS_UNAVAILABLE, "no-configuration");
 		return 0;
 	}
@@ -361,6 +405,12 @@
 	front->config = config;
 }
 
+void
+front_set_parts(front_t *front, uint32_t parts)
+{
+	front->parts = parts;
+}
+
 void
 front_shutdown(front_t *front)
 {
--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -8,6 +8,7 @@
 #include "platform/machines.h"
 #include "roles.h"
 #include "sched/fleet.h"
+#include "sched/parts.h"
 
 #define TICK_MS 100
 #define LOAD_EVERY_MS 200
@@ -52,6 +53,7 @@
 	char node[SCHED_NAME_BYTES];
 	char role_key[KEY_BYTES];
 	uint64_t fence;
+	uint32_t parts;	  /* in which each pool is owned */
 	uint64_t turn_us; /* between two planners' orders to a machine */
 	GArray *recent;	  /* recent_t, no older than turn_us */
 	const planner_ops_t *ops;
@@ -74,10 +76,10 @@
 	bool dead;
 };
 
-/* An order's call, for its answer. */
+/* A call, and the machine, instance or part that it is about. */
 typedef struct {
 	planner_t *planner;
-	char machine[SCHED_NAME_BYTES];
+	char machine[PARTS_NAME_BYTES];
 } asked_t;
 
 static void flush(planner_t *);
@@ -144,14 +146,27 @@
 	g_free(asked);
 }
 
+/*
+ * Names the part of the pool to which the instance belongs.
+ */
+static void
+part_of(const planner_t *planner, const char *pool, const char *instance,
+    char out[PARTS_NAME_BYTES])
+{
+	parts_name(
+	    pool, parts_of(instance, planner->parts), planner->parts, out);
+}
+
 static void
 on_drain(const char *pool, const char *instance, void *arg)
 {
 	planner_t *planner = arg;
 	Gw__Call call = GW__CALL__INIT;
+	char part[PARTS_NAME_BYTES];
 
+	part_of(planner, pool, instance, part);
 	call.kind = GW__CALL_KIND__CALL_DRAIN;
-	call.pool = (char *)pool;
+	call.pool = part;
 	call.instance = (char *)instance;
 	dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS, on_drain_reply,
 	    asked_new(planner, instance));
@@ -162,9 +177,11 @@
 {
 	planner_t *planner = arg;
 	Gw__Call call = GW__CALL__INIT;
+	char part[PARTS_NAME_BYTES];
 
+	part_of(planner, pool, instance, part);
 	call.kind = GW__CALL_KIND__CALL_DRAIN;
-	call.pool = (char *)pool;
+	call.pool = part;
 	call.instance = (char *)instance;
 	call.ended = true;
 	/* The reply tells nothing more; a lost call is made up for by the
@@ -178,13 +195,28 @@
 {
 	asked_t *asked = arg;
 	planner_t *planner = asked->planner;
+	char pool[PARTS_NAME_BYTES];
+	uint32_t part = parts_split(asked->machine, pool);
 
 	if (call_ended(planner) &&
 	    reply->outcome == GW__CALL_OUTCOME__CALL_OK && reply->load != NULL)
-		fleet_set_load(planner->fleet, asked->machine, reply->load);
+		fleet_set_load(planner->fleet, pool, part, reply->load);
 	g_free(asked);
 }
 
+static void
+ask_load(planner_t *planner, const char *pool, uint32_t part)
+{
+	Gw__Call call = GW__CALL__INIT;
+	char name[PARTS_NAME_BYTES];
+
+	parts_name(pool, part, planner->parts, name);
+	call.kind = GW__CALL_KIND__CALL_LOAD;
+	call.pool = name;
+	dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS, on_load_reply,
+	    asked_new(planner, name));
+}
+
 static void
 ask_loads(planner_t *planner)
 {
@@ -192,14 +224,9 @@
 	gpointer pool;
 
 	g_hash_table_iter_init(&iter, planner->pools);
-	while (g_hash_table_iter_next(&iter, &pool, NULL)) {
-		Gw__Call call = GW__CALL__INIT;
-
-		call.kind = GW__CALL_KIND__CALL_LOAD;
-		call.pool = pool;
-		dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS,
-		    on_load_reply, asked_new(planner, pool));
-	}
+	while (g_hash_table_iter_next(&iter, &pool, NULL))
+		for (uint32_t part = 0; part < planner->parts; part++)
+			ask_load(planner, pool, part);
 }
 
 /* The platform's machines. */
@@ -657,8 +684,8 @@
  */
 planner_t *
 planner_new(gw_rt_t *rt, store_t *store, dispatch_t *dispatch,
-    const plat_settings_t *settings, uint64_t fence, const planner_ops_t *ops,
-    void *arg)
+    const plat_settings_t *settings, uint64_t fence, uint32_t parts,
+    const planner_ops_t *ops, void *arg)
 {
 	const fleet_times_t times = {settings->move_ms, settings->maintain_ms};
 	planner_t *planner = g_new0(planner_t, 1);
@@ -669,6 +696,7 @@
 	g_strlcpy(planner->node, settings->node, sizeof(planner->node));
 	roles_key(PLANNER_ROLE, planner->role_key, KEY_BYTES);
 	planner->fence = fence;
+	planner->parts = parts;
 	planner->turn_us =
 	    (settings->order_turn_ms + TURN_MARGIN_MS) * GW_US_PER_MS;
 	planner->recent = g_array_new(FALSE, FALSE, sizeof(recent_t));
--- a/gwentryd/planner.h
+++ b/gwentryd/planner.h
@@ -21,7 +21,8 @@
 } planner_ops_t;
 
 planner_t *planner_new(gw_rt_t *, store_t *, dispatch_t *,
-    const plat_settings_t *, uint64_t fence, const planner_ops_t *, void *arg);
+    const plat_settings_t *, uint64_t fence, uint32_t parts,
+    const planner_ops_t *, void *arg);
 void planner_free(planner_t *);
 void planner_set_config(planner_t *, const sched_config_t *);
 void planner_set_wave(planner_t *, const plat_wave_t *);
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -20,6 +20,9 @@
 #define CLAIM_BASE_MS 20
 #define CLAIM_PER_ROLE_MS 150
 #define CLAIM_SPREAD_MS 100
+/* A process with little processor time comes later by up to this. */
+#define CLAIM_WEAK_MS 200
+#define CPU_STRONG_PERMILLE 500
 /* Time for all processes of a system that has just started to see the roles. */
 #define CLAIM_START_MS 300
 
@@ -50,6 +53,7 @@
 	uint64_t sent_us; /* when the request under way was sent */
 	uint64_t valid_until_us;
 	uint64_t started_us;
+	uint32_t weak_ms;
 	bool listed;
 	bool store_lost;
 	bool released;
@@ -218,7 +222,7 @@
 		return;
 	role->owned_then = owned(roles);
 	delay_us = (CLAIM_BASE_MS + CLAIM_PER_ROLE_MS * role->owned_then +
-		       spread(role) % CLAIM_SPREAD_MS) *
+		       role->roles->weak_ms + spread(role) % CLAIM_SPREAD_MS) *
 	    GW_US_PER_MS;
 	if (now_us < roles->started_us + CLAIM_START_MS * GW_US_PER_MS)
 		delay_us += CLAIM_START_MS * GW_US_PER_MS;
@@ -386,7 +390,7 @@
  */
 roles_t *
 roles_new(gw_rt_t *rt, store_t *store, const char *node, const char *address,
-    const roles_ops_t *ops, void *arg)
+    uint32_t cpu_permille, const roles_ops_t *ops, void *arg)
 {
 	roles_t *roles;
 
@@ -396,6 +400,9 @@
 	g_strlcpy(roles->node, node, sizeof(roles->node));
 	g_strlcpy(roles->address, address, sizeof(roles->address));
 	gw_id_random(roles->boot);
+	roles->weak_ms = CLAIM_WEAK_MS *
+	    (CPU_STRONG_PERMILLE - MIN(cpu_permille, CPU_STRONG_PERMILLE)) /
+	    CPU_STRONG_PERMILLE;
 	roles->ops = ops;
 	roles->arg = arg;
 	roles->started_us = gw_rt_now_us(rt);
--- a/gwentryd/roles.h
+++ b/gwentryd/roles.h
@@ -30,8 +30,9 @@
 	void (*on_lose)(const char *role, const char *reason, void *arg);
 } roles_ops_t;
 
+/* cpu_permille: processor time of this process; weaker ones claim later. */
 roles_t *roles_new(gw_rt_t *, store_t *, const char *node, const char *address,
-    const roles_ops_t *, void *arg);
+    uint32_t cpu_permille, const roles_ops_t *, void *arg);
 void roles_free(roles_t *);
 void roles_want(roles_t *, const char *name);
 /* Address of the owner, or NULL when none is known. */
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -4,6 +4,7 @@
 
 #include "gw/log.h"
 #include "roles.h"
+#include "sched/parts.h"
 #include "service.h"
 
 /* When the store takes no writes: outages last for seconds. */
@@ -20,6 +21,7 @@
 	void *arg;
 	GHashTable *owners;   /* pool -> owner_t */
 	GHashTable *given_up; /* pool -> GArray of sched_lease_t */
+	uint32_t parts;	      /* in which each pool is owned */
 	bool closing;
 };
 
@@ -97,17 +99,20 @@
 void
 service_set_instance(service_t *service, const sched_info_t *info)
 {
-	owner_t *owner = service_owner(service, info->pool);
 	GHashTableIter iter;
+	owner_t *owner;
 	gpointer name;
 
-	if (owner != NULL)
-		owner_set_instance(owner, info);
-	/* It may have belonged to another pool before. */
 	g_hash_table_iter_init(&iter, service->owners);
 	while (g_hash_table_iter_next(&iter, &name, (gpointer *)&owner)) {
+		char pool[PARTS_NAME_BYTES];
+		uint32_t part = parts_split(name, pool);
+
 		sched_pool_machine_runs(owner_pool(owner), info);
-		if (strcmp(name, info->pool) != 0)
+		if (strcmp(pool, info->pool) == 0 &&
+		    part == parts_of(info->id, service->parts))
+			owner_set_instance(owner, info);
+		else /* It may have belonged to this pool before. */
 			owner_remove_instance(owner, info->id);
 	}
 }
@@ -340,6 +345,12 @@
 	}
 }
 
+void
+service_set_parts(service_t *service, uint32_t parts)
+{
+	service->parts = parts;
+}
+
 void
 service_close(service_t *service)
 {
--- a/gwentryd/view.c
+++ b/gwentryd/view.c
@@ -206,3 +206,24 @@
 	for (guint i = 0; i < view->waves->len; i++)
 		cb(view->waves->pdata[i], arg);
 }
+
+uint32_t
+view_largest_pool(const view_t *view)
+{
+	g_autoptr(GHashTable) counts =
+	    g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	sched_info_t *info;
+	uint32_t largest = 0;
+
+	g_hash_table_iter_init(&iter, view->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&info)) {
+		uint32_t count = 1 +
+		    GPOINTER_TO_UINT(g_hash_table_lookup(counts, info->pool));
+
+		g_hash_table_insert(
+		    counts, info->pool, GUINT_TO_POINTER(count));
+		largest = MAX(largest, count);
+	}
+	return largest;
+}
--- a/gwentryd/view.h
+++ b/gwentryd/view.h
@@ -24,6 +24,8 @@
 void view_free(view_t *);
 /* Begins to follow the instances, which only owners need. */
 void view_want_instances(view_t *);
+/* The most instances that a pool has; 0 before the registry was read. */
+uint32_t view_largest_pool(const view_t *);
 /* NULL before the first one was read. */
 const sched_config_t *view_config(const view_t *);
 /* Reports every known instance again, for a new owner. */
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -20,7 +20,7 @@
 static uint32_t
 machines_for(const pool_t *pool, uint64_t need, uint64_t capacity)
 {
-	uint64_t each = MAX(capacity / pool->instances, 1);
+	uint64_t each = MAX(capacity / pool->sum.instances, 1);
 
 	return (uint32_t)((need + each - 1) / each);
 }
@@ -63,21 +63,21 @@
 
 		if (pool->standby)
 			continue;
-		if (pool->instances == 0) {
+		if (pool->sum.instances == 0) {
 			pool->wanted = MAX(pool->wanted, MACHINES_MIN);
 			continue;
 		}
 		by_cpu = machines_for(pool,
-		    pool->used_cpu_millis +
-			pool->waiting_cpu_ms * 1000 / BACKLOG_MS,
-		    pool->capacity_cpu_millis);
+		    pool->sum.used_cpu_millis +
+			pool->sum.waiting_cpu_ms * 1000 / BACKLOG_MS,
+		    pool->sum.capacity_cpu_millis);
 		by_memory = machines_for(pool,
-		    pool->used_memory_mib +
-			pool->waiting_memory_mib_ms / BACKLOG_MS,
-		    pool->capacity_memory_mib);
+		    pool->sum.used_memory_mib +
+			pool->sum.waiting_memory_mib_ms / BACKLOG_MS,
+		    pool->sum.capacity_memory_mib);
 		pool->wanted =
 		    MAX(MACHINES_MIN, MAX(by_cpu, by_memory) + RESERVE);
-		if (pool->lasting_waiting > 0)
+		if (pool->sum.lasting_waiting > 0)
 			pool->wanted = MAX(pool->wanted, one_more(fleet, pool));
 	}
 }
@@ -243,8 +243,8 @@
 		    " load_age_ms=%" PRIu64,
 		    pool->name, pool->standby,
 		    fleet_pool_machines(fleet, pool->name), pool->wanted,
-		    pool->instances, g_hash_table_size(pool->idle),
-		    pool->used_cpu_millis, pool->waiting_cpu_ms,
+		    pool->sum.instances, g_hash_table_size(pool->idle),
+		    pool->sum.used_cpu_millis, pool->sum.waiting_cpu_ms,
 		    gw_elapsed_us(now_us, pool->load_us) / GW_US_PER_MS);
 }
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -16,6 +16,8 @@
 #define SCHED_HOLD_PAUSE_US (15 * GW_US_PER_MS)
 /* A start without an answer is sent again after this. */
 #define SCHED_START_RETRY_US (400 * GW_US_PER_MS)
+/* Ends that one report lists at most. */
+#define SCHED_ENDS_PAGE 500
 /* A failed hold is tried again after this. */
 #define SCHED_HOLD_RETRY_US (150 * GW_US_PER_MS)
 /* Acknowledgements are sent only on a report as fresh as this. */
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -558,7 +558,9 @@
 			take_end(instance, &report->ends[i], now_us);
 	for (uint32_t i = 0; i < report->running_count; i++)
 		take_running(instance, &report->running[i], sent_us, now_us);
-	requeue_missing(instance, report, sent_us);
+	/* A full page may leave out the end of a run that is not listed. */
+	if (report->end_count < SCHED_ENDS_PAGE)
+		requeue_missing(instance, report, sent_us);
 	if (instance->tasks->len > 0 || report->running_count > 0)
 		sched_instance_hold_at(instance, now_us + SCHED_HOLD_PAUSE_US);
 	else if (instance->seen_number > instance->ack_number)
--- /dev/null
+++ b/lib/sched/parts.c
@@ -0,0 +1,59 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <xxhash.h>
+
+#include "sched/parts.h"
+
+/*
+ * Instances that one owner looks after: a pool's surge of five times its mean
+ * then takes about a tenth of a core of its owner.
+ */
+#define INSTANCES_PER_PART 14
+/* Does not occur in names of pools, which are host labels. */
+#define SEPARATOR '~'
+
+uint32_t
+parts_for(uint32_t instances)
+{
+	uint32_t count =
+	    (instances + INSTANCES_PER_PART - 1) / INSTANCES_PER_PART;
+
+	return CLAMP(count, 1, PARTS_MAX);
+}
+
+/*
+ * Returns the part that a job or an instance belongs to.
+ */
+uint32_t
+parts_of(const char *id, uint32_t count)
+{
+	if (count <= 1)
+		return 0;
+	return (uint32_t)(XXH64(id, strlen(id), 0) % count);
+}
+
+void
+parts_name(
+    const char *pool, uint32_t part, uint32_t count, char out[PARTS_NAME_BYTES])
+{
+	if (count <= 1)
+		(void)g_strlcpy(out, pool, PARTS_NAME_BYTES);
+	else
+		(void)snprintf(
+		    out, PARTS_NAME_BYTES, "%s%c%u", pool, SEPARATOR, part);
+}
+
+uint32_t
+parts_split(const char *name, char pool[PARTS_NAME_BYTES])
+{
+	const char *mark = strrchr(name, SEPARATOR);
+
+	(void)g_strlcpy(pool, name, PARTS_NAME_BYTES);
+	if (mark == NULL)
+		return 0;
+	pool[MIN((size_t)(mark - name), PARTS_NAME_BYTES - 1)] = '\0';
+	return (uint32_t)strtoul(mark + 1, NULL, 10);
+}
--- a/regress/sched/fleetplay.c
+++ b/regress/sched/fleetplay.c
@@ -158,7 +158,7 @@
 		if (strchr(words[i], '=') == NULL)
 			idle[load.n_idle_instances++] = words[i];
 	load.idle_instances = idle;
-	fleet_set_load(fleet, words[1], &load);
+	fleet_set_load(fleet, words[1], 0, &load);
 }
 
 /* wave NUMBER DURATION_MS AT_ONCE MACHINE... */
