Divide the fleet into groups that lend to each other only

Cause: with instances dealt to parts by their own ids a part could be left without any; and each change of the registry was answered to each of 36 owners. Change: a machine's name decides its group, so that each part has its own machines and its own standby; changes are gathered for 150 ms.

--- a/gwentryd/layout.c
+++ b/gwentryd/layout.c
@@ -143,7 +143,8 @@
 	layout->ops = ops;
 	layout->arg = arg;
 	layout->started_us = gw_rt_now_us(rt);
-	layout->follow = store_follow(store, LAYOUT_KEY, &follow_ops, layout);
+	layout->follow =
+	    store_follow(store, LAYOUT_KEY, 0, &follow_ops, layout);
 	return layout;
 }
 
--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -146,27 +146,14 @@
 	g_free(asked);
 }
 
-/*
- * Names the part of the pool to which the instance belongs.
- */
-static void
-part_of(const planner_t *planner, const char *pool, const char *instance,
-    char out[PARTS_NAME_BYTES])
-{
-	parts_name(
-	    pool, parts_of(instance, planner->parts), planner->parts, out);
-}
-
 static void
 on_drain(const char *pool, const char *instance, void *arg)
 {
 	planner_t *planner = arg;
 	Gw__Call call = GW__CALL__INIT;
-	char part[PARTS_NAME_BYTES];
 
-	part_of(planner, pool, instance, part);
 	call.kind = GW__CALL_KIND__CALL_DRAIN;
-	call.pool = part;
+	call.pool = (char *)pool;
 	call.instance = (char *)instance;
 	dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS, on_drain_reply,
 	    asked_new(planner, instance));
@@ -177,11 +164,9 @@
 {
 	planner_t *planner = arg;
 	Gw__Call call = GW__CALL__INIT;
-	char part[PARTS_NAME_BYTES];
 
-	part_of(planner, pool, instance, part);
 	call.kind = GW__CALL_KIND__CALL_DRAIN;
-	call.pool = part;
+	call.pool = (char *)pool;
 	call.instance = (char *)instance;
 	call.ended = true;
 	/* The reply tells nothing more; a lost call is made up for by the
@@ -195,28 +180,13 @@
 {
 	asked_t *asked = arg;
 	planner_t *planner = asked->planner;
-	char pool[PARTS_NAME_BYTES];
-	uint32_t part = parts_split(asked->machine, pool);
 
 	if (call_ended(planner) &&
 	    reply->outcome == GW__CALL_OUTCOME__CALL_OK && reply->load != NULL)
-		fleet_set_load(planner->fleet, pool, part, reply->load);
+		fleet_set_load(planner->fleet, asked->machine, reply->load);
 	g_free(asked);
 }
 
-static void
-ask_load(planner_t *planner, const char *pool, uint32_t part)
-{
-	Gw__Call call = GW__CALL__INIT;
-	char name[PARTS_NAME_BYTES];
-
-	parts_name(pool, part, planner->parts, name);
-	call.kind = GW__CALL_KIND__CALL_LOAD;
-	call.pool = name;
-	dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS, on_load_reply,
-	    asked_new(planner, name));
-}
-
 static void
 ask_loads(planner_t *planner)
 {
@@ -224,13 +194,33 @@
 	gpointer pool;
 
 	g_hash_table_iter_init(&iter, planner->pools);
-	while (g_hash_table_iter_next(&iter, &pool, NULL))
-		for (uint32_t part = 0; part < planner->parts; part++)
-			ask_load(planner, pool, part);
+	while (g_hash_table_iter_next(&iter, &pool, NULL)) {
+		Gw__Call call = GW__CALL__INIT;
+
+		call.kind = GW__CALL_KIND__CALL_LOAD;
+		call.pool = pool;
+		dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS,
+		    on_load_reply, asked_new(planner, pool));
+	}
 }
 
 /* The platform's machines. */
 
+/*
+ * Names the part of the pool to which the machine belongs. The fleet knows the
+ * parts as pools of their own.
+ */
+static void
+part_of_machine(const planner_t *planner, const char *pool, const char *machine,
+    char out[SCHED_NAME_BYTES])
+{
+	char name[PARTS_NAME_BYTES];
+
+	parts_name(
+	    pool, parts_of(machine, planner->parts), planner->parts, name);
+	g_strlcpy(out, name, SCHED_NAME_BYTES);
+}
+
 static void list_page(planner_t *);
 
 static void
@@ -257,7 +247,7 @@
 		    .up = from->state == PLAT_MACHINE_UP};
 
 		g_strlcpy(machine.name, from->name, sizeof(machine.name));
-		g_strlcpy(machine.pool, from->pool, sizeof(machine.pool));
+		part_of_machine(planner, from->pool, from->name, machine.pool);
 		g_strlcpy(
 		    machine.instance, from->instance, sizeof(machine.instance));
 		fleet_list_machine(planner->fleet, &machine);
@@ -389,9 +379,11 @@
 {
 	planner_t *planner = arg;
 	order_t order = {0};
+	char name[PARTS_NAME_BYTES];
 
+	(void)parts_split(pool, name);
 	g_strlcpy(order.machine, machine, sizeof(order.machine));
-	g_strlcpy(order.pool, pool, sizeof(order.pool));
+	g_strlcpy(order.pool, name, sizeof(order.pool));
 	g_array_append_val(planner->orders, order);
 	flush(planner);
 }
@@ -742,9 +734,16 @@
 		const sched_pool_config_t *pool =
 		    &g_array_index(config->pools, sched_pool_config_t, i);
 
-		fleet_set_pool(planner->fleet, pool->name, pool->standby);
-		if (!pool->standby)
-			g_hash_table_add(planner->pools, g_strdup(pool->name));
+		for (uint32_t part = 0; part < planner->parts; part++) {
+			char name[PARTS_NAME_BYTES];
+
+			parts_name(pool->name, part, planner->parts, name);
+			fleet_set_pool(
+			    planner->fleet, name, part, pool->standby);
+			if (!pool->standby)
+				g_hash_table_add(
+				    planner->pools, g_strdup(name));
+		}
 	}
 }
 
@@ -760,7 +759,10 @@
 void
 planner_instance_up(planner_t *planner, const sched_info_t *info)
 {
-	fleet_instance_up(planner->fleet, info);
+	sched_info_t copy = *info;
+
+	part_of_machine(planner, info->pool, info->machine, copy.pool);
+	fleet_instance_up(planner->fleet, &copy);
 }
 
 void
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -11,6 +11,8 @@
 
 #define ROLE_PREFIX "gw/role/"
 #define ROLE_KEY_BYTES 200
+/* Changes of roles are gathered for so long. */
+#define ROLE_PAUSE_MS 20
 #define RENEW_MS 450
 #define RETRY_MS 100
 /*
@@ -408,7 +410,8 @@
 	roles->started_us = gw_rt_now_us(rt);
 	roles->by_name =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, role_free);
-	roles->follow = store_follow(store, ROLE_PREFIX, &follow_ops, roles);
+	roles->follow =
+	    store_follow(store, ROLE_PREFIX, ROLE_PAUSE_MS, &follow_ops, roles);
 	lease_step(roles);
 	return roles;
 }
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -110,7 +110,7 @@
 
 		sched_pool_machine_runs(owner_pool(owner), info);
 		if (strcmp(pool, info->pool) == 0 &&
-		    part == parts_of(info->id, service->parts))
+		    part == parts_of(info->machine, service->parts))
 			owner_set_instance(owner, info);
 		else /* It may have belonged to this pool before. */
 			owner_remove_instance(owner, info->id);
--- a/gwentryd/view.c
+++ b/gwentryd/view.c
@@ -7,6 +7,12 @@
 #include "store/follow.h"
 #include "view.h"
 
+/*
+ * Changes of the registry are gathered for so long: moves and waves come many
+ * at a time, and each answer to each owner is a call.
+ */
+#define REGISTRY_PAUSE_MS 150
+
 struct view {
 	gw_rt_t *rt;
 	store_t *store;
@@ -153,7 +159,7 @@
 	view->waves =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)plat_wave_free);
 	view->operators =
-	    store_follow(store, PLAT_OPERATOR_PREFIX, &operator_ops, view);
+	    store_follow(store, PLAT_OPERATOR_PREFIX, 0, &operator_ops, view);
 	return view;
 }
 
@@ -177,8 +183,9 @@
 view_want_instances(view_t *view)
 {
 	if (view->registry == NULL)
-		view->registry = store_follow(
-		    view->store, PLAT_INSTANCES_PREFIX, &registry_ops, view);
+		view->registry =
+		    store_follow(view->store, PLAT_INSTANCES_PREFIX,
+			REGISTRY_PAUSE_MS, &registry_ops, view);
 }
 
 const sched_config_t *
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -80,66 +80,39 @@
 }
 
 void
-fleet_set_pool(fleet_t *fleet, const char *name, bool standby)
+fleet_set_pool(fleet_t *fleet, const char *name, uint32_t group, bool standby)
 {
-	fleet_pool(fleet, name)->standby = standby;
-}
-
-/*
- * Replaces the names that a part reported before.
- */
-static void
-set_names(GHashTable *names, uint32_t part, char *const *from, size_t count)
-{
-	GHashTableIter iter;
-	gpointer old;
+	pool_t *pool = fleet_pool(fleet, name);
 
-	g_hash_table_iter_init(&iter, names);
-	while (g_hash_table_iter_next(&iter, NULL, &old))
-		if (GPOINTER_TO_UINT(old) == part + 1)
-			g_hash_table_iter_remove(&iter);
-	for (size_t i = 0; i < count; i++)
-		g_hash_table_replace(
-		    names, g_strdup(from[i]), GUINT_TO_POINTER(part + 1));
+	pool->group = group;
+	pool->standby = standby;
 }
 
 static void
-add_load(load_t *sum, const load_t *part)
+set_names(GHashTable *names, char *const *from, size_t count)
 {
-	sum->instances += part->instances;
-	sum->capacity_cpu_millis += part->capacity_cpu_millis;
-	sum->used_cpu_millis += part->used_cpu_millis;
-	sum->waiting_cpu_ms += part->waiting_cpu_ms;
-	sum->capacity_memory_mib += part->capacity_memory_mib;
-	sum->used_memory_mib += part->used_memory_mib;
-	sum->waiting_memory_mib_ms += part->waiting_memory_mib_ms;
-	sum->lasting_waiting += part->lasting_waiting;
+	g_hash_table_remove_all(names);
+	for (size_t i = 0; i < count; i++)
+		g_hash_table_add(names, g_strdup(from[i]));
 }
 
 void
-fleet_set_load(
-    fleet_t *fleet, const char *name, uint32_t part, const Gw__PoolLoad *load)
+fleet_set_load(fleet_t *fleet, const char *name, const Gw__PoolLoad *load)
 {
 	pool_t *pool = fleet_pool(fleet, name);
 
-	if (part >= PARTS_MAX)
-		return;
 	pool->load_us = gw_clock_now_us(fleet->clock);
-	pool->parts[part] = (load_t){.instances = load->instances,
-	    .capacity_cpu_millis = load->capacity_cpu_millis,
-	    .used_cpu_millis = load->used_cpu_millis,
-	    .waiting_cpu_ms = load->waiting_cpu_ms,
-	    .capacity_memory_mib = load->capacity_memory_mib,
-	    .used_memory_mib = load->used_memory_mib,
-	    .waiting_memory_mib_ms = load->waiting_memory_mib_ms,
-	    .lasting_waiting = load->lasting_waiting};
-	memset(&pool->sum, 0, sizeof(pool->sum));
-	for (uint32_t i = 0; i < PARTS_MAX; i++)
-		add_load(&pool->sum, &pool->parts[i]);
+	pool->instances = load->instances;
+	pool->capacity_cpu_millis = load->capacity_cpu_millis;
+	pool->used_cpu_millis = load->used_cpu_millis;
+	pool->waiting_cpu_ms = load->waiting_cpu_ms;
+	pool->capacity_memory_mib = load->capacity_memory_mib;
+	pool->used_memory_mib = load->used_memory_mib;
+	pool->waiting_memory_mib_ms = load->waiting_memory_mib_ms;
+	pool->lasting_waiting = load->lasting_waiting;
+	set_names(pool->idle, load->idle_instances, load->n_idle_instances);
 	set_names(
-	    pool->idle, part, load->idle_instances, load->n_idle_instances);
-	set_names(pool->lasting, part, load->lasting_instances,
-	    load->n_lasting_instances);
+	    pool->lasting, load->lasting_instances, load->n_lasting_instances);
 }
 
 static machine_t *
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -58,10 +58,12 @@
     const fleet_times_t *, const fleet_ops_t *, void *arg);
 void fleet_free(fleet_t *);
 
-/* A pool as configured, and as its owner reports it. */
-void fleet_set_pool(fleet_t *, const char *name, bool standby);
-void fleet_set_load(
-    fleet_t *, const char *pool, uint32_t part, const Gw__PoolLoad *);
+/*
+ * A pool as configured, and as its owner reports it. Machines move only between
+ * pools of one group.
+ */
+void fleet_set_pool(fleet_t *, const char *name, uint32_t group, bool standby);
+void fleet_set_load(fleet_t *, const char *pool, const Gw__PoolLoad *);
 /* A whole list of the platform's machines replaces what is known. */
 void fleet_begin_list(fleet_t *);
 void fleet_list_machine(fleet_t *, const fleet_machine_t *);
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -2,7 +2,6 @@
 #define SCHED_FLEET_IMPL_H
 
 #include "sched/fleet.h"
-#include "sched/parts.h"
 
 /* What a machine is being prepared for. */
 typedef enum {
@@ -32,8 +31,11 @@
 	char before[SCHED_NAME_BYTES]; /* instance that the order ended */
 } machine_t;
 
-/* What owners report of a pool or of one part of it. */
 typedef struct {
+	char name[SCHED_NAME_BYTES];
+	uint32_t group;
+	bool standby;
+	uint64_t load_us; /* when its owner reported; 0: never */
 	uint32_t instances;
 	uint64_t capacity_cpu_millis;
 	uint64_t used_cpu_millis;
@@ -42,16 +44,8 @@
 	uint64_t used_memory_mib;
 	uint64_t waiting_memory_mib_ms;
 	uint32_t lasting_waiting;
-} load_t;
-
-typedef struct {
-	char name[SCHED_NAME_BYTES];
-	bool standby;
-	uint64_t load_us; /* when its owner reported; 0: never */
-	load_t parts[PARTS_MAX];
-	load_t sum;
-	GHashTable *idle;    /* instance -> part + 1 */
-	GHashTable *lasting; /* the same: those that never become idle */
+	GHashTable *idle;    /* instance -> NULL */
+	GHashTable *lasting; /* instances that never become idle */
 	uint64_t surplus_since_us;
 	uint32_t wanted; /* machines, as the lending policy has it */
 	uint64_t hot_us; /* when it last needed more than it had */
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -20,7 +20,7 @@
 static uint32_t
 machines_for(const pool_t *pool, uint64_t need, uint64_t capacity)
 {
-	uint64_t each = MAX(capacity / pool->sum.instances, 1);
+	uint64_t each = MAX(capacity / pool->instances, 1);
 
 	return (uint32_t)((need + each - 1) / each);
 }
@@ -63,21 +63,21 @@
 
 		if (pool->standby)
 			continue;
-		if (pool->sum.instances == 0) {
+		if (pool->instances == 0) {
 			pool->wanted = MAX(pool->wanted, MACHINES_MIN);
 			continue;
 		}
 		by_cpu = machines_for(pool,
-		    pool->sum.used_cpu_millis +
-			pool->sum.waiting_cpu_ms * 1000 / BACKLOG_MS,
-		    pool->sum.capacity_cpu_millis);
+		    pool->used_cpu_millis +
+			pool->waiting_cpu_ms * 1000 / BACKLOG_MS,
+		    pool->capacity_cpu_millis);
 		by_memory = machines_for(pool,
-		    pool->sum.used_memory_mib +
-			pool->sum.waiting_memory_mib_ms / BACKLOG_MS,
-		    pool->sum.capacity_memory_mib);
+		    pool->used_memory_mib +
+			pool->waiting_memory_mib_ms / BACKLOG_MS,
+		    pool->capacity_memory_mib);
 		pool->wanted =
 		    MAX(MACHINES_MIN, MAX(by_cpu, by_memory) + RESERVE);
-		if (pool->sum.lasting_waiting > 0)
+		if (pool->lasting_waiting > 0)
 			pool->wanted = MAX(pool->wanted, one_more(fleet, pool));
 	}
 }
@@ -124,14 +124,14 @@
 }
 
 static pool_t *
-standby_pool(fleet_t *fleet)
+standby_pool(fleet_t *fleet, uint32_t group)
 {
 	GHashTableIter iter;
 	pool_t *pool;
 
 	g_hash_table_iter_init(&iter, fleet->pools);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
-		if (pool->standby)
+		if (pool->standby && pool->group == group)
 			return pool;
 	return NULL;
 }
@@ -161,7 +161,7 @@
 static machine_t *
 lender(fleet_t *fleet, const pool_t *to, uint64_t now_us)
 {
-	pool_t *standby = standby_pool(fleet), *pool;
+	pool_t *standby = standby_pool(fleet, to->group), *pool;
 	machine_t *machine = NULL;
 	GHashTableIter iter;
 	int32_t most = 0;
@@ -174,8 +174,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
 		machine_t *found;
 
-		if (pool == to || pool->standby || !is_fresh(pool, now_us) ||
-		    surplus(fleet, pool) <= most)
+		if (pool == to || pool->standby || pool->group != to->group ||
+		    !is_fresh(pool, now_us) || surplus(fleet, pool) <= most)
 			continue;
 		found = idle_machine(fleet, pool, now_us);
 		if (found == NULL)
@@ -204,7 +204,7 @@
 static void
 give_back(fleet_t *fleet, pool_t *pool, uint64_t now_us)
 {
-	pool_t *standby = standby_pool(fleet);
+	pool_t *standby = standby_pool(fleet, pool->group);
 	machine_t *machine;
 
 	if (standby == NULL || surplus(fleet, pool) <= 0) {
@@ -243,8 +243,8 @@
 		    " load_age_ms=%" PRIu64,
 		    pool->name, pool->standby,
 		    fleet_pool_machines(fleet, pool->name), pool->wanted,
-		    pool->sum.instances, g_hash_table_size(pool->idle),
-		    pool->sum.used_cpu_millis, pool->sum.waiting_cpu_ms,
+		    pool->instances, g_hash_table_size(pool->idle),
+		    pool->used_cpu_millis, pool->waiting_cpu_ms,
 		    gw_elapsed_us(now_us, pool->load_us) / GW_US_PER_MS);
 }
 
--- a/lib/sched/parts.h
+++ b/lib/sched/parts.h
@@ -5,8 +5,10 @@
 
 /*
  * A pool is owned in parts, so that no single process carries all its work.
- * Jobs and instances belong to a part by the hash of their ids. The number of
- * parts is decided once for a system and kept in the store.
+ * A job belongs to a part by the hash of its id, an instance by that of its
+ * machine; so the fleet is divided into groups of machines that lend to each
+ * other only. The number of parts is decided once for a system and kept in the
+ * store.
  */
 #define PARTS_MAX 16
 #define PARTS_NAME_BYTES 96
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -23,6 +23,7 @@
 	uint64_t list_revision;
 	uint64_t revision; /* polls go on behind it */
 	uint32_t backoff_ms;
+	uint32_t pause_ms; /* after a report with changes */
 	gw_timer_t retry;
 	bool calling;
 	bool dead;
@@ -185,7 +186,11 @@
 	for (guint i = 0; i < page->items->len; i++)
 		report(follow, page->items->pdata[i]);
 	follow->revision = MAX(follow->revision, page->store_revision);
-	next_call(follow);
+	if (page->items->len == 0 || follow->pause_ms == 0)
+		next_call(follow);
+	else
+		gw_timer_start(follow->store->rt, &follow->retry,
+		    follow->pause_ms * GW_US_PER_MS, on_retry, follow);
 }
 
 static void
@@ -207,8 +212,8 @@
  * loop, never from this call.
  */
 store_follow_t *
-store_follow(store_t *store, const char *prefix, const store_follow_ops_t *ops,
-    void *arg)
+store_follow(store_t *store, const char *prefix, uint32_t pause_ms,
+    const store_follow_ops_t *ops, void *arg)
 {
 	store_follow_t *follow;
 
@@ -218,6 +223,7 @@
 	follow->ops = ops;
 	follow->arg = arg;
 	follow->backoff_ms = BACKOFF_MIN_MS;
+	follow->pause_ms = pause_ms;
 	follow->known =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	begin_list(follow);
--- a/lib/store/follow.h
+++ b/lib/store/follow.h
@@ -18,8 +18,9 @@
 	void (*on_contact)(const gw_err_t *, void *arg);
 } store_follow_ops_t;
 
-store_follow_t *store_follow(
-    store_t *, const char *prefix, const store_follow_ops_t *, void *arg);
+/* pause_ms: changes are gathered for so long between two reports. */
+store_follow_t *store_follow(store_t *, const char *prefix, uint32_t pause_ms,
+    const store_follow_ops_t *, void *arg);
 void store_follow_free(store_follow_t *);
 
 #endif
--- a/regress/sched/fleetplay.c
+++ b/regress/sched/fleetplay.c
@@ -106,7 +106,7 @@
 static void
 do_pool(void)
 {
-	fleet_set_pool(fleet, words[1], word_count > 2);
+	fleet_set_pool(fleet, words[1], 0, word_count > 2);
 }
 
 /* list NAME:POOL:INSTANCE:up... ; an empty instance is allowed */
@@ -158,7 +158,7 @@
 		if (strchr(words[i], '=') == NULL)
 			idle[load.n_idle_instances++] = words[i];
 	load.idle_instances = idle;
-	fleet_set_load(fleet, words[1], 0, &load);
+	fleet_set_load(fleet, words[1], &load);
 }
 
 /* wave NUMBER DURATION_MS AT_ONCE MACHINE... */
