Run entry processes against stand-ins of the platform

The first run of the stand-ins found that an owner whose records' sequence was moved gave its role up and never took it again, with its key still there.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -26,6 +26,9 @@
 /* Before the platform kills: the last part of its grace period. */
 #define DRAIN_MARGIN_MS 600
 #define DRAIN_CHECK_MS 20
+/* Open requests are answered so long before the end, for the answers to leave.
+ */
+#define DRAIN_FINISH_MS 250
 /* Between the end of the last request and the exit. */
 #define DRAIN_LINGER_MS 300
 #define MS_PER_S 1000
@@ -437,6 +440,8 @@
 		entry->closed = true;
 		front_shutdown(entry->front);
 	}
+	if (now_us + DRAIN_FINISH_MS * GW_US_PER_MS >= entry->drain_end_us)
+		front_finish(entry->front);
 	if (now_us >= entry->drain_end_us ||
 	    (entry->closed && front_requests(entry->front) == 0 &&
 		now_us >=
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -36,7 +36,9 @@
 	gw_httpd_t *httpd;
 	const sched_config_t *config;
 	uint32_t parts; /* in which each pool is owned; 0: not known yet */
+	GQueue open;	/* request_t that were not answered yet */
 	uint32_t requests;
+	bool closing; /* nothing more is taken */
 };
 
 /* One request, from its arrival until its answer and its reply. */
@@ -52,6 +54,8 @@
 	uint32_t pending; /* the sum of those that came */
 	bool failed;	  /* one did not tell */
 	uint32_t refs;
+	GList link; /* in front->open */
+	bool is_open;
 } request_t;
 
 /* In the memory of libh2o's request, to learn when that is released. */
@@ -59,6 +63,20 @@
 	request_t *request;
 } guard_t;
 
+/*
+ * Takes the request from the open ones: it was answered, or its caller has
+ * gone.
+ */
+static void
+request_close(request_t *request)
+{
+	if (request->is_open)
+		g_queue_unlink(&request->front->open, &request->link);
+	request->is_open = false;
+	request->req = NULL;
+	gw_timer_stop(&request->deadline);
+}
+
 static void
 request_unref(request_t *request)
 {
@@ -75,8 +93,7 @@
 {
 	request_t *request = ((guard_t *)arg)->request;
 
-	gw_timer_stop(&request->deadline);
-	request->req = NULL;
+	request_close(request);
 	request->front->requests--;
 	request_unref(request);
 }
@@ -91,6 +108,9 @@
 	request->req = req;
 	request->arrived_us = gw_rt_now_us(front->rt);
 	request->refs = 1;
+	request->link.data = request;
+	request->is_open = true;
+	g_queue_push_tail_link(&front->open, &request->link);
 	front->requests++;
 	guard = h2o_mem_alloc_shared(&req->pool, sizeof(*guard), on_disposed);
 	guard->request = request;
@@ -134,8 +154,7 @@
 
 	if (req == NULL)
 		return;
-	request->req = NULL;
-	gw_timer_stop(&request->deadline);
+	request_close(request);
 	stats_request(front->stats, request->kind, status, took_us);
 	if (status != STATUS_OK || !is_read)
 		gw_log(GW_EV_REQUEST,
@@ -350,6 +369,10 @@
 	size_t prefix_bytes;
 	bool has_id;
 
+	if (front->closing) {
+		refuse(request, STATUS_UNAVAILABLE, "shutting-down");
+		return 0;
+	}
 	if (front->config == NULL || front->parts == 0) {
 		refuse(request, STATUS_UNAVAILABLE, "no-configuration");
 		return 0;
@@ -411,6 +434,20 @@
 	front->parts = parts;
 }
 
+void
+front_finish(front_t *front)
+{
+	front->closing = true;
+	while (front->open.length > 0) {
+		request_t *request = g_queue_peek_head(&front->open);
+		bool is_change = request->kind == GW__CALL_KIND__CALL_SUBMIT ||
+		    request->kind == GW__CALL_KIND__CALL_CANCEL;
+
+		refuse(request, is_change ? STATUS_TIMEOUT : STATUS_UNAVAILABLE,
+		    "shutting-down");
+	}
+}
+
 void
 front_shutdown(front_t *front)
 {
--- a/gwentryd/front.h
+++ b/gwentryd/front.h
@@ -17,6 +17,11 @@
 void front_set_parts(front_t *, uint32_t parts);
 /* Takes no more connections; open ones end after their next request. */
 void front_shutdown(front_t *);
+/*
+ * Answers every open request now, since the process is about to end: a change
+ * may have been made. Later ones are refused.
+ */
+void front_finish(front_t *);
 uint32_t front_requests(const front_t *);
 uint32_t front_connections(const front_t *);
 
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -15,6 +15,8 @@
 #define ROLE_PAUSE_MS 20
 #define RENEW_MS 450
 #define RETRY_MS 100
+/* Time for the news of another owner to arrive. */
+#define REGAIN_MS 100
 /*
  * Pause before a claim: the processes that own least come first, and others
  * are spread so that few claims collide.
@@ -31,10 +33,11 @@
 typedef struct {
 	roles_t *roles;
 	char name[96];
-	char *owner;	   /* address, NULL: none */
-	char *former;	   /* address of the last other owner, NULL: none */
-	uint64_t revision; /* of the newest state seen */
-	uint64_t fence;	   /* not 0 while it is this process's */
+	char *owner;	       /* address, NULL: none */
+	char *former;	       /* address of the last other owner, NULL: none */
+	uint64_t revision;     /* of the newest state seen */
+	uint64_t fence;	       /* not 0 while it is this process's */
+	uint64_t own_revision; /* of this process's key as seen; 0: none */
 	bool wanted;
 	bool claiming;
 	uint32_t owned_then; /* when the claim was scheduled */
@@ -134,6 +137,7 @@
 		return;
 	lose(role, "newer-fence");
 	role->fence = fence;
+	role->own_revision = fence;
 	role->revision = MAX(role->revision, fence);
 	g_free(role->owner);
 	role->owner = g_strdup(roles->address);
@@ -238,6 +242,7 @@
 	g_auto(GStrv) words = g_strsplit(item->value, " ", 3);
 
 	g_clear_pointer(&role->owner, g_free);
+	role->own_revision = 0;
 	if (g_strv_length(words) < 2)
 		return;
 	role->owner = g_strdup(words[0]);
@@ -267,6 +272,7 @@
 		return;
 	}
 	g_clear_pointer(&role->owner, g_free);
+	role->own_revision = 0;
 	lose(role, "key-removed");
 	schedule_claim(role);
 }
@@ -472,14 +478,31 @@
 	    gw_rt_now_us(roles->rt) < roles->valid_until_us;
 }
 
+static void
+on_regain(gw_timer_t *timer, void *arg)
+{
+	role_t *role = arg;
+
+	(void)timer;
+	if (role->own_revision != 0 && role->fence == 0 &&
+	    !role->roles->released && roles_lease_valid(role->roles))
+		gain(role, role->own_revision);
+}
+
 /*
- * Takes note that another process has the role, or may have it. It is claimed
- * again once the key is seen to be free.
+ * Takes note that another process has the role, or that its records are not as
+ * expected. If the key is seen to be this process's all the same, it begins
+ * anew with what the store has; else the role is claimed once the key is free.
  */
 void
 roles_give_up(roles_t *roles, const char *name, const char *reason)
 {
-	lose(role_get(roles, name), reason);
+	role_t *role = role_get(roles, name);
+
+	lose(role, reason);
+	if (role->own_revision != 0)
+		gw_timer_start(roles->rt, &role->claim,
+		    REGAIN_MS * GW_US_PER_MS, on_regain, role);
 }
 
 static void
--- a/tools/gwstored/api_lease.c
+++ b/tools/gwstored/api_lease.c
@@ -3,6 +3,7 @@
 
 /* etcd's own bound on a lease, about 285 years, fits no timer here. */
 #define TTL_MAX_S 86400
+#define MS_PER_S 1000
 
 /*
  * Grants a lease.
@@ -15,7 +16,7 @@
 	if (api_get_number(request, "TTL", &ttl_s) != 0 || ttl_s == 0 ||
 	    ttl_s > TTL_MAX_S)
 		return api_invalid(error, "etcdserver: too large lease TTL");
-	id = leases_grant(&server->leases, (uint32_t)ttl_s);
+	id = leases_grant(&server->leases, (uint32_t)ttl_s * MS_PER_S);
 	return json_pack("{s:o, s:o, s:o}", "header",
 	    api_header(server, server->kv->revision), "ID", api_number(id),
 	    "TTL", api_number(ttl_s));
@@ -33,7 +34,7 @@
 
 	if (api_get_number(request, "ID", &id) != 0)
 		return api_invalid(error, "the lease is not a number");
-	ttl_s = leases_renew(&server->leases, id);
+	ttl_s = leases_renew(&server->leases, id) / MS_PER_S;
 	result = json_pack("{s:o, s:o}", "header",
 	    api_header(server, server->kv->revision), "ID", api_number(id));
 	if (ttl_s != 0)
--- a/tools/gwstored/kv.c
+++ b/tools/gwstored/kv.c
@@ -82,11 +82,24 @@
 
 	event = g_rc_box_new0(kv_event_t);
 	event->key = g_strdup(key);
-	event->mod_revision = ++kv->revision;
+	if (!kv->in_change || !kv->changed)
+		kv->revision++;
+	kv->changed = true;
+	event->mod_revision = kv->revision;
 	g_ptr_array_add(kv->history, event);
 	return event;
 }
 
+/*
+ * Begins and ends a change of several keys, which share one revision.
+ */
+void
+kv_change(kv_t *kv, bool begins)
+{
+	kv->in_change = begins;
+	kv->changed = false;
+}
+
 /*
  * Writes a key and returns the new revision. value is taken by reference.
  */
@@ -107,7 +120,10 @@
 	return kv->revision;
 }
 
-static void
+/*
+ * Deletes a key that is there.
+ */
+void
 kv_delete(kv_t *kv, const char *key)
 {
 	kv_event_t *event;
--- a/tools/gwstored/kv.h
+++ b/tools/gwstored/kv.h
@@ -2,6 +2,7 @@
 #define GWSTORED_KV_H
 
 #include <inttypes.h>
+#include <stdbool.h>
 
 #include <glib.h>
 
@@ -20,6 +21,8 @@
 /* The keys in memory, with their history since the last compaction. */
 typedef struct {
 	uint64_t revision;
+	bool in_change;		     /* of several keys */
+	bool changed;		     /* it has its revision */
 	uint64_t compacted_revision; /* history up to here is gone */
 	GHashTable *keys;	     /* key -> kv_event_t, the latest */
 	GPtrArray *history;	     /* kv_event_t in order of revision */
@@ -32,6 +35,8 @@
 const kv_event_t *kv_get(const kv_t *, const char *key);
 const kv_event_t *kv_get_stale(const kv_t *, const char *key);
 uint64_t kv_put(kv_t *, const char *key, GBytes *value, uint64_t lease_id);
+void kv_change(kv_t *, bool begins);
+void kv_delete(kv_t *, const char *key);
 void kv_delete_lease(kv_t *, uint64_t lease_id);
 void kv_compact(kv_t *);
 
--- a/tools/gwstored/lease.c
+++ b/tools/gwstored/lease.c
@@ -3,7 +3,7 @@
 
 typedef struct {
 	uint64_t id;
-	uint32_t ttl_s;
+	uint32_t ttl_ms;
 	gw_timer_t expiry;
 	leases_t *leases;
 } lease_t;
@@ -51,20 +51,20 @@
 arm(lease_t *lease)
 {
 	gw_timer_start(lease->leases->rt, &lease->expiry,
-	    lease->ttl_s * GW_US_PER_S, on_expiry, lease);
+	    lease->ttl_ms * GW_US_PER_MS, on_expiry, lease);
 }
 
 /*
  * Returns the id of a new lease.
  */
 uint64_t
-leases_grant(leases_t *leases, uint32_t ttl_s)
+leases_grant(leases_t *leases, uint32_t ttl_ms)
 {
 	lease_t *lease;
 
 	lease = g_new0(lease_t, 1);
 	lease->id = (gw_id_random_u64() >> 1) | 1;
-	lease->ttl_s = ttl_s;
+	lease->ttl_ms = ttl_ms;
 	lease->leases = leases;
 	g_hash_table_replace(leases->by_id, &lease->id, lease);
 	arm(lease);
@@ -81,7 +81,7 @@
 }
 
 /*
- * Renews a lease and returns its ttl, or 0 when it has expired.
+ * Renews a lease and returns its ttl in ms, or 0 when it has expired.
  */
 uint32_t
 leases_renew(leases_t *leases, uint64_t lease_id)
@@ -92,7 +92,7 @@
 	if (lease == NULL)
 		return 0;
 	arm(lease);
-	return lease->ttl_s;
+	return lease->ttl_ms;
 }
 
 /*
--- a/tools/gwstored/lease.h
+++ b/tools/gwstored/lease.h
@@ -15,7 +15,7 @@
 
 void leases_init(leases_t *, gw_rt_t *, kv_t *);
 void leases_clear(leases_t *);
-uint64_t leases_grant(leases_t *, uint32_t ttl_s);
+uint64_t leases_grant(leases_t *, uint32_t ttl_ms);
 bool leases_has(const leases_t *, uint64_t lease_id);
 uint32_t leases_renew(leases_t *, uint64_t lease_id);
 bool leases_revoke(leases_t *, uint64_t lease_id);
--- a/tools/gwstored/server.c
+++ b/tools/gwstored/server.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "api.h"
+#include "form.h"
 #include "reply.h"
 #include "server.h"
 #include "watcher.h"
@@ -15,6 +16,7 @@
 on_event(const kv_event_t *event, void *arg)
 {
 	watchers_notify(arg, event);
+	form_notify(arg);
 }
 
 /*
@@ -29,6 +31,7 @@
 	if (server->faults.compact) {
 		kv_compact(server->kv);
 		watchers_cancel(server, true);
+		form_notify(server);
 	}
 	if (server->faults.cut_watches || server->faults.down != DOWN_NO)
 		watchers_cancel(server, false);
@@ -88,6 +91,8 @@
 		    "etcdserver: no leader");
 		return 0;
 	}
+	if (form_handle(server, req) == 0)
+		return 0;
 	return api_handle(server, req);
 }
 
@@ -107,6 +112,7 @@
 	leases_init(&server->leases, rt, server->kv);
 	g_queue_init(&server->watchers);
 	g_queue_init(&server->pending);
+	g_queue_init(&server->polls);
 	server->httpd = gw_httpd_new(rt, &limits, on_request, server);
 	if (gw_httpd_listen(server->httpd, addr, bound, err) == 0)
 		return server;
@@ -123,6 +129,7 @@
 server_shutdown(server_t *server)
 {
 	watchers_cancel(server, false);
+	form_flush(server);
 	replies_flush(server);
 	gw_httpd_shutdown(server->httpd);
 }
--- a/tools/gwstored/server.h
+++ b/tools/gwstored/server.h
@@ -28,6 +28,7 @@
 	server_stats_t stats;
 	GQueue watchers; /* watcher_t */
 	GQueue pending;	 /* answers that wait or are withheld */
+	GQueue polls;	 /* watches of the platform's form */
 } server_t;
 
 server_t *server_new(
--- /dev/null
+++ b/tools/gwworkerd/main.c
@@ -0,0 +1,156 @@
+#include <err.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sysexits.h>
+
+#include "gw/log.h"
+#include "gw/setting.h"
+#include "platform/kv.h"
+#include "registry.h"
+#include "worker.h"
+
+#define STORE_TIMEOUT_MS 1000
+#define CONTROL_BODY_MAX_BYTES 4096
+#define CONTROL_IDLE_MS 10000
+#define CONTROL_CONNECTIONS_MAX 16
+
+static gw_addr_t listen_addr, store_addr, control_addr;
+static uint32_t worker_count, work_ms;
+static char *pool_name;
+static worker_t **workers;
+static ledger_t ledger;
+
+static const gw_setting_t settings[] = {
+    {"listen", GW_SETTING_ADDR, &listen_addr, "127.0.0.1:28600",
+	"address of the first worker; the others take the next ports", 0, 0},
+    {"control", GW_SETTING_ADDR, &control_addr, "127.0.0.1:28599",
+	"address of /control and /stats", 0, 0},
+    {"store", GW_SETTING_ADDR, &store_addr, "127.0.0.1:28501",
+	"the store, in the platform's form", 0, 0},
+    {"workers", GW_SETTING_U32, &worker_count, "4", "number of workers", 1,
+	500},
+    {"work-ms", GW_SETTING_U32, &work_ms, "200", "how long a run takes", 1,
+	600000},
+    {"pool", GW_SETTING_TEXT, &pool_name, "p1", "pool of the workers", 0, 0},
+};
+
+/*
+ * Sets faults of one worker: {"worker":0,"muted":true,"lose_starts":1,
+ * "late_starts":1}.
+ */
+static int
+set_faults(const json_t *request)
+{
+	json_int_t at = json_integer_value(json_object_get(request, "worker"));
+	const json_t *muted = json_object_get(request, "muted");
+	worker_t *worker;
+
+	if (at < 0 || at >= worker_count)
+		return -1;
+	worker = workers[at];
+	if (muted != NULL)
+		worker->muted = json_is_true(muted);
+	worker->lose_starts = (uint32_t)json_integer_value(
+	    json_object_get(request, "lose_starts"));
+	worker->late_starts = (uint32_t)json_integer_value(
+	    json_object_get(request, "late_starts"));
+	return 0;
+}
+
+static int
+on_control(h2o_req_t *req, void *arg)
+{
+	json_t *body;
+	char *text;
+
+	(void)arg;
+	if (h2o_memis(req->path_normalized.base, req->path_normalized.len,
+		H2O_STRLIT("/control"))) {
+		body = json_loadb(req->entity.base, req->entity.len, 0, NULL);
+		gw_http_reply(req, set_faults(body) == 0 ? 200 : 400,
+		    "application/json", "{}", 2);
+		json_decref(body);
+		return 0;
+	}
+	body = json_pack("{s:i, s:i, s:i, s:i, s:i, s:i}", "starts",
+	    (int)ledger.starts, "ends", (int)ledger.ends, "lapses",
+	    (int)ledger.lapses, "doubles", (int)ledger.doubles, "fenced",
+	    (int)ledger.fenced, "running",
+	    (int)g_hash_table_size(ledger.running));
+	text = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	gw_http_reply(req, 200, "application/json", text, strlen(text));
+	free(text);
+	return 0;
+}
+
+static void
+start_workers(gw_rt_t *rt, store_t *store)
+{
+	gw_err_t error;
+
+	workers = g_new0(worker_t *, worker_count);
+	for (uint32_t i = 0; i < worker_count; i++) {
+		gw_addr_t addr = listen_addr;
+		char id[32];
+
+		(void)snprintf(id, sizeof(id), "w-%u", i);
+		gw_addr_set_port(
+		    &addr, (uint16_t)(gw_addr_port(&listen_addr) + i));
+		workers[i] =
+		    worker_new(rt, &ledger, id, &addr, work_ms, &error);
+		if (workers[i] == NULL)
+			errx(EX_OSERR, "%s: %s", error.peer, error.text);
+		(void)registry_new(rt, store, workers[i], pool_name, "dc-a");
+	}
+}
+
+static void
+on_signal(uv_signal_t *handle, int signum)
+{
+	(void)signum;
+	gw_rt_stop(handle->data);
+}
+
+/*
+ * Stand-in for instances that run tasks. POST /control sets faults, GET /stats
+ * counts runs, and those that happened twice.
+ */
+int
+main(int argc, char **argv)
+{
+	const gw_httpd_limits_t limits = {
+	    CONTROL_BODY_MAX_BYTES, CONTROL_IDLE_MS, CONTROL_CONNECTIONS_MAX};
+	uv_signal_t sigterm;
+	gw_httpd_t *control;
+	store_t *store;
+	gw_err_t error;
+	gw_rt_t *rt;
+
+	gw_log_init("gwworkerd", LOG_INFO);
+	if (gw_settings_load(settings, G_N_ELEMENTS(settings), argc, argv,
+		"Stand-in for instances that run tasks", &error) != 0)
+		errx(EX_USAGE, "%s", error.text);
+	rt = gw_rt_new();
+	ledger.running =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ledger.done =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	store = store_new(rt, &store_addr, STORE_TIMEOUT_MS);
+	store_set_form(store, &plat_kv_form);
+	start_workers(rt, store);
+	control = gw_httpd_new(rt, &limits, on_control, NULL);
+	if (gw_httpd_listen(control, &control_addr, NULL, &error) != 0)
+		errx(EX_OSERR, "%s: %s", error.peer, error.text);
+	(void)uv_signal_init(gw_rt_loop(rt), &sigterm);
+	sigterm.data = rt;
+	(void)uv_signal_start(&sigterm, on_signal, SIGTERM);
+	gw_log(GW_EV_START, "program=gwworkerd workers=%u", worker_count);
+	gw_rt_run(rt);
+	gw_log(
+	    GW_EV_EXIT, "starts=%u doubles=%u", ledger.starts, ledger.doubles);
+	gw_log_flush();
+	return 0;
+}
