--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -200,6 +200,7 @@
 bool sched_step_ready(
     const sched_job_t *, const sched_occurrence_t *, uint32_t step);
 bool sched_job_ended(const sched_job_t *);
+void sched_step_forget_tickets(sched_step_t *);
 void sched_job_mark(sched_pool_t *, sched_job_t *);
 void sched_job_end(sched_pool_t *, sched_job_t *, Gw__JobState);
 sched_task_t *sched_pool_task(const sched_pool_t *, const sched_ref_t *);
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -176,6 +176,17 @@
 	return true;
 }
 
+/*
+ * Forgets the advice on a step, so that it is asked for again.
+ */
+void
+sched_step_forget_tickets(sched_step_t *step)
+{
+	if (step->tickets != NULL)
+		g_hash_table_destroy(step->tickets);
+	step->tickets = NULL;
+}
+
 bool
 sched_job_ended(const sched_job_t *job)
 {
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -17,7 +17,7 @@
 uint32_t
 sched_chain_ms(const Gw__JobSpec *spec)
 {
-	g_autofree uint32_t *end_ms = g_new0(uint32_t, spec->n_steps);
+	uint32_t *end_ms = g_new0(uint32_t, spec->n_steps);
 	uint32_t longest_ms = 0;
 
 	for (size_t i = 0; i < spec->n_steps; i++) {
@@ -29,6 +29,7 @@
 		end_ms[i] = start_ms + step->estimate_ms;
 		longest_ms = MAX(longest_ms, end_ms[i]);
 	}
+	g_free(end_ms);
 	return longest_ms;
 }
 
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -268,8 +268,7 @@
 		sched_task_requeue(task, "no-room");
 		return;
 	case SCHED_ORDER_TICKET:
-		g_clear_pointer(
-		    &sched_task_counts(task)->tickets, g_hash_table_destroy);
+		sched_step_forget_tickets(sched_task_counts(task));
 		sched_task_requeue(task, "ticket");
 		return;
 	case SCHED_ORDER_REFUSED:
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -208,14 +208,13 @@
 void sched_pool_end_instance(
     sched_pool_t *, const char *id, const char *reason);
 void sched_pool_machine_runs(sched_pool_t *, const sched_info_t *);
-void sched_pool_report(sched_pool_t *, const char *instance,
-    const sched_report_t *, uint64_t sent_us);
-void sched_pool_hold_failed(
-    sched_pool_t *, const char *instance, sched_answer_t);
-void sched_pool_started(sched_pool_t *, const char *instance,
-    const sched_ref_t *, uint32_t run, sched_answer_t, uint64_t clock_ms);
-void sched_pool_stopped(sched_pool_t *, const char *instance,
-    const sched_ref_t *, uint32_t run, sched_answer_t);
+void sched_pool_report(
+    sched_pool_t *, const char *id, const sched_report_t *, uint64_t sent_us);
+void sched_pool_hold_failed(sched_pool_t *, const char *id, sched_answer_t);
+void sched_pool_started(sched_pool_t *, const char *id, const sched_ref_t *,
+    uint32_t run, sched_answer_t, uint64_t clock_ms);
+void sched_pool_stopped(sched_pool_t *, const char *id, const sched_ref_t *,
+    uint32_t run, sched_answer_t);
 
 /* Advice on a step of a job. tickets[i] belongs to instances[i]. */
 void sched_pool_advised(sched_pool_t *, const sched_ref_t *,
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -99,7 +99,8 @@
 end_list(store_follow_t *follow)
 {
 	report_missing(follow);
-	g_clear_pointer(&follow->listed, g_hash_table_destroy);
+	g_hash_table_destroy(follow->listed);
+	follow->listed = NULL;
 	g_clear_pointer(&follow->after_key, g_free);
 	follow->revision = follow->list_revision;
 	follow->ops->on_listed(follow->arg);
