--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -50,6 +50,7 @@
 	front_t *front;
 	layout_t *layout;
 	gw_httpd_t *ready;
+	gw_httpd_t *metrics; /* NULL without a port of its own */
 	stats_t *stats;
 	gw_timer_t drain;
 	uint64_t drain_end_us;
@@ -377,6 +378,27 @@
 	return gw_httpd_listen(entry->ready, &entry->settings.ready, NULL, err);
 }
 
+/*
+ * Serves the metrics at the last of the system's own ports too, which the
+ * deploy file names.
+ */
+static int
+listen_metrics(entry_t *entry, gw_err_t *err)
+{
+	const plat_settings_t *settings = &entry->settings;
+	const gw_httpd_limits_t limits = {
+	    READY_BODY_MAX_BYTES, READY_IDLE_MS, READY_CONNECTIONS_MAX};
+	gw_addr_t addr;
+
+	if (settings->port_last == settings->port_first)
+		return 0;
+	if (gw_addr_make(&addr, settings->ip, settings->port_last, err) != 0)
+		return -1;
+	entry->metrics =
+	    gw_httpd_new(entry->rt, &limits, on_ready_request, entry);
+	return gw_httpd_listen(entry->metrics, &addr, NULL, err);
+}
+
 /*
  * Starts the tasks. Returns NULL with the error when a socket cannot be had.
  */
@@ -404,7 +426,8 @@
 		goto fail;
 	entry->front = front_new(
 	    rt, entry->dispatch, entry->stats, &settings->callers, err);
-	if (entry->front == NULL || listen_ready(entry, err) != 0)
+	if (entry->front == NULL || listen_ready(entry, err) != 0 ||
+	    listen_metrics(entry, err) != 0)
 		goto fail;
 	entry->view = view_new(rt, entry->store, &view_ops, entry);
 	entry->layout = layout_new(rt, entry->store, &layout_ops, entry);
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -63,7 +63,7 @@
  * pools of one group.
  */
 void fleet_set_pool(fleet_t *, const char *name, uint32_t group, bool standby);
-void fleet_set_load(fleet_t *, const char *pool, const Gw__PoolLoad *);
+void fleet_set_load(fleet_t *, const char *name, const Gw__PoolLoad *);
 /* A whole list of the platform's machines replaces what is known. */
 void fleet_begin_list(fleet_t *);
 void fleet_list_machine(fleet_t *, const fleet_machine_t *);
@@ -78,10 +78,10 @@
 void fleet_wave_known_done(fleet_t *, uint64_t number, const char *machine);
 /* A former planner ordered the machine; it is left alone for a while. */
 void fleet_ordered_before(
-    fleet_t *, const char *machine, uint64_t wave, uint64_t for_ms);
+    fleet_t *, const char *name, uint64_t wave, uint64_t for_ms);
 /* Answers. */
 void fleet_drained(fleet_t *, const char *instance, bool drained);
-void fleet_ordered(fleet_t *, const char *machine, fleet_answer_t);
+void fleet_ordered(fleet_t *, const char *name, fleet_answer_t);
 /* True while the list of machines should be read again. */
 bool fleet_wants_list(const fleet_t *);
 /* Decides what is to be done now; called several times a second. */
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -262,8 +262,9 @@
 reserve_gang(sched_pool_t *pool, sched_occurrence_t *occurrence,
     const sched_step_t *step, uint32_t count, const char *rack, uint64_t now_us)
 {
-	g_autofree uint32_t *run_before = g_new(uint32_t, count);
+	uint32_t *run_before = g_new(uint32_t, count);
 	uint32_t run = 0, placed;
+	bool is_placed;
 
 	for (uint32_t i = 0; i < count; i++)
 		run = MAX(run, occurrence->tasks[step->first + i].run);
@@ -277,9 +278,8 @@
 			break;
 		reserve(pool, task, instance, run + 1);
 	}
-	if (placed == count)
-		return true;
-	while (placed-- > 0) {
+	is_placed = placed == count;
+	while (!is_placed && placed-- > 0) {
 		sched_task_t *task = &occurrence->tasks[step->first + placed];
 
 		sched_instance_release(task);
@@ -288,7 +288,8 @@
 		g_clear_pointer(&task->ticket, g_free);
 		sched_task_counts(task)->waiting++;
 	}
-	return false;
+	g_free(run_before);
+	return is_placed;
 }
 
 /*
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -183,9 +183,9 @@
 
 /* Takeover: every record of the store, then sched_pool_loaded(). */
 int sched_pool_load_spec(
-    sched_pool_t *, const char *job, const void *, size_t size_bytes);
+    sched_pool_t *, const char *id, const void *, size_t size_bytes);
 int sched_pool_load_record(
-    sched_pool_t *, const char *job, const void *, size_t size_bytes);
+    sched_pool_t *, const char *id, const void *, size_t size_bytes);
 void sched_pool_loaded(sched_pool_t *);
 /*
  * The former owner surely orders and holds nothing any more. With its leases,
--- a/tools/gwworkerd/worker.h
+++ b/tools/gwworkerd/worker.h
@@ -61,13 +61,13 @@
     uint32_t work_ms, gw_err_t *);
 uint64_t worker_clock_ms(const worker_t *);
 void worker_hold_until(worker_t *, uint64_t deadline_ms);
-void worker_start(worker_t *, const char *task, uint32_t run);
+void worker_start(worker_t *, const char *task, uint32_t number);
 void worker_end(worker_t *, const char *task, const char *how);
 void worker_ack(worker_t *, uint64_t number);
 uint64_t worker_highest(const worker_t *, const char *task);
 
 /* worker_api.c */
-int worker_request(h2o_req_t *, void *worker);
+int worker_request(h2o_req_t *, void *arg);
 void worker_answer_holds(worker_t *);
 
 #endif
