Gather reports for 45 ms, and let a new owner wait before it frees instances

Change: the pause between looks; no planned stop for a stop's time after a takeover. The scripts' times follow the pause; what they expect is the same.

--- a/lib/sched/evacuate.c
+++ b/lib/sched/evacuate.c
@@ -50,6 +50,17 @@
 	return ran_ms + left_ms < step->estimate_ms;
 }
 
+/*
+ * Tells whether runs that a former owner told to stop may still be listed as at
+ * work: until then nobody knows how many are away.
+ */
+static bool
+is_new_owner(const sched_pool_t *pool, uint64_t now_us)
+{
+	return gw_elapsed_us(now_us, pool->loaded_us) <
+	    pool->bounds.stop_grace_ms * GW_US_PER_MS + SCHED_STOP_MARGIN_US;
+}
+
 /*
  * Takes the runs off an instance that leaves or is to be stopped, as the bounds
  * on unavailable tasks allow. An instance that leaves by itself ends them in
@@ -63,6 +74,8 @@
 
 	if (instance->unreachable || (!instance->info.leaving && !is_draining))
 		return;
+	if (!instance->info.leaving && is_new_owner(instance->pool, now_us))
+		return;
 	for (guint i = instance->tasks->len; i-- > 0;) {
 		sched_task_t *task = instance->tasks->pdata[i];
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -13,9 +13,11 @@
 /* An instance is looked at this often while something runs on it. */
 #define SCHED_HOLD_WAIT_MS 1000
 /* Reports are gathered for this long before the next look. */
-#define SCHED_HOLD_PAUSE_US (15 * GW_US_PER_MS)
+#define SCHED_HOLD_PAUSE_US (45 * GW_US_PER_MS)
 /* A start without an answer is sent again after this. */
 #define SCHED_START_RETRY_US (400 * GW_US_PER_MS)
+/* Beyond the time of a stop, for its end to be listed and reported. */
+#define SCHED_STOP_MARGIN_US (500 * GW_US_PER_MS)
 /* Ends that one report lists at most. */
 #define SCHED_ENDS_PAGE 500
 /* A failed hold is tried again after this. */
@@ -181,6 +183,7 @@
 	GQueue *ended;	       /* sched_job_t in the order of their end */
 	GPtrArray *settling;   /* ended, with tasks or a specification left */
 	bool loaded;
+	uint64_t loaded_us;	   /* when this owner began */
 	uint64_t round;		   /* of placement */
 	bool former_gone;	   /* no former owner holds anything */
 	GHashTable *former_leases; /* instance -> lapse (uint64_t *) */
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -145,6 +145,7 @@
 		placed += job->placed;
 	}
 	pool->loaded = true;
+	pool->loaded_us = gw_clock_now_us(pool->clock);
 	gw_log(GW_EV_ROLE_LOADED, "pool=%s open_jobs=%u placed=%u ended=%u",
 	    pool->name, jobs, placed, pool->ended->length);
 }
--- a/regress/sched/ends.sh
+++ b/regress/sched/ends.sh
@@ -11,7 +11,7 @@
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 ok
-advance 20
+advance 50
 report i1 clock=120 end:1:j1.0.0.0:1:done
 tick
 take
@@ -66,13 +66,13 @@
 submit j1 attempts=2 1:1000:500
 commit
 started i1 j1.0.0.0 1 ok
-advance 20
+advance 50
 report i1 clock=120 end:1:j1.0.0.0:1:failed
 advance 60
 commit
 started i2 j1.0.0.0 2 ok
 state j1
-advance 20
+advance 50
 report i2 clock=200 end:1:j1.0.0.0:2:failed
 tick
 state j1
@@ -90,10 +90,10 @@
 commit
 started i1 j1.0.0.0 1 ok
 started i1 j1.0.0.1 1 ok
-advance 20
+advance 50
 report i1 clock=120 run:j1.0.0.1:1:50 end:1:j1.0.0.0:1:done
 commit
-advance 20
+advance 50
 report i1 clock=140 end:2:j1.0.0.1:1:done
 commit
 EOT
--- a/regress/sched/lasting.sh
+++ b/regress/sched/lasting.sh
@@ -18,20 +18,21 @@
 started i1 j1.0.0.0 1 ok
 started i1 j1.0.0.1 1 ok
 started i2 j1.0.0.2 1 ok
-drain i1 2500
+advance 1450
+drain i1 5000
 advance 50
 report i1 clock=200 run:j1.0.0.0:1:100 run:j1.0.0.1:1:100
 report i2 clock=200 run:j1.0.0.2:1:100
-advance 15
+advance 50
 stopped i1 j1.0.0.1 1 ok
 report i1 clock=230 run:j1.0.0.0:1:100 end:1:j1.0.0.1:1:stopped
 commit
-drain i1 2500
-advance 30
+drain i1 5000
+advance 60
 started i2 j1.0.0.1 2 ok
-advance 30
+advance 60
 report i2 clock=300 run:j1.0.0.2:1:100 run:j1.0.0.1:2:100
-advance 30
+advance 60
 EOT
 
 # Guards against a lasting task that stays down, however it ended.
@@ -43,12 +44,12 @@
 submit j1 attempts=1 1:1000:0:lasting
 commit
 started i1 j1.0.0.0 1 ok
-advance 20
+advance 50
 report i1 clock=120 end:1:j1.0.0.0:1:failed
 advance 60
 commit
 started i1 j1.0.0.0 2 ok
-advance 20
+advance 50
 report i1 clock=200 end:2:j1.0.0.0:2:done
 advance 60
 commit
@@ -68,9 +69,33 @@
 started i1 b1.0.0.1 1 ok
 submit j1 1:1500:0:lasting
 commit
-advance 20
+advance 50
 report i1 clock=120 run:b1.0.0.1:1:50 end:1:b1.0.0.0:1:done
 commit
 report i1 clock=140 end:2:b1.0.0.1:1:done
 commit
 EOT
+
+# Guards against a new owner that takes one more task away while the instance
+# still lists one as at work that the former owner told to stop.
+play "a new owner waits before it frees an instance" <<'EOT'
+pool
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=100
+report i2 clock=100
+submit j1 2:1000:0:lasting:keep:apart
+commit
+takeover former-gone
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=200 run:j1.0.0.0:1:100
+report i2 clock=200 run:j1.0.0.1:1:100
+drain i1 5000
+advance 1300
+report i1 clock=1500 run:j1.0.0.0:1:100
+report i2 clock=1500 run:j1.0.0.1:1:100
+advance 150
+EOT
--- a/regress/sched/orders.sh
+++ b/regress/sched/orders.sh
@@ -70,9 +70,9 @@
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 ok
-advance 20
+advance 50
 hold-failed i1 none
-advance 155
+advance 160
 hold-failed i1 none
 advance 1000
 hold-failed i1 none
@@ -95,7 +95,7 @@
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 ok
-advance 20
+advance 50
 hold-failed i1 replaced
 commit
 EOT
--- a/regress/sched/scheduled.sh
+++ b/regress/sched/scheduled.sh
@@ -16,14 +16,14 @@
 advance 10
 commit
 started i1 j1.0.0.0 1 ok
-advance 20
+advance 50
 report i1 clock=1120 end:1:j1.0.0.0:1:done
 commit
 state j1
 advance 480
 commit
 started i1 j1.1.0.0 1 ok
-advance 20
+advance 50
 report i1 clock=1620 end:2:j1.1.0.0:1:done
 commit
 state j1
@@ -45,7 +45,7 @@
 started i1 g1.0.0.0 1 ok
 started i1 g1.0.0.1 1 ok
 started i2 g1.0.0.2 1 ok
-advance 20
+advance 50
 report i1 clock=120 end:1:g1.0.0.0:1:done
 commit
 state g1
