Do not lose the empty option when the platform names the settings

Cause: its one byte leaked, which AddressSanitizer reported at the end of regress/entry/shutdown.sh.

--- a/gwentryd/main.c
+++ b/gwentryd/main.c
@@ -26,14 +26,21 @@
 		7},
 	};
 
-	if (gw_settings_load(table, G_N_ELEMENTS(table), argc, argv,
-		"Runs an entry instance on the platform: takes callers' jobs "
-		"and runs them on the pools' instances.",
-		err) != 0)
-		return -1;
-	if (options.settings_path[0] == '\0')
-		options.settings_path = (char *)plat_settings_path();
-	return 0;
+	return gw_settings_load(table, G_N_ELEMENTS(table), argc, argv,
+	    "Runs an entry instance on the platform: takes callers' jobs and "
+	    "runs them on the pools' instances.",
+	    err);
+}
+
+/*
+ * Returns where the platform's settings are: as the option says, else as the
+ * platform does.
+ */
+static const char *
+settings_path(void)
+{
+	return options.settings_path[0] == '\0' ? plat_settings_path()
+						: options.settings_path;
 }
 
 static void
@@ -50,7 +57,7 @@
 	gw_err_t err;
 
 	(void)signum;
-	if (plat_settings_load(&settings, options.settings_path, &err) == 0)
+	if (plat_settings_load(&settings, settings_path(), &err) == 0)
 		entry_reload(handle->data, &settings);
 	else
 		gw_log(GW_EV_RELOAD, "err=%s text=\"%s\" kept=yes",
@@ -77,7 +84,7 @@
 
 	if (load_options(argc, argv, &err) != 0)
 		errx(EX_USAGE, "%s", err.text);
-	if (plat_settings_load(&settings, options.settings_path, &err) != 0)
+	if (plat_settings_load(&settings, settings_path(), &err) != 0)
 		errx(EX_CONFIG, "%s", err.text);
 	(void)signal(SIGPIPE, SIG_IGN);
 	gw_log_init("gwentryd", (int)options.log_priority);
