--- a/gwentryd/agents.c
+++ b/gwentryd/agents.c
@@ -108,6 +108,9 @@
 	}
 }
 
+/*
+ * Ends all calls without a callback and closes the connections.
+ */
 void
 agents_free(agents_t *agents)
 {
@@ -243,6 +246,9 @@
 	send_next(agent);
 }
 
+/*
+ * Orders a run. on_started() follows.
+ */
 void
 agents_start(agents_t *agents, const sched_start_t *start)
 {
@@ -250,6 +256,9 @@
 	    start->run, plat_start_body(start, agents->fence));
 }
 
+/*
+ * Orders a run to stop. on_stopped() follows.
+ */
 void
 agents_stop(agents_t *agents, const char *instance, const char *address,
     const sched_ref_t *ref, uint32_t run)
@@ -258,6 +267,9 @@
 	    plat_stop_body(ref, run, agents->fence));
 }
 
+/*
+ * Orders a run to work at a share of its speed, in percent.
+ */
 void
 agents_pace(agents_t *agents, const char *instance, const char *address,
     const sched_ref_t *ref, uint32_t run, uint32_t percent)
@@ -295,6 +307,10 @@
 	plat_report_clear(&report);
 }
 
+/*
+ * Extends the lease of what runs and asks for a report: on_report() or
+ * on_hold_failed() follows. At most one is under way for an instance.
+ */
 void
 agents_hold(agents_t *agents, const sched_hold_t *hold)
 {
--- a/gwentryd/dispatch.c
+++ b/gwentryd/dispatch.c
@@ -159,6 +159,9 @@
 	return gw__call__unpack(NULL, size_bytes, data);
 }
 
+/*
+ * Begins a trip. The reply may come before this returns.
+ */
 void
 dispatch_call(dispatch_t *dispatch, const Gw__Call *call, uint64_t timeout_ms,
     dispatch_reply_t cb, void *arg)
@@ -192,6 +195,10 @@
 	g_free(question);
 }
 
+/*
+ * Asks one process, whoever owns the pool by now. The reply is CALL_ABSENT when
+ * it does not own it, CALL_UNKNOWN when it did not answer in timeout_ms.
+ */
 void
 dispatch_ask_former(dispatch_t *dispatch, const char *address, const char *pool,
     uint64_t timeout_ms, dispatch_reply_t cb, void *arg)
@@ -243,6 +250,9 @@
 	return NULL;
 }
 
+/*
+ * Takes no more calls of other processes.
+ */
 void
 dispatch_close(dispatch_t *dispatch)
 {
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -422,18 +422,27 @@
 	return NULL;
 }
 
+/*
+ * Puts a configuration in force for requests that arrive from now on.
+ */
 void
 front_set_config(front_t *front, const sched_config_t *config)
 {
 	front->config = config;
 }
 
+/*
+ * Sets the number of parts; until then every request is refused.
+ */
 void
 front_set_parts(front_t *front, uint32_t parts)
 {
 	front->parts = parts;
 }
 
+/*
+ * Answers all open requests; used when the process is about to end.
+ */
 void
 front_finish(front_t *front)
 {
@@ -448,18 +457,27 @@
 	}
 }
 
+/*
+ * Closes the listener.
+ */
 void
 front_shutdown(front_t *front)
 {
 	gw_httpd_shutdown(front->httpd);
 }
 
+/*
+ * Returns the number of requests whose memory is still held.
+ */
 uint32_t
 front_requests(const front_t *front)
 {
 	return front->requests;
 }
 
+/*
+ * Returns the number of callers' connections.
+ */
 uint32_t
 front_connections(const front_t *front)
 {
--- a/gwentryd/layout.c
+++ b/gwentryd/layout.c
@@ -148,6 +148,9 @@
 	return layout;
 }
 
+/*
+ * Returns the number of parts, or 0.
+ */
 uint32_t
 layout_parts(const layout_t *layout)
 {
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -84,6 +84,9 @@
 	gw_timer_start(owner->rt, &owner->tick, delay_us, on_tick, owner);
 }
 
+/*
+ * Lets the pool decide soon, since something has changed.
+ */
 void
 owner_kick(owner_t *owner)
 {
@@ -540,12 +543,18 @@
 		owner_destroy(owner);
 }
 
+/*
+ * Tells whether the records have been read.
+ */
 bool
 owner_loaded(const owner_t *owner)
 {
 	return owner->step == LOADED;
 }
 
+/*
+ * Passes the registry's entry of an instance on to the pool.
+ */
 void
 owner_set_instance(owner_t *owner, const sched_info_t *info)
 {
@@ -553,6 +562,9 @@
 	owner_kick(owner);
 }
 
+/*
+ * Passes the removal of an entry on to the pool.
+ */
 void
 owner_remove_instance(owner_t *owner, const char *id)
 {
@@ -560,12 +572,18 @@
 	owner_kick(owner);
 }
 
+/*
+ * Returns the pool; it belongs to the owner.
+ */
 sched_pool_t *
 owner_pool(owner_t *owner)
 {
 	return owner->pool;
 }
 
+/*
+ * Tells whether the last write succeeded or has not failed for long.
+ */
 bool
 owner_can_write(const owner_t *owner)
 {
@@ -574,6 +592,9 @@
 	    WRITE_LOST_MS * GW_US_PER_MS;
 }
 
+/*
+ * Tells whether all that was decided is recorded.
+ */
 bool
 owner_is_quiet(const owner_t *owner)
 {
--- /dev/null
+++ b/gwentryd/planner_records.c
@@ -0,0 +1,277 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "gw/log.h"
+#include "planner_impl.h"
+
+#define RETRY_MS 100
+#define RECORD_PREFIX "gw/planner/"
+#define WAVE_RECORD_PREFIX RECORD_PREFIX "wave/"
+#define ORDERS_KEY RECORD_PREFIX "orders"
+#define DONE_WORD "done"
+
+/*
+ * Frees what is recorded of a wave.
+ */
+void
+planner_wave_record_free(gpointer data)
+{
+	wave_record_t *record = data;
+
+	g_ptr_array_free(record->done, TRUE);
+	g_free(record);
+}
+
+/*
+ * Returns the record of a wave, adding an empty one.
+ */
+wave_record_t *
+planner_wave_record(planner_t *planner, uint64_t number)
+{
+	wave_record_t *record = g_hash_table_lookup(planner->waves, &number);
+
+	if (record != NULL)
+		return record;
+	record = g_new0(wave_record_t, 1);
+	record->number = number;
+	record->done = g_ptr_array_new_with_free_func(g_free);
+	g_hash_table_insert(planner->waves, &record->number, record);
+	return record;
+}
+
+static void
+on_retry(gw_timer_t *timer, void *arg)
+{
+	(void)timer;
+	planner_flush(arg);
+}
+
+static void
+on_written(uint64_t revision, const store_page_t *current, const gw_err_t *err,
+    void *arg)
+{
+	planner_t *planner = arg;
+
+	(void)revision;
+	(void)current;
+	planner->writing = false;
+	if (!planner_call_ended(planner))
+		return;
+	if (err != NULL && err->code == GW_ERR_CONFLICT) {
+		planner->ops->on_deposed(
+		    PLANNER_ROLE, "role-key-changed", planner->arg);
+		return;
+	}
+	if (err != NULL) {
+		gw_log(GW_EV_COMMIT_FAILED, "pool=%s err=%s text=\"%s\"",
+		    PLANNER_ROLE, gw_errc_name(err->code), err->text);
+		g_array_prepend_vals(planner->orders, planner->recording->data,
+		    planner->recording->len);
+		g_array_set_size(planner->recording, 0);
+		gw_timer_start(planner->rt, &planner->retry,
+		    RETRY_MS * GW_US_PER_MS, on_retry, planner);
+		return;
+	}
+	for (guint i = 0; i < planner->recording->len; i++)
+		planner_send_order(
+		    planner, &g_array_index(planner->recording, order_t, i));
+	g_array_set_size(planner->recording, 0);
+	planner_flush(planner);
+}
+
+/* Keys and values of one write. */
+typedef struct {
+	GPtrArray *texts; /* freed with the write */
+	GArray *writes;	  /* store_write_t */
+} changes_t;
+
+static void
+add_change(changes_t *changes, char *key, char *value)
+{
+	store_write_t write = {
+	    .key = key, .value = value, .size_bytes = strlen(value)};
+
+	g_ptr_array_add(changes->texts, key);
+	g_ptr_array_add(changes->texts, value);
+	g_array_append_val(changes->writes, write);
+}
+
+static void
+add_wave(changes_t *changes, wave_record_t *record)
+{
+	GString *value = g_string_new(NULL);
+
+	for (guint i = 0; i < record->done->len; i++)
+		g_string_append_printf(value, "%s %s\n", DONE_WORD,
+		    (const char *)record->done->pdata[i]);
+	add_change(changes,
+	    g_strdup_printf(WAVE_RECORD_PREFIX "%" PRIu64, record->number),
+	    g_string_free(value, FALSE));
+	if (record->has_state)
+		add_change(changes,
+		    g_strdup_printf(
+			PLAT_WAVE_STATUS_PREFIX "%" PRIu64, record->number),
+		    g_strdup(plat_wave_status(record->completed)));
+	record->dirty = false;
+}
+
+/*
+ * Adds the record of the orders of late, these included: another planner keeps
+ * away from their machines for a while.
+ */
+static void
+add_orders(planner_t *planner, changes_t *changes, uint64_t now_us)
+{
+	GString *value = g_string_new(NULL);
+
+	for (guint i = planner->recent->len; i-- > 0;)
+		if (gw_elapsed_us(now_us,
+			g_array_index(planner->recent, recent_t, i)
+			    .recorded_us) > planner->turn_us)
+			g_array_remove_index_fast(planner->recent, i);
+	for (guint i = 0; i < planner->orders->len; i++) {
+		recent_t recent = {
+		    g_array_index(planner->orders, order_t, i), now_us};
+
+		g_array_append_val(planner->recent, recent);
+	}
+	for (guint i = 0; i < planner->recent->len; i++) {
+		const order_t *order =
+		    &g_array_index(planner->recent, recent_t, i).order;
+
+		g_string_append_printf(
+		    value, "%s %" PRIu64 "\n", order->machine, order->wave);
+	}
+	add_change(changes, g_strdup(ORDERS_KEY), g_string_free(value, FALSE));
+}
+
+/*
+ * Writes what is to be recorded, then sends the orders of that write.
+ */
+void
+planner_flush(planner_t *planner)
+{
+	changes_t changes = {g_ptr_array_new_with_free_func(g_free),
+	    g_array_new(FALSE, FALSE, sizeof(store_write_t))};
+	store_guard_t guard = {planner->role_key, planner->fence};
+	store_txn_t txn = {.guards = &guard, .guard_count = 1};
+	uint64_t now_us = gw_rt_now_us(planner->rt);
+	wave_record_t *record;
+	GHashTableIter iter;
+
+	if (planner->writing || planner->dead)
+		goto out;
+	g_hash_table_iter_init(&iter, planner->waves);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&record))
+		if (record->dirty &&
+		    changes.writes->len + 3 < STORE_TXN_ENTRIES_MAX)
+			add_wave(&changes, record);
+	if (planner->orders->len > 0) {
+		add_orders(planner, &changes, now_us);
+		g_array_append_vals(planner->recording, planner->orders->data,
+		    planner->orders->len);
+		g_array_set_size(planner->orders, 0);
+	}
+	if (changes.writes->len == 0)
+		goto out;
+	txn.writes = (const store_write_t *)(void *)changes.writes->data;
+	txn.write_count = changes.writes->len;
+	planner->writing = true;
+	planner->refs++;
+	store_txn(planner->store, &txn, on_written, planner);
+out:
+	g_array_free(changes.writes, TRUE);
+	g_ptr_array_free(changes.texts, TRUE);
+}
+
+static void
+take_record(planner_t *planner, const store_item_t *item)
+{
+	uint64_t number =
+	    g_ascii_strtoull(item->key + strlen(WAVE_RECORD_PREFIX), NULL, 10);
+	g_auto(GStrv) lines = g_strsplit(item->value, "\n", -1);
+	wave_record_t *record = planner_wave_record(planner, number);
+
+	for (char **line = lines; *line != NULL; line++)
+		if (g_str_has_prefix(*line, DONE_WORD " "))
+			g_ptr_array_add(record->done,
+			    g_strdup(*line + strlen(DONE_WORD " ")));
+}
+
+/*
+ * Takes the former planner's orders of late.
+ */
+static void
+take_orders(planner_t *planner, const store_item_t *item)
+{
+	g_auto(GStrv) lines = g_strsplit(item->value, "\n", -1);
+
+	for (char **line = lines; *line != NULL; line++) {
+		g_auto(GStrv) words = g_strsplit(*line, " ", 2);
+
+		if (g_strv_length(words) == 2)
+			fleet_ordered_before(planner->fleet, words[0],
+			    g_ascii_strtoull(words[1], NULL, 10),
+			    planner->turn_us / GW_US_PER_MS);
+	}
+}
+
+/*
+ * Gives a wave to the fleet, with the machines that need no more orders.
+ */
+void
+planner_plan_wave(planner_t *planner, const plat_wave_t *wave)
+{
+	wave_record_t *record = planner_wave_record(planner, wave->number);
+
+	fleet_set_wave(planner->fleet, wave->number, wave->machines,
+	    wave->duration_ms, wave->at_once_max);
+	for (guint i = 0; i < record->done->len; i++)
+		fleet_wave_known_done(
+		    planner->fleet, wave->number, record->done->pdata[i]);
+}
+
+static void
+on_read_retry(gw_timer_t *timer, void *arg)
+{
+	(void)timer;
+	planner_read_records(arg);
+}
+
+static void
+on_records(const store_page_t *page, const gw_err_t *err, void *arg)
+{
+	planner_t *planner = arg;
+
+	if (!planner_call_ended(planner))
+		return;
+	if (err != NULL) {
+		gw_timer_start(planner->rt, &planner->retry,
+		    RETRY_MS * GW_US_PER_MS, on_read_retry, planner);
+		return;
+	}
+	for (guint i = 0; i < page->items->len; i++) {
+		const store_item_t *item = page->items->pdata[i];
+
+		if (strcmp(item->key, ORDERS_KEY) == 0)
+			take_orders(planner, item);
+		else if (g_str_has_prefix(item->key, WAVE_RECORD_PREFIX))
+			take_record(planner, item);
+	}
+	planner->records_read = true;
+	for (guint i = 0; i < planner->wave_queue->len; i++)
+		planner_plan_wave(planner, planner->wave_queue->pdata[i]);
+	g_ptr_array_set_size(planner->wave_queue, 0);
+}
+
+/*
+ * Reads the former planner's records; waves wait until then.
+ */
+void
+planner_read_records(planner_t *planner)
+{
+	planner->refs++;
+	store_range(planner->store, RECORD_PREFIX, NULL, on_records, planner);
+}
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -449,6 +449,9 @@
 	schedule_claim(role);
 }
 
+/*
+ * Returns the address of a role's owner as last seen, or NULL.
+ */
 const char *
 roles_owner(const roles_t *roles, const char *name)
 {
@@ -457,6 +460,9 @@
 	return role == NULL ? NULL : role->owner;
 }
 
+/*
+ * Tells whether this process owns the role.
+ */
 bool
 roles_is_mine(const roles_t *roles, const char *name)
 {
@@ -465,12 +471,18 @@
 	return role != NULL && role->fence != 0;
 }
 
+/*
+ * Returns the end of the lease by the last renewal, or 0.
+ */
 uint64_t
 roles_lease_until_us(const roles_t *roles)
 {
 	return roles->lease_id == 0 ? 0 : roles->valid_until_us;
 }
 
+/*
+ * Tells whether the lease surely goes on.
+ */
 bool
 roles_lease_valid(const roles_t *roles)
 {
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -56,6 +56,9 @@
 	return service;
 }
 
+/*
+ * Gives all pools up.
+ */
 void
 service_free(service_t *service)
 {
@@ -66,6 +69,9 @@
 	g_free(service);
 }
 
+/*
+ * Begins to own a part of a pool, whose records are then loaded.
+ */
 void
 service_add(service_t *service, const char *pool, uint64_t fence)
 {
@@ -79,6 +85,9 @@
 		service->arg));
 }
 
+/*
+ * Gives a part up, and keeps how long its leases may run.
+ */
 void
 service_remove(service_t *service, const char *pool)
 {
@@ -90,12 +99,19 @@
 	g_hash_table_remove(service->owners, pool);
 }
 
+/*
+ * Returns the owner of a part, or NULL.
+ */
 owner_t *
 service_owner(const service_t *service, const char *pool)
 {
 	return g_hash_table_lookup(service->owners, pool);
 }
 
+/*
+ * Passes an entry on to the part that the instance belongs to, and its removal
+ * to all others.
+ */
 void
 service_set_instance(service_t *service, const sched_info_t *info)
 {
@@ -117,6 +133,9 @@
 	}
 }
 
+/*
+ * Passes the removal of an entry on to all parts.
+ */
 void
 service_remove_instance(service_t *service, const char *id)
 {
@@ -345,18 +364,27 @@
 	}
 }
 
+/*
+ * Sets the number of parts in which pools are owned.
+ */
 void
 service_set_parts(service_t *service, uint32_t parts)
 {
 	service->parts = parts;
 }
 
+/*
+ * Refuses changes from now on; questions are still answered.
+ */
 void
 service_close(service_t *service)
 {
 	service->closing = true;
 }
 
+/*
+ * Tells whether no part has anything left to write.
+ */
 bool
 service_is_quiet(const service_t *service)
 {
@@ -370,6 +398,9 @@
 	return true;
 }
 
+/*
+ * Returns the number of parts that this process owns.
+ */
 uint32_t
 service_pools(const service_t *service)
 {
--- a/gwentryd/stats.c
+++ b/gwentryd/stats.c
@@ -72,6 +72,9 @@
 	return stats;
 }
 
+/*
+ * Frees the metrics.
+ */
 void
 stats_free(stats_t *stats)
 {
@@ -93,6 +96,9 @@
 	return status >= 500 ? CLASS_UNKNOWN : CLASS_MALFORMED;
 }
 
+/*
+ * Counts an answer and its time, in microseconds.
+ */
 void
 stats_request(stats_t *stats, Gw__CallKind kind, int status, uint64_t took_us)
 {
@@ -102,6 +108,9 @@
 	gw_histogram_record(stats->took[kind], took_us);
 }
 
+/*
+ * Sets the values that are read only when asked for.
+ */
 void
 stats_gauges(stats_t *stats, uint32_t pools, uint32_t connections,
     uint64_t config_version, bool lease_valid)
@@ -113,6 +122,9 @@
 	stats->log_dropped->value = gw_log_dropped();
 }
 
+/*
+ * Returns the text; the caller frees it.
+ */
 GString *
 stats_text(stats_t *stats)
 {
--- a/gwentryd/view.c
+++ b/gwentryd/view.c
@@ -179,6 +179,9 @@
 	g_free(view);
 }
 
+/*
+ * Begins to follow the registry, unless that is done already.
+ */
 void
 view_want_instances(view_t *view)
 {
@@ -188,12 +191,18 @@
 			REGISTRY_PAUSE_MS, &registry_ops, view);
 }
 
+/*
+ * Returns the configuration in force; it belongs to the view.
+ */
 const sched_config_t *
 view_config(const view_t *view)
 {
 	return view->config;
 }
 
+/*
+ * Reports each known instance.
+ */
 void
 view_replay(
     const view_t *view, void (*cb)(const sched_info_t *, void *), void *arg)
@@ -206,6 +215,9 @@
 		cb(info, arg);
 }
 
+/*
+ * Reports each known wave.
+ */
 void
 view_replay_waves(
     const view_t *view, void (*cb)(const plat_wave_t *, void *), void *arg)
@@ -214,6 +226,9 @@
 		cb(view->waves->pdata[i], arg);
 }
 
+/*
+ * Counts the instances of each pool and returns the largest number.
+ */
 uint32_t
 view_largest_pool(const view_t *view)
 {
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -121,18 +121,27 @@
 	return batch;
 }
 
+/*
+ * Tells whether anything is to be recorded.
+ */
 bool
 sched_pool_dirty(const sched_pool_t *pool)
 {
 	return pool->dirty->length > 0;
 }
 
+/*
+ * Returns the number of writes of a batch.
+ */
 uint32_t
 sched_batch_writes(const sched_batch_t *batch)
 {
 	return batch->writes->len;
 }
 
+/*
+ * Returns the i-th write; it belongs to the batch.
+ */
 const sched_write_t *
 sched_batch_write(const sched_batch_t *batch, uint32_t i)
 {
@@ -193,6 +202,9 @@
 	batch_free(batch);
 }
 
+/*
+ * Frees a batch of a pool that is given up.
+ */
 void
 sched_batch_drop(sched_batch_t *batch)
 {
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -48,6 +48,9 @@
 	return fleet;
 }
 
+/*
+ * Frees the fleet.
+ */
 void
 fleet_free(fleet_t *fleet)
 {
@@ -79,6 +82,9 @@
 	return pool;
 }
 
+/*
+ * Takes a pool as configured.
+ */
 void
 fleet_set_pool(fleet_t *fleet, const char *name, uint32_t group, bool standby)
 {
@@ -96,6 +102,9 @@
 		g_hash_table_add(names, g_strdup(from[i]));
 }
 
+/*
+ * Takes an owner's report of its load.
+ */
 void
 fleet_set_load(fleet_t *fleet, const char *name, const Gw__PoolLoad *load)
 {
@@ -128,6 +137,10 @@
 	return machine;
 }
 
+/*
+ * Keeps a machine from new orders for a while, and counts it as down for its
+ * wave.
+ */
 void
 fleet_ordered_before(
     fleet_t *fleet, const char *name, uint64_t wave, uint64_t for_ms)
@@ -156,6 +169,9 @@
 	return NULL;
 }
 
+/*
+ * Begins a whole list: machines that it does not name are gone.
+ */
 void
 fleet_begin_list(fleet_t *fleet)
 {
@@ -184,6 +200,9 @@
 	machine->goal = GOAL_NONE;
 }
 
+/*
+ * Takes one machine of the list.
+ */
 void
 fleet_list_machine(fleet_t *fleet, const fleet_machine_t *from)
 {
@@ -200,6 +219,9 @@
 		come_back(fleet, machine, from->instance);
 }
 
+/*
+ * Ends the list.
+ */
 void
 fleet_end_list(fleet_t *fleet)
 {
@@ -214,6 +236,9 @@
 	fleet->list_us = gw_clock_now_us(fleet->clock);
 }
 
+/*
+ * Takes the registry's entry of a machine's instance.
+ */
 void
 fleet_instance_up(fleet_t *fleet, const sched_info_t *info)
 {
@@ -230,6 +255,9 @@
 		come_back(fleet, machine, info->id);
 }
 
+/*
+ * Takes the removal of an instance's entry: its machine is not up.
+ */
 void
 fleet_instance_gone(fleet_t *fleet, const char *instance)
 {
@@ -325,6 +353,9 @@
 		order(fleet, machine, gw_clock_now_us(fleet->clock));
 }
 
+/*
+ * Takes the answer to an order.
+ */
 void
 fleet_ordered(fleet_t *fleet, const char *name, fleet_answer_t answer)
 {
@@ -443,6 +474,9 @@
 	return false;
 }
 
+/*
+ * Goes on with waves, moves and orders.
+ */
 void
 fleet_tick(fleet_t *fleet)
 {
--- a/lib/sched/fleet_wave.c
+++ b/lib/sched/fleet_wave.c
@@ -10,6 +10,9 @@
 /* Of a pool's machines, those that may be away while there is time. */
 #define POOL_SHARE_PERCENT 25
 
+/*
+ * Frees a wave.
+ */
 void
 fleet_wave_free(gpointer data)
 {
@@ -32,6 +35,9 @@
 	return NULL;
 }
 
+/*
+ * Takes a wave; one that is known is left as it is.
+ */
 void
 fleet_set_wave(fleet_t *fleet, uint64_t number, const GPtrArray *machines,
     uint32_t duration_ms, uint32_t at_once_max)
@@ -68,6 +74,9 @@
 	fleet->ops->wave_machine(number, machine, fleet->arg);
 }
 
+/*
+ * Notes that a machine needs no more orders for the wave.
+ */
 void
 fleet_wave_known_done(fleet_t *fleet, uint64_t number, const char *machine)
 {
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -222,6 +222,7 @@
 void sched_instance_release(sched_task_t *);
 uint64_t sched_instance_clock_ms(const sched_instance_t *, uint64_t now_us);
 uint64_t sched_instance_extend(sched_instance_t *, uint64_t now_us);
+void sched_instance_begin_life(sched_instance_t *, uint64_t born_ms);
 void sched_instance_ack(sched_instance_t *, uint64_t number);
 void sched_instance_lost(sched_instance_t *, const char *reason);
 void sched_instance_hold_at(sched_instance_t *, uint64_t due_us);
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -146,12 +146,18 @@
 	return NULL;
 }
 
+/*
+ * Returns the specification of the task's step.
+ */
 const Gw__JobStep *
 sched_task_step(const sched_task_t *task)
 {
 	return task->job->spec->steps[task->step];
 }
 
+/*
+ * Returns the counts of the task's step in its occurrence.
+ */
 sched_step_t *
 sched_task_counts(const sched_task_t *task)
 {
@@ -187,6 +193,9 @@
 	step->tickets = NULL;
 }
 
+/*
+ * Tells whether the job has reached its last state.
+ */
 bool
 sched_job_ended(const sched_job_t *job)
 {
@@ -264,6 +273,9 @@
 		    ->tasks[occurrence->steps[ref->step].first + ref->index];
 }
 
+/*
+ * Returns the name of a task.
+ */
 sched_ref_t
 sched_task_ref(const sched_task_t *task)
 {
--- a/lib/sched/parts.c
+++ b/lib/sched/parts.c
@@ -15,6 +15,9 @@
 /* Does not occur in names of pools, which are host labels. */
 #define SEPARATOR '~'
 
+/*
+ * Returns the number of parts, between 1 and PARTS_MAX.
+ */
 uint32_t
 parts_for(uint32_t instances)
 {
@@ -35,6 +38,9 @@
 	return (uint32_t)(XXH64(id, strlen(id), 0) % count);
 }
 
+/*
+ * Writes the name of a part of a pool.
+ */
 void
 parts_name(
     const char *pool, uint32_t part, uint32_t count, char out[PARTS_NAME_BYTES])
@@ -46,6 +52,9 @@
 		    out, PARTS_NAME_BYTES, "%s%c%u", pool, SEPARATOR, part);
 }
 
+/*
+ * Takes a part's name apart.
+ */
 uint32_t
 parts_split(const char *name, char pool[PARTS_NAME_BYTES])
 {
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -177,6 +177,9 @@
 		best->kept_round = pool->round;
 }
 
+/*
+ * Returns the best instance for the task, or NULL.
+ */
 sched_instance_t *
 sched_place_task(sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
 {
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -168,6 +168,10 @@
 	return now_us + wait_ms * (1000 + SCHED_DRIFT_PERMILLE);
 }
 
+/*
+ * Shortens the wait for instances that were not reached to what the former
+ * owner's leases still run, or one hold.
+ */
 void
 sched_pool_former_gone(
     sched_pool_t *pool, Gw__LeaseLeft *const *leases, size_t lease_count)
@@ -195,6 +199,9 @@
 	    GW_EV_FORMER_GONE, "pool=%s leases=%zu", pool->name, lease_count);
 }
 
+/*
+ * Lists how long the leases on all instances may run.
+ */
 GArray *
 sched_pool_leases(const sched_pool_t *pool)
 {
@@ -309,6 +316,9 @@
 	}
 }
 
+/*
+ * Runs one round.
+ */
 uint64_t
 sched_pool_tick(sched_pool_t *pool, uint64_t wall_ms)
 {
