Look again at an instance before a recorded run is ordered

Runs are ordered once their batch is recorded; the instance had announced up to 2.7 s earlier that it leaves.

Ruled out: an entry that turned back, and placement on leaving instances.

Before: both new plays of sched/orders.sh fail. After: they pass.

--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -158,6 +158,39 @@
 		sched_instance_ack(instance, ack->number);
 }
 
+static bool
+began_to_leave(const sched_task_t *task)
+{
+	return task->state == SCHED_RESERVED && task->instance->info.leaving;
+}
+
+/*
+ * Tells whether a placed task may still start: an instance can begin to leave
+ * while the store writes. The members of a gang start together or not at all.
+ */
+static bool
+may_start(const sched_task_t *task)
+{
+	const sched_occurrence_t *occurrence;
+	uint32_t first;
+
+	if (!sched_task_step(task)->gang)
+		return !began_to_leave(task);
+	occurrence = sched_job_occurrence(task->job, task->occurrence);
+	first = occurrence->steps[task->step].first;
+	for (uint32_t i = 0; i < sched_task_step(task)->count; i++) {
+		const sched_task_t *member = &occurrence->tasks[first + i];
+
+		if (member->state == SCHED_WAITING || began_to_leave(member))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Orders the runs that the batch recorded. No order has left for a run that
+ * may not start, so its task can be placed elsewhere at once.
+ */
 static void
 order_starts(sched_batch_t *batch, uint64_t now_us)
 {
@@ -165,9 +198,13 @@
 		const sched_planned_t *planned =
 		    &g_array_index(batch->starts, sched_planned_t, i);
 
-		if (planned->task->state == SCHED_RESERVED &&
-		    planned->task->run == planned->run)
+		if (planned->task->state != SCHED_RESERVED ||
+		    planned->task->run != planned->run)
+			continue;
+		if (may_start(planned->task))
 			sched_task_order(planned->task, now_us);
+		else
+			sched_task_requeue(planned->task, "leaves");
 	}
 }
 
--- a/regress/sched/orders.sh
+++ b/regress/sched/orders.sh
@@ -99,3 +99,39 @@
 hold-failed i1 replaced
 commit
 EOT
+
+# Guards against a run that starts on an instance that said that it leaves
+# while the store wrote the record of the run.
+play "no order goes to an instance that began to leave meanwhile" <<'EOT'
+pool
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=100
+report i2 clock=100
+submit j1 1:1000:500
+tick
+take
+instance i1 leaving=7000
+done
+commit
+EOT
+
+# Guards against a gang of which one member is ordered and another is not.
+play "a gang waits as a whole when one of its instances leaves" <<'EOT'
+pool
+instance i1 cpu=1000
+instance i2 cpu=1000
+instance i3 cpu=1000
+tick
+report i1 clock=100
+report i2 clock=100
+submit j1 2:1000:500:gang
+tick
+take
+instance i2 leaving=7000
+done
+commit
+report i3 clock=100
+commit
+EOT
