--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -7,8 +7,11 @@
 #include "planner_impl.h"
 #include "roles.h"
 
+/* The fleet decides at this pace. */
 #define TICK_MS 100
+/* Loads are asked for at this pace: each round costs a call to each owner. */
 #define LOAD_EVERY_MS 200
+/* An owner that does not answer within two rounds is left out of this one. */
 #define CALL_TIMEOUT_MS 400
 /* Beyond the bound between two holders' orders to one machine. */
 #define TURN_MARGIN_MS 400
--- a/gwentryd/planner_machines.c
+++ b/gwentryd/planner_machines.c
@@ -5,6 +5,10 @@
 #include "gw/log.h"
 #include "planner_impl.h"
 
+/*
+ * An order or a list without an answer for so long is asked for again; repeats
+ * are safe, as orders are recorded first.
+ */
 #define ORDER_TIMEOUT_MS 1200
 #define LIST_TIMEOUT_MS 1500
 
--- a/gwentryd/planner_records.c
+++ b/gwentryd/planner_records.c
@@ -6,6 +6,7 @@
 #include "gw/log.h"
 #include "planner_impl.h"
 
+/* Pause before a failed write or read of the records is tried again. */
 #define RETRY_MS 100
 #define RECORD_PREFIX "gw/planner/"
 #define WAVE_RECORD_PREFIX RECORD_PREFIX "wave/"
