Keep a wave's state over a refused write, and read all of its records

Cause: a write of the planner that the store refused was sent again without the waves in it, since they counted as written; and only the first page of the records was read. The first loses the state "completed" for the operators, the second orders a machine's maintenance again.

Ruled out: loss in the fleet's own state; the log shows the wave completed (8015) and the write refused twice (8014).

Change: waves of a failed write are written again, records are read page by page, and a failed read is logged. The stand-ins can refuse writes by prefix and list machines.

--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -28,6 +28,7 @@
 	g_array_free(planner->recording, TRUE);
 	g_ptr_array_free(planner->wave_queue, TRUE);
 	g_free(planner->page);
+	g_free(planner->records_after);
 	g_free(planner);
 }
 
--- a/gwentryd/planner_impl.h
+++ b/gwentryd/planner_impl.h
@@ -28,6 +28,7 @@
 	bool has_state;
 	bool completed;
 	bool dirty;
+	bool in_write; /* in the write under way */
 } wave_record_t;
 
 struct planner {
@@ -50,6 +51,7 @@
 	GArray *recording;     /* order_t, in the write under way */
 	GPtrArray *wave_queue; /* plat_wave_t, until the records are read */
 	char *page;
+	char *records_after; /* last key of a truncated page of records */
 	gw_timer_t tick;
 	gw_timer_t retry;
 	uint64_t load_us;
--- a/gwentryd/planner_records.c
+++ b/gwentryd/planner_records.c
@@ -49,6 +49,22 @@
 	planner_flush(arg);
 }
 
+/*
+ * Ends the write for the waves in it: what was not written is dirty again.
+ */
+static void
+end_wave_writes(planner_t *planner, bool written)
+{
+	GHashTableIter iter;
+	wave_record_t *record;
+
+	g_hash_table_iter_init(&iter, planner->waves);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&record)) {
+		record->dirty |= record->in_write && !written;
+		record->in_write = false;
+	}
+}
+
 static void
 on_written(uint64_t revision, const store_page_t *current, const gw_err_t *err,
     void *arg)
@@ -65,6 +81,7 @@
 		    PLANNER_ROLE, "role-key-changed", planner->arg);
 		return;
 	}
+	end_wave_writes(planner, err == NULL);
 	if (err != NULL) {
 		gw_log(GW_EV_COMMIT_FAILED, "pool=%s err=%s text=\"%s\"",
 		    PLANNER_ROLE, gw_errc_name(err->code), err->text);
@@ -116,6 +133,7 @@
 			PLAT_WAVE_STATUS_PREFIX "%" PRIu64, record->number),
 		    g_strdup(plat_wave_status(record->completed)));
 	record->dirty = false;
+	record->in_write = true;
 }
 
 /*
@@ -241,25 +259,42 @@
 	planner_read_records(arg);
 }
 
+static void
+take_records(planner_t *planner, const store_page_t *page)
+{
+	for (guint i = 0; i < page->items->len; i++) {
+		const store_item_t *item = page->items->pdata[i];
+
+		if (strcmp(item->key, ORDERS_KEY) == 0)
+			take_orders(planner, item);
+		else if (g_str_has_prefix(item->key, WAVE_RECORD_PREFIX))
+			take_record(planner, item);
+	}
+}
+
 static void
 on_records(const store_page_t *page, const gw_err_t *err, void *arg)
 {
 	planner_t *planner = arg;
+	const store_item_t *last;
 
 	if (!planner_call_ended(planner))
 		return;
 	if (err != NULL) {
+		gw_log(GW_EV_COMMIT_FAILED,
+		    "pool=%s step=load err=%s text=\"%s\"", PLANNER_ROLE,
+		    gw_errc_name(err->code), err->text);
 		gw_timer_start(planner->rt, &planner->retry,
 		    RETRY_MS * GW_US_PER_MS, on_read_retry, planner);
 		return;
 	}
-	for (guint i = 0; i < page->items->len; i++) {
-		const store_item_t *item = page->items->pdata[i];
-
-		if (strcmp(item->key, ORDERS_KEY) == 0)
-			take_orders(planner, item);
-		else if (g_str_has_prefix(item->key, WAVE_RECORD_PREFIX))
-			take_record(planner, item);
+	take_records(planner, page);
+	g_clear_pointer(&planner->records_after, g_free);
+	if (page->truncated && page->items->len > 0) {
+		last = page->items->pdata[page->items->len - 1];
+		planner->records_after = g_strdup(last->key);
+		planner_read_records(planner);
+		return;
 	}
 	planner->records_read = true;
 	for (guint i = 0; i < planner->wave_queue->len; i++)
@@ -274,5 +309,6 @@
 planner_read_records(planner_t *planner)
 {
 	planner->refs++;
-	store_range(planner->store, RECORD_PREFIX, NULL, on_records, planner);
+	store_range(planner->store, RECORD_PREFIX, planner->records_after,
+	    on_records, planner);
 }
--- a/tools/gwstored/fault.c
+++ b/tools/gwstored/fault.c
@@ -40,7 +40,7 @@
 }
 
 static int
-set_raw(char **dest, const json_t *value)
+set_text(char **dest, const json_t *value)
 {
 	if (!json_is_string(value) && !json_is_null(value))
 		return -1;
@@ -71,7 +71,11 @@
 	if (strcmp(name, "cut_watches") == 0)
 		return set_flag(&faults->cut_watches, value);
 	if (strcmp(name, "raw_answer") == 0)
-		return set_raw(&faults->raw_answer, value);
+		return set_text(&faults->raw_answer, value);
+	if (strcmp(name, "refuse_prefix") == 0)
+		return set_text(&faults->refuse_prefix, value);
+	if (strcmp(name, "refuse_writes") == 0)
+		return set_count(&faults->refuse_writes, value);
 	return -1;
 }
 
--- a/tools/gwstored/form.c
+++ b/tools/gwstored/form.c
@@ -267,6 +267,31 @@
 	    kv_delete(server->kv, json_string_value(row));
 }
 
+/*
+ * Tells whether the faults refuse a change with these writes.
+ */
+static bool
+is_refused(faults_t *faults, const json_t *writes)
+{
+	const json_t *row;
+	size_t i;
+
+	if (faults->refuse_writes == 0 || faults->refuse_prefix == NULL)
+		return false;
+	json_array_foreach(writes, i, row)
+	{
+		const char *key =
+		    json_string_value(json_object_get(row, "key"));
+
+		if (key == NULL ||
+		    !g_str_has_prefix(key, faults->refuse_prefix))
+			continue;
+		faults->refuse_writes--;
+		return true;
+	}
+	return false;
+}
+
 static void
 post_txn(server_t *server, h2o_req_t *req, const json_t *request)
 {
@@ -275,6 +300,11 @@
 	const json_t *writes = json_object_get(request, "writes"), *row;
 	size_t i;
 
+	if (is_refused(&server->faults, writes)) {
+		json_decref(failed);
+		answer(server, req, 503, json_object());
+		return;
+	}
 	if (failed != NULL) {
 		answer(server, req, 412, json_pack("{s:o}", "items", failed));
 		return;
--- a/tools/gwstored/server.c
+++ b/tools/gwstored/server.c
@@ -144,5 +144,6 @@
 	leases_clear(&server->leases);
 	kv_free(server->kv);
 	g_free(server->faults.raw_answer);
+	g_free(server->faults.refuse_prefix);
 	g_free(server);
 }
--- a/tools/gwworkerd/main.c
+++ b/tools/gwworkerd/main.c
@@ -59,30 +59,65 @@
 	return 0;
 }
 
+static json_t *
+stats(void)
+{
+	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "starts",
+	    (int)ledger.starts, "ends", (int)ledger.ends, "lapses",
+	    (int)ledger.lapses, "doubles", (int)ledger.doubles, "fenced",
+	    (int)ledger.fenced, "upkeeps", (int)ledger.upkeeps, "running",
+	    (int)g_hash_table_size(ledger.running));
+}
+
+/*
+ * Lists each worker as a machine of its own.
+ */
+static json_t *
+machines(void)
+{
+	json_t *rows = json_array();
+
+	for (uint32_t i = 0; i < worker_count; i++)
+		json_array_append_new(rows,
+		    json_pack("{s:s, s:s, s:s, s:s, s:s}", "machine",
+			workers[i]->id, "pool", pool_name, "state", "up",
+			"zone", "dc-a", "id", workers[i]->id));
+	return json_pack("{s:o}", "machines", rows);
+}
+
+static void
+reply(h2o_req_t *req, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	json_decref(body);
+	gw_http_reply(req, 200, "application/json", text, strlen(text));
+	free(text);
+}
+
+/*
+ * Handles /control, the platform's calls about machines, and /stats. An order
+ * to maintain a machine is counted only.
+ */
 static int
 on_control(h2o_req_t *req, void *arg)
 {
 	json_t *body;
-	char *text;
 
 	(void)arg;
-	if (h2o_memis(req->path_normalized.base, req->path_normalized.len,
-		H2O_STRLIT("/control"))) {
+	if (worker_path_is(req, "/control")) {
 		body = json_loadb(req->entity.base, req->entity.len, 0, NULL);
 		gw_http_reply(req, set_faults(body) == 0 ? 200 : 400,
 		    "application/json", "{}", 2);
 		json_decref(body);
-		return 0;
+	} else if (worker_path_is(req, "/machines")) {
+		reply(req, machines());
+	} else if (worker_path_is(req, "/machine-upkeep")) {
+		ledger.upkeeps++;
+		reply(req, json_object());
+	} else {
+		reply(req, stats());
 	}
-	body = json_pack("{s:i, s:i, s:i, s:i, s:i, s:i}", "starts",
-	    (int)ledger.starts, "ends", (int)ledger.ends, "lapses",
-	    (int)ledger.lapses, "doubles", (int)ledger.doubles, "fenced",
-	    (int)ledger.fenced, "running",
-	    (int)g_hash_table_size(ledger.running));
-	text = json_dumps(body, JSON_COMPACT);
-	json_decref(body);
-	gw_http_reply(req, 200, "application/json", text, strlen(text));
-	free(text);
 	return 0;
 }
 
@@ -115,8 +150,9 @@
 }
 
 /*
- * Stand-in for instances that run tasks. POST /control sets faults, GET /stats
- * counts runs, and those that happened twice.
+ * Stand-in for instances that run tasks. POST /control sets faults, GET
+ * /machines lists the workers' machines, GET /stats counts runs, and those that
+ * happened twice.
  */
 int
 main(int argc, char **argv)
--- a/tools/gwworkerd/worker.h
+++ b/tools/gwworkerd/worker.h
@@ -26,6 +26,7 @@
 	uint32_t lapses;
 	uint32_t doubles; /* starts of a task that ran, or was done */
 	uint32_t fenced;  /* orders with a lower fence */
+	uint32_t upkeeps; /* orders to maintain a worker's machine */
 };
 
 typedef struct {
@@ -68,6 +69,7 @@
 
 /* worker_api.c */
 int worker_request(h2o_req_t *, void *arg);
+bool worker_path_is(const h2o_req_t *, const char *path);
 void worker_answer_holds(worker_t *);
 
 #endif
--- a/tools/gwworkerd/worker_api.c
+++ b/tools/gwworkerd/worker_api.c
@@ -223,8 +223,11 @@
 		    on_hold_timeout, hold);
 }
 
-static bool
-path_is(const h2o_req_t *req, const char *path)
+/*
+ * Tells whether the request is for the path, whatever its query.
+ */
+bool
+worker_path_is(const h2o_req_t *req, const char *path)
 {
 	return h2o_memis(req->path_normalized.base, req->path_normalized.len,
 	    path, strlen(path));
@@ -263,11 +266,11 @@
 	request = json_loadb(req->entity.base, req->entity.len, 0, NULL);
 	if (!json_is_object(request))
 		answer(worker, req, 400, json_object());
-	else if (path_is(req, "/run-start"))
+	else if (worker_path_is(req, "/run-start"))
 		handle_start(worker, req, request);
-	else if (path_is(req, "/run-stop"))
+	else if (worker_path_is(req, "/run-stop"))
 		handle_stop(worker, req, request);
-	else if (path_is(req, "/hold"))
+	else if (worker_path_is(req, "/hold"))
 		handle_hold(worker, req, request);
 	else
 		answer(worker, req, 200, json_object());
