Close the connections to instances that have gone

Cause: an owner kept its HTTP client and connections for every instance that it ever had; each move and each maintenance makes another instance.

Ruled out: growth in sched_pool_t, which drops unlisted instances.

--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -162,13 +162,22 @@
 	    instance, owner->pool_name);
 }
 
+static void
+on_forgotten(const char *instance, void *arg)
+{
+	owner_t *owner = arg;
+
+	agents_forget(owner->agents, instance);
+}
+
 static const sched_ops_t pool_ops = {.start = on_start,
     .stop = on_stop,
     .pace = on_pace,
     .hold = on_hold,
     .advise = on_advise,
     .lease_until_us = lease_until_us,
-    .fenced = on_fenced};
+    .fenced = on_fenced,
+    .forgotten = on_forgotten};
 
 /* Answers come in. */
 
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -228,18 +228,9 @@
 static void
 tick_instance(sched_instance_t *instance, uint64_t now_us)
 {
-	for (guint i = 0; i < instance->tasks->len; i++) {
-		sched_task_t *task = instance->tasks->pdata[i];
-
-		if (task->state == SCHED_STARTING && !instance->unreachable &&
-		    !task->refused_as_old &&
-		    gw_elapsed_us(now_us, task->sent_us) > SCHED_START_RETRY_US)
-			sched_task_order(task, now_us);
-		else if (task->state == SCHED_STOPPING &&
-		    !instance->unreachable && task->stopped_us == 0 &&
-		    gw_elapsed_us(now_us, task->sent_us) > SCHED_START_RETRY_US)
-			sched_task_stop(task);
-	}
+	for (guint i = 0; !instance->unreachable && i < instance->tasks->len;
+	     i++)
+		repeat_order(instance->tasks->pdata[i], now_us);
 	sched_evacuate(instance, now_us);
 	sched_instance_tick(instance, now_us);
 }
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -157,6 +157,8 @@
 	uint64_t (*lease_until_us)(void *arg);
 	/* An instance refuses the owner's fence. */
 	void (*fenced)(const char *instance, void *arg);
+	/* Nothing more will be sent to the instance. */
+	void (*forgotten)(const char *instance, void *arg);
 } sched_ops_t;
 
 /* The platform's bounds that decisions depend on. */
--- a/regress/sched/ends.sh
+++ b/regress/sched/ends.sh
@@ -97,3 +97,23 @@
 report i1 clock=140 end:2:j1.0.0.1:1:done
 commit
 EOT
+
+# Guards against connections that are kept for ever to instances that have gone:
+# each move makes another instance.
+play "an unlisted instance is forgotten once nothing runs there" <<'EOT'
+pool
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=100
+report i2 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+gone i1
+gone i2
+tick
+advance 50
+report i1 clock=150 end:1:j1.0.0.0:1:done
+commit
+EOT
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -156,13 +156,21 @@
 	printf("%6" PRIu64 " fenced %s\n", now_ms(), instance);
 }
 
+static void
+on_forgotten(const char *instance, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " forget %s\n", now_ms(), instance);
+}
+
 static const sched_ops_t ops = {.start = on_start,
     .stop = on_stop,
     .pace = on_pace,
     .hold = on_hold,
     .advise = on_advise,
     .lease_until_us = lease_until_us,
-    .fenced = on_fenced};
+    .fenced = on_fenced,
+    .forgotten = on_forgotten};
 
 static void
 on_reply(const sched_reply_t *reply, void *arg)
