Do not repeat a start where the instance leaves

Cause: an order without an answer was repeated at its instance also when that had begun to leave; a start there breaks DRAIN.

Ruled out: waiting for a report only. A late copy of the first order could still start the run.

Change: the run is stopped instead. Once the stop is answered and a report does not list the run, its task goes elsewhere.

Measured: the new play of sched/orders.sh fails before and passes after.

--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -221,6 +221,25 @@
 	return leases;
 }
 
+/*
+ * Repeats an order that had no answer. A start is not repeated where the
+ * instance leaves: the run is stopped, so that its task can run elsewhere.
+ */
+static void
+repeat_order(sched_task_t *task, uint64_t now_us)
+{
+	if (gw_elapsed_us(now_us, task->sent_us) <= SCHED_START_RETRY_US)
+		return;
+	if (task->state == SCHED_STOPPING && task->stopped_us == 0)
+		sched_task_stop(task);
+	if (task->state != SCHED_STARTING || task->refused_as_old)
+		return;
+	if (task->instance->info.leaving)
+		sched_task_stop(task);
+	else
+		sched_task_order(task, now_us);
+}
+
 /*
  * Repeats orders that had no answer, and takes tasks off an instance that
  * leaves.
@@ -247,6 +266,7 @@
 		tick_instance(instance, now_us);
 		if (!instance->listed && instance->tasks->len == 0 &&
 		    !instance->holding) {
+			pool->ops->forgotten(instance->info.id, pool->arg);
 			g_hash_table_iter_remove(&iter);
 			continue;
 		}
--- a/regress/sched/orders.sh
+++ b/regress/sched/orders.sh
@@ -135,3 +135,23 @@
 report i3 clock=100
 commit
 EOT
+
+# Guards against a run that starts on an instance that leaves, by an order that
+# is repeated since the first had no answer.
+play "an order without an answer is not repeated where an instance leaves" <<'EOT'
+pool
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=100
+report i2 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 none
+instance i1 leaving=7000
+advance 405
+stopped i1 j1.0.0.0 1 ok
+advance 5
+report i1 clock=515
+commit
+EOT
