Keep the names of parts whole, and take no name that was cut off

Cause: the name of a part (pool, mark and number) is longer than the 64 bytes of most fields; two parts of a pool with a name of 62 or 63 bytes became one, and the planner lost their loads. Names of machines from the platform were cut off without a word.

Ruled out: shorter marks; a name of 63 bytes is a valid host label.

A machine with a longer name is left out, like other malformed rows.

Measured: the new plays of sched/fleet.sh and platform/decode.sh fail before (no move; three names cut off) and pass after.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -222,7 +222,7 @@
 {
 	const sched_config_t *config = view_config(entry->view);
 	uint32_t parts = layout_parts(entry->layout);
-	char name[PARTS_NAME_BYTES];
+	char name[SCHED_NAME_BYTES];
 
 	if (config == NULL || parts == 0)
 		return;
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -283,7 +283,7 @@
 {
 	front_t *front = request->front;
 	uint64_t wait_ms = deadline_ms(request->req);
-	char name[PARTS_NAME_BYTES];
+	char name[SCHED_NAME_BYTES];
 
 	parts_name(pool, part, front->parts, name);
 	call->pool = name;
--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -147,7 +147,7 @@
 {
 	planner_t *planner = arg;
 	order_t order = {0};
-	char name[PARTS_NAME_BYTES];
+	char name[SCHED_NAME_BYTES];
 
 	(void)parts_split(pool, name);
 	g_strlcpy(order.machine, machine, sizeof(order.machine));
@@ -273,7 +273,7 @@
 		    &g_array_index(config->pools, sched_pool_config_t, i);
 
 		for (uint32_t part = 0; part < planner->parts; part++) {
-			char name[PARTS_NAME_BYTES];
+			char name[SCHED_NAME_BYTES];
 
 			parts_name(pool->name, part, planner->parts, name);
 			fleet_set_pool(
--- a/gwentryd/planner_impl.h
+++ b/gwentryd/planner_impl.h
@@ -65,7 +65,7 @@
 /* A call, and the machine, instance or part that it is about. */
 typedef struct {
 	planner_t *planner;
-	char machine[PARTS_NAME_BYTES];
+	char machine[SCHED_NAME_BYTES];
 } asked_t;
 
 bool planner_call_ended(planner_t *);
--- a/gwentryd/planner_machines.c
+++ b/gwentryd/planner_machines.c
@@ -24,11 +24,8 @@
 planner_part_of_machine(const planner_t *planner, const char *pool,
     const char *machine, char out[SCHED_NAME_BYTES])
 {
-	char name[PARTS_NAME_BYTES];
-
 	parts_name(
-	    pool, parts_of(machine, planner->parts), planner->parts, name);
-	g_strlcpy(out, name, SCHED_NAME_BYTES);
+	    pool, parts_of(machine, planner->parts), planner->parts, out);
 }
 
 static void
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -7,6 +7,7 @@
 #include "gw/id.h"
 #include "gw/log.h"
 #include "roles.h"
+#include "sched/name.h"
 #include "store/follow.h"
 
 #define ROLE_PREFIX "gw/role/"
@@ -32,7 +33,7 @@
 
 typedef struct {
 	roles_t *roles;
-	char name[96];
+	char name[SCHED_NAME_BYTES];
 	char *owner;	       /* address, NULL: none */
 	char *former;	       /* address of the last other owner, NULL: none */
 	uint64_t revision;     /* of the newest state seen */
@@ -47,8 +48,8 @@
 struct roles {
 	gw_rt_t *rt;
 	store_t *store;
-	char node[64];
-	char address[64];
+	char node[SCHED_NAME_BYTES];
+	char address[GW_ADDR_TEXT_BYTES];
 	char boot[GW_ID_TEXT_BYTES]; /* this life of the process */
 	const roles_ops_t *ops;
 	void *arg;
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -121,7 +121,7 @@
 
 	g_hash_table_iter_init(&iter, service->owners);
 	while (g_hash_table_iter_next(&iter, &name, (gpointer *)&owner)) {
-		char pool[PARTS_NAME_BYTES];
+		char pool[SCHED_NAME_BYTES];
 		uint32_t part = parts_split(name, pool);
 
 		sched_pool_machine_runs(owner_pool(owner), info);
--- a/lib/sched/parts.c
+++ b/lib/sched/parts.c
@@ -43,26 +43,26 @@
  */
 void
 parts_name(
-    const char *pool, uint32_t part, uint32_t count, char out[PARTS_NAME_BYTES])
+    const char *pool, uint32_t part, uint32_t count, char out[SCHED_NAME_BYTES])
 {
 	if (count <= 1)
-		(void)g_strlcpy(out, pool, PARTS_NAME_BYTES);
+		(void)g_strlcpy(out, pool, SCHED_NAME_BYTES);
 	else
 		(void)snprintf(
-		    out, PARTS_NAME_BYTES, "%s%c%u", pool, SEPARATOR, part);
+		    out, SCHED_NAME_BYTES, "%s%c%u", pool, SEPARATOR, part);
 }
 
 /*
  * Takes a part's name apart.
  */
 uint32_t
-parts_split(const char *name, char pool[PARTS_NAME_BYTES])
+parts_split(const char *name, char pool[SCHED_NAME_BYTES])
 {
 	const char *mark = strrchr(name, SEPARATOR);
 
-	(void)g_strlcpy(pool, name, PARTS_NAME_BYTES);
+	(void)g_strlcpy(pool, name, SCHED_NAME_BYTES);
 	if (mark == NULL)
 		return 0;
-	pool[MIN((size_t)(mark - name), PARTS_NAME_BYTES - 1)] = '\0';
+	pool[MIN((size_t)(mark - name), SCHED_NAME_BYTES - 1)] = '\0';
 	return (uint32_t)strtoul(mark + 1, NULL, 10);
 }
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "gw/clock.h"
+#include "sched/name.h"
 #include "wire/gw.pb-c.h"
 
 /*
@@ -17,7 +18,6 @@
 typedef struct sched_pool sched_pool_t;
 
 #define SCHED_JOB_ID_BYTES 17
-#define SCHED_NAME_BYTES 64
 
 /* One task: a job, an occurrence of it, a step and a number in the step. */
 typedef struct {
--- a/regress/platform/decode.sh
+++ b/regress/platform/decode.sh
@@ -62,6 +62,12 @@
 wave {"machines":[]}
 EOT
 
+# Guards against two names that become one when they are cut off.
+play "names that are too long" <<'EOT'
+machines {"machines":[{"machine":"pppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppm","pool":"p1","state":"up","zone":"z-a","id":"i-1"},{"machine":"m-2","pool":"pppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppq","state":"up","zone":"z-a","id":"i-2"},{"machine":"m-3","pool":"p1","state":"up","zone":"z-a","id":"pppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppi"},{"machine":"m-4","pool":"ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp","state":"up","zone":"z-a","id":"i-4"}],"next_token":null}
+instance {"service":"p1","address":"10.1.0.9:8080","zone":"z-a","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":[],"sequence":4,"machine":"pppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppm"}
+EOT
+
 play "settings" <<'EOT'
 settings {"node":"n1","zone":"z-a","ip":"10.1.0.9","listen":{"front":"10.1.0.9:8624","ready":"10.1.0.9:8622"},"internal_ports":[7060,7075],"bounds":{"grace_s":6,"hold_max_ms":6000,"remote_factor":1.5},"advice":"10.200.1.9:8621","platform":{"address":"10.200.1.7:8621"},"cloud":{"address":"10.200.0.107:8621"},"limits":{"max_fds":4100}}
 settings {"node":"n1","zone":"z-a","ip":"10.1.0.9","listen":{"front":"10.1.0.9:8624","ready":"10.1.0.9:8622"},"internal_ports":[7060]}
--- a/regress/sched/fleet.sh
+++ b/regress/sched/fleet.sh
@@ -127,3 +127,14 @@
 advance 2400
 advance 1000
 EOT
+
+# Guards against two parts of a pool with a long name being taken for one.
+play_fleet "names of parts are kept whole" <<'EOT'
+fleet lend
+pool ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp~10
+pool ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp~11
+list m1:ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp~10:i1:up m2:ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp~10:i2:up m3:ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp~10:i3:up m4:ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp~11:j1:up m5:ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp~11:j2:up
+load ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp~10 instances=3 i1 i2 i3
+load ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp~11 instances=2 used=40000
+advance 200
+EOT
