Say things once in lib/sched and gwentryd, and drop what nothing uses

Cause: found while reading the change. Three loops told waiters the same, two functions walked the chain of steps, a specification was packed in two places, the drift of clocks was written out three times, an end was taken on two paths; a refused order was logged by two modules, once as a bare number. A call to another process was packed and unpacked before it was sent on an open connection. The baseline for lending was a special case outside its table.

Change: one of each. A specification whose steps cannot be walked is refused, as the chain is computed in an array of the most steps.

--- a/gwentryd/agents.c
+++ b/gwentryd/agents.c
@@ -28,8 +28,7 @@
 
 typedef enum {
 	ORDER_START,
-	ORDER_STOP,
-	ORDER_PACE
+	ORDER_STOP
 } order_kind_t;
 
 typedef struct {
@@ -167,13 +166,31 @@
 
 static void send_next(agent_t *);
 
+/* How an order is sent, and its name in the log. */
+static const struct {
+	const char *path;
+	const char *name;
+} kinds[] = {
+    [ORDER_START] = {PLAT_START_PATH, "start"},
+    [ORDER_STOP] = {PLAT_STOP_PATH, "stop"},
+};
+
 static const char *
-order_path(order_kind_t kind)
+answer_name(sched_answer_t answer)
 {
-	static const char *const paths[] = {
-	    PLAT_START_PATH, PLAT_STOP_PATH, PLAT_PACE_PATH};
-
-	return paths[kind];
+	static const char *const names[] = {
+	    [SCHED_ORDER_OK] = "ok",
+	    [SCHED_ORDER_FENCED] = "fenced",
+	    [SCHED_ORDER_OLD] = "old",
+	    [SCHED_ORDER_LATE] = "late",
+	    [SCHED_ORDER_NO_ROOM] = "no-room",
+	    [SCHED_ORDER_TICKET] = "ticket",
+	    [SCHED_ORDER_REFUSED] = "refused",
+	    [SCHED_ORDER_REPLACED] = "replaced",
+	    [SCHED_ORDER_NO_ANSWER] = "none",
+	};
+
+	return names[answer];
 }
 
 static void
@@ -194,17 +211,17 @@
 	if (answer != SCHED_ORDER_OK)
 		gw_log(GW_EV_RUN_REFUSED,
 		    "job=%s task=%u.%u.%u run=%u instance=%s order=%s "
-		    "status=%d err=%s",
+		    "answer=%s status=%d err=%s",
 		    order->ref.job, order->ref.occurrence, order->ref.step,
 		    order->ref.index, order->run, instance,
-		    order_path(order->kind),
+		    kinds[order->kind].name, answer_name(answer),
 		    response == NULL ? 0 : response->status,
 		    err == NULL ? "none" : gw_errc_name(err->code));
 	send_next(agent);
 	if (order->kind == ORDER_START)
-		agents->ops->on_started(instance, &order->ref, order->run,
-		    answer, clock_ms, agents->arg);
-	else if (order->kind == ORDER_STOP)
+		agents->ops->on_started(
+		    instance, &order->ref, order->run, answer, agents->arg);
+	else
 		agents->ops->on_stopped(
 		    instance, &order->ref, order->run, answer, agents->arg);
 	order_free(order);
@@ -220,7 +237,7 @@
 		order->link.data = order;
 		g_queue_push_tail_link(&agent->agents->open, &order->link);
 		order->http = gw_httpc_call_with(agent->http, "POST",
-		    order_path(order->kind), agent->headers, order->body,
+		    kinds[order->kind].path, agent->headers, order->body,
 		    ORDER_TIMEOUT_MS, on_order, order);
 	}
 }
@@ -267,17 +284,6 @@
 	    plat_stop_body(ref, run, agents->fence));
 }
 
-/*
- * Orders a run to work at a share of its speed, in percent.
- */
-void
-agents_pace(agents_t *agents, const char *instance, const char *address,
-    const sched_ref_t *ref, uint32_t run, uint32_t percent)
-{
-	give(agents, instance, address, ORDER_PACE, ref, run,
-	    plat_pace_body(ref, run, percent, agents->fence));
-}
-
 static void
 on_hold(const gw_http_response_t *response, const gw_err_t *err, void *arg)
 {
--- a/gwentryd/dispatch.c
+++ b/gwentryd/dispatch.c
@@ -249,12 +249,3 @@
 	g_free(dispatch);
 	return NULL;
 }
-
-/*
- * Takes no more calls of other processes.
- */
-void
-dispatch_close(dispatch_t *dispatch)
-{
-	peers_close(dispatch->peers);
-}
--- a/gwentryd/dispatch.h
+++ b/gwentryd/dispatch.h
@@ -18,14 +18,13 @@
 
 dispatch_t *dispatch_new(gw_rt_t *, roles_t *, const gw_addr_t *listen,
     dispatch_serve_t, void *arg, gw_err_t *);
-void dispatch_close(dispatch_t *);
+/* Asks the process at address whether it still owns the pool. */
+void dispatch_ask_former(dispatch_t *, const char *address, const char *pool,
+    uint64_t timeout_ms, dispatch_reply_t, void *arg);
 /*
  * Sends the request (copied) and reports one reply within timeout_ms. Refused
  * means that it surely was not taken; unknown that it may have been.
  */
-/* Asks the process at address whether it still owns the pool. */
-void dispatch_ask_former(dispatch_t *, const char *address, const char *pool,
-    uint64_t timeout_ms, dispatch_reply_t, void *arg);
 void dispatch_call(dispatch_t *, const Gw__Call *, uint64_t timeout_ms,
     dispatch_reply_t, void *arg);
 
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -112,15 +112,6 @@
 	agents_stop(owner->agents, instance, address, ref, run);
 }
 
-static void
-on_pace(const char *instance, const char *address, const sched_ref_t *ref,
-    uint32_t run, uint32_t percent, void *arg)
-{
-	owner_t *owner = arg;
-
-	agents_pace(owner->agents, instance, address, ref, run, percent);
-}
-
 static void
 on_hold(const sched_hold_t *hold, void *arg)
 {
@@ -172,7 +163,6 @@
 
 static const sched_ops_t pool_ops = {.start = on_start,
     .stop = on_stop,
-    .pace = on_pace,
     .hold = on_hold,
     .advise = on_advise,
     .lease_until_us = lease_until_us,
@@ -183,11 +173,11 @@
 
 static void
 on_started(const char *instance, const sched_ref_t *ref, uint32_t run,
-    sched_answer_t answer, uint64_t clock_ms, void *arg)
+    sched_answer_t answer, void *arg)
 {
 	owner_t *owner = arg;
 
-	sched_pool_started(owner->pool, instance, ref, run, answer, clock_ms);
+	sched_pool_started(owner->pool, instance, ref, run, answer);
 	owner_kick(owner);
 }
 
--- a/gwentryd/peers.c
+++ b/gwentryd/peers.c
@@ -23,7 +23,7 @@
 typedef struct {
 	peer_t *peer;
 	uint64_t number;
-	uint8_t *packed; /* the message, until it is sent */
+	uint8_t *packed; /* the message while it waits for the connection */
 	size_t packed_bytes;
 	uint64_t sent_us; /* 0: not yet */
 	gw_timer_t timer;
@@ -143,21 +143,31 @@
 }
 
 static void
-send_call(peer_t *peer, call_t *call)
+send_message(peer_t *peer, call_t *call, Gw__Call *message)
 {
 	Gw__Envelope envelope = GW__ENVELOPE__INIT;
 	gw_err_t err;
 
 	envelope.body_case = GW__ENVELOPE__BODY_CALL;
-	envelope.call =
+	envelope.call = message;
+	if (gw_conn_send(peer->conn, &envelope, &err) == 0)
+		call->sent_us = gw_rt_now_us(peer->peers->rt);
+}
+
+/*
+ * Sends a call that waited for the connection.
+ */
+static void
+send_packed(peer_t *peer, call_t *call)
+{
+	Gw__Call *message =
 	    gw__call__unpack(NULL, call->packed_bytes, call->packed);
-	if (envelope.call == NULL)
+
+	if (message == NULL)
 		return;
-	if (gw_conn_send(peer->conn, &envelope, &err) == 0) {
-		call->sent_us = gw_rt_now_us(peer->peers->rt);
-		g_clear_pointer(&call->packed, g_free);
-	}
-	gw__call__free_unpacked(envelope.call, NULL);
+	send_message(peer, call, message);
+	gw__call__free_unpacked(message, NULL);
+	g_clear_pointer(&call->packed, g_free);
 }
 
 static void
@@ -173,8 +183,8 @@
 		    peer->address);
 	peer->lost = false;
 	for (GList *link = peer->calls.head; link != NULL; link = link->next)
-		if (((call_t *)link->data)->sent_us == 0)
-			send_call(peer, link->data);
+		if (((call_t *)link->data)->packed != NULL)
+			send_packed(peer, link->data);
 }
 
 static void
@@ -278,6 +288,14 @@
 		gw_conn_close(peer->conn);
 }
 
+static void
+pack(call_t *call, const Gw__Call *message)
+{
+	call->packed_bytes = gw__call__get_packed_size(message);
+	call->packed = g_malloc(call->packed_bytes);
+	gw__call__pack(message, call->packed);
+}
+
 /*
  * Sends a call to the process at address, and reports the reply or the failure
  * after timeout_ms at the latest.
@@ -292,19 +310,19 @@
 	message->number = ++peers->next_number;
 	call->peer = peer;
 	call->number = message->number;
-	call->packed_bytes = gw__call__get_packed_size(message);
-	call->packed = g_malloc(call->packed_bytes);
-	gw__call__pack(message, call->packed);
 	call->cb = cb;
 	call->arg = arg;
 	call->link.data = call;
 	g_queue_push_tail_link(&peer->calls, &call->link);
 	gw_timer_start(peers->rt, &call->timer, timeout_ms * GW_US_PER_MS,
 	    on_timeout, call);
+	if (peer->open) {
+		send_message(peer, call, message);
+		return;
+	}
+	pack(call, message);
 	if (peer->conn == NULL && connect_peer(peer) != 0)
 		gw_timer_start(peers->rt, &call->timer, 0, on_timeout, call);
-	else if (peer->open)
-		send_call(peer, call);
 }
 
 /*
@@ -328,13 +346,3 @@
 	g_free(peers);
 	return NULL;
 }
-
-/*
- * Takes no more connections. Open ones go on until the process ends.
- */
-void
-peers_close(peers_t *peers)
-{
-	gw_listener_close(peers->listener);
-	peers->listener = NULL;
-}
--- a/gwentryd/peers.h
+++ b/gwentryd/peers.h
@@ -28,7 +28,6 @@
 
 peers_t *peers_new(
     gw_rt_t *, const gw_addr_t *listen, peers_call_cb_t, void *arg, gw_err_t *);
-void peers_close(peers_t *);
 /* Sends the call; the number is set here. The callback comes from the loop. */
 void peers_call(peers_t *, const char *address, Gw__Call *, uint64_t timeout_ms,
     peers_reply_cb_t, void *arg);
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -423,19 +423,6 @@
 	return roles;
 }
 
-/*
- * Frees it; roles are not given back. The store must be freed first.
- */
-void
-roles_free(roles_t *roles)
-{
-	if (roles == NULL)
-		return;
-	gw_timer_stop(&roles->renew);
-	g_hash_table_destroy(roles->by_name);
-	g_free(roles);
-}
-
 /*
  * Lets this process claim a role.
  */
--- a/gwentryd/roles.h
+++ b/gwentryd/roles.h
@@ -33,7 +33,6 @@
 /* cpu_permille: processor time of this process; weaker ones claim later. */
 roles_t *roles_new(gw_rt_t *, store_t *, const char *node, const char *address,
     uint32_t cpu_permille, const roles_ops_t *, void *arg);
-void roles_free(roles_t *);
 void roles_want(roles_t *, const char *name);
 /* Address of the owner, or NULL when none is known. */
 const char *roles_owner(const roles_t *, const char *name);
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -56,19 +56,6 @@
 	return service;
 }
 
-/*
- * Gives all pools up.
- */
-void
-service_free(service_t *service)
-{
-	if (service == NULL)
-		return;
-	g_hash_table_destroy(service->owners);
-	g_hash_table_destroy(service->given_up);
-	g_free(service);
-}
-
 /*
  * Begins to own a part of a pool, whose records are then loaded.
  */
@@ -262,7 +249,8 @@
 		refuse(NO_WRITES_RETRY_AFTER_MS, "store-not-writable", cb, arg);
 		return;
 	}
-	if (call->kind == GW__CALL_KIND__CALL_SUBMIT && call->spec != NULL)
+	if (call->kind == GW__CALL_KIND__CALL_SUBMIT && call->spec != NULL &&
+	    sched_spec_valid(call->spec))
 		sched_pool_submit(
 		    pool, call->spec, on_recorded, waiting_new(cb, arg));
 	else if (call->kind == GW__CALL_KIND__CALL_CANCEL)
--- a/gwentryd/service.h
+++ b/gwentryd/service.h
@@ -11,7 +11,6 @@
 
 service_t *service_new(gw_rt_t *, store_t *, const char *data_centre,
     const sched_bounds_t *, const owner_ops_t *, void *arg);
-void service_free(service_t *);
 void service_set_parts(service_t *, uint32_t parts);
 void service_add(service_t *, const char *pool, uint64_t fence);
 void service_remove(service_t *, const char *pool);
--- a/gwentryd/stats.c
+++ b/gwentryd/stats.c
@@ -72,18 +72,6 @@
 	return stats;
 }
 
-/*
- * Frees the metrics.
- */
-void
-stats_free(stats_t *stats)
-{
-	if (stats == NULL)
-		return;
-	gw_metrics_free(stats->set);
-	g_free(stats);
-}
-
 static status_class_t
 classify(int status)
 {
--- a/gwentryd/stats.h
+++ b/gwentryd/stats.h
@@ -10,7 +10,6 @@
 typedef struct stats stats_t;
 
 stats_t *stats_new(void);
-void stats_free(stats_t *);
 /* A caller's request was answered. */
 void stats_request(stats_t *, Gw__CallKind, int status, uint64_t took_us);
 /* Current values, set before the text is made. */
--- a/gwentryd/view.c
+++ b/gwentryd/view.c
@@ -163,22 +163,6 @@
 	return view;
 }
 
-/*
- * Frees the view, before the store is freed.
- */
-void
-view_free(view_t *view)
-{
-	if (view == NULL)
-		return;
-	store_follow_free(view->operators);
-	store_follow_free(view->registry);
-	g_hash_table_destroy(view->instances);
-	sched_config_free(view->config);
-	g_ptr_array_free(view->waves, TRUE);
-	g_free(view);
-}
-
 /*
  * Begins to follow the registry, unless that is done already.
  */
--- a/gwentryd/view.h
+++ b/gwentryd/view.h
@@ -21,7 +21,6 @@
 } view_ops_t;
 
 view_t *view_new(gw_rt_t *, store_t *, const view_ops_t *, void *arg);
-void view_free(view_t *);
 /* Begins to follow the instances, which only owners need. */
 void view_want_instances(view_t *);
 /* The most instances that a pool has; 0 before the registry was read. */
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -5,6 +5,23 @@
 /* Most writes that one job adds to a batch: specification and progress. */
 #define JOB_WRITES 2
 
+const sched_reply_t sched_owner_gone = {
+    .outcome = GW__CALL_OUTCOME__CALL_UNKNOWN, .reason = "owner-gone"};
+
+/*
+ * Tells every waiter (sched_waiter_t) the same.
+ */
+void
+sched_tell_waiters(const GArray *waiters, const sched_reply_t *reply)
+{
+	for (guint i = 0; i < waiters->len; i++) {
+		const sched_waiter_t *waiter =
+		    &g_array_index(waiters, sched_waiter_t, i);
+
+		waiter->cb(reply, waiter->arg);
+	}
+}
+
 static void
 write_clear(gpointer data)
 {
@@ -49,8 +66,11 @@
 	g_array_append_val(batch->writes, write);
 }
 
-static GBytes *
-encode_spec(const Gw__JobSpec *spec)
+/*
+ * Returns the specification as the store keeps it.
+ */
+GBytes *
+sched_spec_encode(const Gw__JobSpec *spec)
 {
 	size_t size_bytes = gw__job_spec__get_packed_size(spec);
 	uint8_t *data = g_malloc(size_bytes);
@@ -90,7 +110,7 @@
 		return;
 	}
 	if (!job->spec_recorded && !sched_job_ended(job))
-		add_write(batch, job, true, encode_spec(job->spec));
+		add_write(batch, job, true, sched_spec_encode(job->spec));
 	else if (sched_job_ended(job) &&
 	    job->recorded < GW__JOB_STATE__JOB_COMPLETED && job->spec_recorded)
 		add_write(batch, job, true, NULL);
@@ -230,12 +250,7 @@
 	}
 	for (guint i = 0; i < batch->acks->len; i++)
 		acknowledge(pool, &g_array_index(batch->acks, sched_ack_t, i));
-	for (guint i = 0; i < batch->waiters->len; i++) {
-		const sched_waiter_t *waiter =
-		    &g_array_index(batch->waiters, sched_waiter_t, i);
-
-		waiter->cb(&ok, waiter->arg);
-	}
+	sched_tell_waiters(batch->waiters, &ok);
 	batch_free(batch);
 }
 
@@ -245,14 +260,6 @@
 void
 sched_batch_drop(sched_batch_t *batch)
 {
-	const sched_reply_t unknown = {
-	    .outcome = GW__CALL_OUTCOME__CALL_UNKNOWN, .reason = "owner-gone"};
-
-	for (guint i = 0; i < batch->waiters->len; i++) {
-		const sched_waiter_t *waiter =
-		    &g_array_index(batch->waiters, sched_waiter_t, i);
-
-		waiter->cb(&unknown, waiter->arg);
-	}
+	sched_tell_waiters(batch->waiters, &sched_owner_gone);
 	batch_free(batch);
 }
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -16,10 +16,10 @@
 static Gw__JobSpec *
 copy_spec(const Gw__JobSpec *spec)
 {
-	size_t size_bytes = gw__job_spec__get_packed_size(spec);
-	g_autofree uint8_t *data = g_malloc(size_bytes);
+	g_autoptr(GBytes) packed = sched_spec_encode(spec);
+	gsize size_bytes = 0;
+	const void *data = g_bytes_get_data(packed, &size_bytes);
 
-	gw__job_spec__pack(spec, data);
 	return gw__job_spec__unpack(NULL, size_bytes, data);
 }
 
@@ -153,9 +153,8 @@
 }
 
 /*
- * Sums up the pool for the planner. The strings belong to the pool, the list of
- * idle and of lasting instances are freed with
- * g_free().
+ * Sums up the pool for the planner. The strings belong to the pool; the two
+ * lists of instances are freed with g_free().
  */
 void
 sched_pool_load_of(const sched_pool_t *pool, Gw__PoolLoad *load)
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -48,7 +48,6 @@
 	GHashTable *lasting; /* instances that never become idle */
 	uint64_t surplus_since_us;
 	uint32_t wanted; /* machines, as the lending policy has it */
-	uint64_t hot_us; /* when it last needed more than it had */
 } pool_t;
 
 typedef struct {
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -257,8 +257,6 @@
 	GHashTableIter iter;
 	pool_t *pool;
 
-	if (fleet->lending == &fleet_lending_none)
-		return;
 	fleet->lending->decide(fleet, now_us);
 	log_wanted(fleet, now_us);
 	g_hash_table_iter_init(&iter, fleet->pools);
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -61,10 +61,7 @@
 	uint64_t sent_us;	/* the last order */
 	uint64_t confirmed_us;	/* when it was known to run; 0: not yet */
 	uint64_t not_before_us; /* a pause before the next start */
-	uint64_t progress_us;	/* when percent last rose */
 	uint32_t percent;
-	uint32_t gauge;
-	uint32_t pace_percent;
 	char failed_on[SCHED_NAME_BYTES]; /* instance of the last failure */
 } sched_task_t;
 
@@ -99,7 +96,6 @@
 typedef struct {
 	sched_reply_cb_t cb;
 	void *arg;
-	bool is_cancel;
 } sched_waiter_t;
 
 struct sched_job {
@@ -228,6 +224,13 @@
 void sched_instance_hold_at(sched_instance_t *, uint64_t due_us);
 void sched_instance_tick(sched_instance_t *, uint64_t now_us);
 
+uint64_t sched_drifted_us(uint64_t ms);
+
+/* batch.c */
+extern const sched_reply_t sched_owner_gone;
+void sched_tell_waiters(const GArray *waiters, const sched_reply_t *);
+GBytes *sched_spec_encode(const Gw__JobSpec *);
+
 /* pool.c */
 uint64_t sched_pool_former_lapse_us(
     const sched_pool_t *, const char *instance, uint64_t now_us);
@@ -249,7 +252,7 @@
 void sched_evacuate(sched_instance_t *, uint64_t now_us);
 
 /* order.c */
-void sched_order_jobs(sched_pool_t *, GPtrArray *jobs, uint64_t now_us);
-uint32_t sched_chain_ms(const Gw__JobSpec *);
+void sched_order_jobs(GPtrArray *jobs, uint64_t now_us);
+uint32_t sched_chain_ms(const Gw__JobSpec *, const sched_occurrence_t *);
 
 #endif
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -102,6 +102,15 @@
 	task->confirmed_us = 0;
 }
 
+/*
+ * Returns how long ms on an instance's clock may take here at the most.
+ */
+uint64_t
+sched_drifted_us(uint64_t ms)
+{
+	return ms * GW_US_PER_MS * (1000 + SCHED_DRIFT_PERMILLE) / 1000;
+}
+
 /*
  * Estimates the instance's clock.
  */
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -3,6 +3,21 @@
 #include "gw/log.h"
 #include "sched/impl.h"
 
+/*
+ * Tells whether the steps can be walked in order, each after earlier ones.
+ */
+bool
+sched_spec_valid(const Gw__JobSpec *spec)
+{
+	if (spec->n_steps == 0 || spec->n_steps > SCHED_STEPS_MAX)
+		return false;
+	for (size_t i = 0; i < spec->n_steps; i++)
+		for (size_t k = 0; k < spec->steps[i]->n_after; k++)
+			if (spec->steps[i]->after[k] >= i)
+				return false;
+	return true;
+}
+
 /*
  * Returns a job without a specification.
  */
@@ -48,7 +63,7 @@
 	job->spec = spec;
 	g_free(job->queue);
 	job->queue = g_strdup(spec->queue);
-	job->chain_ms = sched_chain_ms(spec);
+	job->chain_ms = sched_chain_ms(spec, NULL);
 	for (size_t i = 0; i < spec->n_steps; i++)
 		job->lasting |= spec->steps[i]->lasting;
 }
@@ -82,7 +97,6 @@
 			task->occurrence = number;
 			task->step = (uint32_t)i;
 			task->index = k;
-			task->pace_percent = 100;
 		}
 	}
 	return occurrence;
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -12,48 +12,43 @@
 };
 
 /*
- * Estimates the longest chain of steps, in ms, with room for every task.
+ * Estimates the longest chain of steps, in ms, with room for every task: of
+ * those that the occurrence has open, or of all when it is NULL.
  */
 uint32_t
-sched_chain_ms(const Gw__JobSpec *spec)
+sched_chain_ms(const Gw__JobSpec *spec, const sched_occurrence_t *occurrence)
 {
-	uint32_t *end_ms = g_new0(uint32_t, spec->n_steps);
-	uint32_t longest_ms = 0;
+	uint32_t end_ms[SCHED_STEPS_MAX], longest_ms = 0;
 
 	for (size_t i = 0; i < spec->n_steps; i++) {
 		const Gw__JobStep *step = spec->steps[i];
-		uint32_t start_ms = 0;
+		bool is_open =
+		    occurrence == NULL || occurrence->steps[i].open > 0;
 
+		end_ms[i] = 0;
 		for (size_t k = 0; k < step->n_after; k++)
-			start_ms = MAX(start_ms, end_ms[step->after[k]]);
-		end_ms[i] = start_ms + step->estimate_ms;
+			end_ms[i] = MAX(end_ms[i], end_ms[step->after[k]]);
+		end_ms[i] += is_open ? step->estimate_ms : 0;
 		longest_ms = MAX(longest_ms, end_ms[i]);
 	}
-	g_free(end_ms);
 	return longest_ms;
 }
 
 /*
- * Estimates what is left of an occurrence: the longest chain of open steps in
- * ms, and the work in cpu-ms.
+ * Estimates the work that an occurrence has left, in cpu-ms.
  */
-static void
-left(const sched_job_t *job, const sched_occurrence_t *occurrence,
-    uint32_t *chain_ms, uint64_t *work)
+static uint64_t
+work_left(const sched_job_t *job, const sched_occurrence_t *occurrence)
 {
-	uint32_t end_ms[64] = {0};
-	size_t count = MIN(job->spec->n_steps, G_N_ELEMENTS(end_ms));
+	uint64_t work = 0;
 
-	for (size_t i = 0; i < count; i++) {
+	for (uint32_t i = 0; i < occurrence->step_count; i++) {
 		const Gw__JobStep *step = job->spec->steps[i];
-		uint32_t open = occurrence->steps[i].open, start_ms = 0;
 
-		for (size_t k = 0; k < step->n_after; k++)
-			start_ms = MAX(start_ms, end_ms[step->after[k]]);
-		end_ms[i] = start_ms + (open > 0 ? step->estimate_ms : 0);
-		*chain_ms = MAX(*chain_ms, end_ms[i]);
-		*work += (uint64_t)open * step->estimate_ms * step->cpu_millis;
+		work += (uint64_t)occurrence->steps[i].open *
+		    step->estimate_ms * step->cpu_millis;
 	}
+	return work;
 }
 
 /*
@@ -77,8 +72,13 @@
 		job->rank = job->accepted_us;
 		return;
 	}
-	for (guint i = 0; i < job->occurrences->len; i++)
-		left(job, job->occurrences->pdata[i], &chain_ms, &work);
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		const sched_occurrence_t *occurrence =
+		    job->occurrences->pdata[i];
+
+		chain_ms = MAX(chain_ms, sched_chain_ms(job->spec, occurrence));
+		work += work_left(job, occurrence);
+	}
 	if (age_ms + chain_ms <= objective_ms) {
 		job->rank_class = RANK_IN_TIME;
 		job->rank = work;
@@ -108,9 +108,8 @@
  * Sorts jobs into the order in which they get room.
  */
 void
-sched_order_jobs(sched_pool_t *pool, GPtrArray *jobs, uint64_t now_us)
+sched_order_jobs(GPtrArray *jobs, uint64_t now_us)
 {
-	(void)pool;
 	for (guint i = 0; i < jobs->len; i++)
 		rank(jobs->pdata[i], now_us);
 	g_ptr_array_sort(jobs, by_rank);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -405,7 +405,7 @@
 		if (has_waiting(job))
 			g_ptr_array_add(jobs, job);
 	}
-	sched_order_jobs(pool, jobs, now_us);
+	sched_order_jobs(jobs, now_us);
 	for (guint i = 0; i < jobs->len; i++) {
 		sched_job_t *job = jobs->pdata[i];
 
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -44,8 +44,6 @@
 void
 sched_pool_free(sched_pool_t *pool)
 {
-	const sched_reply_t unknown = {
-	    .outcome = GW__CALL_OUTCOME__CALL_UNKNOWN, .reason = "owner-gone"};
 	GHashTableIter iter;
 	sched_job_t *job;
 
@@ -53,11 +51,7 @@
 		return;
 	g_hash_table_iter_init(&iter, pool->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job))
-		for (guint i = 0; i < job->waiters->len; i++) {
-			sched_waiter_t *waiter =
-			    &g_array_index(job->waiters, sched_waiter_t, i);
-			waiter->cb(&unknown, waiter->arg);
-		}
+		sched_tell_waiters(job->waiters, &sched_owner_gone);
 	g_hash_table_destroy(pool->jobs);
 	g_hash_table_destroy(pool->instances);
 	g_hash_table_destroy(pool->former_leases);
@@ -80,6 +74,10 @@
 
 	if (spec == NULL)
 		return -1;
+	if (!sched_spec_valid(spec)) {
+		gw__job_spec__free_unpacked(spec, NULL);
+		return -1;
+	}
 	job = sched_job_new(pool, id);
 	job->spec_recorded = true;
 	sched_job_set_spec(job, spec);
@@ -165,7 +163,7 @@
 		return *lapse_us;
 	if (!pool->former_gone)
 		wait_ms += pool->bounds.former_holds_ms;
-	return now_us + wait_ms * (1000 + SCHED_DRIFT_PERMILLE);
+	return now_us + sched_drifted_us(wait_ms);
 }
 
 /*
@@ -184,8 +182,7 @@
 	for (size_t i = 0; i < lease_count; i++) {
 		uint64_t *lapse_us = g_new(uint64_t, 1);
 
-		*lapse_us =
-		    now_us + leases[i]->left_ms * (1000 + SCHED_DRIFT_PERMILLE);
+		*lapse_us = now_us + sched_drifted_us(leases[i]->left_ms);
 		g_hash_table_replace(pool->former_leases,
 		    g_strdup(leases[i]->instance), lapse_us);
 	}
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -122,7 +122,6 @@
 	if (instance->info.born_ms != host->born_ms)
 		return; /* that life has ended, and the run with it */
 	task->state = SCHED_RUNNING;
-	task->progress_us = gw_clock_now_us(pool->clock);
 	sched_instance_take(instance, task);
 	sched_task_counts(task)->waiting--;
 	task->job->begun = true;
--- a/lib/sched/report.c
+++ b/lib/sched/report.c
@@ -32,18 +32,18 @@
 	sched_task_t *task = sched_pool_task(pool, &end->ref);
 	sched_ack_t ack = {
 	    .born_ms = instance->info.born_ms, .number = end->number};
+	/* Then the end adds nothing to the job's record. */
+	bool is_recorded =
+	    task == NULL || task->job->recorded >= GW__JOB_STATE__JOB_COMPLETED;
 
 	instance->seen_number = end->number;
 	judge(instance, end, now_us);
-	if (task != NULL && task->job->recorded >= GW__JOB_STATE__JOB_COMPLETED)
+	if (task != NULL)
 		sched_task_ended(task, instance, end);
-	if (task == NULL ||
-	    task->job->recorded >= GW__JOB_STATE__JOB_COMPLETED) {
-		/* The job has ended, and its record says so. */
+	if (is_recorded) {
 		sched_instance_ack(instance, end->number);
 		return;
 	}
-	sched_task_ended(task, instance, end);
 	g_strlcpy(ack.instance, instance->info.id, sizeof(ack.instance));
 	g_array_append_val(task->job->acks, ack);
 	sched_job_mark(pool, task->job);
@@ -70,10 +70,7 @@
 		task->state = SCHED_RUNNING;
 	task->refused_as_old = false;
 	task->confirmed_us = MAX(task->confirmed_us, sent_us);
-	if (row->percent > task->percent)
-		task->progress_us = now_us;
 	task->percent = row->percent;
-	task->gauge = row->gauge;
 	if (row->checkpoint != NULL && row->checkpoint[0] != '\0' &&
 	    g_strcmp0(task->checkpoint, row->checkpoint) != 0) {
 		g_free(task->checkpoint);
@@ -164,8 +161,7 @@
 		    report->running_count, report->end_count);
 	/* From now on the fence keeps a former owner's holds away. */
 	if (!instance->contacted)
-		instance->lapse_us =
-		    now_us + SCHED_HOLD_MS * (1000 + SCHED_DRIFT_PERMILLE);
+		instance->lapse_us = now_us + sched_drifted_us(SCHED_HOLD_MS);
 	instance->contacted = true;
 	instance->unreachable = false;
 	instance->clock_ms = report->clock_ms;
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -41,7 +41,6 @@
 	task->orders = 0;
 	task->stopped_us = 0;
 	task->percent = 0;
-	task->pace_percent = 100;
 	g_clear_pointer(&task->ticket, g_free);
 	sched_task_counts(task)->waiting++;
 	if (!sched_job_ended(task->job))
@@ -71,7 +70,6 @@
 	if (now_us >= pool->ops->lease_until_us(pool->arg))
 		return;
 	order.deadline_ms = sched_instance_extend(instance, now_us);
-	order.clock_ms = sched_instance_clock_ms(instance, now_us);
 	gw_log(GW_EV_RUN_START,
 	    "job=%s task=%u.%u.%u run=%u instance=%s attempt=%u "
 	    "used_cpu=%" PRIu64 " report_age_ms=%" PRIu64,
@@ -80,7 +78,6 @@
 	    instance->used.cpu_millis,
 	    (gw_elapsed_us(now_us, instance->report_us)) / GW_US_PER_MS);
 	task->orders++;
-	task->progress_us = now_us;
 	task->job->begun = true;
 	if (task->job->state == GW__JOB_STATE__JOB_QUEUED)
 		task->job->state = GW__JOB_STATE__JOB_RUNNING;
@@ -308,18 +305,12 @@
  */
 void
 sched_pool_started(sched_pool_t *pool, const char *id, const sched_ref_t *ref,
-    uint32_t run, sched_answer_t answer, uint64_t clock_ms)
+    uint32_t run, sched_answer_t answer)
 {
 	sched_task_t *task = sched_pool_task(pool, ref);
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 	sched_instance_t *instance;
 
-	(void)clock_ms;
-	if (answer != SCHED_ORDER_OK)
-		gw_log(GW_EV_RUN_REFUSED,
-		    "job=%s task=%u.%u.%u run=%u instance=%s answer=%d",
-		    ref->job, ref->occurrence, ref->step, ref->index, run, id,
-		    answer);
 	if (answer == SCHED_ORDER_FENCED) {
 		pool->ops->fenced(id, pool->arg);
 		return;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -18,6 +18,8 @@
 typedef struct sched_pool sched_pool_t;
 
 #define SCHED_JOB_ID_BYTES 17
+/* Steps of a job; more are refused. */
+#define SCHED_STEPS_MAX 64
 
 /* One task: a job, an occurrence of it, a step and a number in the step. */
 typedef struct {
@@ -106,7 +108,6 @@
 	const char *checkpoint; /* empty: none */
 	const char *ticket;	/* NULL: none */
 	uint64_t deadline_ms;	/* on the instance's clock */
-	uint64_t clock_ms;	/* instance's clock when the order was made */
 } sched_start_t;
 
 /* An order to hold what runs, and to report. Valid during the call. */
@@ -143,8 +144,6 @@
 	void (*start)(const sched_start_t *, void *arg);
 	void (*stop)(const char *instance, const char *address,
 	    const sched_ref_t *, uint32_t run, void *arg);
-	void (*pace)(const char *instance, const char *address,
-	    const sched_ref_t *, uint32_t run, uint32_t percent, void *arg);
 	/* A hold is due; at most one per instance is under way. */
 	void (*hold)(const sched_hold_t *, void *arg);
 	/* An instance that is asked which instances may run the step. */
@@ -183,6 +182,9 @@
     const gw_clock_t *, const sched_bounds_t *, const sched_ops_t *, void *arg);
 void sched_pool_free(sched_pool_t *);
 
+/* False for a specification that no entry process makes. */
+bool sched_spec_valid(const Gw__JobSpec *);
+
 /* Takeover: every record of the store, then sched_pool_loaded(). */
 int sched_pool_load_spec(
     sched_pool_t *, const char *id, const void *, size_t size_bytes);
@@ -214,7 +216,7 @@
     sched_pool_t *, const char *id, const sched_report_t *, uint64_t sent_us);
 void sched_pool_hold_failed(sched_pool_t *, const char *id, sched_answer_t);
 void sched_pool_started(sched_pool_t *, const char *id, const sched_ref_t *,
-    uint32_t run, sched_answer_t, uint64_t clock_ms);
+    uint32_t run, sched_answer_t);
 void sched_pool_stopped(sched_pool_t *, const char *id, const sched_ref_t *,
     uint32_t run, sched_answer_t);
 
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -112,17 +112,6 @@
 	printf(" run=%u\n", run);
 }
 
-static void
-on_pace(const char *instance, const char *address, const sched_ref_t *ref,
-    uint32_t run, uint32_t percent, void *arg)
-{
-	(void)address;
-	(void)arg;
-	printf("%6" PRIu64 " pace %s", now_ms(), instance);
-	print_ref(ref);
-	printf(" run=%u percent=%u\n", run, percent);
-}
-
 static void
 on_hold(const sched_hold_t *hold, void *arg)
 {
@@ -165,7 +154,6 @@
 
 static const sched_ops_t ops = {.start = on_start,
     .stop = on_stop,
-    .pace = on_pace,
     .hold = on_hold,
     .advise = on_advise,
     .lease_until_us = lease_until_us,
@@ -495,7 +483,7 @@
 	sched_ref_t ref = ref_of(words[2]);
 
 	sched_pool_started(pool, words[1], &ref, (uint32_t)atoi(words[3]),
-	    answer_of(words[4]), 0);
+	    answer_of(words[4]));
 }
 
 static void
