Split the entry process, the owner and the planner into smaller files

Cause: gwentryd/entry.c, front.c, owner.c and roles.c, and gwfleetd's generation.c and job_commit.c, each did several jobs. The leases, the requests of callers, the probes, the questions to a former owner, the owner's load and commit, and the planner's base are files of their own now. No behaviour changes.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -4,12 +4,13 @@
 
 #include "dispatch.h"
 #include "entry.h"
+#include "former.h"
 #include "front.h"
 #include "gw/log.h"
-#include "http/httpd.h"
 #include "layout.h"
 #include "planner.h"
 #include "platform/kv.h"
+#include "probe.h"
 #include "roles.h"
 #include "sched/parts.h"
 #include "service.h"
@@ -18,11 +19,10 @@
 
 /* An answer of the store takes some ms, at times hundreds. */
 #define STORE_TIMEOUT_MS 800
-#define READY_BODY_MAX_BYTES 1024
-#define READY_IDLE_MS 30000
-#define READY_CONNECTIONS_MAX 64
 /* The balancer asks once a second and needs two misses. */
 #define DRAIN_LISTEN_MS 2500
+/* Roles are handed over by then, also while something waits for the store. */
+#define DRAIN_RELEASE_MS 1250
 /* Before the platform kills: the last part of its grace period. */
 #define DRAIN_MARGIN_MS 600
 #define DRAIN_CHECK_MS 20
@@ -32,11 +32,6 @@
 /* Between the end of the last request and the exit. */
 #define DRAIN_LINGER_MS 300
 #define MS_PER_S 1000
-/* A former owner is asked while its answer could still shorten the wait. */
-#define FORMER_TIMEOUT_MS 400
-#define FORMER_RETRY_MS 200
-#define FORMER_TRIES_MAX 8
-
 struct entry {
 	gw_rt_t *rt;
 	plat_settings_t settings;
@@ -49,16 +44,14 @@
 	dispatch_t *dispatch;
 	front_t *front;
 	layout_t *layout;
-	gw_httpd_t *ready;
-	gw_httpd_t *metrics; /* NULL without a port of its own */
 	stats_t *stats;
 	gw_timer_t drain;
+	uint64_t drain_release_us;
 	uint64_t drain_end_us;
 	uint64_t drain_listen_us;
 	bool draining;
 	bool released;
 	bool closed;
-	bool was_ready;
 };
 
 /* From the roles. */
@@ -97,53 +90,6 @@
 	view_replay_waves(entry->view, plan_wave, entry->planner);
 }
 
-/* A question to the former owner of a pool. */
-typedef struct {
-	entry_t *entry;
-	char pool[SCHED_NAME_BYTES];
-	char address[SCHED_NAME_BYTES];
-	uint32_t tries;
-	gw_timer_t timer;
-} former_t;
-
-static void ask_former(former_t *);
-
-static void
-on_ask_former(gw_timer_t *timer, void *arg)
-{
-	(void)timer;
-	ask_former(arg);
-}
-
-/*
- * A process that says that it does not own the pool has given it up, or has
- * been started again; one that does not answer is asked again.
- */
-static void
-on_former(const Gw__Reply *reply, void *arg)
-{
-	former_t *former = arg;
-	owner_t *owner = service_owner(former->entry->service, former->pool);
-
-	if (owner != NULL && reply->outcome == GW__CALL_OUTCOME__CALL_ABSENT)
-		sched_pool_former_gone(
-		    owner_pool(owner), reply->leases, reply->n_leases);
-	if (owner == NULL || reply->outcome == GW__CALL_OUTCOME__CALL_ABSENT ||
-	    ++former->tries >= FORMER_TRIES_MAX) {
-		g_free(former);
-		return;
-	}
-	gw_timer_start(former->entry->rt, &former->timer,
-	    FORMER_RETRY_MS * GW_US_PER_MS, on_ask_former, former);
-}
-
-static void
-ask_former(former_t *former)
-{
-	dispatch_ask_former(former->entry->dispatch, former->address,
-	    former->pool, FORMER_TIMEOUT_MS, on_former, former);
-}
-
 static void
 stop_planner(entry_t *entry)
 {
@@ -155,7 +101,6 @@
 on_gain(const char *role, uint64_t fence, const char *address, void *arg)
 {
 	entry_t *entry = arg;
-	former_t *former;
 
 	view_want_instances(entry->view);
 	if (strcmp(role, PLANNER_ROLE) == 0) {
@@ -172,11 +117,7 @@
 		    owner_pool(service_owner(entry->service, role)), NULL, 0);
 		return;
 	}
-	former = g_new0(former_t, 1);
-	former->entry = entry;
-	g_strlcpy(former->pool, role, sizeof(former->pool));
-	g_strlcpy(former->address, address, sizeof(former->address));
-	ask_former(former);
+	former_ask(entry->rt, entry->dispatch, entry->service, role, address);
 }
 
 static void
@@ -317,88 +258,22 @@
 	    reply_arg);
 }
 
-/*
- * Tells whether the balancer should send callers here: the process knows the
- * queues and reaches the store.
- */
-static bool
-is_ready(const entry_t *entry)
-{
-	return !entry->draining && view_config(entry->view) != NULL &&
-	    roles_lease_valid(entry->roles);
-}
-
-static void
-reply_metrics(entry_t *entry, h2o_req_t *req)
+static probe_state_t
+read_state(void *arg)
 {
+	const entry_t *entry = arg;
 	const sched_config_t *config = view_config(entry->view);
-	GString *text;
-
-	stats_gauges(entry->stats, service_pools(entry->service),
-	    front_connections(entry->front),
-	    config == NULL ? 0 : config->version,
-	    roles_lease_valid(entry->roles));
-	text = stats_text(entry->stats);
-	gw_http_reply(
-	    req, 200, "text/plain; version=0.0.4", text->str, text->len);
-	g_string_free(text, TRUE);
-}
 
-static int
-on_ready_request(h2o_req_t *req, void *arg)
-{
-	entry_t *entry = arg;
-	bool ready = is_ready(entry);
-
-	if (h2o_memis(req->path_normalized.base, req->path_normalized.len,
-		H2O_STRLIT("/metrics"))) {
-		reply_metrics(entry, req);
-		return 0;
-	}
-	if (ready != entry->was_ready)
-		gw_log(GW_EV_READY, "ready=%d draining=%d config=%d lease=%d",
-		    ready, entry->draining, view_config(entry->view) != NULL,
-		    roles_lease_valid(entry->roles));
-	entry->was_ready = ready;
-	gw_http_reply(req, ready ? 200 : 503, "text/plain",
-	    ready ? "ready\n" : "not ready\n", ready ? 6 : 10);
-	return 0;
+	return (probe_state_t){.draining = entry->draining,
+	    .lease_valid = roles_lease_valid(entry->roles),
+	    .has_config = config != NULL,
+	    .config_version = config == NULL ? 0 : config->version,
+	    .pools = service_pools(entry->service),
+	    .connections = front_connections(entry->front)};
 }
 
 /* Start. */
 
-static int
-listen_ready(entry_t *entry, gw_err_t *err)
-{
-	const gw_httpd_limits_t limits = {
-	    READY_BODY_MAX_BYTES, READY_IDLE_MS, READY_CONNECTIONS_MAX};
-
-	entry->ready =
-	    gw_httpd_new(entry->rt, &limits, on_ready_request, entry);
-	return gw_httpd_listen(entry->ready, &entry->settings.ready, NULL, err);
-}
-
-/*
- * Serves the metrics at the last of the system's own ports too, which the
- * deploy file names.
- */
-static int
-listen_metrics(entry_t *entry, gw_err_t *err)
-{
-	const plat_settings_t *settings = &entry->settings;
-	const gw_httpd_limits_t limits = {
-	    READY_BODY_MAX_BYTES, READY_IDLE_MS, READY_CONNECTIONS_MAX};
-	gw_addr_t addr;
-
-	if (settings->port_last == settings->port_first)
-		return 0;
-	if (gw_addr_make(&addr, settings->ip, settings->port_last, err) != 0)
-		return -1;
-	entry->metrics =
-	    gw_httpd_new(entry->rt, &limits, on_ready_request, entry);
-	return gw_httpd_listen(entry->metrics, &addr, NULL, err);
-}
-
 /*
  * Starts the tasks. Returns NULL with the error when a socket cannot be had.
  */
@@ -426,11 +301,13 @@
 		goto fail;
 	entry->front = front_new(
 	    rt, entry->dispatch, entry->stats, &settings->callers, err);
-	if (entry->front == NULL || listen_ready(entry, err) != 0 ||
-	    listen_metrics(entry, err) != 0)
+	if (entry->front == NULL)
 		goto fail;
 	entry->view = view_new(rt, entry->store, &view_ops, entry);
 	entry->layout = layout_new(rt, entry->store, &layout_ops, entry);
+	if (probe_new(rt, settings, entry->stats, read_state, entry, err) ==
+	    NULL)
+		goto fail;
 	return entry;
 fail:
 	/* The process ends with the error; its sockets go with it. */
@@ -456,8 +333,7 @@
 	uint64_t now_us = gw_rt_now_us(entry->rt);
 
 	if (service_is_quiet(entry->service) ||
-	    now_us + DRAIN_LISTEN_MS * GW_US_PER_MS / 2 >
-		entry->drain_listen_us)
+	    now_us >= entry->drain_release_us)
 		release(entry);
 	if (now_us >= entry->drain_listen_us && !entry->closed) {
 		entry->closed = true;
@@ -493,6 +369,7 @@
 	gw_log(GW_EV_SHUTDOWN, "requests=%u pools=%u",
 	    front_requests(entry->front), service_pools(entry->service));
 	service_close(entry->service);
+	entry->drain_release_us = now_us + DRAIN_RELEASE_MS * GW_US_PER_MS;
 	entry->drain_listen_us = now_us + DRAIN_LISTEN_MS * GW_US_PER_MS;
 	entry->drain_end_us = now_us +
 	    (entry->settings.stop_grace_s * MS_PER_S - DRAIN_MARGIN_MS) *
--- /dev/null
+++ b/gwentryd/former.h
@@ -0,0 +1,14 @@
+#ifndef GWENTRYD_FORMER_H
+#define GWENTRYD_FORMER_H
+
+#include "dispatch.h"
+#include "service.h"
+
+/*
+ * Asks the process at address whether it has given the pool up, so that its new
+ * owner here waits no longer than needed for instances that it cannot reach.
+ */
+void former_ask(gw_rt_t *, dispatch_t *, service_t *, const char *pool,
+    const char *address);
+
+#endif
--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -16,50 +16,6 @@
 /* Beyond the bound between two holders' orders to one machine. */
 #define TURN_MARGIN_MS 400
 
-static void
-planner_destroy(planner_t *planner)
-{
-	fleet_free(planner->fleet);
-	gw_httpc_free(planner->machines);
-	g_hash_table_destroy(planner->pools);
-	g_hash_table_destroy(planner->waves);
-	g_array_free(planner->recent, TRUE);
-	g_array_free(planner->orders, TRUE);
-	g_array_free(planner->recording, TRUE);
-	g_ptr_array_free(planner->wave_queue, TRUE);
-	g_free(planner->page);
-	g_free(planner->records_after);
-	g_free(planner);
-}
-
-/*
- * Ends a call; false when the planner was given up meanwhile.
- */
-bool
-planner_call_ended(planner_t *planner)
-{
-	planner->refs--;
-	if (!planner->dead)
-		return true;
-	if (planner->refs == 0)
-		planner_destroy(planner);
-	return false;
-}
-
-/*
- * Counts a call as under way; planner_call_ended() counts it off.
- */
-asked_t *
-planner_asked_new(planner_t *planner, const char *machine)
-{
-	asked_t *asked = g_new0(asked_t, 1);
-
-	asked->planner = planner;
-	g_strlcpy(asked->machine, machine, sizeof(asked->machine));
-	planner->refs++;
-	return asked;
-}
-
 /* Calls to the pools' owners. */
 
 static void
@@ -221,7 +177,7 @@
 	planner->store = store;
 	planner->dispatch = dispatch;
 	g_strlcpy(planner->node, settings->node, sizeof(planner->node));
-	roles_key(PLANNER_ROLE, planner->role_key, KEY_BYTES);
+	roles_key(PLANNER_ROLE, planner->role_key, ROLE_KEY_BYTES);
 	planner->fence = fence;
 	planner->parts = parts;
 	planner->turn_us =
--- a/gwentryd/planner_impl.h
+++ b/gwentryd/planner_impl.h
@@ -3,11 +3,10 @@
 
 #include "planner.h"
 #include "platform/machines.h"
+#include "roles.h"
 #include "sched/fleet.h"
 #include "sched/parts.h"
 
-#define KEY_BYTES 200
-
 /* An order that waits for its record. */
 typedef struct {
 	char machine[SCHED_NAME_BYTES];
@@ -36,7 +35,7 @@
 	store_t *store;
 	dispatch_t *dispatch;
 	char node[SCHED_NAME_BYTES];
-	char role_key[KEY_BYTES];
+	char role_key[ROLE_KEY_BYTES];
 	uint64_t fence;
 	uint32_t parts;	  /* in which each pool is owned */
 	uint64_t turn_us; /* between two planners' orders to a machine */
@@ -68,6 +67,8 @@
 	char machine[SCHED_NAME_BYTES];
 } asked_t;
 
+/* planner_base.c */
+void planner_destroy(planner_t *);
 bool planner_call_ended(planner_t *);
 asked_t *planner_asked_new(planner_t *, const char *machine);
 
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -6,16 +6,14 @@
 
 #include "gw/id.h"
 #include "gw/log.h"
+#include "lease.h"
 #include "roles.h"
 #include "sched/name.h"
 #include "store/follow.h"
 
 #define ROLE_PREFIX "gw/role/"
-#define ROLE_KEY_BYTES 200
 /* Changes of roles are gathered for so long. */
 #define ROLE_PAUSE_MS 20
-#define RENEW_MS 450
-#define RETRY_MS 100
 /* Time for the news of another owner to arrive. */
 #define REGAIN_MS 100
 /*
@@ -55,20 +53,14 @@
 	void *arg;
 	GHashTable *by_name; /* role_t */
 	store_follow_t *follow;
-	uint64_t lease_id;
-	uint64_t sent_us; /* when the request under way was sent */
-	uint64_t valid_until_us;
+	lease_t *lease;
 	uint64_t started_us;
 	uint32_t weak_ms;
 	bool listed;
 	bool store_lost;
 	bool released;
-	bool lease_calling;
-	gw_timer_t renew;
 };
 
-static void lease_step(roles_t *);
-
 /*
  * Writes the store's key of a role.
  */
@@ -160,7 +152,7 @@
 	if (err == NULL && !role->roles->released)
 		gain(role, revision);
 	else if (err != NULL && err->code == GW_ERR_NOT_FOUND)
-		role->roles->lease_id = 0; /* opened again by lease_step() */
+		lease_forget(role->roles->lease);
 	/* Without an answer the followed key tells whose it is. */
 	if (role->fence == 0)
 		schedule_claim(role);
@@ -174,7 +166,7 @@
 	g_autofree char *value = NULL;
 	char key[ROLE_KEY_BYTES];
 	store_guard_t guard = {.key = key};
-	store_write_t write = {.key = key, .lease_id = roles->lease_id};
+	store_write_t write = {.key = key, .lease_id = lease_id(roles->lease)};
 	store_txn_t txn = {.guards = &guard,
 	    .guard_count = 1,
 	    .writes = &write,
@@ -184,8 +176,8 @@
 	if (role->owner != NULL || role->claiming || role->fence != 0 ||
 	    roles->released || !role->wanted)
 		return;
-	if (roles->lease_id == 0 || !roles_lease_valid(roles) ||
-	    !roles->listed || owned(roles) > role->owned_then) {
+	if (!roles_lease_valid(roles) || !roles->listed ||
+	    owned(roles) > role->owned_then) {
 		schedule_claim(role);
 		return;
 	}
@@ -327,71 +319,12 @@
 }
 
 static void
-lease_lost(roles_t *roles, const char *reason)
-{
-	gw_log(GW_EV_LEASE_LOST, "lease=%" PRIu64 " reason=%s", roles->lease_id,
-	    reason);
-	roles->lease_id = 0;
-	lose_all(roles, reason);
-}
-
-static void
-on_renew(gw_timer_t *timer, void *arg)
+on_lease_lost(const char *reason, void *arg)
 {
-	(void)timer;
-	lease_step(arg);
-}
-
-static void
-on_lease(uint64_t lease_id, uint32_t ttl_ms, const gw_err_t *err, void *arg)
-{
-	roles_t *roles = arg;
-	uint64_t delay_ms = RENEW_MS;
-
-	roles->lease_calling = false;
-	if (roles->released)
-		return;
-	if (err == NULL) {
-		if (roles->lease_id == 0) {
-			roles->lease_id = lease_id;
-			gw_log(GW_EV_LEASE_OPEN, "lease=%" PRIu64 " ttl_ms=%u",
-			    lease_id, ttl_ms);
-		}
-		roles->valid_until_us = roles->sent_us +
-		    (ttl_ms == 0 ? ROLES_TTL_MS : ttl_ms) * GW_US_PER_MS;
-	} else {
-		if (err->code == GW_ERR_NOT_FOUND && roles->lease_id != 0)
-			lease_lost(roles, "ended");
-		delay_ms = RETRY_MS;
-	}
-	gw_timer_start(
-	    roles->rt, &roles->renew, delay_ms * GW_US_PER_MS, on_renew, roles);
+	lose_all(arg, reason);
 }
 
-/*
- * Opens or renews the lease. Its time counts from the moment before the call is
- * sent, on a clock that goes on while the machine is suspended.
- */
-static void
-lease_step(roles_t *roles)
-{
-	uint64_t now_us = gw_rt_now_us(roles->rt);
-
-	if (roles->released || roles->lease_calling)
-		return;
-	if (roles->lease_id != 0 &&
-	    now_us > roles->valid_until_us + ROLES_GRACE_MS * GW_US_PER_MS) {
-		/* A new lease, so that the keys of this one are let go. */
-		lease_lost(roles, "not-renewed");
-	}
-	roles->sent_us = now_us;
-	roles->lease_calling = true;
-	if (roles->lease_id == 0)
-		store_lease_open(roles->store, ROLES_TTL_MS, on_lease, roles);
-	else
-		store_lease_keep(
-		    roles->store, roles->lease_id, on_lease, roles);
-}
+static const lease_ops_t lease_ops = {.on_lost = on_lease_lost};
 
 /*
  * Begins to follow the roles and opens a lease. address is where the owner
@@ -419,7 +352,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, role_free);
 	roles->follow =
 	    store_follow(store, ROLE_PREFIX, ROLE_PAUSE_MS, &follow_ops, roles);
-	lease_step(roles);
+	roles->lease = lease_new(
+	    rt, store, ROLES_TTL_MS, ROLES_GRACE_MS, &lease_ops, roles);
 	return roles;
 }
 
@@ -465,7 +399,7 @@
 uint64_t
 roles_lease_until_us(const roles_t *roles)
 {
-	return roles->lease_id == 0 ? 0 : roles->valid_until_us;
+	return lease_until_us(roles->lease);
 }
 
 /*
@@ -474,8 +408,7 @@
 bool
 roles_lease_valid(const roles_t *roles)
 {
-	return roles->lease_id != 0 &&
-	    gw_rt_now_us(roles->rt) < roles->valid_until_us;
+	return lease_valid(roles->lease);
 }
 
 static void
@@ -505,18 +438,6 @@
 		    REGAIN_MS * GW_US_PER_MS, on_regain, role);
 }
 
-static void
-on_released(uint64_t lease_id, uint32_t ttl_ms, const gw_err_t *err, void *arg)
-{
-	(void)lease_id;
-	(void)ttl_ms;
-	(void)arg;
-	if (err != NULL)
-		gw_log(GW_EV_LEASE_LOST,
-		    "reason=release-failed err=%s text=\"%s\"",
-		    gw_errc_name(err->code), err->text);
-}
-
 /*
  * Ends the lease, which frees the keys of all roles at once.
  */
@@ -527,8 +448,5 @@
 		return;
 	lose_all(roles, "released");
 	roles->released = true;
-	gw_timer_stop(&roles->renew);
-	if (roles->lease_id != 0)
-		store_lease_end(
-		    roles->store, roles->lease_id, on_released, roles);
+	lease_end(roles->lease);
 }
--- a/gwentryd/roles.h
+++ b/gwentryd/roles.h
@@ -45,6 +45,8 @@
 void roles_give_up(roles_t *, const char *name, const char *reason);
 /* Gives all roles back and takes no more. */
 void roles_release(roles_t *);
+/* The store's key of a role, or of what belongs to one. */
+#define ROLE_KEY_BYTES 200
 void roles_key(const char *role, char *out, uint32_t size_bytes);
 
 #endif
--- a/gwentryd/stats.c
+++ b/gwentryd/stats.c
@@ -33,6 +33,15 @@
 static const char *const class_names[CLASSES] = {
     "ok", "absent", "refused", "unknown", "malformed"};
 
+/*
+ * Returns the name of a kind of request, for logs and labels.
+ */
+const char *
+stats_kind_name(Gw__CallKind kind)
+{
+	return (int)kind < KINDS ? kind_names[kind] : "other";
+}
+
 /*
  * Registers the metrics.
  */
--- a/gwentryd/stats.h
+++ b/gwentryd/stats.h
@@ -10,6 +10,7 @@
 typedef struct stats stats_t;
 
 stats_t *stats_new(void);
+const char *stats_kind_name(Gw__CallKind);
 /* A caller's request was answered. */
 void stats_request(stats_t *, Gw__CallKind, int status, uint64_t took_us);
 /* Current values, set before the text is made. */
--- a/gwfleetd/job_commit.c
+++ b/gwfleetd/job_commit.c
@@ -10,71 +10,6 @@
 	return (job_shard_t *)record;
 }
 
-static void
-reply(fleet_t *fleet, job_waiter_t *waiter, int status, const char *title,
-    const char *text)
-{
-	fleet->jobs->ops->reply(
-	    fleet->jobs->ctx, waiter->request, status, title, text);
-	waiter->request = NULL;
-}
-
-static void
-reply_accepted(fleet_t *fleet, job_waiter_t *waiter)
-{
-	const job_t *job = jobs_find(fleet, waiter->id);
-	json_t *answer;
-	char *text;
-
-	answer = json_pack("{s:s, s:s, s:b, s:b}", "id", waiter->id, "state",
-	    job == NULL ? "unknown" : job_state_name(job->state), "cancelling",
-	    job != NULL && job->cancelling, "repeated", waiter->repeated);
-	text = json_dumps(answer, JSON_COMPACT);
-	reply(fleet, waiter, 200, NULL, text);
-	free(text);
-	json_decref(answer);
-	if (waiter->submits && !waiter->repeated) {
-		fleet->jobs->metrics.accepted->value++;
-		gw_log(GW_EV_JOB_ACCEPTED, "job=%s shard=%u", waiter->id,
-		    waiter->shard);
-	}
-}
-
-/*
- * Answers that nothing is known for certain; to repeat the request is safe.
- */
-static void
-reply_unknown(fleet_t *fleet, job_waiter_t *waiter)
-{
-	reply(fleet, waiter, 503, "unknown",
-	    "the store has not answered; the job may be recorded; repeat the "
-	    "request with the same id");
-	gw_log(GW_EV_JOB_NOT_ACCEPTED,
-	    "job=%s outcome=unknown reason=\"no answer of the store\"",
-	    waiter->id);
-}
-
-static void
-reply_not_accepted(fleet_t *fleet, job_waiter_t *waiter, const char *why)
-{
-	g_autofree char *text =
-	    g_strdup_printf("not accepted, nothing was recorded: %s", why);
-
-	fleet->jobs->metrics.refused->value++;
-	gw_log(GW_EV_JOB_NOT_ACCEPTED,
-	    "job=%s outcome=not-accepted reason=\"%s\"", waiter->id, why);
-	reply(fleet, waiter, 503, "not accepted", text);
-}
-
-static void
-remove_answered(jobs_t *jobs)
-{
-	for (guint i = jobs->waiters->len; i > 0; i--)
-		if (((job_waiter_t *)jobs->waiters->pdata[i - 1])->request ==
-		    NULL)
-			g_ptr_array_remove_index(jobs->waiters, i - 1);
-}
-
 static char *
 shard_text(const fleet_t *fleet, const job_shard_t *shard)
 {
@@ -196,9 +131,9 @@
 
 		if (waiter->shard == shard->number &&
 		    waiter->serial <= shard->committed_serial)
-			reply_accepted(fleet, waiter);
+			job_answer_accepted(fleet, waiter);
 	}
-	remove_answered(jobs);
+	job_answers_sweep(jobs);
 	jobs_tick(fleet);
 }
 
@@ -218,10 +153,10 @@
 		job_waiter_t *waiter = jobs->waiters->pdata[i];
 
 		if (waiter->shard == shard->number)
-			reply_not_accepted(fleet, waiter,
+			job_answer_refused(fleet, waiter,
 			    "another planner wrote the record first");
 	}
-	remove_answered(jobs);
+	job_answers_sweep(jobs);
 	g_hash_table_iter_init(&iter, jobs->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (((job_t *)value)->shard != shard->number)
@@ -294,9 +229,9 @@
 
 		if (!waiter->submits ||
 		    in_draft(&jobs->shards[waiter->shard], waiter))
-			reply_unknown(fleet, waiter);
+			job_answer_unknown(fleet, waiter);
 		else
-			reply_not_accepted(
+			job_answer_refused(
 			    fleet, waiter, "this gwfleetd is not the planner");
 	}
 	g_ptr_array_set_size(jobs->waiters, 0);
@@ -386,7 +321,7 @@
 	waiter->repeated = repeated;
 	g_strlcpy(waiter->id, job->spec.id, sizeof(waiter->id));
 	if (job_committed(fleet, job)) {
-		reply_accepted(fleet, waiter);
+		job_answer_accepted(fleet, waiter);
 		g_free(waiter);
 		return;
 	}
@@ -457,7 +392,7 @@
 		job = jobs_find(fleet, waiter->id);
 		if (job != NULL && !job->recorded)
 			job_commit_remove(fleet, job);
-		reply_not_accepted(
+		job_answer_refused(
 		    fleet, waiter, "the store takes no writes now");
 		removed = true;
 	}
@@ -469,22 +404,7 @@
 	if (record_idle(&shard->record))
 		shard->record.retry_us =
 		    fleet_now_us(fleet) + RECORD_RETRY_MS * GW_US_PER_MS;
-	remove_answered(jobs);
-}
-
-static void
-answer_overdue(fleet_t *fleet)
-{
-	uint64_t now_us = fleet_now_us(fleet);
-	jobs_t *jobs = fleet->jobs;
-
-	for (guint i = 0; i < jobs->waiters->len; i++) {
-		job_waiter_t *waiter = jobs->waiters->pdata[i];
-
-		if (now_us >= waiter->since_us + JOB_ANSWER_MS * GW_US_PER_MS)
-			reply_unknown(fleet, waiter);
-	}
-	remove_answered(jobs);
+	job_answers_sweep(jobs);
 }
 
 /*
@@ -504,5 +424,5 @@
 		if (!record_idle(&shard->record))
 			record_tick(fleet, &shard->record);
 	}
-	answer_overdue(fleet);
+	job_answer_overdue(fleet);
 }
--- a/gwfleetd/jobs_state.h
+++ b/gwfleetd/jobs_state.h
@@ -79,6 +79,13 @@
 bool jobs_ready(const fleet_t *);
 job_t *jobs_find(const fleet_t *, const char *id);
 
+/* Answers to the requests that wait for a record. */
+void job_answer_accepted(fleet_t *, job_waiter_t *);
+void job_answer_unknown(fleet_t *, job_waiter_t *);
+void job_answer_refused(fleet_t *, job_waiter_t *, const char *why);
+void job_answer_overdue(fleet_t *);
+void job_answers_sweep(jobs_t *);
+
 /* The store. */
 void job_commit_init(fleet_t *);
 void job_commit_read(fleet_t *);
