Decide the number of parts once the fleet has registered

Cause: the first process divided the fleet 1.5 s after its start, by the instances that had registered until then: 28 of the largest pool's 85, hence 2 parts where 14 instances a part were meant to give 7. The number then holds for good, and depended on chance.

The registry now has to stop growing for 1.5 s, for 6 s at most, and a part holds 45 instances, so that a grown pool of 85 has 2 parts.

--- a/gwentryd/layout.c
+++ b/gwentryd/layout.c
@@ -10,8 +10,6 @@
 #include "store/follow.h"
 
 #define LAYOUT_KEY "gw/layout"
-/* The instances of a system that has just started have registered by then. */
-#define SETTLE_MS 1500
 #define RETRY_MS 200
 
 struct layout {
@@ -20,7 +18,7 @@
 	const layout_ops_t *ops;
 	void *arg;
 	store_follow_t *follow; /* NULL once it is known */
-	uint64_t started_us;
+	parts_growth_t growth;
 	uint32_t parts;
 	bool proposing;
 	gw_timer_t timer;
@@ -99,13 +97,13 @@
 {
 	layout_t *layout = arg;
 	uint32_t instances = layout->ops->largest_pool(layout->arg);
-	uint64_t now_us = gw_rt_now_us(layout->rt);
 
 	if (layout->parts != 0)
 		return;
-	if (instances > 0 && !layout->proposing &&
-	    now_us >= layout->started_us + SETTLE_MS * GW_US_PER_MS)
-		propose(layout, instances);
+	if (parts_settled(
+		&layout->growth, instances, gw_rt_now_us(layout->rt)) &&
+	    !layout->proposing)
+		propose(layout, layout->growth.largest);
 	gw_timer_start(
 	    layout->rt, timer, RETRY_MS * GW_US_PER_MS, on_timer, layout);
 }
@@ -142,7 +140,6 @@
 	layout->store = store;
 	layout->ops = ops;
 	layout->arg = arg;
-	layout->started_us = gw_rt_now_us(rt);
 	layout->follow =
 	    store_follow(store, LAYOUT_KEY, 0, &follow_ops, layout);
 	return layout;
--- a/lib/sched/parts.c
+++ b/lib/sched/parts.c
@@ -5,13 +5,18 @@
 #include <glib.h>
 #include <xxhash.h>
 
+#include "gw/clock.h"
 #include "sched/parts.h"
 
 /*
  * Instances that one owner looks after: a pool's surge of five times its mean
  * then takes about a tenth of a core of its owner.
  */
-#define INSTANCES_PER_PART 14
+#define INSTANCES_PER_PART 45
+/* Instances register within a heartbeat of theirs, 1.5 s, of each other. */
+#define SETTLED_US (1500 * GW_US_PER_MS)
+/* Instances that come and go for ever must not keep the system from starting. */
+#define SETTLE_MAX_US (6 * GW_US_PER_S)
 /* Does not occur in names of pools, which are host labels. */
 #define SEPARATOR '~'
 
@@ -27,6 +32,26 @@
 	return CLAMP(count, 1, PARTS_MAX);
 }
 
+/*
+ * Tells whether the largest pool has stopped to grow. A decision on the first
+ * instances that register would give a large fleet too few parts for ever.
+ */
+bool
+parts_settled(parts_growth_t *growth, uint32_t largest, uint64_t now_us)
+{
+	if (growth->since_us == 0)
+		growth->begun_us = now_us;
+	if (growth->since_us == 0 || largest > growth->largest) {
+		growth->largest = largest;
+		growth->since_us = now_us;
+		return false;
+	}
+	if (growth->largest == 0)
+		return false;
+	return gw_elapsed_us(now_us, growth->since_us) >= SETTLED_US ||
+	    gw_elapsed_us(now_us, growth->begun_us) >= SETTLE_MAX_US;
+}
+
 /*
  * Returns the part that a job or an instance belongs to.
  */
--- /dev/null
+++ b/regress/sched/parts_test.c
@@ -0,0 +1,65 @@
+/*
+ * Guards against a large fleet that is divided by the first instances that
+ * happened to register, and against a system that waits for ever for a fleet
+ * that never comes to rest.
+ */
+#include <glib.h>
+
+#include "gw/clock.h"
+#include "sched/parts.h"
+
+#define START_US (100 * GW_US_PER_S)
+#define LOOK_US (200 * GW_US_PER_MS)
+
+/* A pool of 85 instances registers over 4 s. */
+static void
+test_grows(void)
+{
+	parts_growth_t growth = {0};
+	uint64_t now_us = START_US;
+
+	for (uint32_t count = 0; count < 85; count += 5) {
+		g_assert_false(parts_settled(&growth, count, now_us));
+		now_us += LOOK_US;
+	}
+	g_assert_false(parts_settled(&growth, 85, now_us));
+	while (!parts_settled(&growth, 85, now_us))
+		now_us += LOOK_US;
+	g_assert_cmpuint(now_us, <, START_US + 6 * GW_US_PER_S);
+	g_assert_cmpuint(parts_for(growth.largest), ==, 2);
+}
+
+/* An empty registry decides nothing. */
+static void
+test_empty(void)
+{
+	parts_growth_t growth = {0};
+
+	for (uint64_t at_us = 0; at_us < 20 * GW_US_PER_S; at_us += LOOK_US)
+		g_assert_false(parts_settled(&growth, 0, START_US + at_us));
+	g_assert_false(
+	    parts_settled(&growth, 3, START_US + 21 * GW_US_PER_S));
+}
+
+/* One more instance each second, without end. */
+static void
+test_restless(void)
+{
+	parts_growth_t growth = {0};
+	uint64_t at_us = 0;
+
+	while (!parts_settled(&growth, (uint32_t)(1 + at_us / GW_US_PER_S),
+	    START_US + at_us))
+		at_us += LOOK_US;
+	g_assert_cmpuint(at_us, <=, 7 * GW_US_PER_S);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/parts/grows", test_grows);
+	g_test_add_func("/parts/empty", test_empty);
+	g_test_add_func("/parts/restless", test_restless);
+	return g_test_run();
+}
