Lend by the rate at which work comes in

Cause: a pool's wanted machines followed what waited, which grows slowly at first, and counted steps whose turn had not come.

Owners now report only waiting work whose turn has come, the processors it can use, and the work placed so far; the planner takes the rate from two reports.

--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -185,7 +185,7 @@
 	planner->recent = g_array_new(FALSE, FALSE, sizeof(recent_t));
 	planner->ops = ops;
 	planner->arg = arg;
-	planner->fleet = fleet_new(gw_rt_clock(rt), &fleet_lending_demand,
+	planner->fleet = fleet_new(gw_rt_clock(rt), &fleet_lending_rate,
 	    &times, &fleet_ops, planner);
 	if (settings->has_machines)
 		planner->machines = gw_httpc_new(rt, &settings->machines);
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -133,7 +133,8 @@
 }
 
 /*
- * Adds the work of an occurrence that waits.
+ * Adds the work of an occurrence that waits for room. Later steps take the
+ * room of those that they wait for.
  */
 static void
 add_waiting(Gw__PoolLoad *load, const sched_job_t *job,
@@ -143,8 +144,11 @@
 		const Gw__JobStep *step = job->spec->steps[i];
 		uint64_t waiting = occurrence->steps[i].waiting;
 
+		if (waiting == 0 || !sched_step_ready(job, occurrence, i))
+			continue;
 		load->waiting_cpu_ms +=
 		    waiting * sched_step_cpu(step) * step->estimate_ms / 1000;
+		load->waiting_cpu_millis += waiting * sched_step_cpu(step);
 		load->waiting_memory_mib_ms +=
 		    waiting * step->memory_mib * step->estimate_ms;
 		if (step->lasting)
@@ -164,6 +168,7 @@
 	GHashTableIter iter;
 
 	gw__pool_load__init(load);
+	load->placed_cpu_ms = pool->placed_cpu_ms;
 	load->idle_instances =
 	    g_new0(char *, g_hash_table_size(pool->instances) + 1);
 	load->lasting_instances =
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -110,11 +110,13 @@
 {
 	pool_t *pool = fleet_pool(fleet, name);
 
+	fleet_take_demand(pool, load, gw_clock_now_us(fleet->clock));
 	pool->load_us = gw_clock_now_us(fleet->clock);
 	pool->instances = load->instances;
 	pool->capacity_cpu_millis = load->capacity_cpu_millis;
 	pool->used_cpu_millis = load->used_cpu_millis;
 	pool->waiting_cpu_ms = load->waiting_cpu_ms;
+	pool->waiting_cpu_millis = load->waiting_cpu_millis;
 	pool->capacity_memory_mib = load->capacity_memory_mib;
 	pool->used_memory_mib = load->used_memory_mib;
 	pool->waiting_memory_mib_ms = load->waiting_memory_mib_ms;
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -46,7 +46,8 @@
  */
 typedef struct fleet_lending fleet_lending_t;
 extern const fleet_lending_t fleet_lending_none; /* baseline: no moves */
-extern const fleet_lending_t fleet_lending_demand;
+extern const fleet_lending_t fleet_lending_demand; /* by what waits */
+extern const fleet_lending_t fleet_lending_rate;   /* by what comes in */
 
 /* How long a machine is away for an order, from the order's answer. */
 typedef struct {
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -40,6 +40,9 @@
 	uint64_t capacity_cpu_millis;
 	uint64_t used_cpu_millis;
 	uint64_t waiting_cpu_ms;
+	uint64_t waiting_cpu_millis;
+	uint64_t demanded_cpu_ms; /* placed and waiting, at the last report */
+	uint64_t rate_cpu_millis; /* demand that comes in, as cores */
 	uint64_t capacity_memory_mib;
 	uint64_t used_memory_mib;
 	uint64_t waiting_memory_mib_ms;
@@ -93,6 +96,7 @@
 void fleet_wave_free(gpointer);
 
 /* fleet_lend.c */
+void fleet_take_demand(pool_t *, const Gw__PoolLoad *, uint64_t now_us);
 void fleet_lend(fleet_t *, uint64_t now_us);
 
 #endif
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -10,6 +10,8 @@
 /* Machines beyond the need, for what comes next. */
 #define RESERVE 1
 #define MACHINES_MIN 2
+/* Demand is averaged over about this time: a surge shows within it. */
+#define RATE_US (500 * GW_US_PER_MS)
 #define LOG_EVERY_US (500 * GW_US_PER_MS)
 /* A surplus this old goes to the standby pool; shorter ones come back. */
 #define SURPLUS_US (1500 * GW_US_PER_MS)
@@ -46,17 +48,64 @@
 }
 
 /*
- * The demand of a pool decides: processors and memory in use, and those that
- * would do the waiting work within BACKLOG_MS. A lasting task that has no room
- * calls for one machine more, whatever the sums say.
+ * Takes what came in since the last report of the same owner: the work whose
+ * turn has come, whether it was placed or waits.
+ */
+void
+fleet_take_demand(pool_t *pool, const Gw__PoolLoad *load, uint64_t now_us)
+{
+	uint64_t demanded = load->placed_cpu_ms + load->waiting_cpu_ms;
+	uint64_t age_us = gw_elapsed_us(now_us, pool->load_us);
+	uint64_t rate = 0;
+
+	/* Less than before: another owner counts anew, or waiting jobs ended. */
+	if (demanded > pool->demanded_cpu_ms)
+		rate = (demanded - pool->demanded_cpu_ms) * GW_US_PER_S /
+		    MAX(age_us, 1);
+	if (pool->load_us == 0)
+		rate = 0;
+	pool->demanded_cpu_ms = demanded;
+	pool->rate_cpu_millis = (pool->rate_cpu_millis * RATE_US +
+				    rate * age_us) /
+	    (RATE_US + age_us);
+}
+
+/*
+ * Returns the processors that a pool needs by what it has to do: those in use,
+ * and those that would do the waiting work within BACKLOG_MS.
+ */
+static uint64_t
+need_by_backlog(const pool_t *pool)
+{
+	return pool->used_cpu_millis +
+	    pool->waiting_cpu_ms * 1000 / BACKLOG_MS;
+}
+
+/*
+ * Answers the load in which a pool's demand rises within a second to several
+ * times its mean. What is in use follows only once machines have come, and what
+ * waits grows slowly at first; the rate at which work comes in tells at once
+ * how many processors the surge takes. No more than the waiting tasks can use.
+ */
+static uint64_t
+need_by_rate(const pool_t *pool)
+{
+	return MAX(pool->used_cpu_millis, pool->rate_cpu_millis) +
+	    MIN(pool->waiting_cpu_ms * 1000 / BACKLOG_MS,
+		pool->waiting_cpu_millis);
+}
+
+/*
+ * Sets how many machines each pool should have, by its need of processors and
+ * by its memory. A lasting task that has no room calls for one machine more,
+ * whatever the sums say.
  */
 static void
-want_by_demand(fleet_t *fleet, uint64_t now_us)
+want(fleet_t *fleet, uint64_t (*need)(const pool_t *))
 {
 	GHashTableIter iter;
 	pool_t *pool;
 
-	(void)now_us;
 	g_hash_table_iter_init(&iter, fleet->pools);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
 		uint32_t by_cpu, by_memory;
@@ -67,10 +116,8 @@
 			pool->wanted = MAX(pool->wanted, MACHINES_MIN);
 			continue;
 		}
-		by_cpu = machines_for(pool,
-		    pool->used_cpu_millis +
-			pool->waiting_cpu_ms * 1000 / BACKLOG_MS,
-		    pool->capacity_cpu_millis);
+		by_cpu =
+		    machines_for(pool, need(pool), pool->capacity_cpu_millis);
 		by_memory = machines_for(pool,
 		    pool->used_memory_mib +
 			pool->waiting_memory_mib_ms / BACKLOG_MS,
@@ -82,6 +129,20 @@
 	}
 }
 
+static void
+want_by_demand(fleet_t *fleet, uint64_t now_us)
+{
+	(void)now_us;
+	want(fleet, need_by_backlog);
+}
+
+static void
+want_by_rate(fleet_t *fleet, uint64_t now_us)
+{
+	(void)now_us;
+	want(fleet, need_by_rate);
+}
+
 static void
 want_nothing(fleet_t *fleet, uint64_t now_us)
 {
@@ -96,6 +157,7 @@
 
 const fleet_lending_t fleet_lending_none = {"none", want_nothing};
 const fleet_lending_t fleet_lending_demand = {"demand", want_by_demand};
+const fleet_lending_t fleet_lending_rate = {"rate", want_by_rate};
 
 static bool
 is_fresh(const pool_t *pool, uint64_t now_us)
@@ -240,11 +302,12 @@
 		gw_log(GW_EV_POOL_WANT,
 		    "pool=%s standby=%d machines=%u wanted=%u usable=%u "
 		    "idle=%u used_cpu=%" PRIu64 " waiting_cpu_ms=%" PRIu64
-		    " load_age_ms=%" PRIu64,
+		    " rate_cpu=%" PRIu64 " load_age_ms=%" PRIu64,
 		    pool->name, pool->standby,
 		    fleet_pool_machines(fleet, pool->name), pool->wanted,
 		    pool->instances, g_hash_table_size(pool->idle),
 		    pool->used_cpu_millis, pool->waiting_cpu_ms,
+		    pool->rate_cpu_millis,
 		    gw_elapsed_us(now_us, pool->load_us) / GW_US_PER_MS);
 }
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -181,6 +181,7 @@
 	bool loaded;
 	uint64_t loaded_us;	   /* when this owner began */
 	uint64_t round;		   /* of placement */
+	uint64_t placed_cpu_ms;	   /* work placed so far, by the estimates */
 	bool former_gone;	   /* no former owner holds anything */
 	GHashTable *former_leases; /* instance -> lapse (uint64_t *) */
 	uint64_t wall_ms;	   /* at the last tick */
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3661,7 +3661,7 @@
   (ProtobufCMessageInit) gw__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[12] =
 {
   {
     "instances",
@@ -3783,6 +3783,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waiting_cpu_millis",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolLoad, waiting_cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "placed_cpu_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolLoad, placed_cpu_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__pool_load__field_indices_by_name[] = {
   1,   /* field[1] = capacity_cpu_millis */
@@ -3791,15 +3815,17 @@
   0,   /* field[0] = instances */
   9,   /* field[9] = lasting_instances */
   8,   /* field[8] = lasting_waiting */
+  11,   /* field[11] = placed_cpu_ms */
   2,   /* field[2] = used_cpu_millis */
   6,   /* field[6] = used_memory_mib */
+  10,   /* field[10] = waiting_cpu_millis */
   3,   /* field[3] = waiting_cpu_ms */
   7,   /* field[7] = waiting_memory_mib_ms */
 };
 static const ProtobufCIntRange gw__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gw__pool_load__descriptor =
 {
@@ -3809,7 +3835,7 @@
   "Gw__PoolLoad",
   "gw",
   sizeof(Gw__PoolLoad),
-  10,
+  12,
   gw__pool_load__field_descriptors,
   gw__pool_load__field_indices_by_name,
   1,  gw__pool_load__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -568,6 +568,10 @@
   uint32_t instances;
   uint64_t capacity_cpu_millis;
   uint64_t used_cpu_millis;
+  /*
+   * Of waiting tasks whose step's turn has come: processors times estimated
+   * duration, in core milliseconds.
+   */
   uint64_t waiting_cpu_ms;
   size_t n_idle_instances;
   char **idle_instances;
@@ -586,10 +590,19 @@
    */
   size_t n_lasting_instances;
   char **lasting_instances;
+  /*
+   * Processors of those waiting tasks, in thousandths of a core.
+   */
+  uint64_t waiting_cpu_millis;
+  /*
+   * Work of all tasks placed since the owner loaded the pool, in core
+   * milliseconds by their estimates.
+   */
+  uint64_t placed_cpu_ms;
 };
 #define GW__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__pool_load__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/regress/sched/fleet.sh
+++ b/regress/sched/fleet.sh
@@ -138,3 +138,21 @@
 load ppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppppp~11 instances=2 used=40000
 advance 200
 EOT
+
+# Guards against lending that chases a surge: two machines get 320 cores of work
+# a second, ten times what they hold. By what waits after 400 ms, 7 machines
+# would do; by what comes in, 15.
+for lending in lend rate; do
+	play_fleet "a surge is answered by $lending" <<EOT
+fleet $lending
+pool p
+pool s standby
+list m01:p:i1:up m02:p:i2:up m03:s::up m04:s::up m05:s::up m06:s::up m07:s::up m08:s::up m09:s::up m10:s::up m11:s::up m12:s::up m13:s::up m14:s::up m15:s::up m16:s::up m17:s::up m18:s::up
+load p instances=2 used=0 placed=100000
+advance 200
+load p instances=2 used=32000 placed=106400 waiting=57600
+advance 200
+load p instances=2 used=32000 placed=112800 waiting=115200
+advance 100
+EOT
+done | sed 's/move m[0-9]* /move /' | uniq -c | sed 's/^ *//'
--- a/regress/sched/fleetplay.c
+++ b/regress/sched/fleetplay.c
@@ -90,16 +90,19 @@
     .wave_state = on_wave_state,
     .wave_machine = on_wave_machine};
 
-/* fleet [lend] */
+/* fleet [lend|rate] */
 static void
 do_fleet(void)
 {
 	const fleet_times_t times = {1500, 2000};
+	const fleet_lending_t *lending = &fleet_lending_none;
+
+	if (word_count > 1)
+		lending = strcmp(words[1], "rate") == 0 ? &fleet_lending_rate
+							: &fleet_lending_demand;
 
 	fleet_free(fleet);
-	fleet = fleet_new(&clock_state,
-	    word_count > 1 ? &fleet_lending_demand : &fleet_lending_none,
-	    &times, &ops, NULL);
+	fleet = fleet_new(&clock_state, lending, &times, &ops, NULL);
 }
 
 /* pool NAME [standby] */
@@ -141,7 +144,10 @@
 	fleet_instance_up(fleet, &info);
 }
 
-/* load POOL instances= used= waiting= lasting= IDLE... */
+/*
+ * load POOL instances= used= waiting= waiting_cpu= placed= lasting= IDLE...;
+ * waiting and placed are work in core milliseconds.
+ */
 static void
 do_load(void)
 {
@@ -153,6 +159,9 @@
 	load.capacity_memory_mib = load.instances * UINT64_C(65536);
 	load.used_cpu_millis = number_of("used", 0);
 	load.waiting_cpu_ms = number_of("waiting", 0);
+	load.waiting_cpu_millis =
+	    number_of("waiting_cpu", load.waiting_cpu_ms);
+	load.placed_cpu_ms = number_of("placed", 0);
 	load.lasting_waiting = (uint32_t)number_of("lasting", 0);
 	for (int i = 2; i < word_count; i++)
 		if (strchr(words[i], '=') == NULL)
