Reset a connection whose call was given up

An orderly close leaves the request to the network, which delivered it when the cut healed.

A call that times out or is cancelled now resets its connection, so that what the network holds is dropped. regress/base/http_test shows it (failed before).

--- a/lib/http/httpc.c
+++ b/lib/http/httpc.c
@@ -1,7 +1,11 @@
+#include <sys/socket.h>
+
+#include <errno.h>
 #include <string.h>
 
 #include <glib.h>
 
+#include "gw/log.h"
 #include "http/httpc.h"
 #include "http/reap.h"
 
@@ -216,15 +220,34 @@
 	    call->sent ? "read response" : "connect", text);
 }
 
+/*
+ * Ends libh2o's part of a call that has no answer. The connection is reset:
+ * what an orderly close leaves to the network may reach the server seconds
+ * later, after newer requests.
+ */
+static void
+abandon(gw_httpc_call_t *call)
+{
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+	if (call->http == NULL)
+		return;
+	if (call->http->sock != NULL &&
+	    setsockopt(h2o_socket_get_fd(call->http->sock), SOL_SOCKET,
+		SO_LINGER, &reset, sizeof(reset)) != 0)
+		gw_log(GW_EV_HTTP_RESET, "peer=%s err=%d text=\"%s\"",
+		    call->client->peer, errno, strerror(errno));
+	h2o_http1client_cancel(call->http);
+	call->http = NULL;
+}
+
 static void
 on_timeout(gw_timer_t *timer, void *arg)
 {
 	gw_httpc_call_t *call = arg;
 
 	(void)timer;
-	if (call->http != NULL)
-		h2o_http1client_cancel(call->http);
-	call->http = NULL;
+	abandon(call);
 	if (call->link == call->client->link)
 		renew_link(call->client);
 	finish_error(call, call->sent ? GW_ERR_TIMEOUT : GW_ERR_UNAVAILABLE,
@@ -414,7 +437,6 @@
 void
 gw_httpc_cancel(gw_httpc_call_t *call)
 {
-	if (call->http != NULL)
-		h2o_http1client_cancel(call->http);
+	abandon(call);
 	call_free(call);
 }
--- a/regress/base/http_test.c
+++ b/regress/base/http_test.c
@@ -1,4 +1,7 @@
+#include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <glib.h>
 
@@ -140,11 +143,58 @@
 	gw_rt_free(rt);
 }
 
+/*
+ * Guards against a request that takes effect after its call was given up: the
+ * network delivers what an orderly close leaves behind, seconds later. Seen as
+ * an order of a former planner behind those of its successor.
+ */
+static void
+test_timeout_resets(void)
+{
+	struct sockaddr_in name = {.sin_family = AF_INET};
+	socklen_t name_bytes = sizeof(name);
+	gw_rt_t *rt = gw_rt_new();
+	result_t result = {.rt = rt};
+	gw_httpc_t *client;
+	gw_addr_t addr;
+	gw_err_t err;
+	char text[32], bytes[256];
+	ssize_t got;
+	int server, peer;
+
+	name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(
+	    bind(server, (struct sockaddr *)&name, sizeof(name)), ==, 0);
+	g_assert_cmpint(listen(server, 1), ==, 0);
+	g_assert_cmpint(
+	    getsockname(server, (struct sockaddr *)&name, &name_bytes), ==, 0);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(name.sin_port));
+	g_assert_cmpint(gw_addr_parse(&addr, text, &err), ==, 0);
+	client = gw_httpc_new(rt, &addr);
+	gw_httpc_call(client, "POST", "/order", "x", 100, on_done, &result);
+	gw_rt_run(rt);
+	g_assert_cmpint(result.code, ==, GW_ERR_TIMEOUT);
+	gw_httpc_free(client);
+	gw_rt_poll(rt);
+	peer = accept(server, NULL, NULL);
+	/* On this machine the request has arrived; its end tells how it went.
+	 */
+	while ((got = read(peer, bytes, sizeof(bytes))) > 0)
+		;
+	g_assert_cmpint(got, ==, -1);
+	g_assert_cmpint(errno, ==, ECONNRESET);
+	(void)close(peer);
+	(void)close(server);
+	gw_rt_free(rt);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http/call", test_call_outcomes);
 	g_test_add_func("/http/free-in-callback", test_free_in_callback);
+	g_test_add_func("/http/timeout-resets", test_timeout_resets);
 	return g_test_run();
 }
