--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -82,6 +82,7 @@
 
 		call.kind = GW__CALL_KIND__CALL_LOAD;
 		call.pool = pool;
+		call.coming = fleet_coming(planner->fleet, pool);
 		dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS,
 		    on_load_reply, planner_asked_new(planner, pool));
 	}
@@ -185,8 +186,8 @@
 	planner->recent = g_array_new(FALSE, FALSE, sizeof(recent_t));
 	planner->ops = ops;
 	planner->arg = arg;
-	planner->fleet = fleet_new(gw_rt_clock(rt), &fleet_lending_rate,
-	    &times, &fleet_ops, planner);
+	planner->fleet = fleet_new(
+	    gw_rt_clock(rt), &fleet_lending_rate, &times, &fleet_ops, planner);
 	if (settings->has_machines)
 		planner->machines = gw_httpc_new(rt, &settings->machines);
 	planner->pools =
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -223,12 +223,14 @@
 }
 
 static void
-answer_load(owner_t *owner, dispatch_reply_t cb, void *arg)
+answer_load(
+    owner_t *owner, const Gw__Call *call, dispatch_reply_t cb, void *arg)
 {
 	Gw__Reply reply = GW__REPLY__INIT;
 	Gw__PoolLoad load;
 
 	reply.outcome = GW__CALL_OUTCOME__CALL_OK;
+	sched_pool_set_coming(owner_pool(owner), call->coming);
 	sched_pool_load_of(owner_pool(owner), &load);
 	reply.load = &load;
 	cb(&reply, arg);
@@ -342,7 +344,7 @@
 		answer_drain(owner, call, cb, arg);
 		return;
 	case GW__CALL_KIND__CALL_LOAD:
-		answer_load(owner, cb, arg);
+		answer_load(owner, call, cb, arg);
 		return;
 	default:
 		if (service->closing)
--- /dev/null
+++ b/lib/sched/admit.c
@@ -0,0 +1,254 @@
+#include <string.h>
+
+#include "gw/log.h"
+#include "sched/impl.h"
+
+/* Callers that were refused come back within the time that they were told. */
+#define REMEMBERED_US (12 * GW_US_PER_S)
+/* Bounds the memory of refusals; beyond it the oldest are forgotten. */
+#define REMEMBERED_MAX 4096
+/* The planner names the machines on their way several times a second. */
+#define COMING_FRESH_US GW_US_PER_S
+/* What Retry-After says: whole seconds on the wire, and a spread of returns. */
+#define RETRY_MIN_MS 1000
+#define RETRY_MAX_MS 4000
+
+/* A job that was refused, so that a later attempt counts from the first. */
+typedef struct {
+	char id[SCHED_JOB_ID_BYTES];
+	uint64_t first_us;
+} refusal_t;
+
+struct sched_refusals {
+	GHashTable *by_id; /* id -> refusal_t, owned by order */
+	GQueue *order;	   /* refusal_t, oldest first */
+};
+
+/*
+ * Returns an empty memory of refusals.
+ */
+sched_refusals_t *
+sched_refusals_new(void)
+{
+	sched_refusals_t *refusals = g_new0(sched_refusals_t, 1);
+
+	refusals->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	refusals->order = g_queue_new();
+	return refusals;
+}
+
+/*
+ * Frees the memory of refusals.
+ */
+void
+sched_refusals_free(sched_refusals_t *refusals)
+{
+	g_hash_table_destroy(refusals->by_id);
+	g_queue_free_full(refusals->order, g_free);
+	g_free(refusals);
+}
+
+static void
+forget_oldest(sched_refusals_t *refusals)
+{
+	refusal_t *oldest = g_queue_pop_head(refusals->order);
+
+	g_hash_table_remove(refusals->by_id, oldest->id);
+	g_free(oldest);
+}
+
+static void
+forget_expired(sched_refusals_t *refusals, uint64_t now_us)
+{
+	const refusal_t *oldest;
+
+	while ((oldest = g_queue_peek_head(refusals->order)) != NULL &&
+	    (gw_elapsed_us(now_us, oldest->first_us) > REMEMBERED_US ||
+		g_queue_get_length(refusals->order) > REMEMBERED_MAX))
+		forget_oldest(refusals);
+}
+
+/*
+ * Returns when the job was first handed in.
+ */
+static uint64_t
+first_attempt_us(const sched_pool_t *pool, const char *id, uint64_t now_us)
+{
+	const refusal_t *refusal =
+	    g_hash_table_lookup(pool->refusals->by_id, id);
+
+	return refusal == NULL ? now_us : refusal->first_us;
+}
+
+static void
+remember(sched_pool_t *pool, const Gw__JobSpec *spec, uint64_t now_us)
+{
+	refusal_t *refusal;
+
+	if (g_hash_table_contains(pool->refusals->by_id, spec->id))
+		return;
+	refusal = g_new0(refusal_t, 1);
+	g_strlcpy(refusal->id, spec->id, sizeof(refusal->id));
+	refusal->first_us = now_us;
+	g_queue_push_tail(pool->refusals->order, refusal);
+	g_hash_table_insert(pool->refusals->by_id, refusal->id, refusal);
+	forget_expired(pool->refusals, now_us);
+	/* The planner learns of the demand although it was turned away. */
+	for (size_t i = 0; i < spec->n_steps; i++)
+		pool->placed_cpu_ms += (uint64_t)spec->steps[i]->count *
+		    sched_step_cpu(spec->steps[i]) *
+		    spec->steps[i]->estimate_ms / 1000;
+}
+
+/*
+ * Returns the processors that serve jobs which end, in thousandths: all usable
+ * instances and those on their way, less what lasting tasks take.
+ */
+static uint64_t
+serving_cpu_millis(const sched_pool_t *pool, uint64_t now_us)
+{
+	uint64_t capacity = 0, lasting = 0, count = 0;
+	sched_instance_t *instance;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
+		if (!sched_instance_usable(instance, now_us))
+			continue;
+		count++;
+		capacity += instance->info.capacity.cpu_millis;
+		for (guint i = 0; i < instance->tasks->len; i++) {
+			const sched_task_t *task = instance->tasks->pdata[i];
+
+			if (task->job->lasting && task->job->spec != NULL)
+				lasting +=
+				    sched_step_cpu(sched_task_step(task));
+		}
+	}
+	if (count > 0 &&
+	    gw_elapsed_us(now_us, pool->coming_us) < COMING_FRESH_US)
+		capacity += capacity / count * pool->coming;
+	return capacity - MIN(capacity, lasting);
+}
+
+/* Work whose turn has come and that finds no room, in core milliseconds. */
+typedef struct {
+	uint64_t in_time;
+	uint64_t late;
+} waiting_t;
+
+static waiting_t
+waiting_work(const sched_pool_t *pool, uint64_t now_us)
+{
+	waiting_t waiting = {0, 0};
+
+	for (guint i = 0; i < pool->open->len; i++) {
+		sched_job_t *job = pool->open->pdata[i];
+		uint64_t work = sched_job_ready_cpu_ms(job);
+
+		if (work == 0 || job->lasting)
+			continue;
+		sched_job_rank(job, now_us);
+		if (sched_job_is_late(job))
+			waiting.late += work;
+		else
+			waiting.in_time += work;
+	}
+	return waiting;
+}
+
+/*
+ * Takes every job: the baseline.
+ */
+static bool
+admit_all(const sched_pool_t *pool, const Gw__JobSpec *spec, uint64_t age_ms,
+    uint64_t now_us, uint32_t *retry_after_ms)
+{
+	(void)pool;
+	(void)spec;
+	(void)age_ms;
+	(void)now_us;
+	(void)retry_after_ms;
+	return true;
+}
+
+/*
+ * Answers the load in which a queue asks for more than its pool can do in time:
+ * each job that is taken then makes others late, and late work keeps machines
+ * that the next queue's surge lacks. A job is taken if the work that waits in
+ * time leaves it its objective; one that cannot meet it any more, if nothing in
+ * time waits and it ends before it is worth nothing. Without an instance
+ * nothing is known, as just after a takeover: then it is taken.
+ */
+static bool
+admit_in_time(const sched_pool_t *pool, const Gw__JobSpec *spec,
+    uint64_t age_ms, uint64_t now_us, uint32_t *retry_after_ms)
+{
+	uint64_t cpu_millis = serving_cpu_millis(pool, now_us);
+	uint64_t chain_ms = sched_chain_ms(spec, NULL);
+	uint64_t objective_ms = sched_objective_ms(spec, chain_ms);
+	waiting_t waiting;
+	uint64_t wait_ms, wait_all_ms;
+
+	if (cpu_millis == 0 || spec->repeats > 0 || sched_spec_lasts(spec))
+		return true;
+	waiting = waiting_work(pool, now_us);
+	wait_ms = waiting.in_time * 1000 / cpu_millis;
+	wait_all_ms = (waiting.in_time + waiting.late) * 1000 / cpu_millis;
+	if (age_ms + wait_ms + chain_ms <= objective_ms)
+		return true;
+	if (waiting.in_time == 0 &&
+	    age_ms + wait_all_ms + chain_ms <= SCHED_LATE_FACTOR * objective_ms)
+		return true;
+	*retry_after_ms = (uint32_t)CLAMP(wait_ms, RETRY_MIN_MS, RETRY_MAX_MS);
+	gw_log(GW_EV_SCHED_REFUSED,
+	    "job=%s pool=%s queue=%s reason=overload age_ms=%" PRIu64
+	    " wait_ms=%" PRIu64 " chain_ms=%" PRIu64 " objective_ms=%" PRIu64
+	    " waiting_cpu_ms=%" PRIu64 " late_cpu_ms=%" PRIu64
+	    " serving_cpu=%" PRIu64 " coming=%u retry_after_ms=%u",
+	    spec->id, pool->name, spec->queue, age_ms, wait_ms, chain_ms,
+	    objective_ms, waiting.in_time, waiting.late, cpu_millis,
+	    pool->coming, *retry_after_ms);
+	return false;
+}
+
+const sched_admission_t sched_admission_all = {"all", admit_all};
+const sched_admission_t sched_admission_in_time = {"in-time", admit_in_time};
+
+/*
+ * Decides on a job that the pool does not have. Returns whether it is taken,
+ * and since when it counts; else when the caller should come back.
+ */
+bool
+sched_admit(sched_pool_t *pool, const Gw__JobSpec *spec, uint64_t *since_us,
+    uint32_t *retry_after_ms)
+{
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+	uint64_t age_ms;
+
+	*since_us = first_attempt_us(pool, spec->id, now_us);
+	age_ms = gw_elapsed_us(now_us, *since_us) / GW_US_PER_MS;
+	if (pool->admission->admit(pool, spec, age_ms, now_us, retry_after_ms))
+		return true;
+	remember(pool, spec, now_us);
+	return false;
+}
+
+/*
+ * Takes the planner's word on the machines that move to the pool.
+ */
+void
+sched_pool_set_coming(sched_pool_t *pool, uint32_t machines)
+{
+	pool->coming = machines;
+	pool->coming_us = gw_clock_now_us(pool->clock);
+}
+
+/*
+ * Sets how jobs are admitted; sched_admission_in_time unless told otherwise.
+ */
+void
+sched_pool_set_admission(sched_pool_t *pool, const sched_admission_t *admission)
+{
+	pool->admission = admission;
+}
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -24,23 +24,34 @@
 }
 
 /*
- * Takes a job. The same id again is the same job, whatever it has come to. The
- * caller is told once the store has it.
+ * Takes a job, or refuses one that it does not have. The same id again is the
+ * same job, whatever it has come to. The caller is told once the store has it.
  */
 void
 sched_pool_submit(
     sched_pool_t *pool, const Gw__JobSpec *spec, sched_reply_cb_t cb, void *arg)
 {
 	const sched_reply_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
+	sched_reply_t refused = {
+	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED, .reason = "overload"};
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, spec->id);
+	uint64_t since_us;
 
 	if (job != NULL && job->spec_recorded) {
 		cb(&ok, arg);
 		return;
 	}
+	if (job == NULL &&
+	    !sched_admit(pool, spec, &since_us, &refused.retry_after_ms)) {
+		cb(&refused, arg);
+		return;
+	}
 	if (job == NULL) {
 		job = sched_job_new(pool, spec->id);
+		job->accepted_us = since_us;
 		sched_job_set_spec(job, copy_spec(spec));
+		/* Counts at once among what waits, for the next one. */
+		sched_job_open_occurrences(job, pool->wall_ms);
 		g_ptr_array_add(pool->open, job);
 		gw_log(GW_EV_SCHED_ACCEPTED,
 		    "job=%s pool=%s queue=%s steps=%zu tasks=%u cpu_millis=%u "
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -302,6 +302,23 @@
 	return count;
 }
 
+/*
+ * Counts the machines that are moving to the pool.
+ */
+uint32_t
+fleet_coming(const fleet_t *fleet, const char *pool)
+{
+	GHashTableIter iter;
+	machine_t *machine;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, fleet->machines);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
+		count += machine->goal == GOAL_MOVE &&
+		    strcmp(machine->target, pool) == 0;
+	return count;
+}
+
 static void
 set_phase(fleet_t *fleet, machine_t *machine, phase_t phase)
 {
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -45,7 +45,7 @@
  * successor run on the same load.
  */
 typedef struct fleet_lending fleet_lending_t;
-extern const fleet_lending_t fleet_lending_none; /* baseline: no moves */
+extern const fleet_lending_t fleet_lending_none;   /* baseline: no moves */
 extern const fleet_lending_t fleet_lending_demand; /* by what waits */
 extern const fleet_lending_t fleet_lending_rate;   /* by what comes in */
 
@@ -65,6 +65,8 @@
  */
 void fleet_set_pool(fleet_t *, const char *name, uint32_t group, bool standby);
 void fleet_set_load(fleet_t *, const char *name, const Gw__PoolLoad *);
+/* Machines that move to the pool and are not there yet. */
+uint32_t fleet_coming(const fleet_t *, const char *pool);
 /* A whole list of the platform's machines replaces what is known. */
 void fleet_begin_list(fleet_t *);
 void fleet_list_machine(fleet_t *, const fleet_machine_t *);
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -43,6 +43,7 @@
 	uint64_t waiting_cpu_millis;
 	uint64_t demanded_cpu_ms; /* placed and waiting, at the last report */
 	uint64_t rate_cpu_millis; /* demand that comes in, as cores */
+	uint64_t slow_cpu_millis; /* the same over a longer time */
 	uint64_t capacity_memory_mib;
 	uint64_t used_memory_mib;
 	uint64_t waiting_memory_mib_ms;
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -32,7 +32,11 @@
 #define SCHED_FAILURES_MAX 3
 #define SCHED_AVOID_FAILING_US (5 * GW_US_PER_S)
 
+/* A job is late for its objective up to this many times over. */
+#define SCHED_LATE_FACTOR 3
+
 typedef struct sched_job sched_job_t;
+typedef struct sched_refusals sched_refusals_t;
 typedef struct sched_instance sched_instance_t;
 
 typedef enum {
@@ -98,6 +102,14 @@
 	void *arg;
 } sched_waiter_t;
 
+/* Jobs are served class by class. */
+typedef enum {
+	SCHED_RANK_LASTING, /* its tasks are owed at any time */
+	SCHED_RANK_IN_TIME, /* can still meet its objective */
+	SCHED_RANK_LATE,    /* can still be done before it is worth nothing */
+	SCHED_RANK_OVERDUE
+} sched_rank_t;
+
 struct sched_job {
 	Gw__JobSpec *spec; /* NULL once it has ended */
 	char id[SCHED_JOB_ID_BYTES];
@@ -120,8 +132,8 @@
 	GArray *acks;	   /* sched_ack_t */
 	GArray *waiters;   /* sched_waiter_t */
 	uint32_t chain_ms; /* estimate of its longest chain of steps */
-	/* Of the round under way. */
-	uint32_t rank_class;
+	/* When it was ranked last. */
+	sched_rank_t rank_class;
 	uint64_t rank;
 };
 
@@ -165,6 +177,13 @@
 	GArray *waiters; /* sched_waiter_t */
 };
 
+/* Whether a job is taken; varies, so that a baseline runs on the same load. */
+struct sched_admission {
+	const char *name;
+	bool (*admit)(const sched_pool_t *, const Gw__JobSpec *,
+	    uint64_t age_ms, uint64_t now_us, uint32_t *retry_after_ms);
+};
+
 struct sched_pool {
 	char name[SCHED_NAME_BYTES];
 	char data_centre[SCHED_NAME_BYTES];
@@ -179,9 +198,13 @@
 	GQueue *ended;	       /* sched_job_t in the order of their end */
 	GPtrArray *settling;   /* ended, with tasks or a specification left */
 	bool loaded;
-	uint64_t loaded_us;	   /* when this owner began */
-	uint64_t round;		   /* of placement */
-	uint64_t placed_cpu_ms;	   /* work placed so far, by the estimates */
+	uint64_t loaded_us;	/* when this owner began */
+	uint64_t round;		/* of placement */
+	uint64_t placed_cpu_ms; /* work placed or refused so far */
+	const sched_admission_t *admission;
+	sched_refusals_t *refusals;
+	uint32_t coming; /* machines on their way to the pool */
+	uint64_t coming_us;
 	bool former_gone;	   /* no former owner holds anything */
 	GHashTable *former_leases; /* instance -> lapse (uint64_t *) */
 	uint64_t wall_ms;	   /* at the last tick */
@@ -199,6 +222,8 @@
 sched_step_t *sched_task_counts(const sched_task_t *);
 bool sched_step_ready(
     const sched_job_t *, const sched_occurrence_t *, uint32_t step);
+bool sched_spec_lasts(const Gw__JobSpec *);
+uint64_t sched_job_ready_cpu_ms(const sched_job_t *);
 bool sched_job_ended(const sched_job_t *);
 void sched_step_forget_tickets(sched_step_t *);
 void sched_job_mark(sched_pool_t *, sched_job_t *);
@@ -252,7 +277,16 @@
 /* evacuate.c */
 void sched_evacuate(sched_instance_t *, uint64_t now_us);
 
+/* admit.c */
+sched_refusals_t *sched_refusals_new(void);
+void sched_refusals_free(sched_refusals_t *);
+bool sched_admit(sched_pool_t *, const Gw__JobSpec *, uint64_t *since_us,
+    uint32_t *retry_after_ms);
+
 /* order.c */
+void sched_job_rank(sched_job_t *, uint64_t now_us);
+bool sched_job_is_late(const sched_job_t *);
+uint64_t sched_objective_ms(const Gw__JobSpec *, uint64_t chain_ms);
 void sched_order_jobs(GPtrArray *jobs, uint64_t now_us);
 uint32_t sched_chain_ms(const Gw__JobSpec *, const sched_occurrence_t *);
 
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -54,6 +54,18 @@
 	g_free(job);
 }
 
+/*
+ * Tells whether a step's tasks run until the job is cancelled.
+ */
+bool
+sched_spec_lasts(const Gw__JobSpec *spec)
+{
+	for (size_t i = 0; i < spec->n_steps; i++)
+		if (spec->steps[i]->lasting)
+			return true;
+	return false;
+}
+
 /*
  * Gives the job its specification, which it owns from now on.
  */
@@ -64,8 +76,7 @@
 	g_free(job->queue);
 	job->queue = g_strdup(spec->queue);
 	job->chain_ms = sched_chain_ms(spec, NULL);
-	for (size_t i = 0; i < spec->n_steps; i++)
-		job->lasting |= spec->steps[i]->lasting;
+	job->lasting = sched_spec_lasts(spec);
 }
 
 /*
@@ -196,6 +207,32 @@
 	return true;
 }
 
+/*
+ * Estimates the work of the job's tasks whose turn has come and that wait, in
+ * core milliseconds.
+ */
+uint64_t
+sched_job_ready_cpu_ms(const sched_job_t *job)
+{
+	uint64_t work = 0;
+
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		const sched_occurrence_t *occurrence =
+		    job->occurrences->pdata[i];
+
+		for (uint32_t k = 0; k < occurrence->step_count; k++) {
+			const Gw__JobStep *step = job->spec->steps[k];
+
+			if (occurrence->steps[k].waiting > 0 &&
+			    sched_step_ready(job, occurrence, k))
+				work += (uint64_t)occurrence->steps[k].waiting *
+				    sched_step_cpu(step) * step->estimate_ms /
+				    1000;
+		}
+	}
+	return work;
+}
+
 /*
  * Forgets the advice on a step, so that it is asked for again.
  */
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -1,16 +1,5 @@
 #include "sched/impl.h"
 
-/* A job is late for its objective up to this many times over. */
-#define LATE_FACTOR 3
-
-/* Jobs are served class by class. */
-enum {
-	RANK_LASTING, /* its tasks are owed at any time */
-	RANK_IN_TIME, /* can still meet its objective */
-	RANK_LATE,    /* can still be done before it is worth nothing */
-	RANK_OVERDUE
-};
-
 /*
  * Estimates the longest chain of steps, in ms, with room for every task: of
  * those that the occurrence has open, or of all when it is NULL.
@@ -51,24 +40,32 @@
 	return work;
 }
 
+/*
+ * Returns the time in which a job with such a chain of steps should be done.
+ */
+uint64_t
+sched_objective_ms(const Gw__JobSpec *spec, uint64_t chain_ms)
+{
+	return spec->objective_ms + chain_ms * spec->stretch_permille / 1000;
+}
+
 /*
  * Ranks a job for the load in which a queue asks for more than its pool holds:
  * what can still be done in time goes first, least work left first, so that
  * the most callers are served in time; what is late comes in the order of
  * acceptance.
  */
-static void
-rank(sched_job_t *job, uint64_t now_us)
+void
+sched_job_rank(sched_job_t *job, uint64_t now_us)
 {
 	uint64_t age_ms =
 	    (gw_elapsed_us(now_us, job->accepted_us)) / GW_US_PER_MS;
-	uint64_t objective_ms = job->spec->objective_ms +
-	    (uint64_t)job->chain_ms * job->spec->stretch_permille / 1000;
+	uint64_t objective_ms = sched_objective_ms(job->spec, job->chain_ms);
 	uint32_t chain_ms = 0;
 	uint64_t work = 0;
 
 	if (job->lasting) {
-		job->rank_class = RANK_LASTING;
+		job->rank_class = SCHED_RANK_LASTING;
 		job->rank = job->accepted_us;
 		return;
 	}
@@ -80,17 +77,26 @@
 		work += work_left(job, occurrence);
 	}
 	if (age_ms + chain_ms <= objective_ms) {
-		job->rank_class = RANK_IN_TIME;
+		job->rank_class = SCHED_RANK_IN_TIME;
 		job->rank = work;
-	} else if (age_ms + chain_ms <= LATE_FACTOR * objective_ms) {
-		job->rank_class = RANK_LATE;
+	} else if (age_ms + chain_ms <= SCHED_LATE_FACTOR * objective_ms) {
+		job->rank_class = SCHED_RANK_LATE;
 		job->rank = work;
 	} else {
-		job->rank_class = RANK_OVERDUE;
+		job->rank_class = SCHED_RANK_OVERDUE;
 		job->rank = job->accepted_us;
 	}
 }
 
+/*
+ * Tells whether the job could not meet its objective when it was ranked last.
+ */
+bool
+sched_job_is_late(const sched_job_t *job)
+{
+	return job->rank_class >= SCHED_RANK_LATE;
+}
+
 static gint
 by_rank(gconstpointer a, gconstpointer b)
 {
@@ -111,6 +117,6 @@
 sched_order_jobs(GPtrArray *jobs, uint64_t now_us)
 {
 	for (guint i = 0; i < jobs->len; i++)
-		rank(jobs->pdata[i], now_us);
+		sched_job_rank(jobs->pdata[i], now_us);
 	g_ptr_array_sort(jobs, by_rank);
 }
--- a/lib/sched/parts.c
+++ b/lib/sched/parts.c
@@ -15,7 +15,8 @@
 #define INSTANCES_PER_PART 45
 /* Instances register within a heartbeat of theirs, 1.5 s, of each other. */
 #define SETTLED_US (1500 * GW_US_PER_MS)
-/* Instances that come and go for ever must not keep the system from starting. */
+/* Instances that come and go for ever must not keep the system from starting.
+ */
 #define SETTLE_MAX_US (6 * GW_US_PER_S)
 /* Does not occur in names of pools, which are host labels. */
 #define SEPARATOR '~'
--- a/lib/sched/parts.h
+++ b/lib/sched/parts.h
@@ -22,7 +22,7 @@
  * one, in an order that nobody knows.
  */
 typedef struct {
-	uint32_t largest; /* instances of the largest pool so far */
+	uint32_t largest;  /* instances of the largest pool so far */
 	uint64_t since_us; /* when it was reached; 0: never looked */
 	uint64_t begun_us;
 } parts_growth_t;
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -31,6 +31,8 @@
 	    g_str_hash, g_str_equal, NULL, sched_instance_free);
 	pool->former_leases =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->admission = &sched_admission_in_time;
+	pool->refusals = sched_refusals_new();
 	pool->open = g_ptr_array_new();
 	pool->settling = g_ptr_array_new();
 	pool->dirty = g_queue_new();
@@ -55,6 +57,7 @@
 	g_hash_table_destroy(pool->jobs);
 	g_hash_table_destroy(pool->instances);
 	g_hash_table_destroy(pool->former_leases);
+	sched_refusals_free(pool->refusals);
 	g_ptr_array_free(pool->open, TRUE);
 	g_ptr_array_free(pool->settling, TRUE);
 	g_queue_free(pool->dirty);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -226,6 +226,14 @@
     uint32_t valid_ms);
 void sched_pool_advice_failed(sched_pool_t *, const sched_ref_t *);
 
+/* Whether a job is taken. */
+typedef struct sched_admission sched_admission_t;
+extern const sched_admission_t sched_admission_all; /* baseline */
+extern const sched_admission_t sched_admission_in_time;
+void sched_pool_set_admission(sched_pool_t *, const sched_admission_t *);
+/* Machines that the planner has ordered to the pool and that are not there. */
+void sched_pool_set_coming(sched_pool_t *, uint32_t machines);
+
 /* Callers. The callback comes once, perhaps before the call returns. */
 void sched_pool_submit(
     sched_pool_t *, const Gw__JobSpec *, sched_reply_cb_t, void *arg);
--- /dev/null
+++ b/regress/sched/admission.sh
@@ -0,0 +1,79 @@
+#!/bin/sh
+# What is taken and what is refused when a queue asks for more than its pool
+# holds.
+. ./lib.subr
+
+# Guards against a queue that takes more than its pool can do in time: each job
+# then makes the others late. An instance of 4 cores gets jobs of 4 cores for a
+# second, with an objective of 2.2 s: one runs, one waits in time, and the others
+# are refused at once. The same id again is the job that was taken.
+for admission in all in-time; do
+	play "a surge beyond the pool, admission $admission" <<EOT
+pool
+admission $admission
+instance i1
+tick
+report i1 clock=100
+submit j1 4:1000:1000
+commit
+submit j2 4:1000:1000
+commit
+submit j3 4:1000:1000
+submit j4 4:1000:1000
+submit j2 4:1000:1000
+commit
+state j4
+EOT
+done
+
+# Guards against a job that is refused for work on machines that are on their
+# way: the planner has ordered one more, which does two of these in a second.
+play "machines on their way count" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 4:1000:1000
+commit
+submit j2 4:1000:1000
+commit
+submit j3 4:1000:1000
+coming 1
+submit j3 4:1000:1000
+submit j4 4:1000:1000
+submit j5 4:1000:1000
+commit
+EOT
+
+# Guards against a job that came back late and takes room from those in time: it
+# counts from its first attempt.
+play "a late attempt waits for what is in time" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 4:1000:1000
+commit
+submit j2 4:1000:1000
+commit
+submit j3 4:1000:1000
+advance 100
+submit j3 4:1000:1000
+submit j4 4:1000:100
+commit
+EOT
+
+# Guards against a lasting job, or one with a schedule, that is refused for work
+# that will be over long before.
+play "what lasts is taken" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 4:1000:1000
+submit j2 4:1000:1000
+submit j3 4:1000:1000
+submit j4 2:1000:1000:lasting
+submit j5 2:1000:1000 repeats=3 interval=1000
+commit
+EOT
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -313,6 +313,22 @@
 	sched_pool_submit(pool, &spec, on_reply, g_strdup(words[1]));
 }
 
+/* admission all|in-time */
+static void
+do_admission(void)
+{
+	sched_pool_set_admission(pool,
+	    strcmp(words[1], "all") == 0 ? &sched_admission_all
+					 : &sched_admission_in_time);
+}
+
+/* coming MACHINES */
+static void
+do_coming(void)
+{
+	sched_pool_set_coming(pool, (uint32_t)atoi(words[1]));
+}
+
 static void
 do_cancel(void)
 {
@@ -543,6 +559,8 @@
     {"gone", 2, do_gone},
     {"ended", 2, do_ended},
     {"submit", 3, do_submit},
+    {"admission", 2, do_admission},
+    {"coming", 2, do_coming},
     {"cancel", 2, do_cancel},
     {"state", 2, do_state},
     {"pending", 1, do_pending},
