End maintenance waves in time

Besides, each new planner counted the wave's time from its own start.

Only maintenance counts as away now, as many machines with lasting tasks go at once as the time asks for (their owner keeps the bound on unavailable tasks), and the end of the wave is recorded for the next planner.

--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -130,12 +130,6 @@
     .on_report = on_report,
     .on_hold_failed = on_hold_failed};
 
-static uint64_t
-wall_ms(void)
-{
-	return (uint64_t)g_get_real_time() / 1000;
-}
-
 static void
 on_tick(gw_timer_t *timer, void *arg)
 {
@@ -143,7 +137,7 @@
 	uint64_t delay_us;
 
 	(void)timer;
-	delay_us = sched_pool_tick(owner->pool, wall_ms());
+	delay_us = sched_pool_tick(owner->pool, gw_clock_wall_ms());
 	owner_commit_soon(owner);
 	owner_kick_in(owner, delay_us);
 }
--- a/gwentryd/planner_records.c
+++ b/gwentryd/planner_records.c
@@ -12,6 +12,7 @@
 #define WAVE_RECORD_PREFIX RECORD_PREFIX "wave/"
 #define ORDERS_KEY RECORD_PREFIX "orders"
 #define DONE_WORD "done"
+#define END_WORD "end"
 
 /*
  * Frees what is recorded of a wave.
@@ -121,6 +122,9 @@
 {
 	GString *value = g_string_new(NULL);
 
+	if (record->end_wall_ms != 0)
+		g_string_append_printf(
+		    value, END_WORD " %" PRIu64 "\n", record->end_wall_ms);
 	for (guint i = 0; i < record->done->len; i++)
 		g_string_append_printf(value, "%s %s\n", DONE_WORD,
 		    (const char *)record->done->pdata[i]);
@@ -213,10 +217,14 @@
 	g_auto(GStrv) lines = g_strsplit(item->value, "\n", -1);
 	wave_record_t *record = planner_wave_record(planner, number);
 
-	for (char **line = lines; *line != NULL; line++)
+	for (char **line = lines; *line != NULL; line++) {
 		if (g_str_has_prefix(*line, DONE_WORD " "))
 			g_ptr_array_add(record->done,
 			    g_strdup(*line + strlen(DONE_WORD " ")));
+		if (g_str_has_prefix(*line, END_WORD " "))
+			record->end_wall_ms = g_ascii_strtoull(
+			    *line + strlen(END_WORD " "), NULL, 10);
+	}
 }
 
 /*
@@ -244,9 +252,15 @@
 planner_plan_wave(planner_t *planner, const plat_wave_t *wave)
 {
 	wave_record_t *record = planner_wave_record(planner, wave->number);
+	uint64_t wall_ms = gw_clock_wall_ms();
+	uint64_t left_ms;
 
+	/* Another planner goes by the end that the first one set. */
+	if (record->end_wall_ms == 0)
+		record->end_wall_ms = wall_ms + wave->duration_ms;
+	left_ms = record->end_wall_ms - MIN(record->end_wall_ms, wall_ms);
 	fleet_set_wave(planner->fleet, wave->number, wave->machines,
-	    wave->duration_ms, wave->at_once_max);
+	    (uint32_t)MIN(left_ms, wave->duration_ms), wave->at_once_max);
 	for (guint i = 0; i < record->done->len; i++)
 		fleet_wave_known_done(
 		    planner->fleet, wave->number, record->done->pdata[i]);
--- a/lib/gw/clock.c
+++ b/lib/gw/clock.c
@@ -90,3 +90,16 @@
 	(void)clock_gettime(CLOCK_REALTIME, &ts);
 	return (uint64_t)ts.tv_sec;
 }
+
+/*
+ * Returns the milliseconds since 1970 on the system's clock, which may be set
+ * back.
+ */
+uint64_t
+gw_clock_wall_ms(void)
+{
+	struct timespec ts;
+
+	(void)clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
--- a/lib/sched/fleet_wave.c
+++ b/lib/sched/fleet_wave.c
@@ -106,7 +106,8 @@
 }
 
 /*
- * Counts the pool's machines that planned work keeps from service.
+ * Counts the pool's machines that waves keep from service. Moves do not count:
+ * they go to where machines are needed, and a busy fleet is never without them.
  */
 static uint32_t
 away_of_pool(const fleet_t *fleet, const char *pool)
@@ -117,7 +118,7 @@
 
 	g_hash_table_iter_init(&iter, fleet->machines);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
-		count += machine->goal != GOAL_NONE &&
+		count += machine->goal == GOAL_MAINTAIN &&
 		    strcmp(machine->at.pool, pool) == 0;
 	return count;
 }
@@ -153,19 +154,49 @@
 	return machine;
 }
 
+static bool
+hosts_lasting(fleet_t *fleet, const machine_t *machine)
+{
+	return g_hash_table_contains(
+	    fleet_pool(fleet, machine->at.pool)->lasting, machine->at.instance);
+}
+
 /*
- * Tells whether a busy machine may be taken: one with lasting tasks never
- * becomes idle, so that it is taken early, one of a pool at a time; others only
- * when time calls for it, and not too many of one pool.
+ * Counts the wave's machines of the pool that are left and host lasting tasks.
  */
-static bool
-may_take_busy(
-    fleet_t *fleet, const machine_t *machine, bool time_calls, uint32_t away)
+static uint32_t
+lasting_left(
+    fleet_t *fleet, const wave_t *wave, const char *pool, uint64_t now_us)
 {
-	pool_t *pool = fleet_pool(fleet, machine->at.pool);
+	uint32_t count = 0;
+
+	for (guint i = 0; i < wave->machines->len; i++) {
+		const machine_t *machine =
+		    available(fleet, wave, wave->machines->pdata[i], now_us);
 
-	if (g_hash_table_contains(pool->lasting, machine->at.instance))
-		return away == 0;
+		count += machine != NULL &&
+		    strcmp(machine->at.pool, pool) == 0 &&
+		    hosts_lasting(fleet, machine);
+	}
+	return count;
+}
+
+/*
+ * Tells whether a busy machine may be taken. One with lasting tasks never
+ * becomes idle, so that it is taken early, as many of a pool at a time as end
+ * in time; their owner stops the tasks as their bounds allow. Others are taken
+ * only when time calls for it, and not too many of one pool.
+ */
+static bool
+may_take_busy(fleet_t *fleet, const wave_t *wave, const machine_t *machine,
+    bool time_calls, uint32_t away, uint64_t now_us)
+{
+	if (hosts_lasting(fleet, machine))
+		return away <
+		    MAX(1,
+			needed_at_once(wave,
+			    lasting_left(fleet, wave, machine->at.pool, now_us),
+			    now_us));
 	return time_calls &&
 	    away * 100 <=
 	    POOL_SHARE_PERCENT * fleet_pool_machines(fleet, machine->at.pool);
@@ -191,12 +222,13 @@
 		if (fleet_is_idle(fleet, machine))
 			return machine;
 		away = away_of_pool(fleet, machine->at.pool);
-		if (!may_take_busy(fleet, machine, time_calls, away))
+		if (best != NULL && away >= best_away)
+			continue;
+		if (!may_take_busy(
+			fleet, wave, machine, time_calls, away, now_us))
 			continue;
-		if (best == NULL || away < best_away) {
-			best = machine;
-			best_away = away;
-		}
+		best = machine;
+		best_away = away;
 	}
 	return best;
 }
--- a/regress/sched/fleet.sh
+++ b/regress/sched/fleet.sh
@@ -139,6 +139,20 @@
 advance 200
 EOT
 
+# Guards against a wave that ends late: machines with lasting tasks never become
+# idle, and were taken one of a pool at a time, and none while a machine of the
+# pool moved. Four have 10 s, each takes about 4 s; so two go at once.
+play_fleet "machines with lasting tasks are maintained in time" <<'EOT'
+fleet rate
+pool p
+pool s standby
+list m1:p:i1:up m2:p:i2:up m3:p:i3:up m4:p:i4:up m5:s::up
+load p instances=4 used=48000 lasting=1 host:i1 host:i2 host:i3 host:i4
+advance 100
+wave 7 10000 4 m1 m2 m3 m4
+advance 100
+EOT
+
 # Guards against lending that chases a surge: two machines get 320 cores of work
 # a second, ten times what they hold. By what waits after 400 ms, 7 machines
 # would do; by what comes in, 15.
--- a/regress/sched/fleetplay.c
+++ b/regress/sched/fleetplay.c
@@ -145,28 +145,32 @@
 }
 
 /*
- * load POOL instances= used= waiting= waiting_cpu= placed= lasting= IDLE...;
- * waiting and placed are work in core milliseconds.
+ * load POOL instances= used= waiting= waiting_cpu= placed= lasting= IDLE...
+ * host:INSTANCE...; waiting and placed are work in core milliseconds, hosts run
+ * lasting tasks.
  */
 static void
 do_load(void)
 {
 	Gw__PoolLoad load = GW__POOL_LOAD__INIT;
-	char *idle[WORDS_MAX];
+	char *idle[WORDS_MAX], *hosts[WORDS_MAX];
 
 	load.instances = (uint32_t)number_of("instances", 1);
 	load.capacity_cpu_millis = load.instances * UINT64_C(16000);
 	load.capacity_memory_mib = load.instances * UINT64_C(65536);
 	load.used_cpu_millis = number_of("used", 0);
 	load.waiting_cpu_ms = number_of("waiting", 0);
-	load.waiting_cpu_millis =
-	    number_of("waiting_cpu", load.waiting_cpu_ms);
+	load.waiting_cpu_millis = number_of("waiting_cpu", load.waiting_cpu_ms);
 	load.placed_cpu_ms = number_of("placed", 0);
 	load.lasting_waiting = (uint32_t)number_of("lasting", 0);
 	for (int i = 2; i < word_count; i++)
-		if (strchr(words[i], '=') == NULL)
+		if (g_str_has_prefix(words[i], "host:"))
+			hosts[load.n_lasting_instances++] =
+			    words[i] + strlen("host:");
+		else if (strchr(words[i], '=') == NULL)
 			idle[load.n_idle_instances++] = words[i];
 	load.idle_instances = idle;
+	load.lasting_instances = hosts;
 	fleet_set_load(fleet, words[1], &load);
 }
 
--- a/regress/sched/parts_test.c
+++ b/regress/sched/parts_test.c
@@ -37,8 +37,7 @@
 
 	for (uint64_t at_us = 0; at_us < 20 * GW_US_PER_S; at_us += LOOK_US)
 		g_assert_false(parts_settled(&growth, 0, START_US + at_us));
-	g_assert_false(
-	    parts_settled(&growth, 3, START_US + 21 * GW_US_PER_S));
+	g_assert_false(parts_settled(&growth, 3, START_US + 21 * GW_US_PER_S));
 }
 
 /* One more instance each second, without end. */
@@ -48,8 +47,8 @@
 	parts_growth_t growth = {0};
 	uint64_t at_us = 0;
 
-	while (!parts_settled(&growth, (uint32_t)(1 + at_us / GW_US_PER_S),
-	    START_US + at_us))
+	while (!parts_settled(
+	    &growth, (uint32_t)(1 + at_us / GW_US_PER_S), START_US + at_us))
 		at_us += LOOK_US;
 	g_assert_cmpuint(at_us, <=, 7 * GW_US_PER_S);
 }
