Take late jobs while machines are on standby

Owners now learn how many machines are on standby. A job that cannot meet its objective is taken if these would end it before it is worth nothing.

--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -83,6 +83,7 @@
 		call.kind = GW__CALL_KIND__CALL_LOAD;
 		call.pool = pool;
 		call.coming = fleet_coming(planner->fleet, pool);
+		call.free = fleet_on_standby(planner->fleet, pool);
 		dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS,
 		    on_load_reply, planner_asked_new(planner, pool));
 	}
--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -7,6 +7,8 @@
 #define REMEMBERED_US (12 * GW_US_PER_S)
 /* Bounds the memory of refusals; beyond it the oldest are forgotten. */
 #define REMEMBERED_MAX 4096
+/* From the order to a machine until its next instance takes work. */
+#define MOVE_MS 2000
 /* The planner names the machines on their way several times a second. */
 #define COMING_FRESH_US GW_US_PER_S
 /* What Retry-After says: whole seconds on the wire, and a spread of returns. */
@@ -100,13 +102,20 @@
 		    spec->steps[i]->estimate_ms / 1000;
 }
 
+/* Processors that serve jobs which end, in thousandths. */
+typedef struct {
+	uint64_t cpu_millis;   /* of instances that are there or on their way */
+	uint64_t with_standby; /* and of machines that may still be ordered */
+} serving_t;
+
 /*
- * Returns the processors that serve jobs which end, in thousandths: all usable
- * instances and those on their way, less what lasting tasks take.
+ * Sums up the processors, less what lasting tasks take. All machines count like
+ * the mean of the pool's instances.
  */
-static uint64_t
-serving_cpu_millis(const sched_pool_t *pool, uint64_t now_us)
+static serving_t
+serving_cpu(const sched_pool_t *pool, uint64_t now_us)
 {
+	serving_t serving = {0, 0};
 	uint64_t capacity = 0, lasting = 0, count = 0;
 	sched_instance_t *instance;
 	GHashTableIter iter;
@@ -125,10 +134,16 @@
 				    sched_step_cpu(sched_task_step(task));
 		}
 	}
-	if (count > 0 &&
-	    gw_elapsed_us(now_us, pool->coming_us) < COMING_FRESH_US)
-		capacity += capacity / count * pool->coming;
-	return capacity - MIN(capacity, lasting);
+	if (count == 0)
+		return serving;
+	serving.cpu_millis = serving.with_standby =
+	    capacity - MIN(capacity, lasting);
+	if (gw_elapsed_us(now_us, pool->coming_us) < COMING_FRESH_US) {
+		serving.cpu_millis += capacity / count * pool->coming;
+		serving.with_standby +=
+		    capacity / count * (pool->coming + pool->standby);
+	}
+	return serving;
 }
 
 /* Work whose turn has come and that finds no room, in core milliseconds. */
@@ -176,28 +191,32 @@
  * Answers the load in which a queue asks for more than its pool can do in time:
  * each job that is taken then makes others late, and late work keeps machines
  * that the next queue's surge lacks. A job is taken if the work that waits in
- * time leaves it its objective; one that cannot meet it any more, if nothing in
- * time waits and it ends before it is worth nothing. Without an instance
+ * time leaves it its objective. One that cannot meet it any more is taken if it
+ * ends before it is worth nothing, and takes nothing from those in time: none
+ * waits, or machines are on standby. Without an instance
  * nothing is known, as just after a takeover: then it is taken.
  */
 static bool
 admit_in_time(const sched_pool_t *pool, const Gw__JobSpec *spec,
     uint64_t age_ms, uint64_t now_us, uint32_t *retry_after_ms)
 {
-	uint64_t cpu_millis = serving_cpu_millis(pool, now_us);
+	serving_t serving = serving_cpu(pool, now_us);
 	uint64_t chain_ms = sched_chain_ms(spec, NULL);
 	uint64_t objective_ms = sched_objective_ms(spec, chain_ms);
 	waiting_t waiting;
 	uint64_t wait_ms, wait_all_ms;
 
-	if (cpu_millis == 0 || spec->repeats > 0 || sched_spec_lasts(spec))
+	if (serving.cpu_millis == 0 || spec->repeats > 0 ||
+	    sched_spec_lasts(spec))
 		return true;
 	waiting = waiting_work(pool, now_us);
-	wait_ms = waiting.in_time * 1000 / cpu_millis;
-	wait_all_ms = (waiting.in_time + waiting.late) * 1000 / cpu_millis;
+	wait_ms = waiting.in_time * 1000 / serving.cpu_millis;
+	wait_all_ms = pool->standby > 0 ? MOVE_MS : 0;
+	wait_all_ms +=
+	    (waiting.in_time + waiting.late) * 1000 / serving.with_standby;
 	if (age_ms + wait_ms + chain_ms <= objective_ms)
 		return true;
-	if (waiting.in_time == 0 &&
+	if ((waiting.in_time == 0 || pool->standby > 0) &&
 	    age_ms + wait_all_ms + chain_ms <= SCHED_LATE_FACTOR * objective_ms)
 		return true;
 	*retry_after_ms = (uint32_t)CLAMP(wait_ms, RETRY_MIN_MS, RETRY_MAX_MS);
@@ -205,10 +224,10 @@
 	    "job=%s pool=%s queue=%s reason=overload age_ms=%" PRIu64
 	    " wait_ms=%" PRIu64 " chain_ms=%" PRIu64 " objective_ms=%" PRIu64
 	    " waiting_cpu_ms=%" PRIu64 " late_cpu_ms=%" PRIu64
-	    " serving_cpu=%" PRIu64 " coming=%u retry_after_ms=%u",
+	    " serving_cpu=%" PRIu64 " coming=%u standby=%u retry_after_ms=%u",
 	    spec->id, pool->name, spec->queue, age_ms, wait_ms, chain_ms,
-	    objective_ms, waiting.in_time, waiting.late, cpu_millis,
-	    pool->coming, *retry_after_ms);
+	    objective_ms, waiting.in_time, waiting.late, serving.cpu_millis,
+	    pool->coming, pool->standby, *retry_after_ms);
 	return false;
 }
 
@@ -235,12 +254,13 @@
 }
 
 /*
- * Takes the planner's word on the machines that move to the pool.
+ * Takes the planner's word on the machines that move to the pool or could.
  */
 void
-sched_pool_set_coming(sched_pool_t *pool, uint32_t machines)
+sched_pool_set_coming(sched_pool_t *pool, uint32_t machines, uint32_t standby)
 {
 	pool->coming = machines;
+	pool->standby = standby;
 	pool->coming_us = gw_clock_now_us(pool->clock);
 }
 
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -67,6 +67,8 @@
 void fleet_set_load(fleet_t *, const char *name, const Gw__PoolLoad *);
 /* Machines that move to the pool and are not there yet. */
 uint32_t fleet_coming(const fleet_t *, const char *pool);
+/* Machines on standby that the pool may get. */
+uint32_t fleet_on_standby(fleet_t *, const char *pool);
 /* A whole list of the platform's machines replaces what is known. */
 void fleet_begin_list(fleet_t *);
 void fleet_list_machine(fleet_t *, const fleet_machine_t *);
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -224,6 +224,27 @@
 	return NULL;
 }
 
+/*
+ * Counts the machines on standby that could be ordered to the pool now.
+ */
+uint32_t
+fleet_on_standby(fleet_t *fleet, const char *pool)
+{
+	const pool_t *standby =
+	    standby_pool(fleet, fleet_pool(fleet, pool)->group);
+	GHashTableIter iter;
+	machine_t *machine;
+	uint32_t count = 0;
+
+	if (standby == NULL)
+		return 0;
+	g_hash_table_iter_init(&iter, fleet->machines);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
+		count += strcmp(machine->at.pool, standby->name) == 0 &&
+		    machine->goal == GOAL_NONE && machine->at.up;
+	return count;
+}
+
 /*
  * Returns how many machines the pool has beyond what it wants.
  */
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -203,7 +203,8 @@
 	uint64_t placed_cpu_ms; /* work placed or refused so far */
 	const sched_admission_t *admission;
 	sched_refusals_t *refusals;
-	uint32_t coming; /* machines on their way to the pool */
+	uint32_t coming;  /* machines on their way to the pool */
+	uint32_t standby; /* machines that it may still get */
 	uint64_t coming_us;
 	bool former_gone;	   /* no former owner holds anything */
 	GHashTable *former_leases; /* instance -> lapse (uint64_t *) */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -231,8 +231,11 @@
 extern const sched_admission_t sched_admission_all; /* baseline */
 extern const sched_admission_t sched_admission_in_time;
 void sched_pool_set_admission(sched_pool_t *, const sched_admission_t *);
-/* Machines that the planner has ordered to the pool and that are not there. */
-void sched_pool_set_coming(sched_pool_t *, uint32_t machines);
+/*
+ * Machines that the planner has ordered to the pool and that are not there, and
+ * those on standby that it may still order.
+ */
+void sched_pool_set_coming(sched_pool_t *, uint32_t machines, uint32_t standby);
 
 /* Callers. The callback comes once, perhaps before the call returns. */
 void sched_pool_submit(
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3532,7 +3532,7 @@
   (ProtobufCMessageInit) gw__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__call__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gw__call__field_descriptors[10] =
 {
   {
     "number",
@@ -3642,10 +3642,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "free",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Call, free),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__call__field_indices_by_name[] = {
   8,   /* field[8] = coming */
   7,   /* field[7] = ended */
+  9,   /* field[9] = free */
   4,   /* field[4] = id */
   6,   /* field[6] = instance */
   1,   /* field[1] = kind */
@@ -3657,7 +3670,7 @@
 static const ProtobufCIntRange gw__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gw__call__descriptor =
 {
@@ -3667,7 +3680,7 @@
   "Gw__Call",
   "gw",
   sizeof(Gw__Call),
-  9,
+  10,
   gw__call__field_descriptors,
   gw__call__field_indices_by_name,
   1,  gw__call__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -557,10 +557,14 @@
    * Of CALL_LOAD: machines on their way to the pool.
    */
   uint32_t coming;
+  /*
+   * Of CALL_LOAD: machines on standby that the pool may still get.
+   */
+  uint32_t free;
 };
 #define GW__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__call__descriptor) \
-    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/regress/sched/admission.sh
+++ b/regress/sched/admission.sh
@@ -63,6 +63,23 @@
 commit
 EOT
 
+# Guards against a refusal while machines are off: three on standby do in 2.8 s
+# what waits, later than the objective and long before it is worth nothing.
+play "machines on standby take what would be late" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 4:1000:1000
+commit
+submit j2 4:1000:1000
+submit j3 4:1000:1000
+submit j4 4:1000:1000
+coming 0 3
+submit j4 4:1000:1000
+commit
+EOT
+
 # Guards against a lasting job, or one with a schedule, that is refused for work
 # that will be over long before.
 play "what lasts is taken" <<'EOT'
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -322,11 +322,12 @@
 					 : &sched_admission_in_time);
 }
 
-/* coming MACHINES */
+/* coming MACHINES [STANDBY] */
 static void
 do_coming(void)
 {
-	sched_pool_set_coming(pool, (uint32_t)atoi(words[1]));
+	sched_pool_set_coming(pool, (uint32_t)atoi(words[1]),
+	    word_count > 2 ? (uint32_t)atoi(words[2]) : 0);
 }
 
 static void
