--- a/gwentryd/planner_impl.h
+++ b/gwentryd/planner_impl.h
@@ -23,7 +23,7 @@
 /* What is recorded of a wave. */
 typedef struct {
 	uint64_t number;
-	GPtrArray *done;	  /* char * */
+	GPtrArray *done;      /* char * */
 	uint64_t end_wall_ms; /* when it has to be done; 0: not known yet */
 	bool has_state;
 	bool completed;
