Ask the last owner, not the one before, how long its leases run

An owner that lost its role in an outage of the store and gained it again asked the owner before itself, whose leases had ended long before, and took its own runs on an instance that had not answered yet as lapsed 1.1 s early.

Test: regress/entry/owner_again.sh, failed before.

--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -33,7 +33,7 @@
 	roles_t *roles;
 	char name[SCHED_NAME_BYTES];
 	char *owner;	       /* address, NULL: none */
-	char *former;	       /* address of the last other owner, NULL: none */
+	char *former;	       /* address of the last owner, NULL: none */
 	uint64_t revision;     /* of the newest state seen */
 	uint64_t fence;	       /* not 0 while it is this process's */
 	uint64_t own_revision; /* of this process's key as seen; 0: none */
@@ -137,6 +137,9 @@
 	gw_log(GW_EV_ROLE_GAINED, "role=%s fence=%" PRIu64 " owned=%u",
 	    role->name, fence, owned(roles));
 	roles->ops->on_gain(role->name, fence, role->former, roles->arg);
+	/* Should it come back, an owner before this one knows nothing of use. */
+	g_free(role->former);
+	role->former = g_strdup(roles->address);
 }
 
 static void schedule_claim(role_t *);
