Write at once which machines a wave has done

A planner wrote what was done only with its next order; its successor ordered two machines again, which the platform answers without doing anything, and waited 16 s for each.

Besides, from reading the change as a newcomer: what the owners report as demand is named so, as refused jobs count in it; machines on standby count only while the planner's word is fresh.

--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -134,6 +134,8 @@
 
 	g_ptr_array_add(record->done, g_strdup(machine));
 	record->dirty = true;
+	/* At once: the next planner would order the machine again. */
+	planner_flush(planner);
 }
 
 static const fleet_ops_t fleet_ops = {.drain = on_drain,
--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -97,7 +97,7 @@
 	forget_expired(pool->refusals, now_us);
 	/* The planner learns of the demand although it was turned away. */
 	for (size_t i = 0; i < spec->n_steps; i++)
-		pool->placed_cpu_ms += (uint64_t)spec->steps[i]->count *
+		pool->demand_cpu_ms += (uint64_t)spec->steps[i]->count *
 		    sched_step_cpu(spec->steps[i]) *
 		    spec->steps[i]->estimate_ms / 1000;
 }
@@ -106,6 +106,7 @@
 typedef struct {
 	uint64_t cpu_millis;   /* of instances that are there or on their way */
 	uint64_t with_standby; /* and of machines that may still be ordered */
+	bool has_standby;      /* as the planner said a moment ago */
 } serving_t;
 
 /*
@@ -115,7 +116,7 @@
 static serving_t
 serving_cpu(const sched_pool_t *pool, uint64_t now_us)
 {
-	serving_t serving = {0, 0};
+	serving_t serving = {0, 0, false};
 	uint64_t capacity = 0, lasting = 0, count = 0;
 	sched_instance_t *instance;
 	GHashTableIter iter;
@@ -142,6 +143,7 @@
 		serving.cpu_millis += capacity / count * pool->coming;
 		serving.with_standby +=
 		    capacity / count * (pool->coming + pool->standby);
+		serving.has_standby = pool->standby > 0;
 	}
 	return serving;
 }
@@ -193,8 +195,8 @@
  * that the next queue's surge lacks. A job is taken if the work that waits in
  * time leaves it its objective. One that cannot meet it any more is taken if it
  * ends before it is worth nothing, and takes nothing from those in time: none
- * waits, or machines are on standby. Without an instance
- * nothing is known, as just after a takeover: then it is taken.
+ * waits, or machines are on standby. Without an instance nothing is known, as
+ * just after a takeover: then it is taken.
  */
 static bool
 admit_in_time(const sched_pool_t *pool, const Gw__JobSpec *spec,
@@ -211,12 +213,12 @@
 		return true;
 	waiting = waiting_work(pool, now_us);
 	wait_ms = waiting.in_time * 1000 / serving.cpu_millis;
-	wait_all_ms = pool->standby > 0 ? MOVE_MS : 0;
+	wait_all_ms = serving.has_standby ? MOVE_MS : 0;
 	wait_all_ms +=
 	    (waiting.in_time + waiting.late) * 1000 / serving.with_standby;
 	if (age_ms + wait_ms + chain_ms <= objective_ms)
 		return true;
-	if ((waiting.in_time == 0 || pool->standby > 0) &&
+	if ((waiting.in_time == 0 || serving.has_standby) &&
 	    age_ms + wait_all_ms + chain_ms <= SCHED_LATE_FACTOR * objective_ms)
 		return true;
 	*retry_after_ms = (uint32_t)CLAMP(wait_ms, RETRY_MIN_MS, RETRY_MAX_MS);
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -179,7 +179,7 @@
 	GHashTableIter iter;
 
 	gw__pool_load__init(load);
-	load->placed_cpu_ms = pool->placed_cpu_ms;
+	load->demand_cpu_ms = pool->demand_cpu_ms;
 	load->idle_instances =
 	    g_new0(char *, g_hash_table_size(pool->instances) + 1);
 	load->lasting_instances =
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -41,8 +41,8 @@
 	uint64_t used_cpu_millis;
 	uint64_t waiting_cpu_ms;
 	uint64_t waiting_cpu_millis;
-	uint64_t demanded_cpu_ms; /* placed and waiting, at the last report */
-	uint64_t rate_cpu_millis; /* demand that comes in, as cores */
+	uint64_t demand_cpu_ms;	  /* all so far, at the last report */
+	uint64_t rate_cpu_millis; /* demand that comes in, as processors */
 	uint64_t slow_cpu_millis; /* the same over a longer time */
 	uint64_t capacity_memory_mib;
 	uint64_t used_memory_mib;
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -79,18 +79,18 @@
 void
 fleet_take_demand(pool_t *pool, const Gw__PoolLoad *load, uint64_t now_us)
 {
-	uint64_t demanded = load->placed_cpu_ms + load->waiting_cpu_ms;
+	uint64_t demand = load->demand_cpu_ms + load->waiting_cpu_ms;
 	uint64_t age_us = gw_elapsed_us(now_us, pool->load_us);
 	uint64_t rate = 0;
 
 	/* Less than before: another owner counts anew, or waiting jobs ended.
 	 */
-	if (demanded > pool->demanded_cpu_ms)
-		rate = (demanded - pool->demanded_cpu_ms) * GW_US_PER_S /
+	if (demand > pool->demand_cpu_ms)
+		rate = (demand - pool->demand_cpu_ms) * GW_US_PER_S /
 		    MAX(age_us, 1);
 	if (pool->load_us == 0)
 		rate = 0;
-	pool->demanded_cpu_ms = demanded;
+	pool->demand_cpu_ms = demand;
 	pool->rate_cpu_millis =
 	    averaged(pool->rate_cpu_millis, rate, age_us, RATE_US);
 	pool->slow_cpu_millis =
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -200,7 +200,7 @@
 	bool loaded;
 	uint64_t loaded_us;	/* when this owner began */
 	uint64_t round;		/* of placement */
-	uint64_t placed_cpu_ms; /* work placed or refused so far */
+	uint64_t demand_cpu_ms; /* work placed or refused so far */
 	const sched_admission_t *admission;
 	sched_refusals_t *refusals;
 	uint32_t coming;  /* machines on their way to the pool */
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3822,12 +3822,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "placed_cpu_ms",
+    "demand_cpu_ms",
     12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__PoolLoad, placed_cpu_ms),
+    offsetof(Gw__PoolLoad, demand_cpu_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -3837,11 +3837,11 @@
 static const unsigned gw__pool_load__field_indices_by_name[] = {
   1,   /* field[1] = capacity_cpu_millis */
   5,   /* field[5] = capacity_memory_mib */
+  11,   /* field[11] = demand_cpu_ms */
   4,   /* field[4] = idle_instances */
   0,   /* field[0] = instances */
   9,   /* field[9] = lasting_instances */
   8,   /* field[8] = lasting_waiting */
-  11,   /* field[11] = placed_cpu_ms */
   2,   /* field[2] = used_cpu_millis */
   6,   /* field[6] = used_memory_mib */
   10,   /* field[10] = waiting_cpu_millis */
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -603,10 +603,10 @@
    */
   uint64_t waiting_cpu_millis;
   /*
-   * Work of all tasks placed since the owner loaded the pool, in core
-   * milliseconds by their estimates.
+   * Work of all tasks placed, and of jobs refused, since the owner loaded the
+   * pool, in core milliseconds by their estimates.
    */
-  uint64_t placed_cpu_ms;
+  uint64_t demand_cpu_ms;
 };
 #define GW__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__pool_load__descriptor) \
--- a/regress/sched/admission.sh
+++ b/regress/sched/admission.sh
@@ -80,6 +80,22 @@
 commit
 EOT
 
+# Guards against machines on standby that a planner named which has gone since.
+play "the planner's word ends after a second" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 4:1000:1000
+commit
+coming 0 3
+advance 1100
+submit j2 4:1000:1000
+submit j3 4:1000:1000
+submit j4 4:1000:1000
+commit
+EOT
+
 # Guards against a lasting job, or one with a schedule, that is refused for work
 # that will be over long before.
 play "what lasts is taken" <<'EOT'
--- a/regress/sched/fleetplay.c
+++ b/regress/sched/fleetplay.c
@@ -161,7 +161,7 @@
 	load.used_cpu_millis = number_of("used", 0);
 	load.waiting_cpu_ms = number_of("waiting", 0);
 	load.waiting_cpu_millis = number_of("waiting_cpu", load.waiting_cpu_ms);
-	load.placed_cpu_ms = number_of("placed", 0);
+	load.demand_cpu_ms = number_of("placed", 0);
 	load.lasting_waiting = (uint32_t)number_of("lasting", 0);
 	for (int i = 2; i < word_count; i++)
 		if (g_str_has_prefix(words[i], "host:"))
