--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -137,7 +137,7 @@
 	gw_log(GW_EV_ROLE_GAINED, "role=%s fence=%" PRIu64 " owned=%u",
 	    role->name, fence, owned(roles));
 	roles->ops->on_gain(role->name, fence, role->former, roles->arg);
-	/* Should it come back, an owner before this one knows nothing of use. */
+	/* If it comes back, an owner before this one is of no use. */
 	g_free(role->former);
 	role->former = g_strdup(roles->address);
 }
