Split the planner's fleet and the roles by what they do

Change: fleet_machines.c (state), fleet_load.c (owners' reports and the rate of demand) and fleet.c (orders) call downwards only; so do role.c, claim.c and roles.c. The last owner of a role is set in one place. No behaviour changes.

Result: regress/run entry sched, 20 passed, expected output unchanged.

--- /dev/null
+++ b/gwentryd/role.c
@@ -0,0 +1,110 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "gw/log.h"
+#include "role.h"
+
+/*
+ * Writes the store's key of a role.
+ */
+void
+roles_key(const char *role, char *out, uint32_t size_bytes)
+{
+	(void)snprintf(out, size_bytes, "%s%s", ROLE_PREFIX, role);
+}
+
+/*
+ * Returns the role of that name, adding an unknown one.
+ */
+role_t *
+role_get(roles_t *roles, const char *name)
+{
+	role_t *role = g_hash_table_lookup(roles->by_name, name);
+
+	if (role != NULL)
+		return role;
+	role = g_new0(role_t, 1);
+	role->roles = roles;
+	g_strlcpy(role->name, name, sizeof(role->name));
+	g_hash_table_insert(roles->by_name, role->name, role);
+	return role;
+}
+
+/*
+ * Frees a role.
+ */
+void
+role_free(gpointer data)
+{
+	role_t *role = data;
+
+	gw_timer_stop(&role->claim);
+	g_free(role->owner);
+	g_free(role->former);
+	g_free(role);
+}
+
+/*
+ * Counts the roles that this process owns or is claiming.
+ */
+uint32_t
+roles_owned(const roles_t *roles)
+{
+	uint32_t count = 0;
+	GHashTableIter iter;
+	role_t *role;
+
+	g_hash_table_iter_init(&iter, roles->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&role))
+		count += role->fence != 0 || role->claiming;
+	return count;
+}
+
+/*
+ * Remembers the last owner, this process included: a later owner asks it how
+ * long its leases run, and an earlier one does not know.
+ */
+void
+role_set_former(role_t *role, const char *address)
+{
+	g_free(role->former);
+	role->former = g_strdup(address);
+}
+
+/*
+ * Gives the role up, if this process owns it.
+ */
+void
+role_lose(role_t *role, const char *reason)
+{
+	roles_t *roles = role->roles;
+
+	if (role->fence == 0)
+		return;
+	gw_log(GW_EV_ROLE_LOST, "role=%s fence=%" PRIu64 " reason=%s",
+	    role->name, role->fence, reason);
+	role->fence = 0;
+	roles->ops->on_lose(role->name, reason, roles->arg);
+}
+
+/*
+ * Owns the role from now on, under the fence.
+ */
+void
+role_gain(role_t *role, uint64_t fence)
+{
+	roles_t *roles = role->roles;
+
+	if (role->fence == fence)
+		return;
+	role_lose(role, "newer-fence");
+	role->fence = fence;
+	role->own_revision = fence;
+	role->revision = MAX(role->revision, fence);
+	g_free(role->owner);
+	role->owner = g_strdup(roles->address);
+	gw_log(GW_EV_ROLE_GAINED, "role=%s fence=%" PRIu64 " owned=%u",
+	    role->name, fence, roles_owned(roles));
+	roles->ops->on_gain(role->name, fence, role->former, roles->arg);
+	role_set_former(role, roles->address);
+}
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -1,235 +1,16 @@
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include <glib.h>
-
-#include "gw/id.h"
+#include "claim.h"
 #include "gw/log.h"
-#include "lease.h"
-#include "roles.h"
-#include "sched/name.h"
-#include "store/follow.h"
+#include "role.h"
 
-#define ROLE_PREFIX "gw/role/"
 /* Changes of roles are gathered for so long. */
 #define ROLE_PAUSE_MS 20
 /* Time for the news of another owner to arrive. */
 #define REGAIN_MS 100
-/*
- * Pause before a claim: the processes that own least come first, and others
- * are spread so that few claims collide.
- */
-#define CLAIM_BASE_MS 20
-#define CLAIM_PER_ROLE_MS 150
-#define CLAIM_SPREAD_MS 100
 /* A process with little processor time comes later by up to this. */
 #define CLAIM_WEAK_MS 200
 #define CPU_STRONG_PERMILLE 500
-/* Time for all processes of a system that has just started to see the roles. */
-#define CLAIM_START_MS 300
-
-typedef struct {
-	roles_t *roles;
-	char name[SCHED_NAME_BYTES];
-	char *owner;	       /* address, NULL: none */
-	char *former;	       /* address of the last owner, NULL: none */
-	uint64_t revision;     /* of the newest state seen */
-	uint64_t fence;	       /* not 0 while it is this process's */
-	uint64_t own_revision; /* of this process's key as seen; 0: none */
-	bool wanted;
-	bool claiming;
-	uint32_t owned_then; /* when the claim was scheduled */
-	gw_timer_t claim;
-} role_t;
-
-struct roles {
-	gw_rt_t *rt;
-	store_t *store;
-	char node[SCHED_NAME_BYTES];
-	char address[GW_ADDR_TEXT_BYTES];
-	char boot[GW_ID_TEXT_BYTES]; /* this life of the process */
-	const roles_ops_t *ops;
-	void *arg;
-	GHashTable *by_name; /* role_t */
-	store_follow_t *follow;
-	lease_t *lease;
-	uint64_t started_us;
-	uint32_t weak_ms;
-	bool listed;
-	bool store_lost;
-	bool released;
-};
-
-/*
- * Writes the store's key of a role.
- */
-void
-roles_key(const char *role, char *out, uint32_t size_bytes)
-{
-	(void)snprintf(out, size_bytes, "%s%s", ROLE_PREFIX, role);
-}
-
-static role_t *
-role_get(roles_t *roles, const char *name)
-{
-	role_t *role = g_hash_table_lookup(roles->by_name, name);
-
-	if (role != NULL)
-		return role;
-	role = g_new0(role_t, 1);
-	role->roles = roles;
-	g_strlcpy(role->name, name, sizeof(role->name));
-	g_hash_table_insert(roles->by_name, role->name, role);
-	return role;
-}
-
-static void
-role_free(gpointer data)
-{
-	role_t *role = data;
-
-	gw_timer_stop(&role->claim);
-	g_free(role->owner);
-	g_free(role->former);
-	g_free(role);
-}
-
-static uint32_t
-owned(const roles_t *roles)
-{
-	uint32_t count = 0;
-	GHashTableIter iter;
-	role_t *role;
-
-	g_hash_table_iter_init(&iter, roles->by_name);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&role))
-		count += role->fence != 0 || role->claiming;
-	return count;
-}
-
-static void
-lose(role_t *role, const char *reason)
-{
-	roles_t *roles = role->roles;
-
-	if (role->fence == 0)
-		return;
-	gw_log(GW_EV_ROLE_LOST, "role=%s fence=%" PRIu64 " reason=%s",
-	    role->name, role->fence, reason);
-	role->fence = 0;
-	roles->ops->on_lose(role->name, reason, roles->arg);
-}
-
-static void
-gain(role_t *role, uint64_t fence)
-{
-	roles_t *roles = role->roles;
-
-	if (role->fence == fence)
-		return;
-	lose(role, "newer-fence");
-	role->fence = fence;
-	role->own_revision = fence;
-	role->revision = MAX(role->revision, fence);
-	g_free(role->owner);
-	role->owner = g_strdup(roles->address);
-	gw_log(GW_EV_ROLE_GAINED, "role=%s fence=%" PRIu64 " owned=%u",
-	    role->name, fence, owned(roles));
-	roles->ops->on_gain(role->name, fence, role->former, roles->arg);
-	/* If it comes back, an owner before this one is of no use. */
-	g_free(role->former);
-	role->former = g_strdup(roles->address);
-}
-
-static void schedule_claim(role_t *);
-
-static void
-on_claimed(uint64_t revision, const store_page_t *current, const gw_err_t *err,
-    void *arg)
-{
-	role_t *role = arg;
-
-	(void)current;
-	role->claiming = false;
-	if (err == NULL && !role->roles->released)
-		gain(role, revision);
-	else if (err != NULL && err->code == GW_ERR_NOT_FOUND)
-		lease_forget(role->roles->lease);
-	/* Without an answer the followed key tells whose it is. */
-	if (role->fence == 0)
-		schedule_claim(role);
-}
-
-static void
-on_claim(gw_timer_t *timer, void *arg)
-{
-	role_t *role = arg;
-	roles_t *roles = role->roles;
-	g_autofree char *value = NULL;
-	char key[ROLE_KEY_BYTES];
-	store_guard_t guard = {.key = key};
-	store_write_t write = {.key = key, .lease_id = lease_id(roles->lease)};
-	store_txn_t txn = {.guards = &guard,
-	    .guard_count = 1,
-	    .writes = &write,
-	    .write_count = 1};
-
-	(void)timer;
-	if (role->owner != NULL || role->claiming || role->fence != 0 ||
-	    roles->released || !role->wanted)
-		return;
-	if (!roles_lease_valid(roles) || !roles->listed ||
-	    owned(roles) > role->owned_then) {
-		schedule_claim(role);
-		return;
-	}
-	roles_key(role->name, key, sizeof(key));
-	value = g_strdup_printf(
-	    "%s %s %s", roles->address, roles->boot, roles->node);
-	write.value = value;
-	write.size_bytes = strlen(value);
-	role->claiming = true;
-	store_txn(roles->store, &txn, on_claimed, role);
-}
-
-/*
- * Returns a number that differs between processes and between roles.
- */
-static uint32_t
-spread(const role_t *role)
-{
-	g_autofree char *text =
-	    g_strdup_printf("%s %s", role->roles->boot, role->name);
-	char digest[GW_ID_TEXT_BYTES];
-
-	gw_id_content(text, strlen(text), digest);
-	digest[7] = '\0';
-	return (uint32_t)strtoul(digest, NULL, 16);
-}
-
-/*
- * Claims a role without an owner after a pause that depends on what this
- * process owns already.
- */
-static void
-schedule_claim(role_t *role)
-{
-	roles_t *roles = role->roles;
-	uint64_t now_us = gw_rt_now_us(roles->rt);
-	uint64_t delay_us;
-
-	if (role->owner != NULL || role->claiming || !role->wanted ||
-	    roles->released)
-		return;
-	role->owned_then = owned(roles);
-	delay_us = (CLAIM_BASE_MS + CLAIM_PER_ROLE_MS * role->owned_then +
-		       role->roles->weak_ms + spread(role) % CLAIM_SPREAD_MS) *
-	    GW_US_PER_MS;
-	if (now_us < roles->started_us + CLAIM_START_MS * GW_US_PER_MS)
-		delay_us += CLAIM_START_MS * GW_US_PER_MS;
-	gw_timer_start(roles->rt, &role->claim, delay_us, on_claim, role);
-}
 
 static void
 take_owner(role_t *role, const store_item_t *item)
@@ -243,11 +24,10 @@
 		return;
 	role->owner = g_strdup(words[0]);
 	if (strcmp(words[1], roles->boot) == 0 && !roles->released)
-		gain(role, item->create_revision);
+		role_gain(role, item->create_revision);
 	else {
-		g_free(role->former);
-		role->former = g_strdup(words[0]);
-		lose(role, "other-owner");
+		role_set_former(role, words[0]);
+		role_lose(role, "other-owner");
 	}
 }
 
@@ -269,8 +49,8 @@
 	}
 	g_clear_pointer(&role->owner, g_free);
 	role->own_revision = 0;
-	lose(role, "key-removed");
-	schedule_claim(role);
+	role_lose(role, "key-removed");
+	role_claim_later(role);
 }
 
 static void
@@ -284,7 +64,7 @@
 	g_hash_table_iter_init(&iter, roles->by_name);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&role))
 		if (role->owner == NULL && !gw_timer_armed(&role->claim))
-			schedule_claim(role);
+			role_claim_later(role);
 }
 
 static void
@@ -318,7 +98,7 @@
 
 	g_hash_table_iter_init(&iter, roles->by_name);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&role))
-		lose(role, reason);
+		role_lose(role, reason);
 }
 
 static void
@@ -371,7 +151,7 @@
 	if (role->wanted)
 		return;
 	role->wanted = true;
-	schedule_claim(role);
+	role_claim_later(role);
 }
 
 /*
@@ -422,7 +202,7 @@
 	(void)timer;
 	if (role->own_revision != 0 && role->fence == 0 &&
 	    !role->roles->released && roles_lease_valid(role->roles))
-		gain(role, role->own_revision);
+		role_gain(role, role->own_revision);
 }
 
 /*
@@ -435,7 +215,7 @@
 {
 	role_t *role = role_get(roles, name);
 
-	lose(role, reason);
+	role_lose(role, reason);
 	if (role->own_revision != 0)
 		gw_timer_start(roles->rt, &role->claim,
 		    REGAIN_MS * GW_US_PER_MS, on_regain, role);
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -85,11 +85,16 @@
 	void (*decide)(fleet_t *, uint64_t now_us);
 };
 
+/* fleet_machines.c */
 pool_t *fleet_pool(fleet_t *, const char *name);
 machine_t *fleet_machine_of(const fleet_t *, const char *instance);
 bool fleet_is_idle(fleet_t *, const machine_t *);
-void fleet_begin(fleet_t *, machine_t *, goal_t);
 uint32_t fleet_pool_machines(const fleet_t *, const char *pool);
+void fleet_begin(fleet_t *, machine_t *, goal_t);
+void fleet_set_phase(fleet_t *, machine_t *, phase_t);
+
+/* fleet_load.c */
+uint64_t fleet_expected_rate(const pool_t *, uint64_t lead_us);
 
 /* fleet_wave.c */
 void fleet_waves(fleet_t *, uint64_t now_us);
@@ -97,7 +102,6 @@
 void fleet_wave_free(gpointer);
 
 /* fleet_lend.c */
-void fleet_take_demand(pool_t *, const Gw__PoolLoad *, uint64_t now_us);
 void fleet_lend(fleet_t *, uint64_t now_us);
 
 #endif
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -10,10 +10,6 @@
 /* Machines beyond the need, for what comes next. */
 #define RESERVE 1
 #define MACHINES_MIN 2
-/* Demand is averaged over about this time: a surge shows within it. */
-#define RATE_US (400 * GW_US_PER_MS)
-/* The longer average that a rise is measured against. */
-#define SLOW_US (1200 * GW_US_PER_MS)
 /* A machine that is ordered now takes work after its drain and its move. */
 #define LEAD_US (1800 * GW_US_PER_MS)
 #define LOG_EVERY_US (500 * GW_US_PER_MS)
@@ -51,52 +47,6 @@
 	return count + 1;
 }
 
-static uint64_t
-averaged(uint64_t average, uint64_t value, uint64_t age_us, uint64_t over_us)
-{
-	return (average * over_us + value * age_us) / (over_us + age_us);
-}
-
-/*
- * Returns the rate that is to be expected when a machine ordered now is there:
- * the averages lag behind a steady rise by RATE_US and SLOW_US, so that their
- * difference is its slope. A fall is left to show itself.
- */
-static uint64_t
-expected_rate(const pool_t *pool)
-{
-	uint64_t rise = pool->rate_cpu_millis -
-	    MIN(pool->rate_cpu_millis, pool->slow_cpu_millis);
-
-	return pool->rate_cpu_millis +
-	    rise * (LEAD_US + RATE_US) / (SLOW_US - RATE_US);
-}
-
-/*
- * Takes what came in since the last report of the same owner: the work whose
- * turn has come, whether it was placed or waits.
- */
-void
-fleet_take_demand(pool_t *pool, const Gw__PoolLoad *load, uint64_t now_us)
-{
-	uint64_t demand = load->demand_cpu_ms + load->waiting_cpu_ms;
-	uint64_t age_us = gw_elapsed_us(now_us, pool->load_us);
-	uint64_t rate = 0;
-
-	/* Less than before: another owner counts anew, or waiting jobs ended.
-	 */
-	if (demand > pool->demand_cpu_ms)
-		rate = (demand - pool->demand_cpu_ms) * GW_US_PER_S /
-		    MAX(age_us, 1);
-	if (pool->load_us == 0)
-		rate = 0;
-	pool->demand_cpu_ms = demand;
-	pool->rate_cpu_millis =
-	    averaged(pool->rate_cpu_millis, rate, age_us, RATE_US);
-	pool->slow_cpu_millis =
-	    averaged(pool->slow_cpu_millis, rate, age_us, SLOW_US);
-}
-
 /*
  * Returns the processors that a pool needs by what it has to do: those in use,
  * and those that would do the waiting work within BACKLOG_MS.
@@ -116,7 +66,7 @@
 static uint64_t
 need_by_rate(const pool_t *pool)
 {
-	return MAX(pool->used_cpu_millis, expected_rate(pool)) +
+	return MAX(pool->used_cpu_millis, fleet_expected_rate(pool, LEAD_US)) +
 	    MIN(pool->waiting_cpu_ms * 1000 / BACKLOG_MS,
 		pool->waiting_cpu_millis);
 }
