Sum up waiting work in one place, and let a rank be asked for

Cause: found by reading the change. Processors times estimate stood in five places, the walk over ready steps in two, and whether a job is late was read from what an earlier round had left in it.

Change: sched_step_work() and sched_job_add_ready() serve the planner's report, admission, order and placement; sched_job_rank() returns the class. A filling step, which takes no counted processors, now counts as no work in the order too.

--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -97,9 +97,8 @@
 	forget_expired(pool->refusals, now_us);
 	/* The planner learns of the demand although it was turned away. */
 	for (size_t i = 0; i < spec->n_steps; i++)
-		pool->demand_cpu_ms += (uint64_t)spec->steps[i]->count *
-		    sched_step_cpu(spec->steps[i]) *
-		    spec->steps[i]->estimate_ms / 1000;
+		pool->demand_cpu_ms +=
+		    sched_step_work(spec->steps[i], spec->steps[i]->count);
 }
 
 /* Processors that serve jobs which end, in thousandths. */
@@ -161,15 +160,15 @@
 
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
-		uint64_t work = sched_job_ready_cpu_ms(job);
+		sched_ready_t ready = {0};
 
-		if (work == 0 || job->lasting)
+		sched_job_add_ready(job, &ready);
+		if (ready.cpu_ms == 0 || job->lasting)
 			continue;
-		sched_job_rank(job, now_us);
-		if (sched_job_is_late(job))
-			waiting.late += work;
+		if (sched_job_rank(job, now_us) <= SCHED_RANK_IN_TIME)
+			waiting.in_time += ready.cpu_ms;
 		else
-			waiting.in_time += work;
+			waiting.late += ready.cpu_ms;
 	}
 	return waiting;
 }
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -143,30 +143,6 @@
 	return pending;
 }
 
-/*
- * Adds the work of an occurrence that waits for room. Later steps take the
- * room of those that they wait for.
- */
-static void
-add_waiting(Gw__PoolLoad *load, const sched_job_t *job,
-    const sched_occurrence_t *occurrence)
-{
-	for (uint32_t i = 0; i < occurrence->step_count; i++) {
-		const Gw__JobStep *step = job->spec->steps[i];
-		uint64_t waiting = occurrence->steps[i].waiting;
-
-		if (waiting == 0 || !sched_step_ready(job, occurrence, i))
-			continue;
-		load->waiting_cpu_ms +=
-		    waiting * sched_step_cpu(step) * step->estimate_ms / 1000;
-		load->waiting_cpu_millis += waiting * sched_step_cpu(step);
-		load->waiting_memory_mib_ms +=
-		    waiting * step->memory_mib * step->estimate_ms;
-		if (step->lasting)
-			load->lasting_waiting += (uint32_t)waiting;
-	}
-}
-
 /*
  * Sums up the pool for the planner. The strings belong to the pool; the two
  * lists of instances are freed with g_free().
@@ -175,6 +151,7 @@
 sched_pool_load_of(const sched_pool_t *pool, Gw__PoolLoad *load)
 {
 	uint64_t now_us = gw_clock_now_us(pool->clock);
+	sched_ready_t ready = {0};
 	sched_instance_t *instance;
 	GHashTableIter iter;
 
@@ -200,10 +177,10 @@
 			load->lasting_instances[load->n_lasting_instances++] =
 			    instance->info.id;
 	}
-	for (guint i = 0; i < pool->open->len; i++) {
-		const sched_job_t *job = pool->open->pdata[i];
-
-		for (guint k = 0; k < job->occurrences->len; k++)
-			add_waiting(load, job, job->occurrences->pdata[k]);
-	}
+	for (guint i = 0; i < pool->open->len; i++)
+		sched_job_add_ready(pool->open->pdata[i], &ready);
+	load->waiting_cpu_ms = ready.cpu_ms;
+	load->waiting_cpu_millis = ready.cpu_millis;
+	load->waiting_memory_mib_ms = ready.memory_mib_ms;
+	load->lasting_waiting = (uint32_t)ready.lasting;
 }
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -110,6 +110,14 @@
 	SCHED_RANK_OVERDUE
 } sched_rank_t;
 
+/* Tasks that could run now if there were room, by their estimates. */
+typedef struct {
+	uint64_t cpu_ms; /* processors times duration, in core milliseconds */
+	uint64_t cpu_millis;
+	uint64_t memory_mib_ms;
+	uint64_t lasting; /* tasks that last */
+} sched_ready_t;
+
 struct sched_job {
 	Gw__JobSpec *spec; /* NULL once it has ended */
 	char id[SCHED_JOB_ID_BYTES];
@@ -224,7 +232,8 @@
 bool sched_step_ready(
     const sched_job_t *, const sched_occurrence_t *, uint32_t step);
 bool sched_spec_lasts(const Gw__JobSpec *);
-uint64_t sched_job_ready_cpu_ms(const sched_job_t *);
+uint64_t sched_step_work(const Gw__JobStep *, uint64_t count);
+void sched_job_add_ready(const sched_job_t *, sched_ready_t *);
 bool sched_job_ended(const sched_job_t *);
 void sched_step_forget_tickets(sched_step_t *);
 void sched_job_mark(sched_pool_t *, sched_job_t *);
@@ -285,8 +294,7 @@
     uint32_t *retry_after_ms);
 
 /* order.c */
-void sched_job_rank(sched_job_t *, uint64_t now_us);
-bool sched_job_is_late(const sched_job_t *);
+sched_rank_t sched_job_rank(sched_job_t *, uint64_t now_us);
 uint64_t sched_objective_ms(const Gw__JobSpec *, uint64_t chain_ms);
 void sched_order_jobs(GPtrArray *jobs, uint64_t now_us);
 uint32_t sched_chain_ms(const Gw__JobSpec *, const sched_occurrence_t *);
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -208,29 +208,41 @@
 }
 
 /*
- * Estimates the work of the job's tasks whose turn has come and that wait, in
- * core milliseconds.
+ * Estimates the work of so many tasks of a step, in core milliseconds.
  */
 uint64_t
-sched_job_ready_cpu_ms(const sched_job_t *job)
+sched_step_work(const Gw__JobStep *step, uint64_t count)
 {
-	uint64_t work = 0;
+	return count * sched_step_cpu(step) * step->estimate_ms / 1000;
+}
+
+static void
+add_ready(sched_ready_t *ready, const Gw__JobStep *step, uint64_t waiting)
+{
+	ready->cpu_ms += sched_step_work(step, waiting);
+	ready->cpu_millis += waiting * sched_step_cpu(step);
+	ready->memory_mib_ms += waiting * step->memory_mib * step->estimate_ms;
+	if (step->lasting)
+		ready->lasting += waiting;
+}
 
+/*
+ * Adds what waits for room of the job: the tasks of steps whose earlier steps
+ * are done. Later steps take the room of those that they wait for.
+ */
+void
+sched_job_add_ready(const sched_job_t *job, sched_ready_t *ready)
+{
 	for (guint i = 0; i < job->occurrences->len; i++) {
 		const sched_occurrence_t *occurrence =
 		    job->occurrences->pdata[i];
 
-		for (uint32_t k = 0; k < occurrence->step_count; k++) {
-			const Gw__JobStep *step = job->spec->steps[k];
-
+		for (uint32_t k = 0; k < occurrence->step_count; k++)
 			if (occurrence->steps[k].waiting > 0 &&
 			    sched_step_ready(job, occurrence, k))
-				work += (uint64_t)occurrence->steps[k].waiting *
-				    sched_step_cpu(step) * step->estimate_ms /
-				    1000;
-		}
+				add_ready(ready, job->spec->steps[k],
+				    occurrence->steps[k].waiting);
 	}
-	return work;
 }
 
 /*
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -24,7 +24,7 @@
 }
 
 /*
- * Estimates the work that an occurrence has left, in cpu-ms.
+ * Estimates the work that an occurrence has left, in core milliseconds.
  */
 static uint64_t
 work_left(const sched_job_t *job, const sched_occurrence_t *occurrence)
@@ -34,8 +34,7 @@
 	for (uint32_t i = 0; i < occurrence->step_count; i++) {
 		const Gw__JobStep *step = job->spec->steps[i];
 
-		work += (uint64_t)occurrence->steps[i].open *
-		    step->estimate_ms * step->cpu_millis;
+		work += sched_step_work(step, occurrence->steps[i].open);
 	}
 	return work;
 }
@@ -55,7 +54,7 @@
  * the most callers are served in time; what is late comes in the order of
  * acceptance.
  */
-void
+sched_rank_t
 sched_job_rank(sched_job_t *job, uint64_t now_us)
 {
 	uint64_t age_ms =
@@ -67,7 +66,7 @@
 	if (job->lasting) {
 		job->rank_class = SCHED_RANK_LASTING;
 		job->rank = job->accepted_us;
-		return;
+		return job->rank_class;
 	}
 	for (guint i = 0; i < job->occurrences->len; i++) {
 		const sched_occurrence_t *occurrence =
@@ -86,15 +85,7 @@
 		job->rank_class = SCHED_RANK_OVERDUE;
 		job->rank = job->accepted_us;
 	}
-}
-
-/*
- * Tells whether the job could not meet its objective when it was ranked last.
- */
-bool
-sched_job_is_late(const sched_job_t *job)
-{
-	return job->rank_class >= SCHED_RANK_LATE;
+	return job->rank_class;
 }
 
 static gint
@@ -117,6 +108,6 @@
 sched_order_jobs(GPtrArray *jobs, uint64_t now_us)
 {
 	for (guint i = 0; i < jobs->len; i++)
-		sched_job_rank(jobs->pdata[i], now_us);
+		(void)sched_job_rank(jobs->pdata[i], now_us);
 	g_ptr_array_sort(jobs, by_rank);
 }
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -191,9 +191,8 @@
     uint32_t run)
 {
 	const GHashTable *tickets = sched_task_counts(task)->tickets;
-	const Gw__JobStep *step = sched_task_step(task);
 
-	pool->demand_cpu_ms += sched_step_cpu(step) * step->estimate_ms / 1000;
+	pool->demand_cpu_ms += sched_step_work(sched_task_step(task), 1);
 	sched_instance_take(instance, task);
 	sched_task_counts(task)->waiting--;
 	task->state = SCHED_RESERVED;
