Count a wave's machines once a round

Cause: found by reading the change. Whether a machine is on its way to a pool was asked by a loop that stood twice.

Change: the counts are taken once when a wave is worked on, and kept in step as machines are begun; one_more() asks fleet_coming().

Result: regress/run sched, 8 passed, expected output unchanged.

--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -51,7 +51,10 @@
 	GHashTable *idle;    /* instance -> NULL */
 	GHashTable *lasting; /* instances that never become idle */
 	uint64_t surplus_since_us;
-	uint32_t wanted; /* machines, as the lending policy has it */
+	/* Of the wave that is worked on, as it is planned. */
+	uint32_t maintained;   /* machines that waves keep from service */
+	uint32_t lasting_left; /* machines with lasting tasks still to do */
+	uint32_t wanted;       /* machines, as the lending policy has it */
 } pool_t;
 
 typedef struct {
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -36,15 +36,8 @@
 one_more(const fleet_t *fleet, const pool_t *pool)
 {
 	uint32_t count = fleet_pool_machines(fleet, pool->name);
-	GHashTableIter iter;
-	machine_t *machine;
 
-	g_hash_table_iter_init(&iter, fleet->machines);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
-		if (machine->goal == GOAL_MOVE &&
-		    strcmp(machine->target, pool->name) == 0)
-			return count;
-	return count + 1;
+	return fleet_coming(fleet, pool->name) > 0 ? count : count + 1;
 }
 
 /*
--- a/lib/sched/fleet_wave.c
+++ b/lib/sched/fleet_wave.c
@@ -105,24 +105,6 @@
 	return count;
 }
 
-/*
- * Counts the pool's machines that waves keep from service. Moves do not count:
- * they go to where machines are needed, and a busy fleet is never without them.
- */
-static uint32_t
-away_of_pool(const fleet_t *fleet, const char *pool)
-{
-	GHashTableIter iter;
-	machine_t *machine;
-	uint32_t count = 0;
-
-	g_hash_table_iter_init(&iter, fleet->machines);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
-		count += machine->goal == GOAL_MAINTAIN &&
-		    strcmp(machine->at.pool, pool) == 0;
-	return count;
-}
-
 /*
  * Returns how many machines must be worked on at once to end in time.
  */
@@ -162,23 +144,31 @@
 }
 
 /*
- * Counts the wave's machines of the pool that are left and host lasting tasks.
+ * Counts for each pool the machines that waves keep from service, and those of
+ * this wave that are left and host lasting tasks. Moves do not count as kept
+ * from service: they go to where machines are needed, and a busy fleet is never
+ * without them.
  */
-static uint32_t
-lasting_left(
-    fleet_t *fleet, const wave_t *wave, const char *pool, uint64_t now_us)
+static void
+count_pools(fleet_t *fleet, const wave_t *wave, uint64_t now_us)
 {
-	uint32_t count = 0;
+	GHashTableIter iter;
+	machine_t *machine;
+	pool_t *pool;
 
+	g_hash_table_iter_init(&iter, fleet->pools);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
+		pool->maintained = pool->lasting_left = 0;
+	g_hash_table_iter_init(&iter, fleet->machines);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&machine))
+		if (machine->goal == GOAL_MAINTAIN)
+			fleet_pool(fleet, machine->at.pool)->maintained++;
 	for (guint i = 0; i < wave->machines->len; i++) {
-		const machine_t *machine =
+		machine =
 		    available(fleet, wave, wave->machines->pdata[i], now_us);
-
-		count += machine != NULL &&
-		    strcmp(machine->at.pool, pool) == 0 &&
-		    hosts_lasting(fleet, machine);
+		if (machine != NULL && hosts_lasting(fleet, machine))
+			fleet_pool(fleet, machine->at.pool)->lasting_left++;
 	}
-	return count;
 }
 
 /*
@@ -189,17 +179,18 @@
  */
 static bool
 may_take_busy(fleet_t *fleet, const wave_t *wave, const machine_t *machine,
-    bool time_calls, uint32_t away, uint64_t now_us)
+    bool time_calls, uint64_t now_us)
 {
-	if (hosts_lasting(fleet, machine))
-		return away <
-		    MAX(1,
-			needed_at_once(wave,
-			    lasting_left(fleet, wave, machine->at.pool, now_us),
-			    now_us));
+	const pool_t *pool = fleet_pool(fleet, machine->at.pool);
+	uint32_t together;
+
+	if (hosts_lasting(fleet, machine)) {
+		together = needed_at_once(wave, pool->lasting_left, now_us);
+		return pool->maintained < MAX(1, together);
+	}
 	return time_calls &&
-	    away * 100 <=
-	    POOL_SHARE_PERCENT * fleet_pool_machines(fleet, machine->at.pool);
+	    pool->maintained * 100 <=
+	    POOL_SHARE_PERCENT * fleet_pool_machines(fleet, pool->name);
 }
 
 /*
@@ -210,25 +201,23 @@
 choose(fleet_t *fleet, const wave_t *wave, bool time_calls, uint64_t now_us)
 {
 	machine_t *best = NULL;
-	uint32_t best_away = 0;
+	uint32_t fewest = UINT32_MAX;
 
 	for (guint i = 0; i < wave->machines->len; i++) {
 		machine_t *machine =
 		    available(fleet, wave, wave->machines->pdata[i], now_us);
-		uint32_t away;
+		uint32_t maintained;
 
 		if (machine == NULL)
 			continue;
 		if (fleet_is_idle(fleet, machine))
 			return machine;
-		away = away_of_pool(fleet, machine->at.pool);
-		if (best != NULL && away >= best_away)
-			continue;
-		if (!may_take_busy(
-			fleet, wave, machine, time_calls, away, now_us))
+		maintained = fleet_pool(fleet, machine->at.pool)->maintained;
+		if (maintained >= fewest ||
+		    !may_take_busy(fleet, wave, machine, time_calls, now_us))
 			continue;
 		best = machine;
-		best_away = away;
+		fewest = maintained;
 	}
 	return best;
 }
@@ -251,6 +240,21 @@
 	return left;
 }
 
+/*
+ * Begins a machine's maintenance, and counts it in its pool.
+ */
+static void
+begin(fleet_t *fleet, const wave_t *wave, machine_t *machine)
+{
+	pool_t *pool = fleet_pool(fleet, machine->at.pool);
+
+	pool->maintained++;
+	if (hosts_lasting(fleet, machine))
+		pool->lasting_left--;
+	machine->wave = wave->number;
+	fleet_begin(fleet, machine, GOAL_MAINTAIN);
+}
+
 static void
 work_on(fleet_t *fleet, wave_t *wave, uint64_t now_us)
 {
@@ -272,14 +276,13 @@
 		fleet->ops->wave_state(wave->number, true, fleet->arg);
 		return;
 	}
-	while (busy < wave->at_once_max) {
+	count_pools(fleet, wave, now_us);
+	for (; busy < wave->at_once_max; busy++) {
 		machine_t *machine = choose(fleet, wave, busy < needed, now_us);
 
 		if (machine == NULL)
 			return;
-		machine->wave = wave->number;
-		fleet_begin(fleet, machine, GOAL_MAINTAIN);
-		busy++;
+		begin(fleet, wave, machine);
 	}
 }
 
