Derive the time of a move from the platform's, and use the field's words

Cause: found by reading the change.

Change: move_ms is one of the bounds, with one margin beside it. Comments say ready, overdue, refused. The wall clock is read in one place.

--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -83,7 +83,7 @@
 		call.kind = GW__CALL_KIND__CALL_LOAD;
 		call.pool = pool;
 		call.coming = fleet_coming(planner->fleet, pool);
-		call.free = fleet_on_standby(planner->fleet, pool);
+		call.standby = fleet_on_standby(planner->fleet, pool);
 		dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS,
 		    on_load_reply, planner_asked_new(planner, pool));
 	}
@@ -174,7 +174,8 @@
     const plat_settings_t *settings, uint64_t fence, uint32_t parts,
     const planner_ops_t *ops, void *arg)
 {
-	const fleet_times_t times = {settings->move_ms, settings->maintain_ms};
+	const fleet_times_t times = {
+	    settings->bounds.move_ms, settings->maintain_ms};
 	planner_t *planner = g_new0(planner_t, 1);
 
 	planner->rt = rt;
--- a/gwentryd/service.c
+++ b/gwentryd/service.c
@@ -230,7 +230,7 @@
 	Gw__PoolLoad load;
 
 	reply.outcome = GW__CALL_OUTCOME__CALL_OK;
-	sched_pool_set_coming(owner_pool(owner), call->coming, call->free);
+	sched_pool_set_coming(owner_pool(owner), call->coming, call->standby);
 	sched_pool_load_of(owner_pool(owner), &load);
 	reply.load = &load;
 	cb(&reply, arg);
--- a/lib/gw/clock.c
+++ b/lib/gw/clock.c
@@ -85,10 +85,7 @@
 uint64_t
 gw_clock_wall_s(void)
 {
-	struct timespec ts;
-
-	(void)clock_gettime(CLOCK_REALTIME, &ts);
-	return (uint64_t)ts.tv_sec;
+	return gw_clock_wall_ms() / 1000;
 }
 
 /*
--- a/lib/gw/clock.h
+++ b/lib/gw/clock.h
@@ -26,6 +26,7 @@
 uint64_t gw_elapsed_us(uint64_t now_us, uint64_t then_us);
 /* Seconds since 1970, for people to read; never for a decision. */
 uint64_t gw_clock_wall_s(void);
+/* Milliseconds since 1970, for what is due at a time of day. */
 uint64_t gw_clock_wall_ms(void);
 
 #endif
--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -3,15 +3,13 @@
 #include "gw/log.h"
 #include "sched/impl.h"
 
-/* Callers that were refused come back within the time that they were told. */
+/* A job of some seconds is overdue by then, whenever it comes back. */
 #define REMEMBERED_US (12 * GW_US_PER_S)
 /* Bounds the memory of refusals; beyond it the oldest are forgotten. */
 #define REMEMBERED_MAX 4096
-/* From the order to a machine until its next instance takes work. */
-#define MOVE_MS 2000
 /* The planner names the machines on their way several times a second. */
 #define COMING_FRESH_US GW_US_PER_S
-/* What Retry-After says: whole seconds on the wire, and a spread of returns. */
+/* Bounds of what Retry-After says, which has whole seconds on the wire. */
 #define RETRY_MIN_MS 1000
 #define RETRY_MAX_MS 4000
 
@@ -95,7 +93,7 @@
 	g_queue_push_tail(pool->refusals->order, refusal);
 	g_hash_table_insert(pool->refusals->by_id, refusal->id, refusal);
 	forget_expired(pool->refusals, now_us);
-	/* The planner learns of the demand although it was turned away. */
+	/* The planner learns of the demand although it was refused. */
 	for (size_t i = 0; i < spec->n_steps; i++)
 		pool->demand_cpu_ms +=
 		    sched_step_work(spec->steps[i], spec->steps[i]->count);
@@ -147,7 +145,7 @@
 	return serving;
 }
 
-/* Work whose turn has come and that finds no room, in core milliseconds. */
+/* Ready work that finds no room, in core milliseconds. */
 typedef struct {
 	uint64_t in_time;
 	uint64_t late;
@@ -192,31 +190,34 @@
  * Answers the load in which a queue asks for more than its pool can do in time:
  * each job that is taken then makes others late, and late work keeps machines
  * that the next queue's surge lacks. A job is taken if the work that waits in
- * time leaves it its objective. One that cannot meet it any more is taken if it
- * ends before it is worth nothing, and takes nothing from those in time: none
- * waits, or machines are on standby. Without an instance nothing is known, as
- * just after a takeover: then it is taken.
+ * time leaves it its objective. One that is late in any case is taken if it
+ * ends before it is overdue, and takes nothing from those in time: none waits,
+ * or machines are on standby. Without an instance nothing is known, as just
+ * after a takeover: then it is taken.
  */
 static bool
 admit_in_time(const sched_pool_t *pool, const Gw__JobSpec *spec,
     uint64_t age_ms, uint64_t now_us, uint32_t *retry_after_ms)
 {
-	serving_t serving = serving_cpu(pool, now_us);
 	uint64_t chain_ms = sched_chain_ms(spec, NULL);
 	uint64_t objective_ms = sched_objective_ms(spec, chain_ms);
-	waiting_t waiting;
 	uint64_t wait_ms, wait_all_ms;
+	serving_t serving;
+	waiting_t waiting;
 
-	if (serving.cpu_millis == 0 || spec->repeats > 0 ||
-	    sched_spec_lasts(spec))
+	if (spec->repeats > 0 || sched_spec_lasts(spec))
+		return true;
+	serving = serving_cpu(pool, now_us);
+	if (serving.cpu_millis == 0)
 		return true;
 	waiting = waiting_work(pool, now_us);
 	wait_ms = waiting.in_time * 1000 / serving.cpu_millis;
-	wait_all_ms = serving.has_standby ? MOVE_MS : 0;
-	wait_all_ms +=
-	    (waiting.in_time + waiting.late) * 1000 / serving.with_standby;
 	if (age_ms + wait_ms + chain_ms <= objective_ms)
 		return true;
+	wait_all_ms =
+	    (waiting.in_time + waiting.late) * 1000 / serving.with_standby;
+	if (serving.has_standby)
+		wait_all_ms += pool->bounds.move_ms + SCHED_AWAY_MARGIN_MS;
 	if ((waiting.in_time == 0 || serving.has_standby) &&
 	    age_ms + wait_all_ms + chain_ms <= SCHED_LATE_FACTOR * objective_ms)
 		return true;
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -9,8 +9,6 @@
 #define MOVE_DRAIN_MAX_US (3 * GW_US_PER_S)
 /* An order without an answer, or refused as busy, is repeated. */
 #define ORDER_RETRY_US (500 * GW_US_PER_MS)
-/* Beyond the time that the platform names for an order. */
-#define AWAY_MARGIN_US (300 * GW_US_PER_MS)
 /* A machine that has not come back by then is read from the list. */
 #define AWAY_MAX_US (4 * GW_US_PER_S)
 #define LIST_EVERY_US (5 * GW_US_PER_S)
@@ -152,7 +150,7 @@
 	return machine->phase == PHASE_AWAY &&
 	    fleet_pool(fleet, machine->at.pool)->standby &&
 	    gw_elapsed_us(now_us, machine->since_us) >
-	    away_ms * GW_US_PER_MS + AWAY_MARGIN_US;
+	    (away_ms + SCHED_AWAY_MARGIN_MS) * GW_US_PER_MS;
 }
 
 /*
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -10,8 +10,6 @@
 /* Machines beyond the need, for what comes next. */
 #define RESERVE 1
 #define MACHINES_MIN 2
-/* A machine that is ordered now takes work after its drain and its move. */
-#define LEAD_US (1800 * GW_US_PER_MS)
 #define LOG_EVERY_US (500 * GW_US_PER_MS)
 /* A surplus this old goes to the standby pool; shorter ones come back. */
 #define SURPLUS_US (1500 * GW_US_PER_MS)
@@ -45,8 +43,9 @@
  * and those that would do the waiting work within BACKLOG_MS.
  */
 static uint64_t
-need_by_backlog(const pool_t *pool)
+need_by_backlog(const fleet_t *fleet, const pool_t *pool)
 {
+	(void)fleet;
 	return pool->used_cpu_millis + pool->waiting_cpu_ms * 1000 / BACKLOG_MS;
 }
 
@@ -54,12 +53,17 @@
  * Answers the load in which a pool's demand rises within a second to several
  * times its mean. What is in use follows only once machines have come, and what
  * waits grows slowly at first; the rate at which work comes in tells at once
- * how many processors the surge takes. No more than the waiting tasks can use.
+ * how many processors the surge takes, and its rise how many it will take once
+ * a machine that is ordered now is there. No more than the waiting tasks can
+ * use.
  */
 static uint64_t
-need_by_rate(const pool_t *pool)
+need_by_rate(const fleet_t *fleet, const pool_t *pool)
 {
-	return MAX(pool->used_cpu_millis, fleet_expected_rate(pool, LEAD_US)) +
+	uint64_t lead_us =
+	    (fleet->times.move_ms + SCHED_AWAY_MARGIN_MS) * GW_US_PER_MS;
+
+	return MAX(pool->used_cpu_millis, fleet_expected_rate(pool, lead_us)) +
 	    MIN(pool->waiting_cpu_ms * 1000 / BACKLOG_MS,
 		pool->waiting_cpu_millis);
 }
@@ -70,7 +74,7 @@
  * whatever the sums say.
  */
 static void
-want(fleet_t *fleet, uint64_t (*need)(const pool_t *))
+want(fleet_t *fleet, uint64_t (*need)(const fleet_t *, const pool_t *))
 {
 	GHashTableIter iter;
 	pool_t *pool;
@@ -85,8 +89,8 @@
 			pool->wanted = MAX(pool->wanted, MACHINES_MIN);
 			continue;
 		}
-		by_cpu =
-		    machines_for(pool, need(pool), pool->capacity_cpu_millis);
+		by_cpu = machines_for(
+		    pool, need(fleet, pool), pool->capacity_cpu_millis);
 		by_memory = machines_for(pool,
 		    pool->used_memory_mib +
 			pool->waiting_memory_mib_ms / BACKLOG_MS,
--- a/lib/sched/fleet_load.c
+++ b/lib/sched/fleet_load.c
@@ -20,8 +20,8 @@
 }
 
 /*
- * Takes what came in since the last report of the same owner: the work whose
- * turn has come, whether it was placed or waits.
+ * Takes what came in since the last report of the same owner: the work that
+ * became ready, whether it was placed or waits, and what was refused.
  */
 static void
 take_demand(pool_t *pool, const Gw__PoolLoad *load, uint64_t now_us)
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -32,7 +32,7 @@
 #define SCHED_FAILURES_MAX 3
 #define SCHED_AVOID_FAILING_US (5 * GW_US_PER_S)
 
-/* A job is late for its objective up to this many times over. */
+/* A job is late up to this many times its objective, then overdue. */
 #define SCHED_LATE_FACTOR 3
 
 typedef struct sched_job sched_job_t;
@@ -104,9 +104,9 @@
 
 /* Jobs are served class by class. */
 typedef enum {
-	SCHED_RANK_LASTING, /* its tasks are owed at any time */
+	SCHED_RANK_LASTING, /* its tasks should run at any time */
 	SCHED_RANK_IN_TIME, /* can still meet its objective */
-	SCHED_RANK_LATE,    /* can still be done before it is worth nothing */
+	SCHED_RANK_LATE,    /* can still end before it is overdue */
 	SCHED_RANK_OVERDUE
 } sched_rank_t;
 
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -160,6 +160,12 @@
 	void (*forgotten)(const char *instance, void *arg);
 } sched_ops_t;
 
+/*
+ * Beyond the platform's time for an order to a machine, until its next instance
+ * has registered.
+ */
+#define SCHED_AWAY_MARGIN_MS 300
+
 /* The platform's bounds that decisions depend on. */
 typedef struct {
 	uint32_t hold_max_ms; /* longest lease of what runs */
@@ -172,6 +178,7 @@
 	uint32_t notice_ms;
 	uint32_t harm_ms;
 	uint32_t pace_ms;
+	uint32_t move_ms; /* a machine is away that long when it changes pool */
 	/* How long an owner holds on after its lease may have ended. */
 	uint32_t hold_grace_ms;
 	/* Longest time for which a former owner may hold on, from takeover. */
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3643,12 +3643,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "free",
+    "standby",
     10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__Call, free),
+    offsetof(Gw__Call, standby),
     NULL,
     NULL,
     0,             /* flags */
@@ -3658,7 +3658,6 @@
 static const unsigned gw__call__field_indices_by_name[] = {
   8,   /* field[8] = coming */
   7,   /* field[7] = ended */
-  9,   /* field[9] = free */
   4,   /* field[4] = id */
   6,   /* field[6] = instance */
   1,   /* field[1] = kind */
@@ -3666,6 +3665,7 @@
   2,   /* field[2] = pool */
   3,   /* field[3] = queue */
   5,   /* field[5] = spec */
+  9,   /* field[9] = standby */
 };
 static const ProtobufCIntRange gw__call__number_ranges[1 + 1] =
 {
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -560,7 +560,7 @@
   /*
    * Of CALL_LOAD: machines on standby that the pool may still get.
    */
-  uint32_t free;
+  uint32_t standby;
 };
 #define GW__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__call__descriptor) \
@@ -577,8 +577,8 @@
   uint64_t capacity_cpu_millis;
   uint64_t used_cpu_millis;
   /*
-   * Of waiting tasks whose step's turn has come: processors times estimated
-   * duration, in core milliseconds.
+   * Of waiting tasks that are ready, since the earlier steps are done:
+   * processors times estimated duration, in core milliseconds.
    */
   uint64_t waiting_cpu_ms;
   size_t n_idle_instances;
--- a/regress/sched/admission.sh
+++ b/regress/sched/admission.sh
@@ -64,7 +64,7 @@
 EOT
 
 # Guards against a refusal while machines are off: three on standby do in 2.8 s
-# what waits, later than the objective and long before it is worth nothing.
+# what waits, later than the objective and long before it is overdue.
 play "machines on standby take what would be late" <<'EOT'
 pool
 instance i1
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -32,6 +32,7 @@
     .notice_ms = 4500,
     .harm_ms = 4000,
     .pace_ms = 100,
+    .move_ms = 1500,
     .hold_grace_ms = 2000,
     .former_holds_ms = 4000};
 
