--- a/regress/sched/admission.sh
+++ b/regress/sched/admission.sh
@@ -8,12 +8,8 @@
 # second, with an objective of 2.2 s: one runs, one waits in time, and the others
 # are refused at once. The same id again is the job that was taken.
 for admission in all in-time; do
-	play "a surge beyond the pool, admission $admission" <<EOT
-pool
+	play "a surge beyond the pool, admission $admission" one <<EOT
 admission $admission
-instance i1
-tick
-report i1 clock=100
 submit j1 4:1000:1000
 commit
 submit j2 4:1000:1000
@@ -28,11 +24,7 @@
 
 # Guards against a job that is refused for work on machines that are on their
 # way: the planner has ordered one more, which does two of these in a second.
-play "machines on their way count" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "machines on their way count" one <<'EOT'
 submit j1 4:1000:1000
 commit
 submit j2 4:1000:1000
@@ -47,11 +39,7 @@
 
 # Guards against a job that came back late and takes room from those in time: it
 # counts from its first attempt.
-play "a late attempt waits for what is in time" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "a late attempt waits for what is in time" one <<'EOT'
 submit j1 4:1000:1000
 commit
 submit j2 4:1000:1000
@@ -65,11 +53,7 @@
 
 # Guards against a refusal while machines are off: three on standby do in 2.8 s
 # what waits, later than the objective and long before it is overdue.
-play "machines on standby take what would be late" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "machines on standby take what would be late" one <<'EOT'
 submit j1 4:1000:1000
 commit
 submit j2 4:1000:1000
@@ -81,11 +65,7 @@
 EOT
 
 # Guards against machines on standby that a planner named which has gone since.
-play "the planner's word ends after a second" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "the planner's word ends after a second" one <<'EOT'
 submit j1 4:1000:1000
 commit
 coming 0 3
@@ -98,11 +78,7 @@
 
 # Guards against a lasting job, or one with a schedule, that is refused for work
 # that will be over long before.
-play "what lasts is taken" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "what lasts is taken" one <<'EOT'
 submit j1 4:1000:1000
 submit j2 4:1000:1000
 submit j3 4:1000:1000
--- a/regress/sched/ends.sh
+++ b/regress/sched/ends.sh
@@ -3,11 +3,7 @@
 . ./lib.subr
 
 # Guards against an end that is acknowledged before the store has it.
-play "an end is acknowledged once it is recorded" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "an end is acknowledged once it is recorded" one <<'EOT'
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 ok
@@ -24,11 +20,7 @@
 
 # Guards against a new owner that never acknowledges, since the ends before the
 # first one it sees were acknowledged to the former owner.
-play "a new owner goes on from the first end that is listed" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "a new owner goes on from the first end that is listed" one <<'EOT'
 submit j1 1:1000:500
 commit
 takeover
@@ -40,11 +32,7 @@
 EOT
 
 # Guards against a doubled submission that becomes a second job.
-play "the same id is one job, before and after a takeover" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "the same id is one job, before and after a takeover" one <<'EOT'
 submit j1 1:1000:500
 take
 submit j1 1:1000:500
@@ -56,13 +44,7 @@
 EOT
 
 # Guards against a job that fails before its attempts are used up, or not then.
-play "a task that fails too often fails its job" <<'EOT'
-pool
-instance i1
-instance i2 dc=dc-b
-tick
-report i1 clock=100
-report i2 clock=100
+play "a task that fails too often fails its job" two <<'EOT'
 submit j1 attempts=2 1:1000:500
 commit
 started i1 j1.0.0.0 1 ok
@@ -81,11 +63,7 @@
 EOT
 
 # Guards against a step that starts before the one it comes after is done.
-play "a step waits for the one before" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "a step waits for the one before" one <<'EOT'
 submit j1 2:1000:500 1:1000:500
 commit
 started i1 j1.0.0.0 1 ok
@@ -100,13 +78,7 @@
 
 # Guards against connections that are kept for ever to instances that have gone:
 # each move makes another instance.
-play "an unlisted instance is forgotten once nothing runs there" <<'EOT'
-pool
-instance i1
-instance i2 dc=dc-b
-tick
-report i1 clock=100
-report i2 clock=100
+play "an unlisted instance is forgotten once nothing runs there" two <<'EOT'
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 ok
--- a/regress/sched/lasting.sh
+++ b/regress/sched/lasting.sh
@@ -36,11 +36,7 @@
 EOT
 
 # Guards against a lasting task that stays down, however it ended.
-play "it starts again, however it ends" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "it starts again, however it ends" one <<'EOT'
 submit j1 attempts=1 1:1000:0:lasting
 commit
 started i1 j1.0.0.0 1 ok
@@ -78,13 +74,7 @@
 
 # Guards against a new owner that takes one more task away while the instance
 # still lists one as at work that the former owner told to stop.
-play "a new owner waits before it frees an instance" <<'EOT'
-pool
-instance i1
-instance i2 dc=dc-b
-tick
-report i1 clock=100
-report i2 clock=100
+play "a new owner waits before it frees an instance" two <<'EOT'
 submit j1 2:1000:0:lasting:keep:apart
 commit
 takeover former-gone
--- a/regress/sched/orders.sh
+++ b/regress/sched/orders.sh
@@ -4,13 +4,7 @@
 
 # Guards against a second run while a repeated order of the first is on its way:
 # one order is refused as late, the other, with a later deadline, arrives.
-play "a refusal settles nothing while another order is out" <<'EOT'
-pool
-instance i1
-instance i2 dc=dc-b
-tick
-report i1 clock=100
-report i2 clock=100
+play "a refusal settles nothing while another order is out" two <<'EOT'
 submit j1 1:1000:500
 commit
 advance 410
@@ -28,13 +22,7 @@
 EOT
 
 # Guards against an order that is refused and never sent elsewhere.
-play "a refusal of the only order settles it" <<'EOT'
-pool
-instance i1
-instance i2 dc=dc-b
-tick
-report i1 clock=100
-report i2 clock=100
+play "a refusal of the only order settles it" two <<'EOT'
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 refused
@@ -43,13 +31,7 @@
 EOT
 
 # Guards against a lost order being taken as not done, and sent elsewhere.
-play "an order without an answer is repeated where it went" <<'EOT'
-pool
-instance i1
-instance i2 dc=dc-b
-tick
-report i1 clock=100
-report i2 clock=100
+play "an order without an answer is repeated where it went" two <<'EOT'
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 none
@@ -60,13 +42,7 @@
 
 # Guards against a run that goes on for ever on an instance that is silent: a
 # hold that has no answer must not extend the wait.
-play "a silent instance is waited out once" <<'EOT'
-pool
-instance i1
-instance i2 dc=dc-b
-tick
-report i1 clock=100
-report i2 clock=100
+play "a silent instance is waited out once" two <<'EOT'
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 ok
@@ -85,13 +61,7 @@
 EOT
 
 # Guards against waiting for a lease where another life proves the end.
-play "another life at the address ends the runs at once" <<'EOT'
-pool
-instance i1
-instance i2 dc=dc-b
-tick
-report i1 clock=100
-report i2 clock=100
+play "another life at the address ends the runs at once" two <<'EOT'
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 ok
@@ -102,13 +72,7 @@
 
 # Guards against a run that starts on an instance that said that it leaves
 # while the store wrote the record of the run.
-play "no order goes to an instance that began to leave meanwhile" <<'EOT'
-pool
-instance i1
-instance i2 dc=dc-b
-tick
-report i1 clock=100
-report i2 clock=100
+play "no order goes to an instance that began to leave meanwhile" two <<'EOT'
 submit j1 1:1000:500
 tick
 take
@@ -138,13 +102,7 @@
 
 # Guards against a run that starts on an instance that leaves, by an order that
 # is repeated since the first had no answer.
-play "an order without an answer is not repeated where an instance leaves" <<'EOT'
-pool
-instance i1
-instance i2 dc=dc-b
-tick
-report i1 clock=100
-report i2 clock=100
+play "an order without an answer is not repeated where an instance leaves" two <<'EOT'
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 none
--- a/regress/sched/scheduled.sh
+++ b/regress/sched/scheduled.sh
@@ -3,11 +3,7 @@
 . ./lib.subr
 
 # Guards against an occurrence that starts before its time, or not at all.
-play "occurrences start at their times" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "occurrences start at their times" one <<'EOT'
 submit j1 repeats=2 first=1000 interval=500 1:1000:100
 commit
 pending
--- a/regress/sched/takeover.sh
+++ b/regress/sched/takeover.sh
@@ -4,11 +4,7 @@
 
 # Guards against a second run of a task whose order was sent, or lost, by the
 # former owner: the instance's answer to the new fence decides.
-play "an order of the former owner was lost" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "an order of the former owner was lost" one <<'EOT'
 submit j1 2:1000:500
 commit
 started i1 j1.0.0.0 1 ok
@@ -21,11 +17,7 @@
 
 # Guards against a second run while the first may go on behind a cut: without
 # news of the former owner the wait covers its last holds as well.
-play "an instance that cannot be reached is waited out" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "an instance that cannot be reached is waited out" one <<'EOT'
 submit j1 1:1000:500
 commit
 takeover
@@ -40,11 +32,7 @@
 commit
 EOT
 
-play "and a shorter time when the former owner has surely gone" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "and a shorter time when the former owner has surely gone" one <<'EOT'
 submit j1 1:1000:500
 commit
 takeover former-gone
@@ -61,11 +49,7 @@
 
 # Guards against a wait that begins anew with every owner: each tells the next
 # how long its leases run.
-play "the former owner tells how long its leases run" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "the former owner tells how long its leases run" one <<'EOT'
 submit j1 1:1000:500
 commit
 takeover left ms=1500
@@ -102,11 +86,7 @@
 EOT
 
 # Guards against a job that is lost, or not shown, after a takeover.
-play "cancelled and finished jobs stay so" <<'EOT'
-pool
-instance i1
-tick
-report i1 clock=100
+play "cancelled and finished jobs stay so" one <<'EOT'
 submit j1 1:1000:500
 submit j2 1:1000:500
 commit
