Let a read go on while its response arrives; silence failed accepts

Cause 1: a configuration of 1,759 queues takes 1.7 s on a link of 2 Mbit/s, but a read of the store ended at 0.8 s (a poll at 2.2 s) and was repeated from the start for ever. Ruled out: the processor (0.04 of a core). Change: gw_httpc_extend() puts the time-out of a read off until no byte has come for 0.8 s, 20 s at most. Writes keep their time-out.

Cause 2: gw_conn_accept() called on_close() with the listener's argument for a connection that on_accept() never saw; gwentryd and gwfleetd took it for a connection and wrote to it, so one failed accept could end the process. Change: none of the callbacks is called; a failed accept is logged.

--- a/lib/http/httpc.c
+++ b/lib/http/httpc.c
@@ -39,7 +39,10 @@
 	gw_httpc_t *client; /* NULL once done is being called */
 	conn_pool_t *conns;
 	h2o_http1client_t *http; /* NULL once libh2o has ended it */
-	gw_timer_t timer;	 /* total time-out, or a deferred failure */
+	gw_timer_t timer;	 /* time-out, or a deferred failure */
+	uint64_t received_us;	 /* when bytes were received last; 0: none */
+	uint64_t idle_us;	 /* set by gw_httpc_extend(); 0: not set */
+	uint64_t limit_us;	 /* latest end of an extended call */
 	gw_httpc_done_t done;
 	gw_httpc_chunk_t on_chunk; /* NULL unless streamed */
 	void *arg;
@@ -247,12 +250,23 @@
 	call->http = NULL;
 }
 
+/*
+ * Ends a call at its time-out, or puts the time-out off while the response of
+ * an extended call arrives.
+ */
 static void
 on_timeout(gw_timer_t *timer, void *arg)
 {
 	gw_httpc_call_t *call = arg;
+	uint64_t now_us = gw_rt_now_us(call->client->rt);
+	uint64_t due_us =
+	    MIN(call->received_us + call->idle_us, call->limit_us);
 
-	(void)timer;
+	if (call->received_us != 0 && now_us < due_us) {
+		gw_timer_start(
+		    call->client->rt, timer, due_us - now_us, on_timeout, call);
+		return;
+	}
 	reset_connection(call);
 	if (call->conns == call->client->conns)
 		replace_conn_pool(call->client);
@@ -272,6 +286,7 @@
 
 	if ((*input)->size == 0)
 		return 0;
+	call->received_us = gw_rt_now_us(call->client->rt);
 	if (call->on_chunk != NULL)
 		rc = call->on_chunk((*input)->bytes, (*input)->size, call->arg);
 	else
@@ -320,6 +335,7 @@
 		return NULL;
 	}
 	call->status = status;
+	call->received_us = gw_rt_now_us(call->client->rt);
 	if (errstr == h2o_http1client_error_is_eos) {
 		call->http = NULL;
 		report_response(call);
@@ -425,6 +441,20 @@
 	return call;
 }
 
+/*
+ * Lets a call continue beyond its time-out while its response arrives: until no
+ * byte was received for idle_ms, and for total_ms from now at most. For
+ * responses so large that a slow link takes longer than the time-out; ended and
+ * repeated, such a call would never succeed.
+ */
+void
+gw_httpc_extend(gw_httpc_call_t *call, uint64_t idle_ms, uint64_t total_ms)
+{
+	call->idle_us = idle_ms * GW_US_PER_MS;
+	call->limit_us =
+	    gw_rt_now_us(call->client->rt) + total_ms * GW_US_PER_MS;
+}
+
 /*
  * Like gw_httpc_call(), but without a time-out, for an endless response such as
  * a watch. Each part of the body is passed to on_chunk as it arrives.
--- a/lib/http/httpc.h
+++ b/lib/http/httpc.h
@@ -12,7 +12,7 @@
 
 /*
  * An HTTP/1.1 client of one server, used for the store and the platform. It
- * buffers whole response bodies, bounds each call by a total time-out and never
+ * buffers whole response bodies, bounds each call by a time-out and never
  * retries.
  */
 typedef struct gw_httpc gw_httpc_t;
@@ -48,6 +48,7 @@
 gw_httpc_call_t *gw_httpc_call_with_headers(gw_httpc_t *, const char *method,
     const char *path, const char *headers, const char *body,
     uint64_t timeout_ms, gw_httpc_done_t, void *arg);
+void gw_httpc_extend(gw_httpc_call_t *, uint64_t idle_ms, uint64_t total_ms);
 uint32_t gw_httpc_calls(const gw_httpc_t *);
 gw_httpc_call_t *gw_httpc_stream(gw_httpc_t *, const char *method,
     const char *path, const char *body, gw_httpc_chunk_t, gw_httpc_done_t,
--- a/lib/store/call.c
+++ b/lib/store/call.c
@@ -4,6 +4,13 @@
 #include "store/call.h"
 #include "store/decode.h"
 
+/*
+ * A read whose response arrives continues beyond its time-out: until no byte
+ * has come for this long, and this long at most.
+ */
+#define READ_IDLE_MS 800
+#define READ_MAX_MS 20000
+
 /*
  * Returns a call that is not yet sent. key may be NULL.
  */
@@ -94,6 +101,8 @@
 {
 	call->http = gw_httpc_call(call->store->http, method, path, body,
 	    timeout_ms, on_response, call);
+	if (!call->is_write)
+		gw_httpc_extend(call->http, READ_IDLE_MS, READ_MAX_MS);
 }
 
 static void
--- a/lib/wire/conn.c
+++ b/lib/wire/conn.c
@@ -173,10 +173,13 @@
 	return conn;
 }
 
+/* Of a connection that its owner never saw. */
+static const gw_conn_ops_t no_ops = {0};
+
 /*
  * Accepts a pending connection of a listening stream. Returns NULL when that
- * fails, for example because the peer has closed the connection; on_close is
- * then called from the loop.
+ * fails, for example because the peer has closed the connection; none of the
+ * callbacks is called then, since arg is not yet that of a connection.
  */
 gw_conn_t *
 gw_conn_accept(
@@ -189,6 +192,7 @@
 	conn = conn_new(rt, ops, arg);
 	rc = uv_accept(server, (uv_stream_t *)&conn->tcp);
 	if (rc != 0) {
+		conn->ops = &no_ops;
 		fail(conn, "accept", rc);
 		return NULL;
 	}
--- a/lib/wire/conn.h
+++ b/lib/wire/conn.h
@@ -16,7 +16,7 @@
 
 /*
  * The owner's callbacks. on_close is called exactly once, also after a failed
- * connect or accept; the connection is freed when it returns. The envelope
+ * connect; the connection is freed when it returns. The envelope
  * passed to on_message is freed when on_message returns.
  */
 typedef struct {
--- a/lib/wire/listener.c
+++ b/lib/wire/listener.c
@@ -22,10 +22,15 @@
 on_connection(uv_stream_t *server, int status)
 {
 	gw_listener_t *listener = server->data;
+	char text[GW_ADDR_TEXT_BYTES];
 	gw_conn_t *conn;
 
-	if (status != 0)
+	if (status != 0) {
+		gw_log(GW_EV_PEER_CLOSED,
+		    "peer=%s step=\"accept\" err=unavailable text=\"%s\"",
+		    gw_addr_text(&listener->addr, text), uv_strerror(status));
 		return;
+	}
 	conn =
 	    gw_conn_accept(listener->rt, server, listener->ops, listener->arg);
 	if (conn != NULL && listener->on_accept != NULL)
--- a/regress/base/http_test.c
+++ b/regress/base/http_test.c
@@ -190,6 +190,105 @@
 	gw_rt_free(rt);
 }
 
+/* A server that sends a response in parts, by a timer. */
+typedef struct {
+	gw_rt_t *rt;
+	gw_timer_t timer;
+	int server;
+	int peer; /* -1: not accepted yet */
+	uint32_t parts_left;
+} trickle_t;
+
+#define TRICKLE_MS 60
+#define TRICKLE_PARTS 10
+
+/*
+ * Accepts the connection and sends the head, or the next part.
+ */
+static void
+on_trickle(gw_timer_t *timer, void *arg)
+{
+	static const char head[] =
+	    "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n";
+	trickle_t *trickle = arg;
+
+	if (trickle->peer < 0) {
+		trickle->peer = accept(trickle->server, NULL, NULL);
+		g_assert_cmpint(
+		    write(trickle->peer, head, sizeof(head) - 1), >, 0);
+	} else if (trickle->parts_left > 0) {
+		trickle->parts_left--;
+		/* The client may have closed the connection. */
+		(void)send(trickle->peer, "x", 1, MSG_NOSIGNAL);
+	}
+	gw_timer_start(
+	    trickle->rt, timer, TRICKLE_MS * GW_US_PER_MS, on_trickle, trickle);
+}
+
+/*
+ * Sends one call with a time-out of 200 ms to a server that takes 660 ms for
+ * parts of the response, and then sends nothing more.
+ */
+static void
+call_trickling(result_t *result, uint32_t parts, bool extended)
+{
+	struct sockaddr_in name = {.sin_family = AF_INET};
+	socklen_t name_bytes = sizeof(name);
+	trickle_t trickle = {
+	    .rt = gw_rt_new(), .peer = -1, .parts_left = parts};
+	gw_httpc_call_t *call;
+	gw_httpc_t *client;
+	gw_addr_t addr;
+	gw_err_t err;
+	char text[32];
+
+	*result = (result_t){.rt = trickle.rt};
+	name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	trickle.server = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(
+	    bind(trickle.server, (struct sockaddr *)&name, sizeof(name)), ==,
+	    0);
+	g_assert_cmpint(listen(trickle.server, 1), ==, 0);
+	g_assert_cmpint(
+	    getsockname(trickle.server, (struct sockaddr *)&name, &name_bytes),
+	    ==, 0);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(name.sin_port));
+	g_assert_cmpint(gw_addr_parse(&addr, text, &err), ==, 0);
+	client = gw_httpc_new(trickle.rt, &addr);
+	call = gw_httpc_call(client, "GET", "/", NULL, 200, on_done, result);
+	if (extended)
+		gw_httpc_extend(call, 200, 5000);
+	gw_timer_start(trickle.rt, &trickle.timer, TRICKLE_MS * GW_US_PER_MS,
+	    on_trickle, &trickle);
+	gw_rt_run(trickle.rt);
+	gw_timer_stop(&trickle.timer);
+	gw_httpc_free(client);
+	gw_rt_poll(trickle.rt);
+	(void)close(trickle.peer);
+	(void)close(trickle.server);
+	gw_rt_free(trickle.rt);
+}
+
+/*
+ * Guards against a read of a large value over a slow link that is ended at its
+ * time-out while the response arrives, and repeated for ever: after a start of
+ * all processes none had a configuration.
+ */
+static void
+test_response_that_arrives_slowly(void)
+{
+	result_t result;
+
+	call_trickling(&result, TRICKLE_PARTS, false);
+	g_assert_cmpint(result.code, ==, GW_ERR_TIMEOUT);
+	call_trickling(&result, TRICKLE_PARTS, true);
+	g_assert_cmpint(result.code, ==, GW_OK);
+	g_assert_cmpstr(result.body, ==, "xxxxxxxxxx");
+	/* It stops arriving. */
+	call_trickling(&result, TRICKLE_PARTS - 1, true);
+	g_assert_cmpint(result.code, ==, GW_ERR_TIMEOUT);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -197,5 +296,7 @@
 	g_test_add_func("/http/call", test_call_outcomes);
 	g_test_add_func("/http/free-in-callback", test_free_in_callback);
 	g_test_add_func("/http/timeout-resets", test_timeout_resets);
+	g_test_add_func(
+	    "/http/slow-response", test_response_that_arrives_slowly);
 	return g_test_run();
 }
