Bound the starts in flight by the delay of their responses

Ruled out: the processor (0.035 of a core). Change: lib/sched/window.c, one for each process, bounds the bytes in flight: it shrinks while even the fastest response of 200 ms is 80 ms late, grows while it holds starts back, and sets time-outs and a budget for repeats by the responses. Starts beyond it wait in the scheduler (send.c) in the order of their jobs, can be taken back, and are checked against the owner's lease when they are sent; no more work is placed than two windows carry. Renewals are not held back, but are sent less often while there is a queue. A start that waited in agents.c for a connection was sent without a check of the lease: a process that had been suspended sent it on an expired one. It is now checked at the moment of the send. The baseline (fixed time-outs, no bound) stays behind the same table. Tests: sched/window_test plays the surge over a slow link (baseline 95 of 4,998 starts answered with 136,120 sends; window 4,996 with 4,998 sends); sched/window.sh plays order, take-back, lease and repeats.

--- a/gwentryd/agents.c
+++ b/gwentryd/agents.c
@@ -7,12 +7,10 @@
 #include "platform/runs.h"
 
 /*
- * Instances respond to a start or stop within a few ms. The scheduler repeats
- * one that had no response by then.
+ * Time for the response to a renewal, beyond the wait_ms that it requests and
+ * the time for the response to a start.
  */
-#define REQUEST_TIMEOUT_MS 350
-/* Time for the response to a renewal, beyond the wait_ms that it requests. */
-#define RENEWAL_MARGIN_MS 500
+#define RENEWAL_MARGIN_MS 150
 /* Starts and stops in flight to one instance; each takes a connection. */
 #define REQUESTS_PER_INSTANCE_MAX 2
 
@@ -41,6 +39,8 @@
 	sched_task_ref_t ref;
 	uint32_t run;
 	char *body;
+	uint32_t size_bytes;   /* on the wire, by estimate */
+	uint64_t sent_us;      /* 0: not passed to a connection yet */
 	gw_httpc_call_t *call; /* valid while in flight */
 	GList link;	       /* in agents->in_flight while in flight */
 } run_request_t;
@@ -48,15 +48,23 @@
 struct agents {
 	gw_rt_t *rt;
 	uint64_t fence;
+	sched_window_t *window;
 	const agents_ops_t *ops;
 	void *arg;
 	GHashTable *by_instance; /* agent_t */
 	GQueue in_flight;	 /* run_request_t */
 };
 
+/*
+ * Frees a request that is cancelled; its result is not known.
+ */
 static void
-request_free(run_request_t *request)
+request_drop(run_request_t *request)
 {
+	agents_t *agents = request->agent->agents;
+
+	sched_window_remove(agents->window, request->size_bytes, 0,
+	    gw_rt_now_us(agents->rt), false);
 	g_free(request->body);
 	g_free(request);
 }
@@ -67,7 +75,7 @@
 	agent_t *agent = data;
 
 	while (agent->queue.length > 0)
-		request_free(g_queue_pop_head(&agent->queue));
+		request_drop(g_queue_pop_head(&agent->queue));
 	if (agent->renewal != NULL)
 		gw_httpc_cancel(agent->renewal);
 	gw_httpc_free(agent->http);
@@ -79,12 +87,14 @@
  * Returns agents without connections. All requests carry the owner's fence.
  */
 agents_t *
-agents_new(gw_rt_t *rt, uint64_t fence, const agents_ops_t *ops, void *arg)
+agents_new(gw_rt_t *rt, uint64_t fence, sched_window_t *window,
+    const agents_ops_t *ops, void *arg)
 {
 	agents_t *agents = g_new0(agents_t, 1);
 
 	agents->rt = rt;
 	agents->fence = fence;
+	agents->window = window;
 	agents->ops = ops;
 	agents->arg = arg;
 	agents->by_instance =
@@ -111,7 +121,7 @@
 		g_queue_unlink(&agents->in_flight, &request->link);
 		gw_httpc_cancel(request->call);
 		request->agent->requests_in_flight--;
-		request_free(request);
+		request_drop(request);
 	}
 }
 
@@ -199,6 +209,26 @@
 	return names[result];
 }
 
+/*
+ * Reports the result of a request and frees it.
+ */
+static void
+finish_request(run_request_t *request, sched_result_t result)
+{
+	agents_t *agents = request->agent->agents;
+	char instance[SCHED_NAME_BYTES];
+
+	g_strlcpy(instance, request->agent->instance, sizeof(instance));
+	if (request->kind == RUN_REQUEST_START)
+		agents->ops->on_started(
+		    instance, &request->ref, request->run, result, agents->arg);
+	else
+		agents->ops->on_stopped(
+		    instance, &request->ref, request->run, result, agents->arg);
+	g_free(request->body);
+	g_free(request);
+}
+
 static void
 on_response(const gw_http_response_t *response, const gw_err_t *err, void *arg)
 {
@@ -206,12 +236,12 @@
 	agent_t *agent = request->agent;
 	agents_t *agents = agent->agents;
 	sched_result_t result = SCHED_RESULT_NO_RESPONSE;
-	char instance[SCHED_NAME_BYTES];
 	uint64_t clock_ms = 0;
 
 	g_queue_unlink(&agents->in_flight, &request->link);
 	agent->requests_in_flight--;
-	g_strlcpy(instance, agent->instance, sizeof(instance));
+	sched_window_remove(agents->window, request->size_bytes,
+	    request->sent_us, gw_rt_now_us(agents->rt), response != NULL);
 	if (response != NULL)
 		result = plat_instance_result_decode(response, &clock_ms);
 	if (result != SCHED_RESULT_OK)
@@ -220,33 +250,61 @@
 		    "answer=%s status=%d err=%s",
 		    request->ref.job, request->ref.occurrence,
 		    request->ref.step, request->ref.index, request->run,
-		    instance, kinds[request->kind].name, result_name(result),
+		    agent->instance, kinds[request->kind].name,
+		    result_name(result),
 		    response == NULL ? 0 : response->status,
 		    err == NULL ? "none" : gw_errc_name(err->code));
 	send_queued(agent);
-	if (request->kind == RUN_REQUEST_START)
-		agents->ops->on_started(
-		    instance, &request->ref, request->run, result, agents->arg);
-	else
-		agents->ops->on_stopped(
-		    instance, &request->ref, request->run, result, agents->arg);
-	request_free(request);
+	finish_request(request, result);
 }
 
+/*
+ * Passes a request to a connection.
+ */
+static void
+send_request(run_request_t *request)
+{
+	agent_t *agent = request->agent;
+	agents_t *agents = agent->agents;
+
+	agent->requests_in_flight++;
+	request->sent_us = gw_rt_now_us(agents->rt);
+	request->link.data = request;
+	g_queue_push_tail_link(&agents->in_flight, &request->link);
+	request->call = gw_httpc_call_with_headers(agent->http, "POST",
+	    kinds[request->kind].path, agent->headers, request->body,
+	    sched_window_timeout_us(agents->window) / GW_US_PER_MS, on_response,
+	    request);
+}
+
+/*
+ * Sends queued requests while connections to the instance are free. A start
+ * that may no longer be sent stays unsent, which its owner takes for one
+ * without a response.
+ */
 static void
 send_queued(agent_t *agent)
 {
+	agents_t *agents = agent->agents;
+
 	while (agent->queue.length > 0 &&
 	    agent->requests_in_flight < REQUESTS_PER_INSTANCE_MAX) {
 		run_request_t *request = g_queue_pop_head(&agent->queue);
 
-		agent->requests_in_flight++;
-		request->link.data = request;
-		g_queue_push_tail_link(
-		    &agent->agents->in_flight, &request->link);
-		request->call = gw_httpc_call_with_headers(agent->http, "POST",
-		    kinds[request->kind].path, agent->headers, request->body,
-		    REQUEST_TIMEOUT_MS, on_response, request);
+		if (request->kind == RUN_REQUEST_STOP ||
+		    agents->ops->may_start(agents->arg)) {
+			send_request(request);
+			continue;
+		}
+		gw_log(GW_EV_RUN_REFUSED,
+		    "job=%s task=%u.%u.%u run=%u instance=%s order=start "
+		    "answer=lease-expired",
+		    request->ref.job, request->ref.occurrence,
+		    request->ref.step, request->ref.index, request->run,
+		    agent->instance);
+		sched_window_remove(agents->window, request->size_bytes, 0,
+		    gw_rt_now_us(agents->rt), false);
+		finish_request(request, SCHED_RESULT_NO_RESPONSE);
 	}
 }
 
@@ -268,6 +326,9 @@
 	request->ref = *ref;
 	request->run = run;
 	request->body = body;
+	request->size_bytes =
+	    sched_window_request_bytes((uint32_t)strlen(body));
+	sched_window_add(agents->window, request->size_bytes);
 	g_queue_push_tail(&agent->queue, request);
 	send_queued(agent);
 }
@@ -341,5 +402,7 @@
 	agent->renewal_sent_us = gw_rt_now_us(agents->rt);
 	agent->renewal = gw_httpc_call_with_headers(agent->http, "POST",
 	    PLAT_RENEWAL_PATH, agent->headers, body,
-	    renewal->wait_ms + RENEWAL_MARGIN_MS, on_renewal_response, agent);
+	    renewal->wait_ms + RENEWAL_MARGIN_MS +
+		sched_window_timeout_us(agents->window) / GW_US_PER_MS,
+	    on_renewal_response, agent);
 }
--- a/gwentryd/agents.h
+++ b/gwentryd/agents.h
@@ -10,8 +10,13 @@
  */
 typedef struct agents agents_t;
 
-/* Called with the result of each request. */
+/* Called with the result of each request, but may_start() before a start. */
 typedef struct {
+	/*
+	 * Whether a start may be sent at this moment. It may have waited for a
+	 * connection, and the process may have been suspended meanwhile.
+	 */
+	bool (*may_start)(void *arg);
 	void (*on_started)(const char *instance, const sched_task_ref_t *,
 	    uint32_t run, sched_result_t, void *arg);
 	void (*on_stopped)(const char *instance, const sched_task_ref_t *,
@@ -22,8 +27,12 @@
 	    const char *instance, sched_result_t, void *arg);
 } agents_ops_t;
 
-agents_t *agents_new(
-    gw_rt_t *, uint64_t fence, const agents_ops_t *, void *arg);
+/*
+ * The window counts starts and stops that are queued or in flight; it outlives
+ * the agents.
+ */
+agents_t *agents_new(gw_rt_t *, uint64_t fence, sched_window_t *,
+    const agents_ops_t *, void *arg);
 /* Cancels calls in progress without a callback. */
 void agents_free(agents_t *);
 void agents_start(agents_t *, const sched_start_t *);
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -129,7 +129,16 @@
 	owner_schedule_tick(owner);
 }
 
-static const agents_ops_t agent_ops = {.on_started = on_started,
+static bool
+may_start(void *arg)
+{
+	owner_t *owner = arg;
+
+	return gw_rt_now_us(owner->rt) < lease_until_us(owner);
+}
+
+static const agents_ops_t agent_ops = {.may_start = may_start,
+    .on_started = on_started,
     .on_stopped = on_stopped,
     .on_report = on_report,
     .on_renew_failed = on_renew_failed};
@@ -174,7 +183,9 @@
 	owner->retry_ms = RETRY_MIN_MS;
 	owner->pool = sched_pool_new(role->shard, role->data_centre,
 	    gw_rt_clock(rt), &role->bounds, &pool_ops, owner);
-	owner->agents = agents_new(rt, role->fence, &agent_ops, owner);
+	owner->agents =
+	    agents_new(rt, role->fence, role->window, &agent_ops, owner);
+	sched_pool_set_window(owner->pool, role->window);
 	owner_load_next_page(owner);
 	return owner;
 }
--- a/gwentryd/owner.h
+++ b/gwentryd/owner.h
@@ -30,6 +30,7 @@
 	/* Create revision of the role key; higher for each later owner. */
 	uint64_t fence;
 	sched_bounds_t bounds;
+	sched_window_t *window; /* shared by the owners of this process */
 } owner_role_t;
 
 owner_t *owner_new(
--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -17,6 +17,7 @@
 	store_t *store;
 	char data_centre[SCHED_NAME_BYTES];
 	sched_bounds_t bounds;
+	sched_window_t *window; /* of starts in flight, of all owners */
 	const owner_ops_t *ops;
 	void *arg;
 	GHashTable *by_shard; /* shard name -> owner_t */
@@ -48,6 +49,7 @@
 	owners->bounds = *bounds;
 	owners->bounds.renew_grace_ms = ROLES_GRACE_MS;
 	owners->bounds.previous_renew_max_ms = ROLES_TTL_MS + ROLES_GRACE_MS;
+	owners->window = sched_window_new(&sched_window_delay);
 	owners->ops = ops;
 	owners->arg = arg;
 	owners->by_shard = g_hash_table_new_full(
@@ -66,7 +68,8 @@
 	owner_role_t role = {.shard = shard,
 	    .data_centre = owners->data_centre,
 	    .fence = fence,
-	    .bounds = owners->bounds};
+	    .bounds = owners->bounds,
+	    .window = owners->window};
 
 	g_hash_table_replace(owners->by_shard, g_strdup(shard),
 	    owner_new(
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -181,55 +181,19 @@
 		sched_instance_ack(instance, ack->number);
 }
 
-static bool
-is_leaving(const sched_task_t *task)
-{
-	return task->state == SCHED_TASK_RESERVED &&
-	    task->instance->info.leaving;
-}
-
-/*
- * Returns whether a placed task may still be started. Its instance may have
- * begun to leave while the record was being written. The members of a gang
- * start together or not at all.
- */
-static bool
-may_start(const sched_task_t *task)
-{
-	const sched_occurrence_t *occurrence;
-	uint32_t first;
-
-	if (!sched_task_step_spec(task)->gang)
-		return !is_leaving(task);
-	occurrence = sched_job_find_occurrence(task->job, task->occurrence);
-	first = occurrence->steps[task->step].first_task;
-	for (uint32_t i = 0; i < sched_task_step_spec(task)->count; i++) {
-		const sched_task_t *member = &occurrence->tasks[first + i];
-
-		if (member->state == SCHED_TASK_WAITING || is_leaving(member))
-			return false;
-	}
-	return true;
-}
-
 /*
- * Starts the runs whose records the batch has written. A task that may no
- * longer be started can be placed elsewhere at once, since no start was sent.
+ * Queues the starts of the runs whose records the batch has written.
  */
 static void
-send_starts(sched_batch_t *batch, uint64_t now_us)
+queue_starts(sched_pool_t *pool, const sched_batch_t *batch)
 {
 	for (guint i = 0; i < batch->starts->len; i++) {
 		const sched_pending_start_t *pending =
 		    &g_array_index(batch->starts, sched_pending_start_t, i);
 
-		if (pending->task->state != SCHED_TASK_RESERVED ||
-		    pending->task->run != pending->run)
-			continue;
-		if (may_start(pending->task))
-			sched_task_send_start(pending->task, now_us);
-		else
-			sched_task_requeue(pending->task, "leaves");
+		if (pending->task->state == SCHED_TASK_RESERVED &&
+		    pending->task->run == pending->run)
+			sched_send_recorded(pool, pending->task);
 	}
 }
 
@@ -243,7 +207,8 @@
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 
-	send_starts(batch, now_us);
+	queue_starts(pool, batch);
+	sched_send_starts(pool, now_us);
 	for (guint i = 0; i < batch->jobs->len; i++) {
 		sched_job_t *job = batch->jobs->pdata[i];
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -2,6 +2,7 @@
 #define SCHED_IMPL_H
 
 #include "sched/sched.h"
+#include "sched/window.h"
 
 /*
  * Length of the lease of an instance's runs. Longer than a takeover (the expiry
@@ -21,7 +22,7 @@
  * several changes.
  */
 #define SCHED_RENEW_DELAY_US (45 * GW_US_PER_MS)
-/* A start or stop without a response is repeated after this time. */
+/* The stop of a run that is still listed is repeated after this time. */
 #define SCHED_REQUEST_RETRY_US (400 * GW_US_PER_MS)
 /* Time beyond stop_grace_ms until the end of the run is reported. */
 #define SCHED_STOP_MARGIN_US (500 * GW_US_PER_MS)
@@ -73,7 +74,11 @@
 	 * the end of the run.
 	 */
 	bool refused_as_stale;
-	uint32_t starts_sent;	   /* for this run, answered or not */
+	bool is_unsent;	      /* its start waits in the pool's unsent */
+	uint32_t starts_sent; /* for this run, answered or not */
+	uint32_t stops_sent;  /* for this run, answered or not */
+	/* Starts and stops of this run without a result so far. */
+	uint32_t requests_in_flight;
 	uint64_t stop_answered_us; /* when the stop was answered; 0: not yet */
 	uint64_t sent_us;	   /* when the last start or stop was sent */
 	/* When the run was last known to be on the instance; 0: never. */
@@ -247,7 +252,12 @@
 	bool previous_gone;   /* the previous owner has released the pool */
 	/* Its leases: instance -> latest expiry (uint64_t *). */
 	GHashTable *previous_leases;
-	uint64_t wall_ms; /* time of day at the last tick */
+	uint64_t wall_ms;	    /* time of day at the last tick */
+	sched_window_t *window;	    /* of the process, or own_window */
+	sched_window_t *own_window; /* without a bound */
+	/* Tasks whose run is recorded and whose start waits to be sent. */
+	GPtrArray *unsent;     /* sched_task_t, in SCHED_TASK_RESERVED */
+	uint64_t unsent_bytes; /* starts of all tasks in that state */
 };
 
 /* job.c */
@@ -311,6 +321,15 @@
 void sched_task_apply_end(
     sched_task_t *, sched_instance_t *, const sched_run_end_t *);
 
+/* send.c */
+uint32_t sched_task_start_bytes(const sched_job_t *);
+void sched_send_reserved(sched_pool_t *, const sched_task_t *);
+void sched_send_unreserved(sched_pool_t *, sched_task_t *);
+void sched_send_recorded(sched_pool_t *, sched_task_t *);
+void sched_send_starts(sched_pool_t *, uint64_t now_us);
+void sched_send_repeat(sched_task_t *, uint64_t now_us);
+uint64_t sched_renew_delay_us(const sched_pool_t *);
+
 /* place.c */
 sched_instance_t *sched_place_find_instance(
     sched_pool_t *, const sched_task_t *, uint64_t now_us);
@@ -330,6 +349,7 @@
 /* rank.c */
 sched_rank_t sched_job_update_rank(sched_job_t *, uint64_t now_us);
 uint64_t sched_objective_ms(const Gw__JobSpec *, uint64_t critical_path_ms);
+int sched_compare_rank(const sched_job_t *, const sched_job_t *);
 void sched_sort_jobs(GPtrArray *jobs, uint64_t now_us);
 uint32_t sched_critical_path_ms(
     const Gw__JobSpec *, const sched_occurrence_t *);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -93,6 +93,7 @@
 	const Gw__JobStep *step = sched_task_step_spec(task);
 	sched_instance_t *instance = task->instance;
 
+	sched_send_unreserved(instance->pool, task);
 	instance->used.cpu_millis -= sched_step_cpu_millis(step);
 	instance->used.memory_mib -= step->memory_mib;
 	instance->used.accelerators -= step->accelerators;
@@ -252,6 +253,11 @@
 		    info->id, pool->name, info->machine, info->address,
 		    info->born_ms, info->leaving, info->leaves_in_ms,
 		    info->capacity.cpu_millis);
+	/* Calls to the previous address are cancelled without a result. */
+	if (strcmp(info->address, instance->info.address) != 0)
+		for (guint i = 0; i < instance->tasks->len; i++)
+			((sched_task_t *)instance->tasks->pdata[i])
+			    ->requests_in_flight = 0;
 	g_strfreev(instance->info.labels);
 	instance->info = *info;
 	instance->info.labels = g_strdupv(info->labels);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -215,6 +215,7 @@
 	sched_task_step_state(task)->waiting--;
 	task->state = SCHED_TASK_RESERVED;
 	task->run = run;
+	sched_send_reserved(pool, task);
 	if (tickets != NULL)
 		task->ticket = g_strdup(g_hash_table_lookup(
 		    (GHashTable *)tickets, instance->info.id));
@@ -414,7 +415,7 @@
 
 /*
  * Places the waiting tasks for which there is room, in the order of
- * sched_sort_jobs().
+ * sched_sort_jobs(), as long as their starts can be sent soon.
  */
 void
 sched_place_round(sched_pool_t *pool, uint64_t now_us)
@@ -432,6 +433,8 @@
 	for (guint i = 0; i < jobs->len; i++) {
 		sched_job_t *job = jobs->pdata[i];
 
+		if (!sched_window_may_place(pool->window, pool->unsent_bytes))
+			return;
 		for (guint k = 0; k < job->occurrences->len; k++)
 			place_occurrence(
 			    pool, job, job->occurrences->pdata[k], now_us);
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -33,6 +33,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->admission = &sched_admission_in_time;
 	pool->refusals = sched_refusals_new();
+	pool->window = pool->own_window = sched_window_new(&sched_window_fixed);
+	pool->unsent = g_ptr_array_new();
 	pool->open = g_ptr_array_new();
 	pool->cleanup = g_ptr_array_new();
 	pool->dirty = g_queue_new();
@@ -56,6 +58,8 @@
 		sched_notify_waiters(job->waiters, &sched_response_owner_gone);
 	g_hash_table_destroy(pool->jobs);
 	g_hash_table_destroy(pool->instances);
+	g_ptr_array_free(pool->unsent, TRUE);
+	sched_window_free(pool->own_window);
 	g_hash_table_destroy(pool->previous_leases);
 	sched_refusals_free(pool->refusals);
 	g_ptr_array_free(pool->open, TRUE);
@@ -223,26 +227,6 @@
 	return leases;
 }
 
-/*
- * Repeats a start or stop that had no response. A start is not repeated on an
- * instance that is leaving: the run is stopped, so that its task can run
- * elsewhere.
- */
-static void
-resend_unanswered(sched_task_t *task, uint64_t now_us)
-{
-	if (gw_elapsed_us(now_us, task->sent_us) <= SCHED_REQUEST_RETRY_US)
-		return;
-	if (task->state == SCHED_TASK_STOPPING && task->stop_answered_us == 0)
-		sched_task_stop(task);
-	if (task->state != SCHED_TASK_STARTING || task->refused_as_stale)
-		return;
-	if (task->instance->info.leaving)
-		sched_task_stop(task);
-	else
-		sched_task_send_start(task, now_us);
-}
-
 /*
  * Repeats unanswered starts and stops, stops runs on an instance that is
  * leaving or being drained, and sends a renewal that is due.
@@ -252,7 +236,7 @@
 {
 	for (guint i = 0; !instance->unreachable && i < instance->tasks->len;
 	     i++)
-		resend_unanswered(instance->tasks->pdata[i], now_us);
+		sched_send_repeat(instance->tasks->pdata[i], now_us);
 	sched_evacuate(instance, now_us);
 	sched_instance_tick(instance, now_us);
 }
@@ -345,6 +329,7 @@
 		return TICK_BUSY_US;
 	open_occurrences(pool);
 	due_us = tick_instances(pool, now_us);
+	sched_send_starts(pool, now_us);
 	sched_place_round(pool, now_us);
 	clean_up_ended(pool);
 	expire_ended_jobs(pool, now_us);
--- a/lib/sched/rank.c
+++ b/lib/sched/rank.c
@@ -98,12 +98,13 @@
 	return job->rank_class;
 }
 
-static gint
-compare_rank(gconstpointer a, gconstpointer b)
+/*
+ * Compares two jobs by the rank that sched_job_update_rank() set; negative when
+ * x comes first.
+ */
+int
+sched_compare_rank(const sched_job_t *x, const sched_job_t *y)
 {
-	const sched_job_t *x = *(const sched_job_t *const *)a;
-	const sched_job_t *y = *(const sched_job_t *const *)b;
-
 	if (x->rank_class != y->rank_class)
 		return x->rank_class < y->rank_class ? -1 : 1;
 	if (x->rank != y->rank)
@@ -111,6 +112,13 @@
 	return 0;
 }
 
+static gint
+compare_jobs(gconstpointer a, gconstpointer b)
+{
+	return sched_compare_rank(
+	    *(const sched_job_t *const *)a, *(const sched_job_t *const *)b);
+}
+
 /*
  * Sorts jobs into the order in which they are placed.
  */
@@ -119,5 +127,5 @@
 {
 	for (guint i = 0; i < jobs->len; i++)
 		(void)sched_job_update_rank(jobs->pdata[i], now_us);
-	g_ptr_array_sort(jobs, compare_rank);
+	g_ptr_array_sort(jobs, compare_jobs);
 }
--- a/lib/sched/report.c
+++ b/lib/sched/report.c
@@ -70,8 +70,10 @@
 		return;
 	}
 	if (task->state == SCHED_TASK_STARTING ||
-	    task->state == SCHED_TASK_RESERVED)
+	    task->state == SCHED_TASK_RESERVED) {
+		sched_send_unreserved(pool, task);
 		task->state = SCHED_TASK_RUNNING;
+	}
 	task->refused_as_stale = false;
 	task->confirmed_us = MAX(task->confirmed_us, sent_us);
 	task->percent = row->percent;
@@ -195,7 +197,7 @@
 		requeue_missing(instance, report, sent_us);
 	if (instance->tasks->len > 0 || report->running_count > 0)
 		sched_instance_schedule_renewal(
-		    instance, now_us + SCHED_RENEW_DELAY_US);
+		    instance, now_us + sched_renew_delay_us(pool));
 	else if (instance->seen_number > instance->ack_number)
 		sched_instance_schedule_renewal(
 		    instance, now_us + GW_US_PER_S / 2);
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -39,6 +39,8 @@
 	task->state = SCHED_TASK_WAITING;
 	task->refused_as_stale = false;
 	task->starts_sent = 0;
+	task->stops_sent = 0;
+	task->requests_in_flight = 0;
 	task->stop_answered_us = 0;
 	task->percent = 0;
 	g_clear_pointer(&task->ticket, g_free);
@@ -64,6 +66,7 @@
 	    .checkpoint = task->checkpoint == NULL ? "" : task->checkpoint,
 	    .ticket = task->ticket};
 
+	sched_send_unreserved(pool, task);
 	task->state = SCHED_TASK_STARTING;
 	task->sent_us = now_us;
 	/*
@@ -80,6 +83,7 @@
 	    instance->used.cpu_millis,
 	    (gw_elapsed_us(now_us, instance->report_us)) / GW_US_PER_MS);
 	task->starts_sent++;
+	task->requests_in_flight++;
 	task->job->started = true;
 	if (task->job->state == GW__JOB_STATE__JOB_QUEUED)
 		task->job->state = GW__JOB_STATE__JOB_RUNNING;
@@ -111,6 +115,8 @@
 	    "job=%s task=%u.%u.%u run=%u instance=%s reason=%s", ref.job,
 	    ref.occurrence, ref.step, ref.index, task->run, instance->info.id,
 	    sched_job_has_ended(task->job) ? "job-ended" : "moved");
+	task->stops_sent++;
+	task->requests_in_flight++;
 	pool->ops->stop(instance->info.id, instance->info.address, &ref,
 	    task->run, pool->arg);
 	sched_instance_schedule_renewal(
@@ -305,8 +311,10 @@
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 
 	if (task == NULL || task->instance == NULL || task->run != run ||
-	    strcmp(task->instance->info.id, id) != 0 ||
-	    task->state != SCHED_TASK_STOPPING ||
+	    strcmp(task->instance->info.id, id) != 0)
+		return;
+	task->requests_in_flight -= MIN(task->requests_in_flight, 1);
+	if (task->state != SCHED_TASK_STOPPING ||
 	    (result != SCHED_RESULT_OK && result != SCHED_RESULT_STALE))
 		return;
 	if (task->stop_answered_us == 0)
@@ -331,15 +339,17 @@
 		return;
 	}
 	if (task == NULL || task->instance == NULL || task->run != run ||
-	    strcmp(task->instance->info.id, id) != 0 ||
-	    task->state != SCHED_TASK_STARTING)
+	    strcmp(task->instance->info.id, id) != 0)
+		return;
+	task->requests_in_flight -= MIN(task->requests_in_flight, 1);
+	if (task->state != SCHED_TASK_STARTING)
 		return;
 	instance = task->instance;
 	if (result == SCHED_RESULT_OK) {
 		task->state = SCHED_TASK_RUNNING;
 		task->confirmed_us = now_us;
 		sched_instance_schedule_renewal(
-		    instance, now_us + SCHED_RENEW_DELAY_US);
+		    instance, now_us + sched_renew_delay_us(pool));
 	} else if (result == SCHED_RESULT_REPLACED) {
 		sched_pool_renewal_failed(pool, id, result);
 	} else if (result == SCHED_RESULT_NO_RESPONSE) {
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -8,6 +8,7 @@
 
 #include "gw/clock.h"
 #include "sched/name.h"
+#include "sched/window.h"
 #include "wire/gw.pb-c.h"
 
 /*
@@ -222,6 +223,11 @@
 sched_pool_t *sched_pool_new(const char *name, const char *data_centre,
     const gw_clock_t *, const sched_bounds_t *, const sched_ops_t *, void *arg);
 void sched_pool_free(sched_pool_t *);
+/*
+ * Sets the window that bounds the starts in flight, which outlives the pool.
+ * Without one there is no bound.
+ */
+void sched_pool_set_window(sched_pool_t *, sched_window_t *);
 
 bool sched_spec_is_valid(const Gw__JobSpec *);
 
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -14,6 +14,8 @@
 
 #define WORDS_MAX 40
 #define START_US UINT64_C(1000000000)
+/* Counted in the window for each start and stop. */
+#define REQUEST_BYTES 16384
 #define WALL_START_MS UINT64_C(1800000000000)
 
 static gw_clock_t clock_state;
@@ -21,6 +23,7 @@
 static uint64_t lease_us = UINT64_MAX / 2; /* end of the owner's lease */
 static GHashTable *store; /* "spec/ID" or "record/ID" -> GBytes */
 static sched_batch_t *batch;
+static sched_window_t *window;
 static char *words[WORDS_MAX];
 static int word_count;
 static const sched_bounds_t bounds = {.hold_max_ms = 6000,
@@ -94,6 +97,8 @@
 on_start(const sched_start_t *start, void *arg)
 {
 	(void)arg;
+	if (window != NULL)
+		sched_window_add(window, REQUEST_BYTES);
 	printf("%6" PRIu64 " start %s", now_ms(), start->instance);
 	print_ref(&start->ref);
 	printf(" run=%u deadline=%" PRIu64 "%s%s%s%s\n", start->run,
@@ -109,6 +114,8 @@
 {
 	(void)address;
 	(void)arg;
+	if (window != NULL)
+		sched_window_add(window, REQUEST_BYTES);
 	printf("%6" PRIu64 " stop %s", now_ms(), instance);
 	print_ref(ref);
 	printf(" run=%u\n", run);
@@ -181,6 +188,38 @@
 	sched_pool_finish_load(pool);
 }
 
+static sched_result_t
+parse_result(const char *text)
+{
+	static const char *const names[] = {"ok", "fence", "old", "late",
+	    "room", "ticket", "refused", "replaced", "none"};
+
+	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++)
+		if (strcmp(names[i], text) == 0)
+			return (sched_result_t)i;
+	errx(1, "'%s' is not a result", text);
+}
+
+/* window: bounds the starts in flight; room for two at first */
+static void
+do_window(void)
+{
+	window = sched_window_new(&sched_window_delay);
+	sched_pool_set_window(pool, window);
+}
+
+/* Counts a start or stop as answered, unless it had no response. */
+static void
+leave_window(sched_result_t result)
+{
+	uint64_t now_us = gw_clock_now_us(&clock_state);
+
+	if (window != NULL)
+		sched_window_remove(window, REQUEST_BYTES,
+		    now_us - GW_US_PER_MS, now_us,
+		    result != SCHED_RESULT_NO_RESPONSE);
+}
+
 static void
 load(const char *prefix,
     int (*load_one)(sched_pool_t *, const char *, const void *, size_t))
@@ -501,18 +540,6 @@
 	    START_US + lookup_number("sent", now_ms()) * GW_US_PER_MS);
 }
 
-static sched_result_t
-parse_result(const char *text)
-{
-	static const char *const names[] = {"ok", "fence", "old", "late",
-	    "room", "ticket", "refused", "replaced", "none"};
-
-	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++)
-		if (strcmp(names[i], text) == 0)
-			return (sched_result_t)i;
-	errx(1, "'%s' is not a result", text);
-}
-
 /*
  * started ID TASK RUN RESULT: the result of a start; stopped takes the same,
  * renew-failed takes ID RESULT
@@ -522,6 +549,7 @@
 {
 	sched_task_ref_t ref = parse_ref(words[2]);
 
+	leave_window(parse_result(words[4]));
 	sched_pool_apply_start_result(pool, words[1], &ref,
 	    (uint32_t)atoi(words[3]), parse_result(words[4]));
 }
@@ -531,6 +559,7 @@
 {
 	sched_task_ref_t ref = parse_ref(words[2]);
 
+	leave_window(parse_result(words[4]));
 	sched_pool_apply_stop_result(pool, words[1], &ref,
 	    (uint32_t)atoi(words[3]), parse_result(words[4]));
 }
@@ -578,6 +607,7 @@
 	void (*run)(void);
 } commands[] = {
     {"pool", 1, do_pool},
+    {"window", 1, do_window},
     {"takeover", 1, do_takeover},
     {"instance", 2, do_instance},
     {"gone", 2, do_gone},
@@ -639,6 +669,7 @@
 	if (batch != NULL)
 		sched_batch_drop(batch);
 	sched_pool_free(pool);
+	sched_window_free(window);
 	g_hash_table_destroy(store);
 	gw_log_flush();
 	return 0;
