Count long-running tasks as CPU in use; tell the planner of blocked jobs

Cause 1: the work of a long-running task was its CPU times the estimate of its duration, tens of seconds. Change: long-running tasks are left out of work and arrival rate; their CPU and memory are reported by themselves and added to the need. Change: the owner reports jobs with a task that fitted nowhere for 0.6 s; a pool that is under three quarters full then gets one machine more. Tests: sched/lasting.sh, sched/fleet.sh; their new cases fail before.

--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -130,14 +130,8 @@
 			continue;
 		count++;
 		capacity += instance->info.capacity.cpu_millis;
-		for (guint i = 0; i < instance->tasks->len; i++) {
-			const sched_task_t *task = instance->tasks->pdata[i];
-
-			if (task->job->long_running && task->job->spec != NULL)
-				long_running_cpu_millis +=
-				    sched_step_cpu_millis(
-					sched_task_step_spec(task));
-		}
+		long_running_cpu_millis +=
+		    sched_instance_long_running_cpu_millis(instance);
 	}
 	if (count == 0)
 		return serving;
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -51,7 +51,12 @@
 	uint64_t used_memory_mib;
 	uint64_t waiting_memory_mib_ms;
 	uint32_t long_running_waiting; /* long-running tasks without room */
-	GHashTable *idle;	       /* instance -> NULL */
+	/* What those take, and the CPU of the others. */
+	uint64_t long_running_waiting_cpu_millis;
+	uint64_t long_running_waiting_memory_mib;
+	uint64_t long_running_used_cpu_millis;
+	uint32_t blocked_jobs; /* with a task that fits on no instance */
+	GHashTable *idle;      /* instance -> NULL */
 	/* Instances with long-running tasks, which never become idle. */
 	GHashTable *long_running_hosts; /* instance -> NULL */
 	uint64_t surplus_since_us;	/* 0: no surplus */
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -62,7 +62,8 @@
  * grows slowly at first; the arrival rate shows the surge at once, and its
  * slope shows the demand at the time when a machine that is ordered now will
  * have arrived. The CPU for the backlog is limited to what the waiting tasks
- * can use.
+ * can use. Long-running tasks do not count as work that arrives: their CPU is
+ * added.
  */
 static uint64_t
 cpu_need_by_rate(const fleet_t *fleet, const pool_t *pool)
@@ -70,15 +71,30 @@
 	uint64_t lead_us =
 	    (fleet->times.move_ms + SCHED_REGISTER_MARGIN_MS) * GW_US_PER_MS;
 
-	return MAX(pool->used_cpu_millis, fleet_forecast_rate(pool, lead_us)) +
+	return MAX(pool->used_cpu_millis,
+		   pool->long_running_used_cpu_millis +
+		       fleet_forecast_rate(pool, lead_us)) +
 	    MIN(pool->waiting_cpu_ms * 1000 / BACKLOG_TARGET_MS,
 		pool->waiting_cpu_millis);
 }
 
+/*
+ * Returns whether a task fits on no instance although much of the pool is free:
+ * tasks that need most of a machine find none empty, since the free room is
+ * spread over instances that have long-running tasks.
+ */
+static bool
+is_fragmented(const pool_t *pool)
+{
+	return pool->blocked_jobs > 0 &&
+	    pool->used_cpu_millis * 4 < pool->capacity_cpu_millis * 3 &&
+	    pool->used_memory_mib * 4 < pool->capacity_memory_mib * 3;
+}
+
 /*
  * Sets how many machines each pool should have, by the CPU and the memory that
- * it needs. If a long-running task has no room, the pool gets at least one
- * machine more, even if its total capacity is sufficient.
+ * it needs. If a long-running task has no room, or the pool is fragmented, it
+ * gets at least one machine more, even if its total capacity is sufficient.
  */
 static void
 set_wanted(fleet_t *fleet, uint64_t (*need)(const fleet_t *, const pool_t *))
@@ -97,15 +113,17 @@
 			    MAX(pool->wanted_machines, POOL_MACHINES_MIN);
 			continue;
 		}
-		by_cpu = machines_needed(
-		    pool, need(fleet, pool), pool->capacity_cpu_millis);
+		by_cpu = machines_needed(pool,
+		    need(fleet, pool) + pool->long_running_waiting_cpu_millis,
+		    pool->capacity_cpu_millis);
 		by_memory = machines_needed(pool,
 		    pool->used_memory_mib +
+			pool->long_running_waiting_memory_mib +
 			pool->waiting_memory_mib_ms / BACKLOG_TARGET_MS,
 		    pool->capacity_memory_mib);
 		pool->wanted_machines = MAX(POOL_MACHINES_MIN,
 		    MAX(by_cpu, by_memory) + RESERVE_MACHINES);
-		if (pool->long_running_waiting > 0)
+		if (pool->long_running_waiting > 0 || is_fragmented(pool))
 			pool->wanted_machines = MAX(pool->wanted_machines,
 			    count_for_one_more(fleet, pool));
 	}
--- a/lib/sched/fleet_load.c
+++ b/lib/sched/fleet_load.c
@@ -88,6 +88,12 @@
 	pool->used_memory_mib = load->used_memory_mib;
 	pool->waiting_memory_mib_ms = load->waiting_memory_mib_ms;
 	pool->long_running_waiting = load->lasting_waiting;
+	pool->long_running_waiting_cpu_millis =
+	    load->lasting_waiting_cpu_millis;
+	pool->long_running_waiting_memory_mib =
+	    load->lasting_waiting_memory_mib;
+	pool->long_running_used_cpu_millis = load->lasting_used_cpu_millis;
+	pool->blocked_jobs = load->blocked_jobs;
 	replace_names(pool->idle, load->idle_instances, load->n_idle_instances);
 	replace_names(pool->long_running_hosts, load->lasting_instances,
 	    load->n_lasting_instances);
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -135,7 +135,10 @@
 	uint64_t cpu_ms; /* core milliseconds: CPU times estimated run time */
 	uint64_t cpu_millis;
 	uint64_t memory_mib_ms;
-	uint64_t long_running; /* number of long-running tasks */
+	/* Long-running tasks, which the above leave out, and what they take. */
+	uint64_t long_running;
+	uint64_t long_running_cpu_millis;
+	uint64_t long_running_memory_mib;
 } sched_ready_t;
 
 struct sched_job {
@@ -161,8 +164,10 @@
 	bool started;  /* a task has started */
 	bool long_running;
 	uint32_t placed; /* number of tasks that are placed on an instance */
-	GArray *acks;	 /* sched_ack_t */
-	GArray *waiters; /* sched_waiter_t */
+	/* Since when a ready task fits on no instance; 0: none. */
+	uint64_t blocked_since_us;
+	GArray *acks;		   /* sched_ack_t */
+	GArray *waiters;	   /* sched_waiter_t */
 	uint32_t critical_path_ms; /* estimate of the longest chain of steps */
 	/*
 	 * Set by sched_job_update_rank(). Within a class the lowest rank is
@@ -293,6 +298,7 @@
 void sched_instance_free(gpointer);
 bool sched_instance_is_usable(const sched_instance_t *, uint64_t now_us);
 bool sched_instance_hosts_long_running(const sched_instance_t *);
+uint64_t sched_instance_long_running_cpu_millis(const sched_instance_t *);
 void sched_instance_assign(sched_instance_t *, sched_task_t *);
 void sched_instance_release(sched_task_t *);
 uint64_t sched_instance_clock_ms(const sched_instance_t *, uint64_t now_us);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -68,6 +68,25 @@
 	return false;
 }
 
+/*
+ * Returns the CPU of the long-running tasks that are placed on the instance.
+ */
+uint64_t
+sched_instance_long_running_cpu_millis(const sched_instance_t *instance)
+{
+	uint64_t cpu_millis = 0;
+
+	for (guint i = 0; i < instance->tasks->len; i++) {
+		const sched_task_t *task = instance->tasks->pdata[i];
+
+		if (task->job->spec != NULL &&
+		    sched_task_step_spec(task)->lasting)
+			cpu_millis +=
+			    sched_step_cpu_millis(sched_task_step_spec(task));
+	}
+	return cpu_millis;
+}
+
 /*
  * Places the task on the instance and reserves its room.
  */
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -210,22 +210,30 @@
 }
 
 /*
- * Estimates the work of count tasks of a step, in core milliseconds.
+ * Estimates the work of count tasks of a step, in core milliseconds. That of
+ * long-running tasks is not known, and counts as 0.
  */
 uint64_t
 sched_step_work_cpu_ms(const Gw__JobStep *step, uint64_t count)
 {
+	if (step->lasting)
+		return 0;
 	return count * sched_step_cpu_millis(step) * step->estimate_ms / 1000;
 }
 
 static void
 add_ready(sched_ready_t *ready, const Gw__JobStep *step, uint64_t waiting)
 {
+	if (step->lasting) {
+		ready->long_running += waiting;
+		ready->long_running_cpu_millis +=
+		    waiting * sched_step_cpu_millis(step);
+		ready->long_running_memory_mib += waiting * step->memory_mib;
+		return;
+	}
 	ready->cpu_ms += sched_step_work_cpu_ms(step, waiting);
 	ready->cpu_millis += waiting * sched_step_cpu_millis(step);
 	ready->memory_mib_ms += waiting * step->memory_mib * step->estimate_ms;
-	if (step->lasting)
-		ready->long_running += waiting;
 }
 
 /*
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -215,6 +215,7 @@
 	sched_task_step_state(task)->waiting--;
 	task->state = SCHED_TASK_RESERVED;
 	task->run = run;
+	task->job->blocked_since_us = 0;
 	sched_send_reserved(pool, task);
 	if (tickets != NULL)
 		task->ticket = g_strdup(g_hash_table_lookup(
@@ -256,6 +257,13 @@
 	return false;
 }
 
+static void
+mark_blocked(sched_job_t *job, uint64_t now_us)
+{
+	if (job->blocked_since_us == 0)
+		job->blocked_since_us = now_us;
+}
+
 static void
 place_tasks(sched_pool_t *pool, sched_occurrence_t *occurrence,
     const sched_step_t *step, uint32_t count, uint64_t now_us)
@@ -269,6 +277,7 @@
 			continue;
 		instance = sched_place_find_instance(pool, task, now_us);
 		if (instance == NULL) {
+			mark_blocked(task->job, now_us);
 			if (sched_task_step_spec(task)->lasting)
 				withhold_instance(pool, task, now_us);
 			return;
@@ -374,7 +383,8 @@
 		if (reserve_gang(
 			pool, occurrence, step, spec->count, rack, now_us))
 			return;
-	(void)reserve_gang(pool, occurrence, step, spec->count, NULL, now_us);
+	if (!reserve_gang(pool, occurrence, step, spec->count, NULL, now_us))
+		mark_blocked(occurrence->tasks[step->first_task].job, now_us);
 }
 
 static void
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3687,7 +3687,7 @@
   (ProtobufCMessageInit) gw__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[16] =
 {
   {
     "instances",
@@ -3833,15 +3833,67 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lasting_waiting_cpu_millis",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolLoad, lasting_waiting_cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lasting_waiting_memory_mib",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolLoad, lasting_waiting_memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lasting_used_cpu_millis",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolLoad, lasting_used_cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blocked_jobs",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PoolLoad, blocked_jobs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__pool_load__field_indices_by_name[] = {
+  15,   /* field[15] = blocked_jobs */
   1,   /* field[1] = capacity_cpu_millis */
   5,   /* field[5] = capacity_memory_mib */
   11,   /* field[11] = demand_cpu_ms */
   4,   /* field[4] = idle_instances */
   0,   /* field[0] = instances */
   9,   /* field[9] = lasting_instances */
+  14,   /* field[14] = lasting_used_cpu_millis */
   8,   /* field[8] = lasting_waiting */
+  12,   /* field[12] = lasting_waiting_cpu_millis */
+  13,   /* field[13] = lasting_waiting_memory_mib */
   2,   /* field[2] = used_cpu_millis */
   6,   /* field[6] = used_memory_mib */
   10,   /* field[10] = waiting_cpu_millis */
@@ -3851,7 +3903,7 @@
 static const ProtobufCIntRange gw__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gw__pool_load__descriptor =
 {
@@ -3861,7 +3913,7 @@
   "Gw__PoolLoad",
   "gw",
   sizeof(Gw__PoolLoad),
-  12,
+  16,
   gw__pool_load__field_descriptors,
   gw__pool_load__field_indices_by_name,
   1,  gw__pool_load__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -589,7 +589,8 @@
   uint64_t used_cpu_millis;
   /*
    * Work of the ready tasks, whose earlier steps are done: processors times
-   * estimated duration, in core milliseconds.
+   * estimated duration, in core milliseconds. Long-running tasks, whose duration
+   * is not known, are left out here and in the fields with "waiting" below.
    */
   uint64_t waiting_cpu_ms;
   size_t n_idle_instances;
@@ -601,9 +602,20 @@
    */
   uint64_t waiting_memory_mib_ms;
   /*
-   * Number of ready tasks that are long-running.
+   * Number of ready tasks that are long-running, and what they take.
    */
   uint32_t lasting_waiting;
+  uint64_t lasting_waiting_cpu_millis;
+  uint64_t lasting_waiting_memory_mib;
+  /*
+   * Processors of the long-running tasks that are placed.
+   */
+  uint64_t lasting_used_cpu_millis;
+  /*
+   * Number of jobs with a ready task that has not fitted on any instance for a
+   * while.
+   */
+  uint32_t blocked_jobs;
   /*
    * Instances with long-running tasks, which do not become idle by themselves.
    */
@@ -615,13 +627,13 @@
   uint64_t waiting_cpu_millis;
   /*
    * Estimated work of all tasks placed and all jobs refused since the owner
-   * loaded the pool, in core milliseconds.
+   * loaded the pool, in core milliseconds. Long-running tasks are left out.
    */
   uint64_t demand_cpu_ms;
 };
 #define GW__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__pool_load__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/regress/sched/fleet.sh
+++ b/regress/sched/fleet.sh
@@ -176,3 +176,42 @@
 advance 100
 EOT
 done | sed 's/move m[0-9]* /move /' | uniq -c | sed 's/^ *//'
+
+# Guards against a pool that takes all machines on standby for a few long-running
+# tasks, and against one that lacks room for them in a surge: their CPU is needed
+# beside that for the work that arrives.
+play_fleet "long-running tasks get the machines that their CPU takes" <<'EOT'
+fleet lend
+pool p
+pool s standby
+list m1:p:i1:up m2:p:i2:up m3:s::up m4:s::up m5:s::up m6:s::up m7:s::up
+load p instances=2 used=20000 lasting_used=20000
+advance 200
+load p instances=2 used=20000 lasting_used=20000 lasting=10 lasting_cpu=24000
+advance 100
+EOT
+
+# Guards against a task that never runs although most of the pool is free: no
+# instance is empty enough for it.
+play_fleet "a fragmented pool gets one machine more" <<'EOT'
+fleet lend
+pool p
+pool s standby
+list m1:p:i1:up m2:p:i2:up m3:p:i3:up m4:s::up m5:s::up
+load p instances=3 used=12000 blocked=1
+advance 200
+load p instances=3 used=12000 blocked=1
+advance 200
+EOT
+
+# A full pool is not fragmented: the waiting work says how much it needs.
+play_fleet "a full pool gets the machines for its work" <<'EOT'
+fleet lend
+pool p
+pool s standby
+list m1:p:i1:up m2:p:i2:up m3:p:i3:up m4:s::up m5:s::up
+load p instances=2 used=31000 blocked=3
+advance 200
+load p instances=2 used=31000 blocked=3
+advance 200
+EOT
--- a/regress/sched/fleetplay.c
+++ b/regress/sched/fleetplay.c
@@ -154,10 +154,13 @@
 }
 
 /*
- * load POOL instances= used= waiting= waiting_cpu= placed= lasting= IDLE...
- * host:INSTANCE...: the owner's load report. waiting and placed are work in
- * core milliseconds, lasting is the number of long-running tasks without room,
- * IDLE are idle instances, and INSTANCE are those that run long-running tasks.
+ * load POOL instances= used= waiting= waiting_cpu= placed= lasting=
+ * lasting_cpu= lasting_used= blocked= IDLE... host:INSTANCE...: the owner's
+ * load report. waiting and placed are work in core milliseconds, lasting is the
+ * number of long-running tasks without room, lasting_cpu and lasting_used are
+ * the CPU of these and of those with room, blocked is the number of jobs with a
+ * task that fits nowhere, IDLE are idle instances, and INSTANCE are those that
+ * run long-running tasks.
  */
 static void
 do_load(void)
@@ -174,6 +177,9 @@
 	    lookup_number("waiting_cpu", load.waiting_cpu_ms);
 	load.demand_cpu_ms = lookup_number("placed", 0);
 	load.lasting_waiting = (uint32_t)lookup_number("lasting", 0);
+	load.lasting_waiting_cpu_millis = lookup_number("lasting_cpu", 0);
+	load.lasting_used_cpu_millis = lookup_number("lasting_used", 0);
+	load.blocked_jobs = (uint32_t)lookup_number("blocked", 0);
 	for (int i = 2; i < word_count; i++)
 		if (g_str_has_prefix(words[i], "host:"))
 			hosts[load.n_lasting_instances++] =
--- a/regress/sched/lasting.sh
+++ b/regress/sched/lasting.sh
@@ -91,3 +91,34 @@
 report i2 clock=1500 run:j1.0.0.1:1:100
 advance 150
 EOT
+
+# Guards against a pool that takes all machines on standby for one long-running
+# job: its estimate, here 30 s, says how long it runs, not how much work there is.
+play "long-running tasks are CPU that is used, not work that arrives" two <<'EOT'
+submit j1 6:2400:30000:lasting
+tick
+load
+commit
+load
+EOT
+
+# Guards against a task that needs most of an instance and never gets one,
+# because long-running tasks are on all of them: the planner is told.
+play "a task that fits nowhere for a while is reported as blocked" two <<'EOT'
+submit j1 2:1000:30000:lasting:apart
+commit
+report i1 clock=100 run:j1.0.0.0:1:100
+report i2 clock=100 run:j1.0.0.1:1:100
+submit j2 1:3500:500
+commit
+advance 300
+load
+advance 400
+load
+# It fits on the next instance.
+instance i3
+tick
+report i3 clock=800
+tick
+load
+EOT
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -404,6 +404,24 @@
 		: names[response.state]);
 }
 
+/* load: what the owner reports to the planner */
+static void
+do_load(void)
+{
+	Gw__PoolLoad load;
+
+	sched_pool_get_load(pool, &load);
+	printf("%6" PRIu64 " load used=%" PRIu64 " waiting=%" PRIu64
+	       " demand=%" PRIu64 " lasting=%u lasting_cpu=%" PRIu64
+	       " lasting_used=%" PRIu64 " blocked=%u\n",
+	    now_ms(), load.used_cpu_millis, load.waiting_cpu_ms,
+	    load.demand_cpu_ms, load.lasting_waiting,
+	    load.lasting_waiting_cpu_millis, load.lasting_used_cpu_millis,
+	    load.blocked_jobs);
+	g_free(load.idle_instances);
+	g_free(load.lasting_instances);
+}
+
 static void
 do_pending(void)
 {
@@ -618,6 +636,7 @@
     {"cancel", 2, do_cancel},
     {"state", 2, do_state},
     {"pending", 1, do_pending},
+    {"load", 1, do_load},
     {"advance", 2, do_advance},
     {"jump", 2, do_jump},
     {"lease", 2, do_lease},
