Drain only on reports that show what the previous owner stopped

A previous owner told two tasks to stop; the instance carried the stops out late and did not respond. The next owner had a report from before that, waited 1.4 s after its takeover, counted both tasks as available and stopped two more of the step, one more than its max_unavailable. Change: a task counts as available only while its instance's last report is less than 1.5 s old and came after the previous owner's stops must have shown.

--- a/lib/sched/evacuate.c
+++ b/lib/sched/evacuate.c
@@ -3,11 +3,35 @@
 /* A long-running task is available when it reports this percentage. */
 #define AVAILABLE_PERCENT 100
 
+/*
+ * An instance reports at least this often while it responds; a task on one that
+ * has been silent for longer may have ended.
+ */
+#define REPORT_AGE_MAX_US (1500 * GW_US_PER_MS)
+/* A report may be this old when it is received. */
+#define REPORT_DELAY_US (250 * GW_US_PER_MS)
+
+/*
+ * Returns whether the instance's last report can be relied on. It cannot if it
+ * is old, or if it may still list runs that a previous owner told to stop.
+ */
+static bool
+is_report_current(const sched_instance_t *instance, uint64_t now_us)
+{
+	const sched_pool_t *pool = instance->pool;
+
+	return !instance->unreachable &&
+	    gw_elapsed_us(now_us, instance->report_us) < REPORT_AGE_MAX_US &&
+	    gw_elapsed_us(instance->report_us, pool->loaded_us) >=
+	    pool->bounds.stop_grace_ms * GW_US_PER_MS + REPORT_DELAY_US;
+}
+
 static bool
-is_available(const sched_task_t *task)
+is_available(const sched_task_t *task, uint64_t now_us)
 {
 	return task->state == SCHED_TASK_RUNNING &&
-	    !task->instance->unreachable && task->percent == AVAILABLE_PERCENT;
+	    is_report_current(task->instance, now_us) &&
+	    task->percent == AVAILABLE_PERCENT;
 }
 
 /*
@@ -17,7 +41,7 @@
  * report.
  */
 static bool
-may_become_unavailable(const sched_task_t *task)
+may_become_unavailable(const sched_task_t *task, uint64_t now_us)
 {
 	const Gw__JobStep *step = sched_task_step_spec(task);
 	const sched_occurrence_t *occurrence =
@@ -31,7 +55,7 @@
 		    &occurrence
 			 ->tasks[occurrence->steps[task->step].first_task + i];
 
-		unavailable += other != task && !is_available(other);
+		unavailable += other != task && !is_available(other, now_us);
 	}
 	return unavailable < step->max_unavailable;
 }
@@ -89,7 +113,7 @@
 			? should_stop_now(task, left_ms, now_us)
 			: (sched_task_step_spec(task)->lasting ||
 			      sched_task_step_spec(task)->checkpoints) &&
-			    may_become_unavailable(task))
+			    may_become_unavailable(task, now_us))
 			sched_task_stop(task);
 	}
 }
--- a/regress/sched/lasting.sh
+++ b/regress/sched/lasting.sh
@@ -92,6 +92,42 @@
 advance 150
 EOT
 
+# Guards against a new owner that relies on a report from before its instance
+# carried out the previous owner's stop: i1 is silent since, and its task may have
+# ended. The task on i2 is stopped once i1 has reported again.
+play "a new owner drains nothing on the word of an old report" two <<'EOT'
+submit j1 2:1000:0:lasting:keep:apart
+commit
+takeover previous-gone
+instance i1
+instance i2 dc=dc-b
+tick
+report i1 clock=200 run:j1.0.0.0:1:100
+report i2 clock=200 run:j1.0.0.1:1:100
+drain i2 5000
+advance 1300
+report i2 clock=1500 run:j1.0.0.1:1:100
+advance 200
+report i1 clock=1700 run:j1.0.0.0:1:100
+advance 5
+EOT
+
+# Guards against a drain that counts a task as available although its instance
+# has been silent for some time.
+play "a task on a silent instance does not count as available" two <<'EOT'
+submit j1 2:1000:0:lasting:keep:apart
+commit
+advance 1400
+report i1 clock=1500 run:j1.0.0.0:1:100
+report i2 clock=1500 run:j1.0.0.1:1:100
+advance 1600
+report i2 clock=3100 run:j1.0.0.1:1:100
+drain i2 5000
+advance 5
+report i1 clock=3110 run:j1.0.0.0:1:100
+advance 5
+EOT
+
 # Guards against a pool that takes all machines on standby for one long-running
 # job: its estimate, here 30 s, says how long it runs, not how much work there is.
 play "long-running tasks are CPU that is used, not work that arrives" two <<'EOT'
