Hold a start back while its instance has two in flight

Starts waited in agents.c for one of two connections to their instance. Owner and instance had lost contact; the queued starts went on being sent, seconds late, one ran and ended after the last report; the owner counted the run as expired and started the task elsewhere, and queued starts of the old run were sent even after that. The collapse is mended by the window; the queue behind it was still possible. Change: the scheduler counts what is in flight to each instance and holds a third start back, where it is taken back when the instance becomes unreachable, leaves or is drained. Test: sched/window.sh, 'a start does not outlive the lease of its instance'.

--- a/gwentryd/agents.c
+++ b/gwentryd/agents.c
@@ -11,8 +11,6 @@
  * the time for the response to a start.
  */
 #define RENEWAL_MARGIN_MS 150
-/* Starts and stops in flight to one instance; each takes a connection. */
-#define REQUESTS_PER_INSTANCE_MAX 2
 
 /* The connections to one instance, and the requests queued for it. */
 typedef struct {
@@ -22,7 +20,7 @@
 	char *headers; /* with the id of the instance */
 	gw_httpc_t *http;
 	GQueue queue;		     /* run_request_t, not sent yet */
-	uint32_t requests_in_flight; /* at most REQUESTS_PER_INSTANCE_MAX */
+	uint32_t requests_in_flight; /* at most SCHED_WINDOW_PER_INSTANCE */
 	gw_httpc_call_t *renewal;    /* renewal in flight, or NULL */
 	uint64_t renewal_sent_us;    /* of the last renewal */
 } agent_t;
@@ -288,7 +286,7 @@
 	agents_t *agents = agent->agents;
 
 	while (agent->queue.length > 0 &&
-	    agent->requests_in_flight < REQUESTS_PER_INSTANCE_MAX) {
+	    agent->requests_in_flight < SCHED_WINDOW_PER_INSTANCE) {
 		run_request_t *request = g_queue_pop_head(&agent->queue);
 
 		if (request->kind == RUN_REQUEST_STOP ||
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -196,10 +196,11 @@
 	uint64_t ack_number;  /* ends up to this number are in the store */
 	/* Numbers of the ends that are in the store, beyond a gap. */
 	GHashTable *recorded_ends;
-	GPtrArray *tasks;	 /* tasks placed on it (sched_task_t) */
-	sched_resources_t used;	 /* by the tasks placed on it */
-	uint64_t avoid_until_us; /* no starts until then, after failures */
-	uint64_t drain_until_us; /* no starts until then, for maintenance */
+	GPtrArray *tasks;	     /* tasks placed on it (sched_task_t) */
+	uint32_t requests_in_flight; /* starts and stops without a result */
+	sched_resources_t used;	     /* by the tasks placed on it */
+	uint64_t avoid_until_us;     /* no starts until then, after failures */
+	uint64_t drain_until_us;     /* no starts until then, for maintenance */
 	uint32_t consecutive_failures;
 	/* Last round in which it was withheld for one task. */
 	uint64_t withheld_round;
@@ -307,6 +308,7 @@
 void sched_instance_ack(sched_instance_t *, uint64_t number);
 void sched_instance_end_runs(sched_instance_t *, const char *reason);
 void sched_instance_schedule_renewal(sched_instance_t *, uint64_t due_us);
+void sched_instance_request_ended(sched_pool_t *, const char *id);
 void sched_instance_tick(sched_instance_t *, uint64_t now_us);
 
 uint64_t sched_drift_bound_us(uint64_t ms);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -187,6 +187,19 @@
 	    instance, gw_clock_now_us(instance->pool->clock) + GW_US_PER_S);
 }
 
+/*
+ * Counts the result of a start or stop.
+ */
+void
+sched_instance_request_ended(sched_pool_t *pool, const char *id)
+{
+	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
+
+	if (instance != NULL)
+		instance->requests_in_flight -=
+		    MIN(instance->requests_in_flight, 1);
+}
+
 /*
  * Schedules a renewal at due_us, unless one is due earlier.
  */
@@ -273,10 +286,12 @@
 		    info->born_ms, info->leaving, info->leaves_in_ms,
 		    info->capacity.cpu_millis);
 	/* Calls to the previous address are cancelled without a result. */
-	if (strcmp(info->address, instance->info.address) != 0)
+	if (strcmp(info->address, instance->info.address) != 0) {
+		instance->requests_in_flight = 0;
 		for (guint i = 0; i < instance->tasks->len; i++)
 			((sched_task_t *)instance->tasks->pdata[i])
 			    ->requests_in_flight = 0;
+	}
 	g_strfreev(instance->info.labels);
 	instance->info = *info;
 	instance->info.labels = g_strdupv(info->labels);
--- a/lib/sched/report.c
+++ b/lib/sched/report.c
@@ -65,6 +65,7 @@
 		    "job=%s task=%u.%u.%u run=%u instance=%s reason=unknown",
 		    row->ref.job, row->ref.occurrence, row->ref.step,
 		    row->ref.index, row->run, instance->info.id);
+		instance->requests_in_flight++;
 		pool->ops->stop(instance->info.id, instance->info.address,
 		    &row->ref, row->run, pool->arg);
 		return;
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -84,6 +84,7 @@
 	    (gw_elapsed_us(now_us, instance->report_us)) / GW_US_PER_MS);
 	task->starts_sent++;
 	task->requests_in_flight++;
+	instance->requests_in_flight++;
 	task->job->started = true;
 	if (task->job->state == GW__JOB_STATE__JOB_QUEUED)
 		task->job->state = GW__JOB_STATE__JOB_RUNNING;
@@ -117,6 +118,7 @@
 	    sched_job_has_ended(task->job) ? "job-ended" : "moved");
 	task->stops_sent++;
 	task->requests_in_flight++;
+	instance->requests_in_flight++;
 	pool->ops->stop(instance->info.id, instance->info.address, &ref,
 	    task->run, pool->arg);
 	sched_instance_schedule_renewal(
@@ -310,6 +312,7 @@
 	sched_task_t *task = sched_pool_find_task(pool, ref);
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 
+	sched_instance_request_ended(pool, id);
 	if (task == NULL || task->instance == NULL || task->run != run ||
 	    strcmp(task->instance->info.id, id) != 0)
 		return;
@@ -334,6 +337,7 @@
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 	sched_instance_t *instance;
 
+	sched_instance_request_ended(pool, id);
 	if (result == SCHED_RESULT_FENCED) {
 		pool->ops->fenced(id, pool->arg);
 		return;
--- a/lib/sched/send.c
+++ b/lib/sched/send.c
@@ -135,7 +135,8 @@
 
 		if (!may_start(task, now_us))
 			sched_task_requeue(task, "leaves");
-		else if (sched_window_has_room(pool->window))
+		else if (sched_window_has_room_at(
+			     pool->window, task->instance->requests_in_flight))
 			sched_task_send_start(task, now_us);
 	}
 }
@@ -162,10 +163,14 @@
 	    .attempts = is_stop ? task->stops_sent : task->starts_sent,
 	    .in_flight = task->requests_in_flight > 0,
 	    .spread = spread_of(task)};
+	sched_window_t *window;
 
-	if ((!is_start && !is_stop) ||
-	    !sched_window_repeat_due(
-		task->instance->pool->window, &request, now_us))
+	if (!is_start && !is_stop)
+		return;
+	window = task->instance->pool->window;
+	if (!sched_window_has_room_at(
+		window, task->instance->requests_in_flight) ||
+	    !sched_window_repeat_due(window, &request, now_us))
 		return;
 	if (is_stop || task->instance->info.leaving)
 		sched_task_stop(task);
--- a/lib/sched/window.c
+++ b/lib/sched/window.c
@@ -215,6 +215,19 @@
 	return has_room;
 }
 
+/*
+ * A start that waited for a connection to its instance could neither be taken
+ * back nor be checked against the instance's lease.
+ */
+bool
+sched_window_has_room_at(sched_window_t *window, uint32_t in_flight)
+{
+	if (window->policy->is_bounded &&
+	    in_flight >= SCHED_WINDOW_PER_INSTANCE)
+		return false;
+	return sched_window_has_room(window);
+}
+
 bool
 sched_window_may_place(sched_window_t *window, uint64_t unsent_bytes)
 {
--- a/lib/sched/window.h
+++ b/lib/sched/window.h
@@ -14,6 +14,9 @@
  * process has one for all its owners, since they share the link.
  */
 typedef struct sched_window sched_window_t;
+
+/* Starts and stops in flight to one instance; each takes a connection. */
+#define SCHED_WINDOW_PER_INSTANCE 2
 typedef struct sched_window_policy sched_window_policy_t;
 
 /* Baseline: no bound, and fixed time-outs. */
@@ -38,6 +41,8 @@
 
 /* Whether one more start may be sent now. */
 bool sched_window_has_room(sched_window_t *);
+/* The same for an instance that has this many starts and stops in flight. */
+bool sched_window_has_room_at(sched_window_t *, uint32_t in_flight);
 /*
  * Whether more work may be placed while starts of this many bytes wait to be
  * sent.
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -14,8 +14,7 @@
 
 #define WORDS_MAX 40
 #define START_US UINT64_C(1000000000)
-/* Counted in the window for each start and stop. */
-#define REQUEST_BYTES 16384
+#define TWO_IN_WINDOW_BYTES 16384
 #define WALL_START_MS UINT64_C(1800000000000)
 
 static gw_clock_t clock_state;
@@ -24,6 +23,7 @@
 static GHashTable *store; /* "spec/ID" or "record/ID" -> GBytes */
 static sched_batch_t *batch;
 static sched_window_t *window;
+static uint32_t request_bytes; /* counted in the window for each start */
 static char *words[WORDS_MAX];
 static int word_count;
 static const sched_bounds_t bounds = {.hold_max_ms = 6000,
@@ -98,7 +98,7 @@
 {
 	(void)arg;
 	if (window != NULL)
-		sched_window_add(window, REQUEST_BYTES);
+		sched_window_add(window, request_bytes);
 	printf("%6" PRIu64 " start %s", now_ms(), start->instance);
 	print_ref(&start->ref);
 	printf(" run=%u deadline=%" PRIu64 "%s%s%s%s\n", start->run,
@@ -115,7 +115,7 @@
 	(void)address;
 	(void)arg;
 	if (window != NULL)
-		sched_window_add(window, REQUEST_BYTES);
+		sched_window_add(window, request_bytes);
 	printf("%6" PRIu64 " stop %s", now_ms(), instance);
 	print_ref(ref);
 	printf(" run=%u\n", run);
@@ -200,10 +200,12 @@
 	errx(1, "'%s' is not a result", text);
 }
 
-/* window: bounds the starts in flight; room for two at first */
+/* window [BYTES]: bounds the starts in flight; by default to two at first */
 static void
 do_window(void)
 {
+	request_bytes =
+	    word_count > 1 ? (uint32_t)atoi(words[1]) : TWO_IN_WINDOW_BYTES;
 	window = sched_window_new(&sched_window_delay);
 	sched_pool_set_window(pool, window);
 }
@@ -215,7 +217,7 @@
 	uint64_t now_us = gw_clock_now_us(&clock_state);
 
 	if (window != NULL)
-		sched_window_remove(window, REQUEST_BYTES,
+		sched_window_remove(window, request_bytes,
 		    now_us - GW_US_PER_MS, now_us,
 		    result != SCHED_RESULT_NO_RESPONSE);
 }
--- a/regress/sched/window.sh
+++ b/regress/sched/window.sh
@@ -60,6 +60,26 @@
 report i1 clock=2100
 EOT
 
+# Guards against a start that waits for a connection to its instance, and is sent
+# after the task was given up there and started elsewhere: it ran twice. i1 has
+# two starts in flight, so the third waits; it is taken back when the lease of i1
+# has expired.
+play "a start does not outlive the lease of its instance" one <<'EOT'
+window 100
+submit j1 3:1000:500
+commit
+advance 20
+renew-failed i1 none
+started i1 j1.0.0.0 1 none
+started i1 j1.0.0.1 1 none
+instance i2
+tick
+report i2 clock=100
+commit
+advance 4300
+commit
+EOT
+
 # The baseline, which collapses on a slow link.
 play "without a window a start is repeated though it is in flight" two <<'EOT'
 submit j1 1:1000:500
