Forget the queue on the link after a second; remove the unused rate

Cause: the queue seen in the last interval lengthened the pause between renewals until the next start, however long ago that was. The link's rate was measured and not read.

--- a/lib/sched/send.c
+++ b/lib/sched/send.c
@@ -185,6 +185,8 @@
 uint64_t
 sched_renew_delay_us(const sched_pool_t *pool)
 {
-	return SCHED_RENEW_DELAY_US +
-	    MIN(2 * sched_window_queue_us(pool->window), RENEW_DELAY_MAX_US);
+	uint64_t queue_us =
+	    sched_window_queue_us(pool->window, gw_clock_now_us(pool->clock));
+
+	return SCHED_RENEW_DELAY_US + MIN(2 * queue_us, RENEW_DELAY_MAX_US);
 }
--- a/lib/sched/window.c
+++ b/lib/sched/window.c
@@ -25,8 +25,8 @@
 #define QUEUE_MAX_US (80 * GW_US_PER_MS)
 /* The time without a queue is the least of the last one to two periods. */
 #define BASE_PERIOD_US (10 * GW_US_PER_S)
-/* A rate measured longer ago is forgotten. */
-#define RATE_AGE_MAX_US (3 * GW_US_PER_S)
+/* A queue measured longer ago is forgotten. */
+#define QUEUE_AGE_MAX_US GW_US_PER_S
 /* Starts wait for the window for about this many windows at most. */
 #define PLACED_WINDOWS 2
 /* Repeats, as a share of the responses, and how many may come together. */
@@ -52,15 +52,12 @@
 	/* The present interval. */
 	uint64_t since_us;   /* 0: none began */
 	uint64_t fastest_us; /* 0: no response yet */
-	uint64_t answered_bytes;
 	uint32_t timeouts;
 	bool was_full; /* a start had to wait for room */
 	/* The last interval. */
 	uint64_t queue_us;
 	/* Smoothed response time and its deviation, as TCP has them. */
 	uint64_t smoothed_us, deviation_us;
-	uint64_t rate;		/* bytes in a second, while the link bound */
-	uint64_t rate_us;	/* when that was; 0: never */
 	uint32_t repeat_credit; /* RESPONSES_PER_REPEAT for each repeat */
 	uint64_t repeated_us;	/* when the last repeat was allowed */
 };
@@ -148,14 +145,12 @@
 
 /*
  * Ends the interval. The link has a queue if even the fastest response was
- * late, or if there was none at all. Then the window shrinks, and the bytes
- * that got through give the link's rate. Otherwise it grows if it held starts
- * back.
+ * late, or if there was none at all. Then the window shrinks. Otherwise it
+ * grows if it held starts back.
  */
 static void
 end_interval(sched_window_t *window, uint64_t now_us)
 {
-	uint64_t length_us = gw_elapsed_us(now_us, window->since_us);
 	uint64_t queue_us = window->timeouts > 0 ? TIMEOUT_MIN_US : 0;
 
 	if (window->fastest_us != 0)
@@ -164,9 +159,6 @@
 	if (queue_us > QUEUE_MAX_US) {
 		window->window_bytes =
 		    MAX(window->window_bytes * 7 / 10, WINDOW_MIN_BYTES);
-		window->rate =
-		    window->answered_bytes * GW_US_PER_S / MAX(length_us, 1);
-		window->rate_us = now_us;
 	} else if (window->was_full) {
 		window->window_bytes =
 		    MIN(window->window_bytes * 5 / 4, WINDOW_MAX_BYTES);
@@ -174,7 +166,6 @@
 	window->queue_us = queue_us;
 	window->since_us = now_us;
 	window->fastest_us = 0;
-	window->answered_bytes = 0;
 	window->timeouts = 0;
 	window->was_full = false;
 }
@@ -195,7 +186,6 @@
 		update_smoothed(window, took_us);
 		if (window->fastest_us == 0 || took_us < window->fastest_us)
 			window->fastest_us = took_us;
-		window->answered_bytes += size_bytes;
 		window->repeat_credit = MIN(window->repeat_credit + 1,
 		    REPEATS_MAX * RESPONSES_PER_REPEAT);
 	} else {
@@ -248,18 +238,12 @@
 }
 
 uint64_t
-sched_window_queue_us(const sched_window_t *window)
+sched_window_queue_us(const sched_window_t *window, uint64_t now_us)
 {
-	return window->policy->is_bounded ? window->queue_us : 0;
-}
-
-uint64_t
-sched_window_rate(const sched_window_t *window, uint64_t now_us)
-{
-	if (!window->policy->is_bounded || window->rate_us == 0 ||
-	    gw_elapsed_us(now_us, window->rate_us) > RATE_AGE_MAX_US)
+	if (!window->policy->is_bounded ||
+	    gw_elapsed_us(now_us, window->since_us) > QUEUE_AGE_MAX_US)
 		return 0;
-	return window->rate;
+	return window->queue_us;
 }
 
 /*
--- a/lib/sched/window.h
+++ b/lib/sched/window.h
@@ -51,9 +51,7 @@
 /* Time for the response to a start or a stop. */
 uint64_t sched_window_timeout_us(const sched_window_t *);
 /* How long a request waits on the link, beyond the time without a queue. */
-uint64_t sched_window_queue_us(const sched_window_t *);
-/* Bytes that the link carries in a second; 0: it did not bind lately. */
-uint64_t sched_window_rate(const sched_window_t *, uint64_t now_us);
+uint64_t sched_window_queue_us(const sched_window_t *, uint64_t now_us);
 /* A request that has no response so far. */
 typedef struct {
 	uint64_t sent_us;  /* when it was sent last */
