--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -262,8 +262,9 @@
 	sched_window_t *window;	    /* of the process, or own_window */
 	sched_window_t *own_window; /* without a bound */
 	/* Tasks whose run is recorded and whose start waits to be sent. */
-	GPtrArray *unsent;     /* sched_task_t, in SCHED_TASK_RESERVED */
-	uint64_t unsent_bytes; /* starts of all tasks in that state */
+	GPtrArray *unsent;	 /* sched_task_t, in SCHED_TASK_RESERVED */
+	uint64_t unsent_bytes;	 /* starts of all tasks in that state */
+	uint64_t held_logged_us; /* when GW_EV_STARTS_HELD was logged last */
 };
 
 /* job.c */
--- a/lib/sched/send.c
+++ b/lib/sched/send.c
@@ -1,9 +1,11 @@
 #include <string.h>
 
+#include "gw/log.h"
 #include "sched/impl.h"
 
 /* Body of a start, without the payload. */
 #define START_BODY_BYTES 170
+#define HELD_LOG_INTERVAL_US (500 * GW_US_PER_MS)
 /* Most times that the queue on the link lengthens the pause before a renewal.
  */
 #define RENEW_DELAY_MAX_US GW_US_PER_S
@@ -99,6 +101,23 @@
 	return true;
 }
 
+/*
+ * Logs that starts wait for the window.
+ */
+static void
+log_held(sched_pool_t *pool, uint64_t now_us)
+{
+	if (gw_elapsed_us(now_us, pool->held_logged_us) < HELD_LOG_INTERVAL_US)
+		return;
+	pool->held_logged_us = now_us;
+	gw_log(GW_EV_STARTS_HELD,
+	    "pool=%s starts=%u in_flight=%" PRIu64 " window_bytes=%" PRIu64
+	    " queue_ms=%" PRIu64,
+	    pool->name, pool->unsent->len, sched_window_in_flight(pool->window),
+	    sched_window_size(pool->window),
+	    sched_window_queue_us(pool->window, now_us) / GW_US_PER_MS);
+}
+
 static gint
 compare_tasks(gconstpointer a, gconstpointer b)
 {
@@ -139,6 +158,8 @@
 			     pool->window, task->instance->requests_in_flight))
 			sched_task_send_start(task, now_us);
 	}
+	if (pool->unsent->len > 0 && !sched_window_has_room(pool->window))
+		log_held(pool, now_us);
 }
 
 static uint32_t
--- a/lib/sched/window.c
+++ b/lib/sched/window.c
@@ -195,6 +195,18 @@
 		end_interval(window, now_us);
 }
 
+uint64_t
+sched_window_in_flight(const sched_window_t *window)
+{
+	return window->in_flight_bytes;
+}
+
+uint64_t
+sched_window_size(const sched_window_t *window)
+{
+	return window->window_bytes;
+}
+
 bool
 sched_window_has_room(sched_window_t *window)
 {
--- a/lib/sched/window.h
+++ b/lib/sched/window.h
@@ -39,6 +39,9 @@
 void sched_window_remove(sched_window_t *, uint32_t size_bytes,
     uint64_t sent_us, uint64_t now_us, bool answered);
 
+/* Bytes in flight, and how many may be. */
+uint64_t sched_window_in_flight(const sched_window_t *);
+uint64_t sched_window_size(const sched_window_t *);
 /* Whether one more start may be sent now. */
 bool sched_window_has_room(sched_window_t *);
 /* The same for an instance that has this many starts and stops in flight. */
