Send a gang as a whole when the window has room for one of it

Cause: found while reading the change. The window could hold back some members of a gang while the others waited for them on their instances, which give up after gang_timeout_ms. Change: once one member is sent, the others follow. Test: sched/window.sh, 'a gang is sent as a whole'; before, three of four members waited.

--- a/lib/sched/send.c
+++ b/lib/sched/send.c
@@ -101,6 +101,36 @@
 	return true;
 }
 
+/*
+ * Returns whether the start may be sent now. The members of a gang wait for
+ * each other for a limited time only, so that the window holds back all of them
+ * or none: once one is sent, the others follow.
+ */
+static bool
+has_room(const sched_task_t *task)
+{
+	sched_window_t *window = task->instance->pool->window;
+	const sched_occurrence_t *occurrence;
+	uint32_t first;
+
+	if (sched_window_has_room_at(
+		window, task->instance->requests_in_flight))
+		return true;
+	if (!sched_task_step_spec(task)->gang)
+		return false;
+	occurrence = sched_job_find_occurrence(task->job, task->occurrence);
+	first = occurrence->steps[task->step].first_task;
+	for (uint32_t i = 0; i < sched_task_step_spec(task)->count; i++) {
+		const sched_task_t *member = &occurrence->tasks[first + i];
+
+		if (member->run == task->run &&
+		    (member->state == SCHED_TASK_STARTING ||
+			member->state == SCHED_TASK_RUNNING))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Logs that starts wait for the window.
  */
@@ -154,8 +184,7 @@
 
 		if (!may_start(task, now_us))
 			sched_task_requeue(task, "leaves");
-		else if (sched_window_has_room_at(
-			     pool->window, task->instance->requests_in_flight))
+		else if (has_room(task))
 			sched_task_send_start(task, now_us);
 	}
 	if (pool->unsent->len > 0 && !sched_window_has_room(pool->window))
--- a/regress/sched/window.sh
+++ b/regress/sched/window.sh
@@ -60,6 +60,17 @@
 report i1 clock=2100
 EOT
 
+# Guards against a gang of which some members wait for the window, while the
+# others wait for them on their instances and give up.
+play "a gang is sent as a whole" two <<'EOT'
+window
+submit j1 1:1000:500
+submit j2 4:500:500:gang
+commit
+started i1 j1.0.0.0 1 ok
+tick
+EOT
+
 # Guards against a start that waits for a connection to its instance, and is sent
 # after the task was given up there and started elsewhere: it ran twice. i1 has
 # two starts in flight, so the third waits; it is taken back when the lease of i1
