lib/sched/send.c: say what the longest extra pause is

Cause: the comment, read by a newcomer, spoke of times for a duration. Change: a comment only; no code. Measured: the libraries build, clang-format is clean; no other test was run for it.

--- a/lib/sched/send.c
+++ b/lib/sched/send.c
@@ -6,8 +6,7 @@
 /* Body of a start, without the payload. */
 #define START_BODY_BYTES 170
 #define HELD_LOG_INTERVAL_US (500 * GW_US_PER_MS)
-/* Most times that the queue on the link lengthens the pause before a renewal.
- */
+/* Longest extra pause before a renewal while requests wait on the link. */
 #define RENEW_DELAY_MAX_US GW_US_PER_S
 
 void
