Log how old the configuration is by which a request is answered

What on-call could not see: the line of a 404 has the version in force, but neither the path nor the time since the store last confirmed the version, so that a late configuration looks like a missed one. Change: a follower of the store reports until when all changes are known; 8011 REQUEST has config_age_ms, and path where no queue was found; metric gw_entry_config_age_ms. After a poll with changes the follower of the operators' keys polls once without a wait, so that the newest version is known to be that.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -225,6 +225,12 @@
 	enable_claims(entry);
 }
 
+static void
+on_config_current(uint64_t at_us, void *arg)
+{
+	front_set_config_current(((entry_t *)arg)->front, at_us);
+}
+
 static void
 on_instance(const sched_instance_info_t *info, void *arg)
 {
@@ -255,6 +261,7 @@
 }
 
 static const view_ops_t view_ops = {.on_config = on_config,
+    .on_config_current = on_config_current,
     .on_instance = on_instance,
     .on_instance_removed = on_instance_removed,
     .on_wave = on_wave};
@@ -281,6 +288,9 @@
 	    .lease_valid = roles_lease_valid(entry->roles),
 	    .has_config = config != NULL,
 	    .config_version = config == NULL ? 0 : config->version,
+	    .config_age_ms = gw_elapsed_us(gw_rt_now_us(entry->rt),
+				 view_config_current_us(entry->view)) /
+		GW_US_PER_MS,
 	    .shards_owned = owners_count(entry->owners),
 	    .connections = front_connection_count(entry->front)};
 }
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -260,6 +260,12 @@
 	front->requests.config_version = config->version;
 }
 
+void
+front_set_config_current(front_t *front, uint64_t at_us)
+{
+	front->requests.config_current_us = at_us;
+}
+
 void
 front_set_shard_count(front_t *front, uint32_t shard_count)
 {
--- a/gwentryd/front.h
+++ b/gwentryd/front.h
@@ -16,6 +16,8 @@
     gw_rt_t *, dispatch_t *, stats_t *, const gw_addr_t *, gw_err_t *);
 /* Sets the configuration, which must stay valid until the next call. */
 void front_set_config(front_t *, const sched_config_t *);
+/* The configuration was the newest one at at_us. */
+void front_set_config_current(front_t *, uint64_t at_us);
 /* Sets the number of shards of each pool; before, requests are refused. */
 void front_set_shard_count(front_t *, uint32_t shard_count);
 /* Closes the listener; open connections close after their next request. */
--- a/gwentryd/probe.c
+++ b/gwentryd/probe.c
@@ -24,8 +24,12 @@
 	probe_state_t state = probe->read_state(probe->arg);
 	GString *text;
 
-	stats_set_gauges(probe->stats, state.shards_owned, state.connections,
-	    state.config_version, state.lease_valid);
+	stats_set_gauges(probe->stats,
+	    &(stats_gauges_t){.shards_owned = state.shards_owned,
+		.connections = state.connections,
+		.config_version = state.config_version,
+		.config_age_ms = state.config_age_ms,
+		.lease_valid = state.lease_valid});
 	text = stats_text(probe->stats);
 	gw_http_reply(
 	    req, 200, "text/plain; version=0.0.4", text->str, text->len);
--- a/gwentryd/probe.h
+++ b/gwentryd/probe.h
@@ -18,7 +18,9 @@
 	bool lease_valid; /* cannot have expired at the store */
 	bool has_config;
 	uint64_t config_version; /* 0: no configuration yet */
-	uint32_t shards_owned;	 /* without the planner role */
+	/* Since it is known to have been the newest one in the store. */
+	uint64_t config_age_ms;
+	uint32_t shards_owned; /* without the planner role */
 	uint32_t connections;
 } probe_state_t;
 
--- a/gwentryd/request.c
+++ b/gwentryd/request.c
@@ -13,6 +13,8 @@
 #define MS_PER_S 1000
 /* Size of the body of an error. */
 #define ERROR_BODY_BYTES 96
+/* Longest part of a path in the log. */
+#define LOG_PATH_BYTES 60
 
 void
 requests_init(requests_t *requests, gw_rt_t *rt, stats_t *stats, void *front)
@@ -132,8 +134,34 @@
 }
 
 /*
- * Sends the response, logs and counts it. Successful reads are not logged,
- * since callers send many.
+ * Logs the response to a request, with the path where no queue is known.
+ * Successful reads are not logged, since callers send many.
+ */
+static void
+log_response(const request_t *request, int status, const char *reason,
+    uint64_t took_us, uint32_t retry_after_ms)
+{
+	const requests_t *requests = request->requests;
+	const h2o_iovec_t *path = &request->req->path;
+	int path_bytes =
+	    request->queue[0] == '\0' ? (int)MIN(path->len, LOG_PATH_BYTES) : 0;
+
+	if (status == STATUS_OK && request_is_read_only(request))
+		return;
+	gw_log(GW_EV_REQUEST,
+	    "job=%s queue=%s kind=%s status=%d reason=%s took_us=%" PRIu64
+	    " retry_after_ms=%u config=%" PRIu64 " config_age_ms=%" PRIu64
+	    "%s%.*s",
+	    request->id, request->queue, stats_kind_name(request->kind), status,
+	    reason, took_us, retry_after_ms, requests->config_version,
+	    gw_elapsed_us(
+		gw_rt_now_us(requests->rt), requests->config_current_us) /
+		GW_US_PER_MS,
+	    path_bytes == 0 ? "" : " path=", path_bytes, path->base);
+}
+
+/*
+ * Sends the response, logs and counts it.
  */
 void
 request_reply(request_t *request, int status, const char *body,
@@ -146,15 +174,9 @@
 
 	if (req == NULL)
 		return;
-	request_close(request);
 	stats_record_request(requests->stats, request->kind, status, took_us);
-	if (status != STATUS_OK || !request_is_read_only(request))
-		gw_log(GW_EV_REQUEST,
-		    "job=%s queue=%s kind=%s status=%d reason=%s "
-		    "took_us=%" PRIu64 " retry_after_ms=%u config=%" PRIu64,
-		    request->id, request->queue, stats_kind_name(request->kind),
-		    status, reason, took_us, retry_after_ms,
-		    requests->config_version);
+	log_response(request, status, reason, took_us, retry_after_ms);
+	request_close(request);
 	if (status == STATUS_UNAVAILABLE)
 		add_retry_after(req, retry_after_ms);
 	gw_http_reply(req, status, "application/json", body, strlen(body));
--- a/gwentryd/request.h
+++ b/gwentryd/request.h
@@ -20,8 +20,10 @@
 	stats_t *stats;
 	void *front;		 /* front_t, for the handlers in front.c */
 	uint64_t config_version; /* configuration in force, for the log */
-	GQueue open;		 /* request_t, not replied to yet */
-	uint32_t in_memory;	 /* requests that libh2o has not released yet */
+	/* When it is known to have been the newest one; 0: not yet. */
+	uint64_t config_current_us;
+	GQueue open;	    /* request_t, not replied to yet */
+	uint32_t in_memory; /* requests that libh2o has not released yet */
 } requests_t;
 
 /*
--- a/gwentryd/stats.c
+++ b/gwentryd/stats.c
@@ -24,6 +24,7 @@
 	gw_metric_t *shards_owned; /* gw_entry_pools */
 	gw_metric_t *connections;
 	gw_metric_t *config_version;
+	gw_metric_t *config_age_ms;
 	gw_metric_t *lease_valid;
 	gw_metric_t *log_dropped;
 };
@@ -70,6 +71,9 @@
 	    "gw_entry_connections", "", "callers' connections");
 	stats->config_version = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
 	    "gw_entry_config_version", "", "configuration in force");
+	stats->config_age_ms = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
+	    "gw_entry_config_age_ms", "",
+	    "time since the configuration was known to be the newest one");
 	stats->lease_valid = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
 	    "gw_entry_lease_valid", "", "1 while the lease is renewed");
 	stats->log_dropped = gw_metrics_add(stats->registry, GW_METRIC_COUNTER,
@@ -107,13 +111,13 @@
  * Sets the values that are read only when the metrics are scraped.
  */
 void
-stats_set_gauges(stats_t *stats, uint32_t shards_owned, uint32_t connections,
-    uint64_t config_version, bool lease_valid)
+stats_set_gauges(stats_t *stats, const stats_gauges_t *gauges)
 {
-	stats->shards_owned->value = shards_owned;
-	stats->connections->value = connections;
-	stats->config_version->value = config_version;
-	stats->lease_valid->value = lease_valid;
+	stats->shards_owned->value = gauges->shards_owned;
+	stats->connections->value = gauges->connections;
+	stats->config_version->value = gauges->config_version;
+	stats->config_age_ms->value = gauges->config_age_ms;
+	stats->lease_valid->value = gauges->lease_valid;
 	stats->log_dropped->value = gw_log_dropped();
 }
 
--- a/gwentryd/stats.h
+++ b/gwentryd/stats.h
@@ -14,9 +14,15 @@
 /* Counts the response to a caller's request, and its latency. */
 void stats_record_request(
     stats_t *, Gw__CallKind, int status, uint64_t took_us);
+typedef struct {
+	uint32_t shards_owned;
+	uint32_t connections;
+	uint64_t config_version;
+	uint64_t config_age_ms;
+	bool lease_valid;
+} stats_gauges_t;
 /* Sets the gauges; called before stats_text(). */
-void stats_set_gauges(stats_t *, uint32_t shards_owned, uint32_t connections,
-    uint64_t config_version, bool lease_valid);
+void stats_set_gauges(stats_t *, const stats_gauges_t *);
 GString *stats_text(stats_t *);
 
 #endif
--- a/gwentryd/view.c
+++ b/gwentryd/view.c
@@ -19,11 +19,12 @@
 	store_t *store;
 	const view_ops_t *ops;
 	void *arg;
-	store_follow_t *operators; /* keys that the operators write */
-	store_follow_t *registry;  /* NULL until instances are followed */
-	sched_config_t *config;	   /* in force; NULL before the first */
-	GHashTable *instances;	   /* id -> sched_instance_info_t */
-	GPtrArray *waves;	   /* plat_wave_t */
+	store_follow_t *operators;  /* keys that the operators write */
+	store_follow_t *registry;   /* NULL until instances are followed */
+	sched_config_t *config;	    /* in force; NULL before the first */
+	uint64_t config_current_us; /* see view_config_current_us() */
+	GHashTable *instances;	    /* id -> sched_instance_info_t */
+	GPtrArray *waves;	    /* plat_wave_t */
 };
 
 static void
@@ -132,6 +133,15 @@
 	(void)arg;
 }
 
+static void
+on_operators_current(uint64_t at_us, void *arg)
+{
+	view_t *view = arg;
+
+	view->config_current_us = at_us;
+	view->ops->on_config_current(at_us, view->arg);
+}
+
 /* Contact with the store is reported by the roles' follower. */
 static void
 on_contact(const gw_err_t *err, void *arg)
@@ -142,6 +152,7 @@
 
 static const store_follow_ops_t operator_ops = {.on_item = on_operator_item,
     .on_listed = on_listed,
+    .on_current = on_operators_current,
     .on_contact = on_contact};
 static const store_follow_ops_t registry_ops = {.on_item = on_registry_item,
     .on_listed = on_listed,
@@ -189,6 +200,16 @@
 	return view->config;
 }
 
+/*
+ * Returns the latest time at which the configuration in force is known to have
+ * been the newest one in the store; 0: none.
+ */
+uint64_t
+view_config_current_us(const view_t *view)
+{
+	return view->config_current_us;
+}
+
 void
 view_replay_instances(const view_t *view,
     void (*cb)(const sched_instance_info_t *, void *), void *arg)
--- a/gwentryd/view.h
+++ b/gwentryd/view.h
@@ -15,6 +15,8 @@
 
 typedef struct {
 	void (*on_config)(const sched_config_t *, void *arg);
+	/* The configuration in force was the newest one at at_us. */
+	void (*on_config_current)(uint64_t at_us, void *arg);
 	void (*on_instance)(const sched_instance_info_t *, void *arg);
 	void (*on_instance_removed)(const char *id, void *arg);
 	void (*on_wave)(const plat_wave_t *, void *arg);
@@ -27,6 +29,7 @@
 uint32_t view_largest_pool_instances(const view_t *);
 /* Returns the configuration in force; NULL before the first one was read. */
 const sched_config_t *view_config(const view_t *);
+uint64_t view_config_current_us(const view_t *);
 /* Call the function for each known instance or wave, for a new owner. */
 void view_replay_instances(
     const view_t *, void (*)(const sched_instance_info_t *, void *), void *arg);
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -25,6 +25,10 @@
 	uint64_t revision;	/* the next poll reads changes after it */
 	uint32_t backoff_ms;	/* pause after the next failure */
 	uint32_t batch_delay_ms; /* after a poll with changes */
+	uint32_t wait_ms;	 /* of the poll that was sent last */
+	uint64_t sent_us;	 /* when the last call was sent */
+	uint64_t list_sent_us;	 /* when the list's first page was requested */
+	bool was_changed;	 /* the last poll returned changes */
 	gw_timer_t next_timer;	 /* sends the next call */
 	bool call_pending;
 	bool freed; /* by the owner; destroyed when the call ends */
@@ -96,6 +100,13 @@
 	follow->list_revision = 0;
 }
 
+static void
+report_current(store_follow_t *follow, uint64_t at_us)
+{
+	if (follow->ops->on_current != NULL)
+		follow->ops->on_current(at_us, follow->arg);
+}
+
 static void
 end_list(store_follow_t *follow)
 {
@@ -105,6 +116,7 @@
 	g_clear_pointer(&follow->after_key, g_free);
 	follow->revision = follow->list_revision;
 	follow->ops->on_listed(follow->arg);
+	report_current(follow, follow->list_sent_us);
 }
 
 static void
@@ -166,8 +178,10 @@
 	 * Polls start after the first page's revision, so that they return the
 	 * changes made while later pages were read.
 	 */
-	if (follow->list_revision == 0)
+	if (follow->list_revision == 0) {
 		follow->list_revision = page->store_revision;
+		follow->list_sent_us = follow->sent_us;
+	}
 	for (guint i = 0; i < page->items->len; i++) {
 		item = page->items->pdata[i];
 		g_hash_table_add(follow->listed, g_strdup(item->key));
@@ -182,6 +196,23 @@
 	send_next(follow);
 }
 
+/*
+ * Returns a time before which the store made the response to the last poll. The
+ * response may have taken long to arrive. One without changes was made when the
+ * poll had waited, unless the store ended the wait early.
+ */
+static uint64_t
+response_time_us(const store_follow_t *follow)
+{
+	uint64_t now_us = gw_rt_now_us(follow->store->rt);
+	uint64_t waited_us = follow->wait_ms * GW_US_PER_MS;
+
+	if (!follow->was_changed &&
+	    gw_elapsed_us(now_us, follow->sent_us) >= waited_us)
+		return follow->sent_us + waited_us;
+	return follow->sent_us;
+}
+
 static void
 on_events(const store_page_t *page, const gw_err_t *err, void *arg)
 {
@@ -189,9 +220,11 @@
 
 	if (!handle_result(follow, err))
 		return;
+	follow->was_changed = page->items->len > 0;
 	for (guint i = 0; i < page->items->len; i++)
 		report_item(follow, page->items->pdata[i]);
 	follow->revision = MAX(follow->revision, page->store_revision);
+	report_current(follow, response_time_us(follow));
 	if (page->items->len == 0 || follow->batch_delay_ms == 0)
 		send_next(follow);
 	else
@@ -200,18 +233,33 @@
 		    follow);
 }
 
+/*
+ * Sends a poll. After one with changes it does not wait for others where the
+ * owner needs to know that the changes reported are the last ones.
+ */
+static void
+poll(store_follow_t *follow)
+{
+	follow->wait_ms = follow->ops->on_current != NULL && follow->was_changed
+	    ? 0
+	    : POLL_WAIT_MS;
+	follow->was_changed = false;
+	store_poll(follow->store, follow->prefix, follow->revision,
+	    follow->wait_ms, on_events, follow);
+}
+
 static void
 send_next(store_follow_t *follow)
 {
 	if (follow->freed || follow->call_pending)
 		return;
 	follow->call_pending = true;
+	follow->sent_us = gw_rt_now_us(follow->store->rt);
 	if (follow->listed != NULL)
 		store_range(follow->store, follow->prefix, follow->after_key,
 		    on_page, follow);
 	else
-		store_poll(follow->store, follow->prefix, follow->revision,
-		    POLL_WAIT_MS, on_events, follow);
+		poll(follow);
 }
 
 /*
--- a/lib/store/follow.h
+++ b/lib/store/follow.h
@@ -18,6 +18,11 @@
 	void (*on_item)(const store_item_t *, void *arg);
 	/* All keys of a list have been reported. */
 	void (*on_listed)(void *arg);
+	/*
+	 * All changes until at_us, a reading of the runtime's clock, have been
+	 * reported. NULL: the owner of the follower does not need to know.
+	 */
+	void (*on_current)(uint64_t at_us, void *arg);
 	/* The store responded (err NULL), or a call failed. */
 	void (*on_contact)(const gw_err_t *, void *arg);
 } store_follow_ops_t;
