Say 404 only by a configuration that the store has confirmed

Cause: a process whose polls of the store are late or fail, as on a congested link of 10 Mbit/s, went on saying that a queue does not exist, whatever the age of what it knew. Class: a statement that depends on a fact whose age nothing bounds. Change: a queue that the configuration lacks is absent only if that configuration was the newest one within config_apply_ms (sched_config_is_current()); else 503 with Retry-After.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -322,8 +322,8 @@
 	    dispatch_new(rt, entry->roles, &peer, on_call, entry, err);
 	if (entry->dispatch == NULL)
 		goto fail;
-	entry->front = front_new(
-	    rt, entry->dispatch, entry->stats, &settings->callers, err);
+	entry->front =
+	    front_new(rt, entry->dispatch, entry->stats, settings, err);
 	if (entry->front == NULL)
 		goto fail;
 	entry->view = view_new(rt, entry->store, &view_ops, entry);
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -30,6 +30,7 @@
 	const sched_config_t *config;
 	uint32_t shard_count; /* shards of each pool; 0: not known yet */
 	requests_t requests;
+	uint32_t config_apply_ms;
 	bool closing; /* every new request is refused */
 };
 
@@ -186,6 +187,23 @@
 	return true;
 }
 
+/*
+ * Replies that there is no such queue, or with 503 while a configuration that
+ * has it may be in force elsewhere.
+ */
+static void
+reply_no_queue(request_t *request)
+{
+	const front_t *front = request->requests->front;
+
+	if (sched_config_is_current(request->requests->config_current_us,
+		gw_rt_now_us(request->requests->rt), front->config_apply_ms))
+		reply_error(request, STATUS_NOT_FOUND, "no-such-queue");
+	else
+		reply_error(
+		    request, STATUS_UNAVAILABLE, "configuration-not-current");
+}
+
 static int
 on_request(h2o_req_t *req, void *arg)
 {
@@ -209,7 +227,7 @@
 	queue = sched_config_find_queue(front->config, req->authority.base,
 	    req->authority.len, req->path.base, path_bytes);
 	if (queue == NULL) {
-		reply_error(request, STATUS_NOT_FOUND, "no-such-queue");
+		reply_no_queue(request);
 		return 0;
 	}
 	g_strlcpy(request->queue, queue->name, sizeof(request->queue));
@@ -234,16 +252,17 @@
  */
 front_t *
 front_new(gw_rt_t *rt, dispatch_t *dispatch, stats_t *stats,
-    const gw_addr_t *listen, gw_err_t *err)
+    const plat_settings_t *settings, gw_err_t *err)
 {
 	const gw_httpd_limits_t limits = {
 	    BODY_MAX_BYTES, IDLE_TIMEOUT_MS, CONNECTIONS_MAX};
 	front_t *front = g_new0(front_t, 1);
 
 	front->dispatch = dispatch;
+	front->config_apply_ms = settings->config_apply_ms;
 	requests_init(&front->requests, rt, stats, front);
 	front->httpd = gw_httpd_new(rt, &limits, on_request, front);
-	if (gw_httpd_listen(front->httpd, listen, NULL, err) == 0)
+	if (gw_httpd_listen(front->httpd, &settings->callers, NULL, err) == 0)
 		return front;
 	gw_httpd_free(front->httpd);
 	g_free(front);
--- a/gwentryd/front.h
+++ b/gwentryd/front.h
@@ -3,6 +3,7 @@
 
 #include "dispatch.h"
 #include "gw/runtime.h"
+#include "platform/settings.h"
 #include "sched/config.h"
 #include "stats.h"
 
@@ -13,7 +14,7 @@
 typedef struct front front_t;
 
 front_t *front_new(
-    gw_rt_t *, dispatch_t *, stats_t *, const gw_addr_t *, gw_err_t *);
+    gw_rt_t *, dispatch_t *, stats_t *, const plat_settings_t *, gw_err_t *);
 /* Sets the configuration, which must stay valid until the next call. */
 void front_set_config(front_t *, const sched_config_t *);
 /* The configuration was the newest one at at_us. */
--- a/lib/sched/config.c
+++ b/lib/sched/config.c
@@ -68,3 +68,10 @@
 	}
 	return best;
 }
+
+bool
+sched_config_is_current(uint64_t current_us, uint64_t now_us, uint32_t apply_ms)
+{
+	return current_us != 0 &&
+	    gw_elapsed_us(now_us, current_us) <= apply_ms * GW_US_PER_MS;
+}
--- a/lib/sched/config.h
+++ b/lib/sched/config.h
@@ -54,5 +54,12 @@
 void sched_config_free(sched_config_t *);
 const sched_queue_t *sched_config_find_queue(const sched_config_t *,
     const char *host, size_t host_bytes, const char *path, size_t path_bytes);
+/*
+ * Returns whether a queue that the configuration lacks can be said not to
+ * exist. The configuration was the newest one at current_us (0: never known);
+ * a newer one may be in force apply_ms after it was written.
+ */
+bool sched_config_is_current(
+    uint64_t current_us, uint64_t now_us, uint32_t apply_ms);
 
 #endif
