Log how long a requeued run was on its instance, and beside how many others

What on-call could not see: which of the runs on an instance that ended had just been started, so that a task that ends its instance looks like those beside it. Change: 7006 RUN_REQUEUED has starts, begun_ms and with. Measured: regress/run sched passed.

--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -83,6 +83,7 @@
 	uint64_t sent_us;	   /* when the last start or stop was sent */
 	/* When the run was last known to be on the instance; 0: never. */
 	uint64_t confirmed_us;
+	uint64_t begun_us;	/* when the run was first known there; 0: not */
 	uint64_t not_before_us; /* earliest time of the next run */
 	uint32_t percent;	/* progress, from the last report */
 	/* Instance on which the last run failed; empty: none. */
--- a/lib/sched/report.c
+++ b/lib/sched/report.c
@@ -77,6 +77,8 @@
 	}
 	task->refused_as_stale = false;
 	task->confirmed_us = MAX(task->confirmed_us, sent_us);
+	if (task->begun_us == 0)
+		task->begun_us = now_us;
 	task->percent = row->percent;
 	if (row->checkpoint != NULL && row->checkpoint[0] != '\0' &&
 	    g_strcmp0(task->checkpoint, row->checkpoint) != 0) {
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -30,11 +30,17 @@
 sched_task_requeue(sched_task_t *task, const char *reason)
 {
 	sched_pool_t *pool = pool_of(task);
+	uint64_t now_us = gw_clock_now_us(pool->clock);
 
 	gw_log(GW_EV_RUN_REQUEUED,
-	    "job=%s task=%u.%u.%u run=%u instance=%s reason=%s", task->job->id,
-	    task->occurrence, task->step, task->index, task->run,
-	    task->instance->info.id, reason);
+	    "job=%s task=%u.%u.%u run=%u instance=%s reason=%s starts=%u "
+	    "begun_ms=%" PRIu64 " with=%u",
+	    task->job->id, task->occurrence, task->step, task->index, task->run,
+	    task->instance->info.id, reason, task->starts_sent,
+	    task->begun_us == 0
+		? 0
+		: gw_elapsed_us(now_us, task->begun_us) / GW_US_PER_MS,
+	    task->instance->tasks->len - 1);
 	sched_instance_release(task);
 	task->state = SCHED_TASK_WAITING;
 	task->refused_as_stale = false;
@@ -43,6 +49,7 @@
 	task->requests_in_flight = 0;
 	task->stop_answered_us = 0;
 	task->percent = 0;
+	task->begun_us = 0;
 	g_clear_pointer(&task->ticket, g_free);
 	sched_task_step_state(task)->waiting++;
 	if (!sched_job_has_ended(task->job))
@@ -352,6 +359,8 @@
 	if (result == SCHED_RESULT_OK) {
 		task->state = SCHED_TASK_RUNNING;
 		task->confirmed_us = now_us;
+		if (task->begun_us == 0)
+			task->begun_us = now_us;
 		sched_instance_schedule_renewal(
 		    instance, now_us + sched_renew_delay_us(pool));
 	} else if (result == SCHED_RESULT_REPLACED) {
