Give up a task that crashes each instance that starts it

Cause: a run that is lost with its instance is requeued without being counted; only ends failed count against a limit. Class: a retry without a bound, where the harm is done to others. Change (lib/sched/crash.c): when an instance ends, the runs there that have not lasted 250 ms are suspected, since only a start can have been the cause. The next run of a suspect is a trial: it starts where nothing else has just begun, nothing else is started beside it until it has lasted, and it takes the emptiest instance. A run that lasts clears its task. After three crashes, two of them with no other possible cause, the job fails. The counts are in the job's record. Orders to machines and drains are not crashes. At most a quarter of the usable instances hosts trials at a time. Why it works: the neighbours of a crash are cleared by one trial each, so that what is given up has ended two instances on which nothing else had begun.

--- /dev/null
+++ b/lib/sched/crash.c
@@ -0,0 +1,240 @@
+#include "gw/log.h"
+#include "sched/impl.h"
+
+/*
+ * Tasks that crash the instance that starts them. A crash ends all runs there,
+ * so only those that had just begun are suspected. The next run of a suspect is
+ * on trial: no other start goes to its instance until the run has lasted
+ * START_WINDOW_US, so that a second crash has one possible cause. The counts
+ * are part of the job's record and so outlive their owner.
+ */
+
+/* A run that has lasted this long has not crashed its instance by starting. */
+#define START_WINDOW_US (250 * GW_US_PER_MS)
+/* A task is given up after this many crashes, of which so many on trial. */
+#define CRASHES_MAX 3
+#define CRASHES_ALONE_MAX 2
+/* At most one in so many of the instances that respond hosts a trial. */
+#define INSTANCES_PER_TRIAL 4
+
+bool
+sched_crash_is_suspect(const sched_task_t *task)
+{
+	return task->crashes > 0;
+}
+
+static bool
+is_same_gang(const sched_task_t *x, const sched_task_t *y)
+{
+	return x->job == y->job && x->step == y->step &&
+	    x->occurrence == y->occurrence && sched_task_step_spec(x)->gang;
+}
+
+/*
+ * Counts the run of a task that has been placed on its instance.
+ */
+void
+sched_crash_run_placed(sched_task_t *task)
+{
+	task->on_trial = sched_crash_is_suspect(task);
+	task->instance->runs_new++;
+	task->instance->trials += task->on_trial;
+}
+
+/*
+ * Takes the run back: it has ended, or has lasted. Does nothing if it has been
+ * taken back already.
+ */
+void
+sched_crash_run_settled(sched_task_t *task)
+{
+	if (task->has_lasted)
+		return;
+	task->has_lasted = true;
+	task->instance->runs_new--;
+	task->instance->trials -= task->on_trial;
+	task->on_trial = false;
+}
+
+/*
+ * Clears a task whose run has shown that its start does not crash an instance.
+ */
+void
+sched_crash_clear(sched_pool_t *pool, sched_task_t *task)
+{
+	if (!sched_crash_is_suspect(task))
+		return;
+	gw_log(GW_EV_TASK_CLEARED, "job=%s task=%u.%u.%u run=%u crashes=%u",
+	    task->job->id, task->occurrence, task->step, task->index, task->run,
+	    task->crashes);
+	task->crashes = task->crashes_alone = 0;
+	if (!sched_job_has_ended(task->job))
+		sched_job_mark_dirty(pool, task->job);
+}
+
+/*
+ * Handles a report that lists the run and was requested at sent_us.
+ */
+void
+sched_crash_run_listed(sched_pool_t *pool, sched_task_t *task, uint64_t sent_us)
+{
+	if (task->has_lasted || task->begun_us == 0 ||
+	    sent_us < task->begun_us + START_WINDOW_US)
+		return;
+	sched_crash_run_settled(task);
+	sched_crash_clear(pool, task);
+}
+
+/*
+ * Returns when the next report may show that the trials on the instance have
+ * lasted; 0: there are none.
+ */
+uint64_t
+sched_crash_report_due_us(const sched_instance_t *instance, uint64_t now_us)
+{
+	return instance->trials == 0 ? 0 : now_us + START_WINDOW_US;
+}
+
+/*
+ * Counts the reachable instances with a trial, and those withheld for one in
+ * this round, and sets how many there may be.
+ */
+void
+sched_crash_begin_round(sched_pool_t *pool, uint64_t now_us)
+{
+	sched_instance_t *instance;
+	GHashTableIter iter;
+	uint32_t usable = 0;
+
+	pool->trials = 0;
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
+		if (!sched_instance_is_usable(instance, now_us))
+			continue;
+		usable++;
+		pool->trials += instance->trials > 0;
+	}
+	pool->trials_max = MAX(usable / INSTANCES_PER_TRIAL, 1);
+}
+
+/*
+ * Returns whether a trial of the task may begin, or an instance be withheld for
+ * one.
+ */
+bool
+sched_crash_may_try(const sched_pool_t *pool)
+{
+	return pool->trials < pool->trials_max;
+}
+
+/*
+ * Returns whether the task may be started on the instance beside the runs that
+ * have just begun there. The members of a gang start together.
+ */
+bool
+sched_crash_may_start(
+    const sched_instance_t *instance, const sched_task_t *task)
+{
+	bool is_suspect = sched_crash_is_suspect(task);
+
+	if (instance->trials == 0 && (!is_suspect || instance->runs_new == 0))
+		return true;
+	if (!sched_task_step_spec(task)->gang)
+		return false;
+	for (guint i = 0; i < instance->tasks->len; i++) {
+		const sched_task_t *other = instance->tasks->pdata[i];
+
+		if (!other->has_lasted && (is_suspect || other->on_trial) &&
+		    !is_same_gang(task, other))
+			return false;
+	}
+	return true;
+}
+
+/* Returns whether the run may have crashed its instance. */
+static bool
+may_be_cause(const sched_task_t *task)
+{
+	/* Of a run from the records it is not known when it was started. */
+	return !task->has_lasted &&
+	    (task->starts_sent > 0 || task->state != SCHED_TASK_RESERVED);
+}
+
+/*
+ * Returns the task of which a run must have been the cause, or NULL if several
+ * may have been. Of a gang, any member stands for all.
+ */
+static const sched_task_t *
+find_only_cause(const sched_instance_t *instance)
+{
+	const sched_task_t *only = NULL;
+
+	for (guint i = 0; i < instance->tasks->len; i++) {
+		const sched_task_t *task = instance->tasks->pdata[i];
+
+		if (!may_be_cause(task))
+			continue;
+		if (task->starts_sent == 0 ||
+		    (only != NULL && !is_same_gang(only, task)))
+			return NULL;
+		only = task;
+	}
+	return only;
+}
+
+/*
+ * Counts a crash for a task whose run may have been its cause.
+ */
+void
+sched_crash_count(sched_task_t *task, const char *instance, bool is_only_cause)
+{
+	task->job->has_suspect = true;
+	task->crashes++;
+	task->crashes_alone += is_only_cause;
+	gw_log(GW_EV_TASK_SUSPECTED,
+	    "job=%s task=%u.%u.%u run=%u instance=%s crashes=%u alone=%u",
+	    task->job->id, task->occurrence, task->step, task->index, task->run,
+	    instance, task->crashes, task->crashes_alone);
+}
+
+/*
+ * Counts the crash of an instance for the tasks whose runs may have been its
+ * cause. Returns these tasks (sched_task_t).
+ */
+GPtrArray *
+sched_crash_count_instance(const sched_instance_t *instance)
+{
+	const sched_task_t *only = find_only_cause(instance);
+	GPtrArray *suspects = g_ptr_array_new();
+
+	for (guint i = 0; i < instance->tasks->len; i++) {
+		sched_task_t *task = instance->tasks->pdata[i];
+
+		if (!may_be_cause(task) || sched_job_has_ended(task->job))
+			continue;
+		sched_crash_count(task, instance->info.id, only != NULL);
+		g_ptr_array_add(suspects, task);
+	}
+	return suspects;
+}
+
+/*
+ * Fails the jobs of the tasks that have crashed too many instances.
+ */
+void
+sched_crash_give_up(sched_pool_t *pool, const GPtrArray *suspects)
+{
+	for (guint i = 0; i < suspects->len; i++) {
+		const sched_task_t *task = suspects->pdata[i];
+
+		if (task->crashes < CRASHES_MAX ||
+		    task->crashes_alone < CRASHES_ALONE_MAX ||
+		    sched_job_has_ended(task->job))
+			continue;
+		gw_log(GW_EV_TASK_GIVEN_UP,
+		    "job=%s task=%u.%u.%u run=%u crashes=%u alone=%u",
+		    task->job->id, task->occurrence, task->step, task->index,
+		    task->run, task->crashes, task->crashes_alone);
+		sched_job_end(pool, task->job, GW__JOB_STATE__JOB_FAILED);
+	}
+}
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -48,6 +48,12 @@
 typedef struct sched_refusals sched_refusals_t;
 typedef struct sched_instance sched_instance_t;
 
+/* Why the runs on an instance have ended. */
+typedef enum {
+	SCHED_LOSS_PLANNED, /* its machine was ordered to move or stop */
+	SCHED_LOSS_CRASH    /* it runs no more, or has not responded */
+} sched_loss_t;
+
 typedef enum {
 	SCHED_TASK_WAITING,
 	SCHED_TASK_RESERVED, /* placed; its record is not written yet */
@@ -83,7 +89,13 @@
 	uint64_t sent_us;	   /* when the last start or stop was sent */
 	/* When the run was last known to be on the instance; 0: never. */
 	uint64_t confirmed_us;
-	uint64_t begun_us;	/* when the run was first known there; 0: not */
+	uint64_t begun_us; /* when the run was first known there; 0: not */
+	/* The placed run has lasted beyond its start. */
+	bool has_lasted;
+	bool on_trial; /* no other start goes to the instance; see crash.c */
+	/* Instances that ended just after they had started the task. */
+	uint32_t crashes;
+	uint32_t crashes_alone; /* of these, with no other possible cause */
 	uint64_t not_before_us; /* earliest time of the next run */
 	uint32_t percent;	/* progress, from the last report */
 	/* Instance on which the last run failed; empty: none. */
@@ -164,7 +176,8 @@
 	bool expired;  /* the record is to be removed from the store */
 	bool started;  /* a task has started */
 	bool long_running;
-	uint32_t placed; /* number of tasks that are placed on an instance */
+	bool has_suspect; /* a task may be suspected; see crash.c */
+	uint32_t placed;  /* number of tasks that are placed on an instance */
 	/* Since when a ready task fits on no instance; 0: none. */
 	uint64_t blocked_since_us;
 	GArray *acks;		   /* sched_ack_t */
@@ -197,7 +210,9 @@
 	uint64_t ack_number;  /* ends up to this number are in the store */
 	/* Numbers of the ends that are in the store, beyond a gap. */
 	GHashTable *recorded_ends;
-	GPtrArray *tasks;	     /* tasks placed on it (sched_task_t) */
+	GPtrArray *tasks;  /* tasks placed on it (sched_task_t) */
+	uint32_t runs_new; /* placed runs that have not lasted; see crash.c */
+	uint32_t trials;   /* of these, runs of suspected tasks */
 	uint32_t requests_in_flight; /* starts and stops without a result */
 	sched_resources_t used;	     /* by the tasks placed on it */
 	uint64_t avoid_until_us;     /* no starts until then, after failures */
@@ -249,6 +264,9 @@
 	bool loaded;
 	uint64_t loaded_us; /* when the records had been loaded */
 	uint64_t round;	    /* number of placement rounds */
+	/* Instances with a trial, or withheld for one; see crash.c. */
+	uint32_t trials;
+	uint32_t trials_max;
 	/* Work placed or refused by this owner, in core milliseconds. */
 	uint64_t demand_cpu_ms;
 	const sched_admission_t *admission;
@@ -308,7 +326,8 @@
 uint64_t sched_instance_extend_lease(sched_instance_t *, uint64_t now_us);
 void sched_instance_begin_incarnation(sched_instance_t *, uint64_t born_ms);
 void sched_instance_ack(sched_instance_t *, uint64_t number);
-void sched_instance_end_runs(sched_instance_t *, const char *reason);
+void sched_instance_end_runs(
+    sched_instance_t *, const char *reason, sched_loss_t);
 void sched_instance_schedule_renewal(sched_instance_t *, uint64_t due_us);
 void sched_instance_request_ended(sched_pool_t *, const char *id);
 void sched_instance_tick(sched_instance_t *, uint64_t now_us);
@@ -347,6 +366,21 @@
 bool sched_place_fits(const sched_instance_t *, const Gw__JobStep *);
 uint64_t sched_step_cpu_millis(const Gw__JobStep *);
 
+/* crash.c */
+bool sched_crash_is_suspect(const sched_task_t *);
+void sched_crash_run_placed(sched_task_t *);
+void sched_crash_run_settled(sched_task_t *);
+void sched_crash_run_listed(sched_pool_t *, sched_task_t *, uint64_t sent_us);
+void sched_crash_clear(sched_pool_t *, sched_task_t *);
+uint64_t sched_crash_report_due_us(const sched_instance_t *, uint64_t now_us);
+void sched_crash_begin_round(sched_pool_t *, uint64_t now_us);
+bool sched_crash_may_try(const sched_pool_t *);
+bool sched_crash_may_start(const sched_instance_t *, const sched_task_t *);
+void sched_crash_count(
+    sched_task_t *, const char *instance, bool is_only_cause);
+GPtrArray *sched_crash_count_instance(const sched_instance_t *);
+void sched_crash_give_up(sched_pool_t *, const GPtrArray *suspects);
+
 /* evacuate.c */
 void sched_evacuate(sched_instance_t *, uint64_t now_us);
 
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -98,6 +98,8 @@
 	task->instance = instance;
 	task->job->placed++;
 	g_ptr_array_add(instance->tasks, task);
+	task->has_lasted = false;
+	sched_crash_run_placed(task);
 	instance->used.cpu_millis += sched_step_cpu_millis(step);
 	instance->used.memory_mib += step->memory_mib;
 	instance->used.accelerators += step->accelerators;
@@ -113,6 +115,7 @@
 	sched_instance_t *instance = task->instance;
 
 	sched_send_unreserved(instance->pool, task);
+	sched_crash_run_settled(task);
 	instance->used.cpu_millis -= sched_step_cpu_millis(step);
 	instance->used.memory_mib -= step->memory_mib;
 	instance->used.accelerators -= step->accelerators;
@@ -210,22 +213,36 @@
 		instance->renew_due_us = due_us;
 }
 
+static bool
+is_planned_to_end(const sched_instance_t *instance)
+{
+	return instance->info.leaving ||
+	    gw_clock_now_us(instance->pool->clock) < instance->drain_until_us;
+}
+
 /*
  * Ends all runs on the instance: its incarnation has ended, or its lease has
  * expired.
  */
 void
-sched_instance_end_runs(sched_instance_t *instance, const char *reason)
+sched_instance_end_runs(
+    sched_instance_t *instance, const char *reason, sched_loss_t loss)
 {
+	g_autoptr(GPtrArray) suspects = NULL;
+
 	if (instance->tasks->len > 0)
 		gw_log(GW_EV_INSTANCE_LOST,
 		    "instance=%s pool=%s reason=%s runs=%u born=%" PRIu64,
 		    instance->info.id, instance->pool->name, reason,
 		    instance->tasks->len, instance->info.born_ms);
+	if (loss == SCHED_LOSS_CRASH && !is_planned_to_end(instance))
+		suspects = sched_crash_count_instance(instance);
 	while (instance->tasks->len > 0)
 		sched_task_requeue(
 		    instance->tasks->pdata[instance->tasks->len - 1], reason);
 	instance->renew_due_us = 0;
+	if (suspects != NULL)
+		sched_crash_give_up(instance->pool, suspects);
 }
 
 /*
@@ -274,7 +291,8 @@
 	if (is_new_incarnation && instance->info.born_ms > info->born_ms)
 		return; /* an entry of an earlier incarnation */
 	if (is_new_incarnation) {
-		sched_instance_end_runs(instance, "restarted");
+		sched_instance_end_runs(
+		    instance, "restarted", SCHED_LOSS_CRASH);
 		sched_instance_begin_incarnation(instance, info->born_ms);
 	}
 	if (!was_listed || is_new_incarnation ||
@@ -301,20 +319,24 @@
 		sched_instance_schedule_renewal(instance, now_us);
 }
 
+static void
+end_instance(sched_instance_t *instance, const char *reason, sched_loss_t loss)
+{
+	sched_instance_end_runs(instance, reason, loss);
+	instance->listed = false;
+	instance->contacted = false;
+}
+
 /*
- * Ends the runs of an instance whose incarnation is known to have ended: its
- * machine was stopped, or runs another instance.
+ * Ends the runs of an instance whose machine was ordered to stop.
  */
 void
 sched_pool_end_instance(sched_pool_t *pool, const char *id, const char *reason)
 {
 	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
 
-	if (instance == NULL)
-		return;
-	sched_instance_end_runs(instance, reason);
-	instance->listed = false;
-	instance->contacted = false;
+	if (instance != NULL)
+		end_instance(instance, reason, SCHED_LOSS_PLANNED);
 }
 
 /*
@@ -333,8 +355,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
 		if (strcmp(instance->info.machine, info->machine) == 0 &&
 		    instance->info.born_ms < info->born_ms)
-			sched_pool_end_instance(
-			    pool, instance->info.id, "machine-restarted");
+			end_instance(
+			    instance, "machine-restarted", SCHED_LOSS_CRASH);
 }
 
 /*
@@ -377,7 +399,9 @@
 		renewal.deadline_ms =
 		    sched_instance_extend_lease(instance, now_us);
 	renewal.ack_number = is_fresh ? instance->ack_number : 0;
-	renewal.wait_ms = is_fresh && is_busy ? SCHED_RENEW_WAIT_MS : 0;
+	renewal.wait_ms = is_fresh && is_busy && instance->trials == 0
+	    ? SCHED_RENEW_WAIT_MS
+	    : 0;
 	instance->renewing = true;
 	instance->renew_due_us = 0;
 	instance->renew_sent_us = now_us;
@@ -396,7 +420,7 @@
 
 	if (instance->tasks->len > 0 && no_contact &&
 	    now_us >= instance->expiry_us)
-		sched_instance_end_runs(instance, "lapsed");
+		sched_instance_end_runs(instance, "lapsed", SCHED_LOSS_CRASH);
 	if (!instance->renewing && instance->renew_due_us != 0 &&
 	    now_us >= instance->renew_due_us &&
 	    instance->info.address[0] != '\0')
@@ -418,7 +442,7 @@
 		return;
 	instance->renewing = false;
 	if (result == SCHED_RESULT_REPLACED) {
-		sched_instance_end_runs(instance, "replaced");
+		sched_instance_end_runs(instance, "replaced", SCHED_LOSS_CRASH);
 		instance->contacted = false;
 		instance->listed = false;
 		return;
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -69,7 +69,8 @@
 	const Gw__JobStep *step = sched_task_step_spec(task);
 	const GHashTable *tickets = sched_task_step_state(task)->tickets;
 
-	if (!has_label(instance, step->label))
+	if (!has_label(instance, step->label) ||
+	    !sched_crash_may_start(instance, task))
 		return false;
 	if (task->job->spec->advice != NULL &&
 	    (tickets == NULL ||
@@ -80,6 +81,20 @@
 	    count_step(instance, task) < step->max_per_instance;
 }
 
+/*
+ * Returns the cost of a trial on the instance: what a crash would end. A
+ * long-running task counts more than any work.
+ */
+static uint64_t
+trial_cost(const sched_instance_t *instance)
+{
+	uint64_t cost = instance->used.cpu_millis;
+
+	if (sched_instance_hosts_long_running(instance))
+		cost += UINT64_C(1) << 48;
+	return cost;
+}
+
 /*
  * Returns the cost of placing the task on an instance on which it fits; the
  * instance with the lowest cost is chosen. In descending order of weight, it
@@ -102,6 +117,8 @@
 	    MIN(instance->info.capacity.cpu_millis, instance->used.cpu_millis);
 	uint64_t cost = 0;
 
+	if (sched_crash_is_suspect(task))
+		return trial_cost(instance);
 	if (strcmp(task->failed_on, instance->info.id) == 0)
 		cost += UINT64_C(1) << 50;
 	if (step->rack[0] != '\0' && g_strcmp0(step->rack, instance->rack) != 0)
@@ -193,6 +210,33 @@
 		best->withheld_round = pool->round;
 }
 
+/*
+ * Withholds an instance from other tasks in this round, so that the runs that
+ * have just begun there settle and the trial of a suspect can follow.
+ */
+static void
+withhold_for_trial(
+    sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
+{
+	const char *label = sched_task_step_spec(task)->label;
+	sched_instance_t *instance, *best = NULL;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
+		if (!sched_instance_is_usable(instance, now_us) ||
+		    instance->withheld_round == pool->round ||
+		    instance->trials > 0 || !has_label(instance, label))
+			continue;
+		if (best == NULL || trial_cost(instance) < trial_cost(best))
+			best = instance;
+	}
+	if (best == NULL)
+		return;
+	best->withheld_round = pool->round;
+	pool->trials++;
+}
+
 /*
  * Returns the instance with the lowest cost for the task, or NULL.
  */
@@ -264,6 +308,25 @@
 		job->blocked_since_us = now_us;
 }
 
+/*
+ * Places a suspected task, if a trial may begin now.
+ */
+static void
+place_suspect(sched_pool_t *pool, sched_task_t *task, uint64_t now_us)
+{
+	sched_instance_t *instance;
+
+	if (!sched_crash_may_try(pool))
+		return;
+	instance = sched_place_find_instance(pool, task, now_us);
+	if (instance == NULL) {
+		withhold_for_trial(pool, task, now_us);
+		return;
+	}
+	pool->trials++;
+	reserve_task(pool, task, instance, task->run + 1);
+}
+
 static void
 place_tasks(sched_pool_t *pool, sched_occurrence_t *occurrence,
     const sched_step_t *step, uint32_t count, uint64_t now_us)
@@ -275,6 +338,8 @@
 		if (task->state != SCHED_TASK_WAITING ||
 		    now_us < task->not_before_us)
 			continue;
+		if (sched_crash_is_suspect(task))
+			continue; /* by place_suspects() */
 		instance = sched_place_find_instance(pool, task, now_us);
 		if (instance == NULL) {
 			mark_blocked(task->job, now_us);
@@ -423,6 +488,35 @@
 	return false;
 }
 
+/*
+ * Places suspected tasks of the job, as far as trials may begin now.
+ */
+static void
+place_suspects(sched_pool_t *pool, sched_job_t *job, uint64_t now_us)
+{
+	bool has_suspect = false;
+
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		sched_occurrence_t *occurrence = job->occurrences->pdata[i];
+
+		for (uint32_t k = 0; k < occurrence->task_count; k++) {
+			sched_task_t *task = &occurrence->tasks[k];
+			sched_step_t *step = &occurrence->steps[task->step];
+
+			has_suspect |= sched_crash_is_suspect(task);
+			if (!sched_crash_is_suspect(task) ||
+			    task->state != SCHED_TASK_WAITING ||
+			    now_us < task->not_before_us ||
+			    sched_task_step_spec(task)->gang ||
+			    !sched_step_is_ready(job, occurrence, task->step) ||
+			    !ensure_advice(pool, task, step, now_us))
+				continue;
+			place_suspect(pool, task, now_us);
+		}
+	}
+	job->has_suspect = has_suspect;
+}
+
 /*
  * Places the waiting tasks for which there is room, in the order of
  * sched_sort_jobs(), as long as their starts can be sent soon.
@@ -433,6 +527,7 @@
 	g_autoptr(GPtrArray) jobs = g_ptr_array_new();
 
 	pool->round++;
+	sched_crash_begin_round(pool, now_us);
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
 
@@ -440,6 +535,12 @@
 			g_ptr_array_add(jobs, job);
 	}
 	sched_sort_jobs(jobs, now_us);
+	/* First, so that an instance withheld for a trial goes to no other
+	 * task. */
+	for (guint i = 0; i < jobs->len; i++)
+		if (((sched_job_t *)jobs->pdata[i])->has_suspect &&
+		    sched_window_may_place(pool->window, pool->unsent_bytes))
+			place_suspects(pool, jobs->pdata[i], now_us);
 	for (guint i = 0; i < jobs->len; i++) {
 		sched_job_t *job = jobs->pdata[i];
 
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -32,6 +32,8 @@
 	gw__task_record__init(record);
 	record->run = task->run;
 	record->failures = task->failures;
+	record->crashes = task->crashes;
+	record->crashes_alone = task->crashes_alone;
 	if (task->state == SCHED_TASK_DONE) {
 		record->state = GW__TASK_STATE__TASK_DONE;
 		return;
@@ -120,8 +122,11 @@
 	instance = sched_instance_get(pool, host->instance);
 	if (instance->info.born_ms == 0)
 		instance->info.born_ms = host->born_ms;
-	if (instance->info.born_ms != host->born_ms)
-		return; /* the incarnation has ended, and so has the run */
+	if (instance->info.born_ms != host->born_ms) {
+		/* The incarnation has ended, and so has the run. */
+		sched_crash_count(task, host->instance, false);
+		return;
+	}
 	task->state = SCHED_TASK_RUNNING;
 	sched_instance_assign(instance, task);
 	sched_task_step_state(task)->waiting--;
@@ -136,6 +141,9 @@
 
 	task->run = from->run;
 	task->failures = from->failures;
+	task->job->has_suspect |= from->crashes > 0;
+	task->crashes = from->crashes;
+	task->crashes_alone = from->crashes_alone;
 	task->job->started |= from->run > 0;
 	if (from->checkpoint[0] != '\0')
 		task->checkpoint = g_strdup(from->checkpoint);
--- a/lib/sched/report.c
+++ b/lib/sched/report.c
@@ -79,6 +79,7 @@
 	task->confirmed_us = MAX(task->confirmed_us, sent_us);
 	if (task->begun_us == 0)
 		task->begun_us = now_us;
+	sched_crash_run_listed(pool, task, sent_us);
 	task->percent = row->percent;
 	if (row->checkpoint != NULL && row->checkpoint[0] != '\0' &&
 	    g_strcmp0(task->checkpoint, row->checkpoint) != 0) {
@@ -162,7 +163,8 @@
 		return;
 	instance->renewing = false;
 	if (report->born_ms != 0 && report->born_ms != instance->info.born_ms) {
-		sched_instance_end_runs(instance, "restarted");
+		sched_instance_end_runs(
+		    instance, "restarted", SCHED_LOSS_CRASH);
 		sched_instance_begin_incarnation(instance, report->born_ms);
 		sched_instance_schedule_renewal(instance, now_us);
 		return;
@@ -198,7 +200,10 @@
 	 */
 	if (report->end_count < SCHED_REPORT_ENDS_MAX)
 		requeue_missing(instance, report, sent_us);
-	if (instance->tasks->len > 0 || report->running_count > 0)
+	if (instance->trials > 0)
+		sched_instance_schedule_renewal(
+		    instance, sched_crash_report_due_us(instance, now_us));
+	else if (instance->tasks->len > 0 || report->running_count > 0)
 		sched_instance_schedule_renewal(
 		    instance, now_us + sched_renew_delay_us(pool));
 	else if (instance->seen_number > instance->ack_number)
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -234,6 +234,9 @@
 		       : 0);
 	if (!is_current || task->state == SCHED_TASK_DONE)
 		return;
+	/* The instance has survived the start of the run. */
+	if (end->kind == SCHED_END_DONE || end->kind == SCHED_END_FAILED)
+		sched_crash_clear(pool, task);
 	if (end->checkpoint != NULL && end->checkpoint[0] != '\0') {
 		g_free(task->checkpoint);
 		task->checkpoint = g_strdup(end->checkpoint);
@@ -361,8 +364,9 @@
 		task->confirmed_us = now_us;
 		if (task->begun_us == 0)
 			task->begun_us = now_us;
-		sched_instance_schedule_renewal(
-		    instance, now_us + sched_renew_delay_us(pool));
+		sched_instance_schedule_renewal(instance,
+		    task->on_trial ? sched_crash_report_due_us(instance, now_us)
+				   : now_us + sched_renew_delay_us(pool));
 	} else if (result == SCHED_RESULT_REPLACED) {
 		sched_pool_renewal_failed(pool, id, result);
 	} else if (result == SCHED_RESULT_NO_RESPONSE) {
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3237,7 +3237,7 @@
   (ProtobufCMessageInit) gw__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__task_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gw__task_record__field_descriptors[7] =
 {
   {
     "state",
@@ -3299,9 +3299,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TaskRecord, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes_alone",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TaskRecord, crashes_alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__task_record__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
+  5,   /* field[5] = crashes */
+  6,   /* field[6] = crashes_alone */
   2,   /* field[2] = failures */
   3,   /* field[3] = host */
   1,   /* field[1] = run */
@@ -3310,7 +3336,7 @@
 static const ProtobufCIntRange gw__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gw__task_record__descriptor =
 {
@@ -3320,7 +3346,7 @@
   "Gw__TaskRecord",
   "gw",
   sizeof(Gw__TaskRecord),
-  5,
+  7,
   gw__task_record__field_descriptors,
   gw__task_record__field_indices_by_name,
   1,  gw__task_record__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -493,10 +493,16 @@
    */
   uint32_t host;
   char *checkpoint;
+  /*
+   * Instances that ended just after they had started the task; of these, with
+   * no other run that may have been the cause.
+   */
+  uint32_t crashes;
+  uint32_t crashes_alone;
 };
 #define GW__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__task_record__descriptor) \
-    , GW__TASK_STATE__TASK_WAITING, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , GW__TASK_STATE__TASK_WAITING, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Gw__HostRecord
--- /dev/null
+++ b/regress/sched/crash.sh
@@ -0,0 +1,159 @@
+#!/bin/sh
+# Tasks that crash the instance that starts them, and those that run beside.
+. ./lib.subr
+
+# Guards against a task that crashes one instance after the other without a
+# limit, and against a crash that is charged to the task that ran beside.
+play "a task is given up after three crashes, its neighbour is not" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 1:1000:500
+submit j2 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j2.0.0.0 1 ok
+# The first crash: either may have been the cause.
+instance i1 born=2
+tick
+report i1 clock=0 born=2
+commit
+# One at a time, whichever comes first.
+started i1 j1.0.0.0 2 ok
+started i1 j2.0.0.0 2 ok
+instance i1 born=3
+tick
+report i1 clock=0 born=3
+commit
+started i1 j1.0.0.0 3 ok
+started i1 j2.0.0.0 2 ok
+instance i1 born=4
+tick
+report i1 clock=0 born=4
+commit
+state j1
+state j2
+started i1 j2.0.0.0 2 ok
+advance 250
+report i1 clock=250 born=4 run:j2.0.0.0:2:50
+advance 250
+report i1 clock=500 born=4 end:1:j2.0.0.0:2:done
+commit
+state j2
+EOT
+
+# Guards against a count that is lost with the owner.
+play "the count outlives the owner" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+instance i1 born=2
+tick
+report i1 clock=0 born=2
+commit
+takeover previous-gone
+instance i1 born=2
+tick
+report i1 clock=50 born=2
+commit
+started i1 j1.0.0.0 2 ok
+instance i1 born=3
+tick
+report i1 clock=0 born=3
+commit
+takeover previous-gone
+instance i1 born=4
+tick
+report i1 clock=0 born=4
+commit
+started i1 j1.0.0.0 4 ok
+instance i1 born=5
+tick
+report i1 clock=0 born=5
+commit
+state j1
+EOT
+
+# Guards against a crash that is charged to a run that had lasted.
+play "a run that has lasted is not the cause" two <<'EOT'
+submit j1 1:1000:5000
+commit
+started i1 j1.0.0.0 1 ok
+advance 260
+report i1 clock=360 run:j1.0.0.0:1:10
+instance i1 born=2
+tick
+report i1 clock=0 born=2
+report i2 clock=360
+submit j2 1:1000:500
+commit
+started i1 j2.0.0.0 1 ok
+started i2 j2.0.0.0 1 ok
+commit
+EOT
+
+# Guards against an order to a machine that counts as a crash: the task would be
+# on trial, and the other task not be placed beside it.
+play "a planned stop of a machine is not a crash" two <<'EOT'
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+ended i1
+submit j2 1:1000:500
+commit
+EOT
+
+# Guards against a second start beside a trial, which would leave two possible
+# causes of the next crash, and against a trial that never ends.
+play "no other start goes to the instance of a trial" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+instance i1 born=2
+tick
+report i1 clock=0 born=2
+commit
+submit j2 1:1000:500
+commit
+started i1 j1.0.0.0 2 ok
+advance 245
+commit
+advance 10
+report i1 clock=255 born=2 run:j1.0.0.0:2:50
+commit
+EOT
+
+# Guards against a task that waits for ever for its trial in a busy pool: an
+# instance is withheld until its runs have lasted and there is room.
+play "an instance is withheld for a trial" two <<'EOT'
+admission all
+submit j1 1:4000:500
+commit
+submit j2 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+started i2 j2.0.0.0 1 ok
+renew-failed i1 replaced
+submit j3 1:1000:500
+commit
+advance 260
+report i2 clock=360 run:j2.0.0.0:1:50
+commit
+advance 250
+report i2 clock=610 end:1:j2.0.0.0:1:done
+commit
+started i2 j1.0.0.0 2 ok
+advance 260
+report i2 clock=870 run:j1.0.0.0:2:10
+report i2 clock=870 end:2:j1.0.0.0:2:done
+commit
+EOT
--- a/regress/sched/window.sh
+++ b/regress/sched/window.sh
@@ -87,7 +87,10 @@
 tick
 report i2 clock=100
 commit
-advance 4300
+started i2 j1.0.0.2 2 ok
+advance 300
+report i2 clock=400 run:j1.0.0.2:2:10
+advance 4000
 commit
 EOT
 
