Send no start to an instance that has become too small

What callers would see: an instance that does not guard its capacity is overloaded. Cause: room was checked when a task was placed, not when its start was sent or repeated; runs that the owner does not know and stops took no room. Change: a start whose instance has shrunk meanwhile is taken back, and one that would be repeated there is stopped; while a report lists unknown runs no start goes to the instance. 7021 INSTANCE_LISTED shows changes of capacity. Tests: three plays of sched/starts.sh, each failed before; lasting.sh: an instance that grows again takes more tasks (passed before). Measured: regress/run sched, 11 passed.

--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -213,6 +213,8 @@
 	GPtrArray *tasks;  /* tasks placed on it (sched_task_t) */
 	uint32_t runs_new; /* placed runs that have not lasted; see crash.c */
 	uint32_t trials;   /* of these, runs of suspected tasks */
+	/* Runs in the last report that are not placed here; being stopped. */
+	uint32_t runs_unknown;
 	uint32_t requests_in_flight; /* starts and stops without a result */
 	sched_resources_t used;	     /* by the tasks placed on it */
 	uint64_t avoid_until_us;     /* no starts until then, after failures */
@@ -318,6 +320,7 @@
 sched_instance_t *sched_instance_get(sched_pool_t *, const char *id);
 void sched_instance_free(gpointer);
 bool sched_instance_is_usable(const sched_instance_t *, uint64_t now_us);
+bool sched_instance_is_full(const sched_instance_t *);
 bool sched_instance_hosts_long_running(const sched_instance_t *);
 uint64_t sched_instance_long_running_cpu_millis(const sched_instance_t *);
 void sched_instance_assign(sched_instance_t *, sched_task_t *);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -52,10 +52,27 @@
 {
 	return instance->listed && instance->contacted &&
 	    !instance->unreachable && !instance->info.leaving &&
-	    now_us >= instance->avoid_until_us &&
+	    instance->runs_unknown == 0 && now_us >= instance->avoid_until_us &&
 	    now_us >= instance->drain_until_us;
 }
 
+/*
+ * Returns whether another start would bring the instance over its capacity,
+ * which may have shrunk since the tasks were placed there, or might, since the
+ * room that a run takes is not known.
+ */
+bool
+sched_instance_is_full(const sched_instance_t *instance)
+{
+	const sched_resources_t *capacity = &instance->info.capacity;
+	const sched_resources_t *used = &instance->used;
+
+	return used->cpu_millis > capacity->cpu_millis ||
+	    used->memory_mib > capacity->memory_mib ||
+	    used->accelerators > capacity->accelerators ||
+	    instance->runs_unknown > 0;
+}
+
 /*
  * Returns whether a long-running task is placed on the instance.
  */
@@ -255,6 +272,7 @@
 	instance->renewing = false;
 	instance->contacted = false;
 	instance->unreachable = false;
+	instance->runs_unknown = 0;
 	instance->seen_number = 0;
 	instance->ack_number = 0;
 	instance->clock_ms = 0;
@@ -296,13 +314,16 @@
 		sched_instance_begin_incarnation(instance, info->born_ms);
 	}
 	if (!was_listed || is_new_incarnation ||
-	    info->leaving != instance->info.leaving)
+	    info->leaving != instance->info.leaving ||
+	    info->capacity.cpu_millis != instance->info.capacity.cpu_millis ||
+	    info->capacity.memory_mib != instance->info.capacity.memory_mib)
 		gw_log(GW_EV_INSTANCE_LISTED,
 		    "instance=%s pool=%s machine=%s address=%s born=%" PRIu64
-		    " leaving=%d leaves_in_ms=%u cpu_millis=%" PRIu64,
+		    " leaving=%d leaves_in_ms=%u cpu_millis=%" PRIu64
+		    " memory_mib=%" PRIu64,
 		    info->id, pool->name, info->machine, info->address,
 		    info->born_ms, info->leaving, info->leaves_in_ms,
-		    info->capacity.cpu_millis);
+		    info->capacity.cpu_millis, info->capacity.memory_mib);
 	/* Calls to the previous address are cancelled without a result. */
 	if (strcmp(info->address, instance->info.address) != 0) {
 		instance->requests_in_flight = 0;
--- a/lib/sched/report.c
+++ b/lib/sched/report.c
@@ -65,6 +65,7 @@
 		    "job=%s task=%u.%u.%u run=%u instance=%s reason=unknown",
 		    row->ref.job, row->ref.occurrence, row->ref.step,
 		    row->ref.index, row->run, instance->info.id);
+		instance->runs_unknown++;
 		instance->requests_in_flight++;
 		pool->ops->stop(instance->info.id, instance->info.address,
 		    &row->ref, row->run, pool->arg);
@@ -192,6 +193,7 @@
 	for (uint32_t i = 0; i < report->end_count; i++)
 		if (report->ends[i].number > instance->seen_number)
 			handle_end(instance, &report->ends[i], now_us);
+	instance->runs_unknown = 0;
 	for (uint32_t i = 0; i < report->running_count; i++)
 		handle_running(instance, &report->running[i], sent_us, now_us);
 	/*
--- a/lib/sched/send.c
+++ b/lib/sched/send.c
@@ -62,6 +62,15 @@
 	g_ptr_array_add(pool->unsent, task);
 }
 
+/*
+ * Returns why a placed task can no longer be started on its instance.
+ */
+static const char *
+requeue_reason(const sched_task_t *task)
+{
+	return sched_instance_is_full(task->instance) ? "no-room" : "leaves";
+}
+
 /*
  * Returns whether a start may still go to the task's instance. It was chosen
  * before the record was written and before the start waited for the window.
@@ -72,6 +81,7 @@
 	const sched_instance_t *instance = task->instance;
 
 	return !instance->info.leaving && !instance->unreachable &&
+	    !sched_instance_is_full(instance) &&
 	    now_us >= instance->drain_until_us;
 }
 
@@ -182,7 +192,7 @@
 		sched_task_t *task = tasks->pdata[i];
 
 		if (!may_start(task, now_us))
-			sched_task_requeue(task, "leaves");
+			sched_task_requeue(task, requeue_reason(task));
 		else if (has_room(task))
 			sched_task_send_start(task, now_us);
 	}
@@ -198,8 +208,8 @@
 
 /*
  * Repeats the task's start or stop if it had no response and its repeat is due.
- * A start is not repeated on an instance that is leaving: the run is stopped,
- * so that its task can run elsewhere.
+ * A start is not repeated on an instance that is leaving or has become too
+ * small: the run is stopped, so that its task can run elsewhere.
  */
 void
 sched_send_repeat(sched_task_t *task, uint64_t now_us)
@@ -216,12 +226,15 @@
 
 	if (!is_start && !is_stop)
 		return;
+	if (is_start && task->instance->runs_unknown > 0)
+		return; /* until these have been stopped */
 	window = task->instance->pool->window;
 	if (!sched_window_has_room_at(
 		window, task->instance->requests_in_flight) ||
 	    !sched_window_repeat_due(window, &request, now_us))
 		return;
-	if (is_stop || task->instance->info.leaving)
+	if (is_stop || task->instance->info.leaving ||
+	    sched_instance_is_full(task->instance))
 		sched_task_stop(task);
 	else
 		sched_task_send_start(task, now_us);
--- a/regress/sched/lasting.sh
+++ b/regress/sched/lasting.sh
@@ -158,3 +158,12 @@
 tick
 load
 EOT
+
+# Guards against an instance that stays small for the owner after it has grown.
+play "an instance that grows again takes more tasks" one <<'EOF'
+instance i1 cpu=1000
+submit j1 2:1000:5000:lasting
+commit
+instance i1 cpu=2000
+commit
+EOF
--- a/regress/sched/starts.sh
+++ b/regress/sched/starts.sh
@@ -119,3 +119,38 @@
 report i1 clock=515
 commit
 EOT
+
+# Guards against a start on an instance whose capacity has shrunk since the task
+# was placed there, which an instance may accept beyond its capacity.
+play "no start goes to an instance that has become too small" two <<'EOF'
+submit j1 2:1000:500
+tick
+take
+instance i1 cpu=1000
+done
+commit
+EOF
+
+# Guards against the same by a start that is repeated since it had no response.
+play "a start is not repeated on an instance that has become too small" two <<'EOF'
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 none
+instance i1 cpu=500
+advance 405
+stopped i1 j1.0.0.0 1 ok
+advance 5
+report i1 clock=515
+commit
+EOF
+
+# Guards against a start beside a run that is being stopped and that the owner does
+# not know, and so does not count as used.
+play "no start goes to an instance while it lists an unknown run" two <<'EOF'
+report i1 clock=100 run:j9.0.0.0:1:10
+report i2 clock=100 run:j9.0.0.1:1:10
+submit j1 1:1000:500
+commit
+report i1 clock=200 end:1:j9.0.0.0:1:stopped
+commit
+EOF
