Count crashes of instances that are being drained

Cause: an instance that ends while the planner drains it was taken for one whose end is planned. A trial takes the emptiest instance, which is what the planner drains first. Test: sched/crash.sh, last play; before, j1 was not given up.

--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -230,13 +230,6 @@
 		instance->renew_due_us = due_us;
 }
 
-static bool
-is_planned_to_end(const sched_instance_t *instance)
-{
-	return instance->info.leaving ||
-	    gw_clock_now_us(instance->pool->clock) < instance->drain_until_us;
-}
-
 /*
  * Ends all runs on the instance: its incarnation has ended, or its lease has
  * expired.
@@ -252,7 +245,7 @@
 		    "instance=%s pool=%s reason=%s runs=%u born=%" PRIu64,
 		    instance->info.id, instance->pool->name, reason,
 		    instance->tasks->len, instance->info.born_ms);
-	if (loss == SCHED_LOSS_CRASH && !is_planned_to_end(instance))
+	if (loss == SCHED_LOSS_CRASH)
 		suspects = sched_crash_count_instance(instance);
 	while (instance->tasks->len > 0)
 		sched_task_requeue(
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -157,3 +157,35 @@
 report i2 clock=870 end:2:j1.0.0.0:2:done
 commit
 EOT
+
+# Guards against crashes that are not counted because the planner has begun to
+# drain the instance, as it does with those on which little runs.
+play "a crash counts on an instance that is being drained" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+drain i1 1000
+instance i1 born=2
+instance i2
+tick
+report i2 clock=100
+submit j2 1:1000:500
+commit
+started i2 j1.0.0.0 2 ok
+drain i2 1000
+instance i2 born=2
+instance i3
+tick
+report i3 clock=100
+commit
+started i3 j1.0.0.0 3 ok
+drain i3 1000
+instance i3 born=2
+tick
+commit
+state j1
+EOT
