Try the suspected tasks of one job together, and suspect fewer

Cause: each suspect waits for a trial of its own on one of a quarter of the usable instances, and more tasks come under suspicion than trials clear. Change: - tasks of one job share a trial, since the job fails whichever of them is the cause; - the response to a start shows that runs which had begun before it was sent have lasted; while suspects wait, instances with new runs report every 250 ms, not every second; - tasks that have crashed an instance on trial have trials of their own, so that they do not hold up the others, which are less likely to crash one; they come last.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -5,8 +5,9 @@
  * Tasks that crash the instance that starts them. A crash ends all runs there,
  * so only those that had just begun are suspected. The next run of a suspect is
  * on trial: no other start goes to its instance until the run has lasted
- * START_WINDOW_US, so that a second crash has one possible cause. The counts
- * are part of the job's record and so outlive their owner.
+ * START_WINDOW_US, so that a second crash has one possible cause. Tasks of one
+ * job are tried together, since the job fails whichever of them is the cause.
+ * The counts are part of the job's record and so outlive their owner.
  */
 
 /* A run that has lasted this long has not crashed its instance by starting. */
@@ -14,8 +15,11 @@
 /* A task is given up after this many crashes, of which so many on trial. */
 #define CRASHES_MAX 3
 #define CRASHES_ALONE_MAX 2
-/* At most one in so many of the instances that respond hosts a trial. */
-#define INSTANCES_PER_TRIAL 4
+/*
+ * At most one in so many of the pool's instances hosts a trial, of tasks
+ * without and with a crash on trial. The latter most likely crash one more.
+ */
+static const uint32_t instances_per_trial[] = {3, 8};
 
 bool
 sched_crash_is_suspect(const sched_task_t *task)
@@ -23,13 +27,6 @@
 	return task->crashes > 0;
 }
 
-static bool
-is_same_gang(const sched_task_t *x, const sched_task_t *y)
-{
-	return x->job == y->job && x->step == y->step &&
-	    x->occurrence == y->occurrence && sched_task_step_spec(x)->gang;
-}
-
 /*
  * Counts the run of a task that has been placed on its instance.
  */
@@ -39,6 +36,7 @@
 	task->on_trial = sched_crash_is_suspect(task);
 	task->instance->runs_new++;
 	task->instance->trials += task->on_trial;
+	task->job->trials += task->on_trial;
 }
 
 /*
@@ -53,6 +51,7 @@
 	task->has_lasted = true;
 	task->instance->runs_new--;
 	task->instance->trials -= task->on_trial;
+	task->job->trials -= task->on_trial;
 	task->on_trial = false;
 }
 
@@ -73,13 +72,13 @@
 }
 
 /*
- * Handles a report that lists the run and was requested at sent_us.
+ * Handles that the instance of the run was alive at at_us.
  */
 void
-sched_crash_run_listed(sched_pool_t *pool, sched_task_t *task, uint64_t sent_us)
+sched_crash_run_survived(sched_pool_t *pool, sched_task_t *task, uint64_t at_us)
 {
 	if (task->has_lasted || task->begun_us == 0 ||
-	    sent_us < task->begun_us + START_WINDOW_US)
+	    at_us < task->begun_us + START_WINDOW_US)
 		return;
 	sched_crash_run_settled(task);
 	sched_crash_clear(pool, task);
@@ -95,26 +94,46 @@
 	return instance->trials == 0 ? 0 : now_us + START_WINDOW_US;
 }
 
+static sched_trials_t *
+trials_of(sched_pool_t *pool, const sched_task_t *task)
+{
+	return &pool->trials[task->crashes_alone > 0];
+}
+
+/*
+ * Returns a task on trial on the instance, or NULL.
+ */
+static const sched_task_t *
+find_trial(const sched_instance_t *instance)
+{
+	for (guint i = 0; instance->trials > 0 && i < instance->tasks->len; i++)
+		if (((sched_task_t *)instance->tasks->pdata[i])->on_trial)
+			return instance->tasks->pdata[i];
+	return NULL;
+}
+
 /*
- * Counts the reachable instances with a trial, and those withheld for one in
- * this round, and sets how many there may be.
+ * Counts the trials of the pool's instances, also of those that do not respond
+ * any more, and sets how many there may be.
  */
 void
-sched_crash_begin_round(sched_pool_t *pool, uint64_t now_us)
+sched_crash_begin_round(sched_pool_t *pool)
 {
+	uint32_t count = g_hash_table_size(pool->instances);
 	sched_instance_t *instance;
 	GHashTableIter iter;
-	uint32_t usable = 0;
 
-	pool->trials = 0;
+	for (guint i = 0; i < G_N_ELEMENTS(pool->trials); i++) {
+		pool->trials[i].count = 0;
+		pool->trials[i].max = MAX(count / instances_per_trial[i], 1);
+	}
 	g_hash_table_iter_init(&iter, pool->instances);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
-		if (!sched_instance_is_usable(instance, now_us))
-			continue;
-		usable++;
-		pool->trials += instance->trials > 0;
+		const sched_task_t *task = find_trial(instance);
+
+		if (task != NULL)
+			trials_of(pool, task)->count++;
 	}
-	pool->trials_max = MAX(usable / INSTANCES_PER_TRIAL, 1);
 }
 
 /*
@@ -122,14 +141,33 @@
  * one.
  */
 bool
-sched_crash_may_try(const sched_pool_t *pool)
+sched_crash_may_try(sched_pool_t *pool, const sched_task_t *task)
+{
+	return trials_of(pool, task)->count < trials_of(pool, task)->max;
+}
+
+/*
+ * Counts a trial of the task that begins, or an instance withheld for one.
+ */
+void
+sched_crash_add_trial(sched_pool_t *pool, const sched_task_t *task)
 {
-	return pool->trials < pool->trials_max;
+	trials_of(pool, task)->count++;
+}
+
+/*
+ * Returns whether the instance should report soon, so that few runs are
+ * suspected if it crashes.
+ */
+bool
+sched_crash_is_watched(const sched_instance_t *instance)
+{
+	return instance->runs_new > 0 && instance->pool->has_suspects;
 }
 
 /*
  * Returns whether the task may be started on the instance beside the runs that
- * have just begun there. The members of a gang start together.
+ * have just begun there.
  */
 bool
 sched_crash_may_start(
@@ -139,13 +177,11 @@
 
 	if (instance->trials == 0 && (!is_suspect || instance->runs_new == 0))
 		return true;
-	if (!sched_task_step_spec(task)->gang)
-		return false;
 	for (guint i = 0; i < instance->tasks->len; i++) {
 		const sched_task_t *other = instance->tasks->pdata[i];
 
 		if (!other->has_lasted && (is_suspect || other->on_trial) &&
-		    !is_same_gang(task, other))
+		    other->job != task->job)
 			return false;
 	}
 	return true;
@@ -161,13 +197,13 @@
 }
 
 /*
- * Returns the task of which a run must have been the cause, or NULL if several
- * may have been. Of a gang, any member stands for all.
+ * Returns the job of which a run must have been the cause, or NULL if runs of
+ * several jobs may have been.
  */
-static const sched_task_t *
+static const sched_job_t *
 find_only_cause(const sched_instance_t *instance)
 {
-	const sched_task_t *only = NULL;
+	const sched_job_t *only = NULL;
 
 	for (guint i = 0; i < instance->tasks->len; i++) {
 		const sched_task_t *task = instance->tasks->pdata[i];
@@ -175,9 +211,9 @@
 		if (!may_be_cause(task))
 			continue;
 		if (task->starts_sent == 0 ||
-		    (only != NULL && !is_same_gang(only, task)))
+		    (only != NULL && only != task->job))
 			return NULL;
-		only = task;
+		only = task->job;
 	}
 	return only;
 }
@@ -202,11 +238,15 @@
  * cause. Returns these tasks (sched_task_t).
  */
 GPtrArray *
-sched_crash_count_instance(const sched_instance_t *instance)
+sched_crash_count_instance(sched_instance_t *instance)
 {
-	const sched_task_t *only = find_only_cause(instance);
 	GPtrArray *suspects = g_ptr_array_new();
+	const sched_job_t *only;
 
+	for (guint i = 0; i < instance->tasks->len; i++)
+		sched_crash_run_survived(instance->pool,
+		    instance->tasks->pdata[i], instance->alive_us);
+	only = find_only_cause(instance);
 	for (guint i = 0; i < instance->tasks->len; i++) {
 		sched_task_t *task = instance->tasks->pdata[i];
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -17,6 +17,8 @@
  * earlier when it has something to report.
  */
 #define SCHED_RENEW_WAIT_MS 1000
+/* The same while runs that have just begun may crash their instance. */
+#define SCHED_RENEW_WATCH_MS 250
 /*
  * Pause between a report and the next renewal, so that one report collects
  * several changes.
@@ -95,7 +97,7 @@
 	bool on_trial; /* no other start goes to the instance; see crash.c */
 	/* Instances that ended just after they had started the task. */
 	uint32_t crashes;
-	uint32_t crashes_alone; /* of these, with no other possible cause */
+	uint32_t crashes_alone; /* of these, caused by the job for certain */
 	uint64_t not_before_us; /* earliest time of the next run */
 	uint32_t percent;	/* progress, from the last report */
 	/* Instance on which the last run failed; empty: none. */
@@ -177,6 +179,7 @@
 	bool started;  /* a task has started */
 	bool long_running;
 	bool has_suspect; /* a task may be suspected; see crash.c */
+	uint32_t trials;  /* tasks on trial */
 	uint32_t placed;  /* number of tasks that are placed on an instance */
 	/* Since when a ready task fits on no instance; 0: none. */
 	uint64_t blocked_since_us;
@@ -213,6 +216,8 @@
 	GPtrArray *tasks;  /* tasks placed on it (sched_task_t) */
 	uint32_t runs_new; /* placed runs that have not lasted; see crash.c */
 	uint32_t trials;   /* of these, runs of suspected tasks */
+	/* When a request was sent that it has responded to. */
+	uint64_t alive_us;
 	/* Runs in the last report that are not placed here; being stopped. */
 	uint32_t runs_unknown;
 	uint32_t requests_in_flight; /* starts and stops without a result */
@@ -249,6 +254,12 @@
 	    uint64_t age_ms, uint64_t now_us, uint32_t *retry_after_ms);
 };
 
+/* Trials in a pool, with the instances that are withheld for one. */
+typedef struct {
+	uint32_t count;
+	uint32_t max;
+} sched_trials_t;
+
 struct sched_pool {
 	char name[SCHED_NAME_BYTES];
 	char data_centre[SCHED_NAME_BYTES];
@@ -266,9 +277,9 @@
 	bool loaded;
 	uint64_t loaded_us; /* when the records had been loaded */
 	uint64_t round;	    /* number of placement rounds */
-	/* Instances with a trial, or withheld for one; see crash.c. */
-	uint32_t trials;
-	uint32_t trials_max;
+	/* Of tasks without and with a crash on trial; see crash.c. */
+	sched_trials_t trials[2];
+	bool has_suspects; /* a suspected task waited in the last round */
 	/* Work placed or refused by this owner, in core milliseconds. */
 	uint64_t demand_cpu_ms;
 	const sched_admission_t *admission;
@@ -373,15 +384,17 @@
 bool sched_crash_is_suspect(const sched_task_t *);
 void sched_crash_run_placed(sched_task_t *);
 void sched_crash_run_settled(sched_task_t *);
-void sched_crash_run_listed(sched_pool_t *, sched_task_t *, uint64_t sent_us);
+void sched_crash_run_survived(sched_pool_t *, sched_task_t *, uint64_t at_us);
 void sched_crash_clear(sched_pool_t *, sched_task_t *);
 uint64_t sched_crash_report_due_us(const sched_instance_t *, uint64_t now_us);
-void sched_crash_begin_round(sched_pool_t *, uint64_t now_us);
-bool sched_crash_may_try(const sched_pool_t *);
+void sched_crash_begin_round(sched_pool_t *);
+bool sched_crash_may_try(sched_pool_t *, const sched_task_t *);
+void sched_crash_add_trial(sched_pool_t *, const sched_task_t *);
+bool sched_crash_is_watched(const sched_instance_t *);
 bool sched_crash_may_start(const sched_instance_t *, const sched_task_t *);
 void sched_crash_count(
     sched_task_t *, const char *instance, bool is_only_cause);
-GPtrArray *sched_crash_count_instance(const sched_instance_t *);
+GPtrArray *sched_crash_count_instance(sched_instance_t *);
 void sched_crash_give_up(sched_pool_t *, const GPtrArray *suspects);
 
 /* evacuate.c */
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -266,6 +266,7 @@
 	instance->contacted = false;
 	instance->unreachable = false;
 	instance->runs_unknown = 0;
+	instance->alive_us = 0;
 	instance->seen_number = 0;
 	instance->ack_number = 0;
 	instance->clock_ms = 0;
@@ -413,9 +414,10 @@
 		renewal.deadline_ms =
 		    sched_instance_extend_lease(instance, now_us);
 	renewal.ack_number = is_fresh ? instance->ack_number : 0;
-	renewal.wait_ms = is_fresh && is_busy && instance->trials == 0
-	    ? SCHED_RENEW_WAIT_MS
-	    : 0;
+	if (is_fresh && is_busy && instance->trials == 0)
+		renewal.wait_ms = sched_crash_is_watched(instance)
+		    ? SCHED_RENEW_WATCH_MS
+		    : SCHED_RENEW_WAIT_MS;
 	instance->renewing = true;
 	instance->renew_due_us = 0;
 	instance->renew_sent_us = now_us;
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -83,13 +83,16 @@
 
 /*
  * Returns the cost of a trial on the instance: what a crash would end. A
- * long-running task counts more than any work.
+ * long-running task counts more than any work. An instance that already hosts a
+ * trial of the job comes first.
  */
 static uint64_t
 trial_cost(const sched_instance_t *instance)
 {
 	uint64_t cost = instance->used.cpu_millis;
 
+	if (instance->trials > 0)
+		return 0;
 	if (sched_instance_hosts_long_running(instance))
 		cost += UINT64_C(1) << 48;
 	return cost;
@@ -234,7 +237,7 @@
 	if (best == NULL)
 		return;
 	best->withheld_round = pool->round;
-	pool->trials++;
+	sched_crash_add_trial(pool, task);
 }
 
 /*
@@ -315,15 +318,21 @@
 place_suspect(sched_pool_t *pool, sched_task_t *task, uint64_t now_us)
 {
 	sched_instance_t *instance;
+	bool is_new;
 
-	if (!sched_crash_may_try(pool))
+	if (task->job->trials == 0 && !sched_crash_may_try(pool, task))
 		return;
 	instance = sched_place_find_instance(pool, task, now_us);
+	/* Or the task joins a trial of its job. */
+	is_new = instance == NULL || instance->trials == 0;
+	if (is_new && !sched_crash_may_try(pool, task))
+		return;
 	if (instance == NULL) {
 		withhold_for_trial(pool, task, now_us);
 		return;
 	}
-	pool->trials++;
+	if (is_new)
+		sched_crash_add_trial(pool, task);
 	reserve_task(pool, task, instance, task->run + 1);
 }
 
@@ -489,10 +498,12 @@
 }
 
 /*
- * Places suspected tasks of the job, as far as trials may begin now.
+ * Places suspected tasks of the job, as far as trials may begin now: those that
+ * have crashed an instance on trial, or the others.
  */
 static void
-place_suspects(sched_pool_t *pool, sched_job_t *job, uint64_t now_us)
+place_suspects(sched_pool_t *pool, sched_job_t *job, bool crashed_on_trial,
+    uint64_t now_us)
 {
 	bool has_suspect = false;
 
@@ -505,6 +516,7 @@
 
 			has_suspect |= sched_crash_is_suspect(task);
 			if (!sched_crash_is_suspect(task) ||
+			    (task->crashes_alone > 0) != crashed_on_trial ||
 			    task->state != SCHED_TASK_WAITING ||
 			    now_us < task->not_before_us ||
 			    sched_task_step_spec(task)->gang ||
@@ -517,6 +529,28 @@
 	job->has_suspect = has_suspect;
 }
 
+/*
+ * Places the suspected tasks of the jobs. This comes first in a round, so that
+ * an instance that is withheld for a trial goes to no other task. Those that
+ * have crashed an instance on trial come last.
+ */
+static void
+place_all_suspects(sched_pool_t *pool, const GPtrArray *jobs, uint64_t now_us)
+{
+	pool->has_suspects = false;
+	for (int pass = 0; pass < 2; pass++)
+		for (guint i = 0; i < jobs->len; i++) {
+			sched_job_t *job = jobs->pdata[i];
+
+			if (!job->has_suspect)
+				continue;
+			pool->has_suspects = true;
+			if (sched_window_may_place(
+				pool->window, pool->unsent_bytes))
+				place_suspects(pool, job, pass == 1, now_us);
+		}
+}
+
 /*
  * Places the waiting tasks for which there is room, in the order of
  * sched_sort_jobs(), as long as their starts can be sent soon.
@@ -527,7 +561,7 @@
 	g_autoptr(GPtrArray) jobs = g_ptr_array_new();
 
 	pool->round++;
-	sched_crash_begin_round(pool, now_us);
+	sched_crash_begin_round(pool);
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
 
@@ -535,12 +569,7 @@
 			g_ptr_array_add(jobs, job);
 	}
 	sched_sort_jobs(jobs, now_us);
-	/* First, so that an instance withheld for a trial goes to no other
-	 * task. */
-	for (guint i = 0; i < jobs->len; i++)
-		if (((sched_job_t *)jobs->pdata[i])->has_suspect &&
-		    sched_window_may_place(pool->window, pool->unsent_bytes))
-			place_suspects(pool, jobs->pdata[i], now_us);
+	place_all_suspects(pool, jobs, now_us);
 	for (guint i = 0; i < jobs->len; i++) {
 		sched_job_t *job = jobs->pdata[i];
 
--- a/lib/sched/report.c
+++ b/lib/sched/report.c
@@ -80,7 +80,7 @@
 	task->confirmed_us = MAX(task->confirmed_us, sent_us);
 	if (task->begun_us == 0)
 		task->begun_us = now_us;
-	sched_crash_run_listed(pool, task, sent_us);
+	sched_crash_run_survived(pool, task, sent_us);
 	task->percent = row->percent;
 	if (row->checkpoint != NULL && row->checkpoint[0] != '\0' &&
 	    g_strcmp0(task->checkpoint, row->checkpoint) != 0) {
@@ -186,6 +186,7 @@
 	instance->clock_ms = report->clock_ms;
 	instance->clock_read_us = now_us;
 	instance->report_us = now_us;
+	instance->alive_us = MAX(instance->alive_us, sent_us);
 	/* Ends before the first one listed have been acknowledged. */
 	if (report->end_count > 0)
 		instance->ack_number =
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -356,9 +356,14 @@
 	    strcmp(task->instance->info.id, id) != 0)
 		return;
 	task->requests_in_flight -= MIN(task->requests_in_flight, 1);
+	instance = task->instance;
+	/* A repeated start may have been answered to an earlier request. */
+	if (result != SCHED_RESULT_NO_RESPONSE &&
+	    result != SCHED_RESULT_REPLACED && task->starts_sent == 1 &&
+	    task->stops_sent == 0)
+		instance->alive_us = MAX(instance->alive_us, task->sent_us);
 	if (task->state != SCHED_TASK_STARTING)
 		return;
-	instance = task->instance;
 	if (result == SCHED_RESULT_OK) {
 		task->state = SCHED_TASK_RUNNING;
 		task->confirmed_us = now_us;
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -495,7 +495,7 @@
   char *checkpoint;
   /*
    * Instances that ended just after they had started the task; of these, with
-   * no other run that may have been the cause.
+   * no run of another job that may have been the cause.
    */
   uint32_t crashes;
   uint32_t crashes_alone;
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -21,24 +21,25 @@
 commit
 # One at a time, whichever comes first.
 started i1 j1.0.0.0 2 ok
-started i1 j2.0.0.0 2 ok
 instance i1 born=3
 tick
 report i1 clock=0 born=3
 commit
-started i1 j1.0.0.0 3 ok
+# Then the one that has not crashed an instance on trial.
 started i1 j2.0.0.0 2 ok
+advance 250
+report i1 clock=250 born=3 run:j2.0.0.0:2:50
+commit
+started i1 j1.0.0.0 3 ok
 instance i1 born=4
 tick
 report i1 clock=0 born=4
 commit
 state j1
 state j2
-started i1 j2.0.0.0 2 ok
+started i1 j2.0.0.0 3 ok
 advance 250
-report i1 clock=250 born=4 run:j2.0.0.0:2:50
-advance 250
-report i1 clock=500 born=4 end:1:j2.0.0.0:2:done
+report i1 clock=250 born=4 end:1:j2.0.0.0:3:done
 commit
 state j2
 EOT
@@ -97,6 +98,27 @@
 commit
 EOT
 
+# Guards against too many suspects: the response to the second start shows that
+# the instance was alive long after the first run had begun.
+play "a run before which the instance responded is not the cause" two <<'EOT'
+submit j1 1:1000:5000
+commit
+started i1 j1.0.0.0 1 ok
+advance 260
+submit j2 1:1000:500
+commit
+started i1 j2.0.0.0 1 ok
+renew-failed i1 replaced
+commit
+started i2 j2.0.0.0 2 ok
+advance 260
+report i2 clock=620 run:j2.0.0.0:2:50
+# j1 is not on trial, so that j3 is started beside it.
+commit
+submit j3 1:1000:500
+commit
+EOT
+
 # Guards against an order to a machine that counts as a crash: the task would be
 # on trial, and the other task not be placed beside it.
 play "a planned stop of a machine is not a crash" two <<'EOT'
