--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -197,13 +197,13 @@
 }
 
 /*
- * Returns the job of which a run must have been the cause, or NULL if runs of
- * several jobs may have been.
+ * Returns whether all runs that may have been the cause are of one job, and
+ * this owner has started them.
  */
-static const sched_job_t *
-find_only_cause(const sched_instance_t *instance)
+static bool
+has_one_cause(const sched_instance_t *instance)
 {
-	const sched_job_t *only = NULL;
+	const sched_job_t *cause = NULL;
 
 	for (guint i = 0; i < instance->tasks->len; i++) {
 		const sched_task_t *task = instance->tasks->pdata[i];
@@ -211,22 +211,22 @@
 		if (!may_be_cause(task))
 			continue;
 		if (task->starts_sent == 0 ||
-		    (only != NULL && only != task->job))
-			return NULL;
-		only = task->job;
+		    (cause != NULL && cause != task->job))
+			return false;
+		cause = task->job;
 	}
-	return only;
+	return cause != NULL;
 }
 
 /*
  * Counts a crash for a task whose run may have been its cause.
  */
 void
-sched_crash_count(sched_task_t *task, const char *instance, bool is_only_cause)
+sched_crash_count(sched_task_t *task, const char *instance, bool is_certain)
 {
 	task->job->has_suspect = true;
 	task->crashes++;
-	task->crashes_alone += is_only_cause;
+	task->crashes_alone += is_certain;
 	gw_log(GW_EV_TASK_SUSPECTED,
 	    "job=%s task=%u.%u.%u run=%u instance=%s crashes=%u alone=%u",
 	    task->job->id, task->occurrence, task->step, task->index, task->run,
@@ -241,18 +241,18 @@
 sched_crash_count_instance(sched_instance_t *instance)
 {
 	GPtrArray *suspects = g_ptr_array_new();
-	const sched_job_t *only;
+	bool is_certain;
 
 	for (guint i = 0; i < instance->tasks->len; i++)
 		sched_crash_run_survived(instance->pool,
 		    instance->tasks->pdata[i], instance->alive_us);
-	only = find_only_cause(instance);
+	is_certain = has_one_cause(instance);
 	for (guint i = 0; i < instance->tasks->len; i++) {
 		sched_task_t *task = instance->tasks->pdata[i];
 
 		if (!may_be_cause(task) || sched_job_has_ended(task->job))
 			continue;
-		sched_crash_count(task, instance->info.id, only != NULL);
+		sched_crash_count(task, instance->info.id, is_certain);
 		g_ptr_array_add(suspects, task);
 	}
 	return suspects;
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -392,8 +392,7 @@
 void sched_crash_add_trial(sched_pool_t *, const sched_task_t *);
 bool sched_crash_is_watched(const sched_instance_t *);
 bool sched_crash_may_start(const sched_instance_t *, const sched_task_t *);
-void sched_crash_count(
-    sched_task_t *, const char *instance, bool is_only_cause);
+void sched_crash_count(sched_task_t *, const char *instance, bool is_certain);
 GPtrArray *sched_crash_count_instance(sched_instance_t *);
 void sched_crash_give_up(sched_pool_t *, const GPtrArray *suspects);
 
