Do not try a run of a previous owner after one crash

Cause: of a run that the record names and that is lost with its instance, the new owner does not know when it began, so all of them were suspected, although at most one or two of an instance's runs had just begun. Change: such a crash counts (crashes_adopted, in the job's record), but only a second one makes the task a suspect. So a task that crashes its instances is still found, with one crash more for an owner lost just then. Test: sched/crash.sh, "runs of the previous owner are not tried after one crash"; before, j2 waited for the trial of j1.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -21,10 +21,15 @@
  */
 static const uint32_t instances_per_trial[] = {3, 8};
 
+/*
+ * Returns whether the next run of the task is a trial. The runs that a previous
+ * owner has started and that are lost with their instance are many, and most of
+ * them have lasted, so one such loss is no reason for a trial.
+ */
 bool
 sched_crash_is_suspect(const sched_task_t *task)
 {
-	return task->crashes > 0;
+	return task->crashes > MIN(task->crashes_adopted, 1);
 }
 
 /*
@@ -61,12 +66,12 @@
 void
 sched_crash_clear(sched_pool_t *pool, sched_task_t *task)
 {
-	if (!sched_crash_is_suspect(task))
+	if (task->crashes == 0)
 		return;
 	gw_log(GW_EV_TASK_CLEARED, "job=%s task=%u.%u.%u run=%u crashes=%u",
 	    task->job->id, task->occurrence, task->step, task->index, task->run,
 	    task->crashes);
-	task->crashes = task->crashes_alone = 0;
+	task->crashes = task->crashes_alone = task->crashes_adopted = 0;
 	if (!sched_job_has_ended(task->job))
 		sched_job_mark_dirty(pool, task->job);
 }
@@ -224,13 +229,16 @@
 void
 sched_crash_count(sched_task_t *task, const char *instance, bool is_certain)
 {
-	task->job->has_suspect = true;
 	task->crashes++;
 	task->crashes_alone += is_certain;
+	task->crashes_adopted += task->starts_sent == 0;
+	task->job->has_suspect |= sched_crash_is_suspect(task);
 	gw_log(GW_EV_TASK_SUSPECTED,
-	    "job=%s task=%u.%u.%u run=%u instance=%s crashes=%u alone=%u",
+	    "job=%s task=%u.%u.%u run=%u instance=%s crashes=%u alone=%u "
+	    "adopted=%u",
 	    task->job->id, task->occurrence, task->step, task->index, task->run,
-	    instance, task->crashes, task->crashes_alone);
+	    instance, task->crashes, task->crashes_alone,
+	    task->crashes_adopted);
 }
 
 /*
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -97,7 +97,8 @@
 	bool on_trial; /* no other start goes to the instance; see crash.c */
 	/* Instances that ended just after they had started the task. */
 	uint32_t crashes;
-	uint32_t crashes_alone; /* of these, caused by the job for certain */
+	uint32_t crashes_alone;	  /* of these, caused by the job for certain */
+	uint32_t crashes_adopted; /* of these, of a previous owner's runs */
 	uint64_t not_before_us; /* earliest time of the next run */
 	uint32_t percent;	/* progress, from the last report */
 	/* Instance on which the last run failed; empty: none. */
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -34,6 +34,7 @@
 	record->failures = task->failures;
 	record->crashes = task->crashes;
 	record->crashes_alone = task->crashes_alone;
+	record->crashes_adopted = task->crashes_adopted;
 	if (task->state == SCHED_TASK_DONE) {
 		record->state = GW__TASK_STATE__TASK_DONE;
 		return;
@@ -141,9 +142,10 @@
 
 	task->run = from->run;
 	task->failures = from->failures;
-	task->job->has_suspect |= from->crashes > 0;
 	task->crashes = from->crashes;
 	task->crashes_alone = from->crashes_alone;
+	task->crashes_adopted = from->crashes_adopted;
+	task->job->has_suspect |= sched_crash_is_suspect(task);
 	task->job->started |= from->run > 0;
 	if (from->checkpoint[0] != '\0')
 		task->checkpoint = g_strdup(from->checkpoint);
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3237,7 +3237,7 @@
   (ProtobufCMessageInit) gw__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__task_record__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gw__task_record__field_descriptors[8] =
 {
   {
     "state",
@@ -3323,10 +3323,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes_adopted",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TaskRecord, crashes_adopted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__task_record__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
   5,   /* field[5] = crashes */
+  7,   /* field[7] = crashes_adopted */
   6,   /* field[6] = crashes_alone */
   2,   /* field[2] = failures */
   3,   /* field[3] = host */
@@ -3336,7 +3349,7 @@
 static const ProtobufCIntRange gw__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gw__task_record__descriptor =
 {
@@ -3346,7 +3359,7 @@
   "Gw__TaskRecord",
   "gw",
   sizeof(Gw__TaskRecord),
-  7,
+  8,
   gw__task_record__field_descriptors,
   gw__task_record__field_indices_by_name,
   1,  gw__task_record__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -495,14 +495,16 @@
   char *checkpoint;
   /*
    * Instances that ended just after they had started the task; of these, with
-   * no run of another job that may have been the cause.
+   * no run of another job that may have been the cause; and of these, lost by
+   * an owner that had not sent the start.
    */
   uint32_t crashes;
   uint32_t crashes_alone;
+  uint32_t crashes_adopted;
 };
 #define GW__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__task_record__descriptor) \
-    , GW__TASK_STATE__TASK_WAITING, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , GW__TASK_STATE__TASK_WAITING, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Gw__HostRecord
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -80,6 +80,28 @@
 state j1
 EOT
 
+# Guards against a takeover that puts all runs lost with their instances on
+# trial, one after the other; a second crash does.
+play "runs of the previous owner are not tried after one crash" two <<'EOT'
+submit j1 1:1000:5000
+submit j2 1:1000:5000
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j2.0.0.0 1 ok
+takeover previous-gone
+instance i1 born=2
+tick
+report i1 clock=0 born=2
+commit
+started i1 j1.0.0.0 2 ok
+started i1 j2.0.0.0 2 ok
+takeover previous-gone
+instance i1 born=3
+tick
+report i1 clock=0 born=3
+commit
+EOT
+
 # Guards against a crash that is charged to a run that had lasted.
 play "a run that has lasted is not the cause" two <<'EOT'
 submit j1 1:1000:5000
