Start jobs apart after a sign of a crash

What callers saw: when a task crashed its instance, the jobs that had just been started beside it were suspected too and waited for their trials; in a surge, packed placement starts up to 14 tasks of several jobs on one instance within 250 ms. Cause: nothing changed in placement until the crash was proved, 3.4 s later, by the return of the instance. Change: when an instance with new runs does not respond, and while suspects wait, a task prefers an instance on which no other job has just begun, for 6 s, and such instances report every 250 ms. It is a preference: with all instances busy, tasks are packed as before.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -15,6 +15,11 @@
 /* A task is given up after this many crashes, of which so many on trial. */
 #define CRASHES_MAX 3
 #define CRASHES_ALONE_MAX 2
+/*
+ * After a sign of a crash, jobs are started apart for this long: until the
+ * ended instance is likely to be back and the cause is on trial.
+ */
+#define START_APART_US (6 * GW_US_PER_S)
 /*
  * At most one in so many of the pool's instances hosts a trial, of tasks
  * without and with a crash on trial. The latter most likely crash one more.
@@ -160,14 +165,56 @@
 	trials_of(pool, task)->count++;
 }
 
+/*
+ * Handles that the instance does not respond. If runs have just begun there, it
+ * may have crashed.
+ */
+void
+sched_crash_note_silence(const sched_instance_t *instance, uint64_t now_us)
+{
+	if (instance->runs_new > 0)
+		instance->pool->apart_until_us = now_us + START_APART_US;
+}
+
+static bool
+is_apart(const sched_pool_t *pool, uint64_t now_us)
+{
+	return pool->has_suspects || now_us < pool->apart_until_us;
+}
+
 /*
  * Returns whether the instance should report soon, so that few runs are
  * suspected if it crashes.
  */
 bool
-sched_crash_is_watched(const sched_instance_t *instance)
+sched_crash_is_watched(const sched_instance_t *instance, uint64_t now_us)
+{
+	return instance->runs_new > 0 && is_apart(instance->pool, now_us);
+}
+
+static bool
+hosts_new_run_of_other(const sched_instance_t *instance, const sched_job_t *job)
+{
+	for (guint i = 0; instance->runs_new > 0 && i < instance->tasks->len;
+	     i++) {
+		const sched_task_t *other = instance->tasks->pdata[i];
+
+		if (!other->has_lasted && other->job != job)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns whether another instance is preferred for the task, so that a crash
+ * of this one would have one cause.
+ */
+bool
+sched_crash_prefers_other(
+    const sched_instance_t *instance, const sched_task_t *task, uint64_t now_us)
 {
-	return instance->runs_new > 0 && instance->pool->has_suspects;
+	return is_apart(instance->pool, now_us) &&
+	    hosts_new_run_of_other(instance, task->job);
 }
 
 /*
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -99,8 +99,8 @@
 	uint32_t crashes;
 	uint32_t crashes_alone;	  /* of these, caused by the job for certain */
 	uint32_t crashes_adopted; /* of these, of a previous owner's runs */
-	uint64_t not_before_us; /* earliest time of the next run */
-	uint32_t percent;	/* progress, from the last report */
+	uint64_t not_before_us;	  /* earliest time of the next run */
+	uint32_t percent;	  /* progress, from the last report */
 	/* Instance on which the last run failed; empty: none. */
 	char failed_on[SCHED_NAME_BYTES];
 } sched_task_t;
@@ -280,7 +280,8 @@
 	uint64_t round;	    /* number of placement rounds */
 	/* Of tasks without and with a crash on trial; see crash.c. */
 	sched_trials_t trials[2];
-	bool has_suspects; /* a suspected task waited in the last round */
+	bool has_suspects;	 /* a suspected task waited in the last round */
+	uint64_t apart_until_us; /* jobs are started apart; see crash.c */
 	/* Work placed or refused by this owner, in core milliseconds. */
 	uint64_t demand_cpu_ms;
 	const sched_admission_t *admission;
@@ -391,7 +392,10 @@
 void sched_crash_begin_round(sched_pool_t *);
 bool sched_crash_may_try(sched_pool_t *, const sched_task_t *);
 void sched_crash_add_trial(sched_pool_t *, const sched_task_t *);
-bool sched_crash_is_watched(const sched_instance_t *);
+void sched_crash_note_silence(const sched_instance_t *, uint64_t now_us);
+bool sched_crash_is_watched(const sched_instance_t *, uint64_t now_us);
+bool sched_crash_prefers_other(
+    const sched_instance_t *, const sched_task_t *, uint64_t now_us);
 bool sched_crash_may_start(const sched_instance_t *, const sched_task_t *);
 void sched_crash_count(sched_task_t *, const char *instance, bool is_certain);
 GPtrArray *sched_crash_count_instance(sched_instance_t *);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -415,7 +415,7 @@
 		    sched_instance_extend_lease(instance, now_us);
 	renewal.ack_number = is_fresh ? instance->ack_number : 0;
 	if (is_fresh && is_busy && instance->trials == 0)
-		renewal.wait_ms = sched_crash_is_watched(instance)
+		renewal.wait_ms = sched_crash_is_watched(instance, now_us)
 		    ? SCHED_RENEW_WATCH_MS
 		    : SCHED_RENEW_WAIT_MS;
 	instance->renewing = true;
@@ -473,6 +473,7 @@
 		    pool->name, instance->tasks->len,
 		    ((int64_t)instance->expiry_us - (int64_t)now_us) / 1000);
 	instance->unreachable = true;
+	sched_crash_note_silence(instance, now_us);
 	if (instance->listed || instance->tasks->len > 0)
 		sched_instance_schedule_renewal(
 		    instance, now_us + SCHED_RENEW_RETRY_US);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -103,16 +103,18 @@
  * instance with the lowest cost is chosen. In descending order of weight, it
  * avoids:
  * - the instance on which the task failed last, where it may fail again;
- * - other racks than that of the task's data, where it runs slower; and
+ * - other racks than that of the task's data, where it runs slower;
  * - for a long-running task, an instance that has several tasks of its step,
- *   since an instance may fail, and one without long-running tasks.
+ *   since an instance may fail, and one without long-running tasks; and
+ * - after a sign of a crash, an instance where another job has just begun.
  *
  * The unused CPU is added, so that the fullest instance is preferred: others
  * stay idle and can be lent or switched off. Another data centre, where
  * requests take longer, costs as much as half a core of unused CPU.
  */
 static uint64_t
-placement_cost(const sched_instance_t *instance, const sched_task_t *task)
+placement_cost(
+    const sched_instance_t *instance, const sched_task_t *task, uint64_t now_us)
 {
 	const Gw__JobStep *step = sched_task_step_spec(task);
 	const sched_pool_t *pool = instance->pool;
@@ -132,6 +134,8 @@
 		if (!sched_instance_hosts_long_running(instance))
 			cost += UINT64_C(1) << 47;
 	}
+	if (sched_crash_prefers_other(instance, task, now_us))
+		cost += UINT64_C(1) << 46;
 	if (strcmp(instance->info.data_centre, pool->data_centre) != 0)
 		cost += 500;
 	return cost + free_cpu;
@@ -160,7 +164,7 @@
 		if (only_rack != NULL &&
 		    g_strcmp0(instance->rack, only_rack) != 0)
 			continue;
-		cost = placement_cost(instance, task);
+		cost = placement_cost(instance, task, now_us);
 		if (best == NULL || cost < best_cost) {
 			best = instance;
 			best_cost = cost;
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -141,6 +141,25 @@
 commit
 EOT
 
+# Guards against a crash of which several jobs may be the cause, since all were
+# started on the instance at once: they are not after a sign of a crash.
+play "jobs are started apart after a sign of a crash" one <<'EOT'
+submit j1 1:1000:500
+commit
+renew-failed i1 none
+instance i2
+instance i3
+tick
+report i2 clock=100
+report i3 clock=100
+submit j2 1:1000:500
+submit j3 2:1000:500
+commit
+# There is no instance left for j4 alone.
+submit j4 1:1000:500
+commit
+EOT
+
 # Guards against an order to a machine that counts as a crash: the task would be
 # on trial, and the other task not be placed beside it.
 play "a planned stop of a machine is not a crash" two <<'EOT'
