Let idle instances host trials, and bound trials by the instances that are there

Cause: one instance in eight hosted tasks that had crashed one on trial, whatever ran on the others, and each such trial lasts until the instance is back, 3.4 s. The bound counted all instances that the pool had ever had, so that it grew with each crash. The planner took machines away meanwhile, since trials use little CPU. Change: half of the listed instances may host trials of tasks without a crash on trial; of the others one in eight, and on idle instances as many as make up the half; a job that waits for a trial counts as blocked, for which a pool gets one machine more. Tests: sched/crash.sh, "idle instances host more trials" and "instances that have left do not count"; before, one of two tasks was tried in the first, and no job reported as blocked.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "gw/log.h"
 #include "sched/impl.h"
 
@@ -24,7 +26,7 @@
  * At most one in so many of the pool's instances hosts a trial, of tasks
  * without and with a crash on trial. The latter most likely crash one more.
  */
-static const uint32_t instances_per_trial[] = {3, 8};
+static const uint32_t instances_per_trial[] = {2, 8};
 
 /*
  * Returns whether the next run of the task is a trial. The runs that a previous
@@ -129,31 +131,38 @@
 void
 sched_crash_begin_round(sched_pool_t *pool)
 {
-	uint32_t count = g_hash_table_size(pool->instances);
 	sched_instance_t *instance;
 	GHashTableIter iter;
+	uint32_t count = 0;
 
-	for (guint i = 0; i < G_N_ELEMENTS(pool->trials); i++) {
-		pool->trials[i].count = 0;
-		pool->trials[i].max = MAX(count / instances_per_trial[i], 1);
-	}
+	memset(pool->trials, 0, sizeof(pool->trials));
 	g_hash_table_iter_init(&iter, pool->instances);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
 		const sched_task_t *task = find_trial(instance);
 
+		count += instance->listed;
 		if (task != NULL)
 			trials_of(pool, task)->count++;
 	}
+	for (guint i = 0; i < G_N_ELEMENTS(pool->trials); i++)
+		pool->trials[i].max = MAX(count / instances_per_trial[i], 1);
 }
 
 /*
- * Returns whether a trial of the task may begin, or an instance be withheld for
- * one.
+ * Returns whether a trial of the task may begin on the instance, or one be
+ * withheld for it (NULL). On an idle instance a crash does little harm, so more
+ * tasks that most likely crash it may be tried there.
  */
 bool
-sched_crash_may_try(sched_pool_t *pool, const sched_task_t *task)
+sched_crash_may_try(sched_pool_t *pool, const sched_task_t *task,
+    const sched_instance_t *instance)
 {
-	return trials_of(pool, task)->count < trials_of(pool, task)->max;
+	const sched_trials_t *trials = trials_of(pool, task);
+
+	if (trials->count < trials->max)
+		return true;
+	return instance != NULL && instance->tasks->len == 0 &&
+	    pool->trials[0].count + pool->trials[1].count < pool->trials[0].max;
 }
 
 /*
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -390,7 +390,8 @@
 void sched_crash_clear(sched_pool_t *, sched_task_t *);
 uint64_t sched_crash_report_due_us(const sched_instance_t *, uint64_t now_us);
 void sched_crash_begin_round(sched_pool_t *);
-bool sched_crash_may_try(sched_pool_t *, const sched_task_t *);
+bool sched_crash_may_try(
+    sched_pool_t *, const sched_task_t *, const sched_instance_t *);
 void sched_crash_add_trial(sched_pool_t *, const sched_task_t *);
 void sched_crash_note_silence(const sched_instance_t *, uint64_t now_us);
 bool sched_crash_is_watched(const sched_instance_t *, uint64_t now_us);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -324,14 +324,15 @@
 	sched_instance_t *instance;
 	bool is_new;
 
-	if (task->job->trials == 0 && !sched_crash_may_try(pool, task))
-		return;
 	instance = sched_place_find_instance(pool, task, now_us);
 	/* Or the task joins a trial of its job. */
 	is_new = instance == NULL || instance->trials == 0;
-	if (is_new && !sched_crash_may_try(pool, task))
+	if (is_new && !sched_crash_may_try(pool, task, instance)) {
+		mark_blocked(task->job, now_us);
 		return;
+	}
 	if (instance == NULL) {
+		mark_blocked(task->job, now_us);
 		withhold_for_trial(pool, task, now_us);
 		return;
 	}
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -160,6 +160,64 @@
 commit
 EOT
 
+# Guards against trials one after the other in a pool that has idle instances, and
+# against a pool that keeps its few machines meanwhile: the planner is told.
+play "idle instances host more trials" <<'EOT'
+pool
+instance i1
+instance i2
+instance i3
+instance i4
+tick
+report i1 clock=100
+report i2 clock=100
+report i3 clock=100
+report i4 clock=100
+submit j1 1:3000:500
+submit j2 1:3000:500
+submit j3 1:3000:500
+commit
+started i2 j1.0.0.0 1 ok
+started i4 j2.0.0.0 1 ok
+started i1 j3.0.0.0 1 ok
+instance i1 born=2
+instance i2 born=2
+instance i4 born=2
+tick
+report i1 clock=0 born=2
+report i2 clock=0 born=2
+report i4 clock=0 born=2
+# Two of four instances; j3 waits.
+commit
+advance 650
+load
+EOT
+
+# Guards against instances that have left and still raise the number of trials.
+play "instances that have left do not count" <<'EOT'
+pool
+instance i1
+instance i2
+instance i3
+instance i4
+tick
+gone i3
+gone i4
+report i1 clock=100
+report i2 clock=100
+submit j1 1:3000:500
+submit j2 1:3000:500
+commit
+started i2 j1.0.0.0 1 ok
+started i1 j2.0.0.0 1 ok
+instance i1 born=2
+instance i2 born=2
+tick
+report i1 clock=0 born=2
+report i2 clock=0 born=2
+commit
+EOT
+
 # Guards against an order to a machine that counts as a crash: the task would be
 # on trial, and the other task not be placed beside it.
 play "a planned stop of a machine is not a crash" two <<'EOT'
