Give up a task after five crashes whatever their causes

Each loss of an owner between a crash and its count adds a crash with several possible causes, and only two with one possible cause ended the job. Change: a fifth crash ends it too, also if it is counted when the records are loaded. Test: sched/crash.sh, "five crashes are enough whatever the causes"; before, the sixth start was sent.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -14,9 +14,13 @@
 
 /* A run that has lasted this long has not crashed its instance by starting. */
 #define START_WINDOW_US (250 * GW_US_PER_MS)
-/* A task is given up after this many crashes, of which so many on trial. */
-#define CRASHES_MAX 3
-#define CRASHES_ALONE_MAX 2
+/*
+ * A task is given up after this many crashes if so many had no other possible
+ * cause, and after CRASHES_MAX whatever their causes.
+ */
+#define CRASHES_PROVEN 3
+#define CRASHES_ALONE_PROVEN 2
+#define CRASHES_MAX 5
 /*
  * After a sign of a crash, jobs are started apart for this long: until the
  * ended instance is likely to be back and the cause is on trial.
@@ -322,6 +326,14 @@
 	return suspects;
 }
 
+static bool
+has_crashed_too_many(const sched_task_t *task)
+{
+	return task->crashes >= CRASHES_MAX ||
+	    (task->crashes >= CRASHES_PROVEN &&
+		task->crashes_alone >= CRASHES_ALONE_PROVEN);
+}
+
 /*
  * Fails the jobs of the tasks that have crashed too many instances.
  */
@@ -331,8 +343,7 @@
 	for (guint i = 0; i < suspects->len; i++) {
 		const sched_task_t *task = suspects->pdata[i];
 
-		if (task->crashes < CRASHES_MAX ||
-		    task->crashes_alone < CRASHES_ALONE_MAX ||
+		if (!has_crashed_too_many(task) ||
 		    sched_job_has_ended(task->job))
 			continue;
 		gw_log(GW_EV_TASK_GIVEN_UP,
@@ -342,3 +353,27 @@
 		sched_job_end(pool, task->job, GW__JOB_STATE__JOB_FAILED);
 	}
 }
+
+/*
+ * The same for all tasks of the pool, after their records have been loaded: the
+ * last crash may have been counted then.
+ */
+void
+sched_crash_give_up_loaded(sched_pool_t *pool)
+{
+	g_autoptr(GPtrArray) suspects = g_ptr_array_new();
+
+	for (guint i = 0; i < pool->open->len; i++) {
+		const sched_job_t *job = pool->open->pdata[i];
+
+		for (guint k = 0; k < job->occurrences->len; k++) {
+			sched_occurrence_t *occurrence =
+			    job->occurrences->pdata[k];
+
+			for (uint32_t n = 0; n < occurrence->task_count; n++)
+				g_ptr_array_add(
+				    suspects, &occurrence->tasks[n]);
+		}
+	}
+	sched_crash_give_up(pool, suspects);
+}
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -401,6 +401,7 @@
 void sched_crash_count(sched_task_t *, const char *instance, bool is_certain);
 GPtrArray *sched_crash_count_instance(sched_instance_t *);
 void sched_crash_give_up(sched_pool_t *, const GPtrArray *suspects);
+void sched_crash_give_up_loaded(sched_pool_t *);
 
 /* evacuate.c */
 void sched_evacuate(sched_instance_t *, uint64_t now_us);
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -153,6 +153,7 @@
 	pool->loaded_us = gw_clock_now_us(pool->clock);
 	gw_log(GW_EV_ROLE_LOADED, "pool=%s open_jobs=%u placed=%u ended=%u",
 	    pool->name, jobs, placed, pool->ended->length);
+	sched_crash_give_up_loaded(pool);
 }
 
 /*
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -102,6 +102,44 @@
 commit
 EOT
 
+# Guards against crashes in series with losses of the owner: none of them has one
+# possible cause for certain.
+play "five crashes are enough whatever the causes" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+takeover previous-gone
+instance i1 born=2
+tick
+report i1 clock=0 born=2
+commit
+takeover previous-gone
+instance i1 born=3
+tick
+report i1 clock=0 born=3
+commit
+takeover previous-gone
+instance i1 born=4
+tick
+report i1 clock=0 born=4
+commit
+takeover previous-gone
+instance i1 born=5
+tick
+report i1 clock=0 born=5
+commit
+takeover previous-gone
+instance i1 born=6
+tick
+report i1 clock=0 born=6
+commit
+state j1
+EOT
+
 # Guards against a crash that is charged to a run that had lasted.
 play "a run that has lasted is not the cause" two <<'EOT'
 submit j1 1:1000:5000
