Refuse a new job of a queue that the owner's configuration has dropped

What callers would see: a process whose configuration is old accepts jobs for a queue that has been dropped, or sends them to the pool that served it before (CONFIG). Cause: the same as of the stale 404: what the process says rests on a configuration whose age nothing bounds. Change: a submission carries the version by which its queue was found. An owner whose configuration is newer and does not have the queue in its pool refuses it with 503 and Retry-After, reason queue-dropped. A job that the owner already has stays accepted, so that the refusal is true. Test: regress/entry/dropped_queue.sh; before, the job was accepted (200).

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -220,6 +220,7 @@
 	entry_t *entry = arg;
 
 	front_set_config(entry->front, config);
+	owners_set_config(entry->owners, config);
 	if (entry->planner != NULL)
 		planner_set_config(entry->planner, config);
 	enable_claims(entry);
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -139,6 +139,7 @@
 	call.queue = queue->name;
 	call.id = request->id;
 	call.spec = spec;
+	call.config_version = front->config->version;
 	request->responses_awaited = count;
 	request_start_deadline(request);
 	request->refs++;
--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -9,6 +9,8 @@
 
 /* Retry-After while the store is not writable, since outages last seconds. */
 #define STORE_RETRY_AFTER_MS 2000
+/* Until a process whose configuration is old has the newest one. */
+#define CONFIG_RETRY_AFTER_MS 1000
 /* A drain that is not requested again within this time ends. */
 #define DRAIN_EXPIRY_MS 2500
 
@@ -17,7 +19,8 @@
 	store_t *store;
 	char data_centre[SCHED_NAME_BYTES];
 	sched_bounds_t bounds;
-	sched_window_t *window; /* of starts in flight, of all owners */
+	sched_window_t *window;	      /* of starts in flight, of all owners */
+	const sched_config_t *config; /* in force; NULL before the first */
 	const owner_ops_t *ops;
 	void *arg;
 	GHashTable *by_shard; /* shard name -> owner_t */
@@ -249,13 +252,29 @@
 	g_free(load.lasting_instances);
 }
 
+/*
+ * Returns whether the queue of a submission is still there. A job that was
+ * accepted before counts as accepted.
+ */
+static bool
+is_queue_in_force(
+    const owners_t *owners, const sched_pool_t *pool, const Gw__Call *call)
+{
+	char name[SCHED_NAME_BYTES];
+
+	(void)shard_parse_name(call->pool, name);
+	return sched_pool_has_job(pool, call->spec->id) ||
+	    sched_config_allows(
+		owners->config, call->config_version, call->queue, name);
+}
+
 /*
  * Submits or cancels a job. The call is refused at once while the store is not
  * writable, since a job is accepted only once its record is written.
  */
 static void
-submit_or_cancel(
-    owner_t *owner, const Gw__Call *call, dispatch_response_cb_t cb, void *arg)
+submit_or_cancel(owners_t *owners, owner_t *owner, const Gw__Call *call,
+    dispatch_response_cb_t cb, void *arg)
 {
 	sched_pool_t *pool = owner_pool(owner);
 
@@ -264,7 +283,11 @@
 		return;
 	}
 	if (call->kind == GW__CALL_KIND__CALL_SUBMIT && call->spec != NULL &&
-	    sched_spec_is_valid(call->spec))
+	    sched_spec_is_valid(call->spec) &&
+	    !is_queue_in_force(owners, pool, call))
+		refuse(CONFIG_RETRY_AFTER_MS, "queue-dropped", cb, arg);
+	else if (call->kind == GW__CALL_KIND__CALL_SUBMIT &&
+	    call->spec != NULL && sched_spec_is_valid(call->spec))
 		sched_pool_submit(pool, call->spec, on_recorded,
 		    pending_response_new(cb, arg));
 	else if (call->kind == GW__CALL_KIND__CALL_CANCEL)
@@ -367,7 +390,7 @@
 		if (owners->closing)
 			refuse(0, "handing-over", cb, arg);
 		else
-			submit_or_cancel(owner, call, cb, arg);
+			submit_or_cancel(owners, owner, call, cb, arg);
 	}
 }
 
@@ -377,6 +400,15 @@
 	owners->shard_count = shard_count;
 }
 
+/*
+ * Sets the configuration in force, which stays with the caller.
+ */
+void
+owners_set_config(owners_t *owners, const sched_config_t *config)
+{
+	owners->config = config;
+}
+
 void
 owners_refuse_changes(owners_t *owners)
 {
--- a/gwentryd/owners.h
+++ b/gwentryd/owners.h
@@ -3,6 +3,7 @@
 
 #include "dispatch.h"
 #include "owner.h"
+#include "sched/config.h"
 
 /*
  * The owners of the shards that this process owns, by the name of the shard.
@@ -15,6 +16,7 @@
     const sched_bounds_t *, const owner_ops_t *, void *arg);
 /* Sets the number of shards of each pool. */
 void owners_set_shard_count(owners_t *, uint32_t shard_count);
+void owners_set_config(owners_t *, const sched_config_t *);
 void owners_add(owners_t *, const char *shard, uint64_t fence);
 void owners_remove(owners_t *, const char *shard);
 /* Returns the owner of a shard, or NULL if this process does not own it. */
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -78,6 +78,15 @@
 	wait_for_record(pool, job, cb, arg);
 }
 
+/*
+ * Returns whether the pool has the job, in whatever state.
+ */
+bool
+sched_pool_has_job(const sched_pool_t *pool, const char *id)
+{
+	return g_hash_table_contains(pool->jobs, id);
+}
+
 static sched_job_t *
 find_job(const sched_pool_t *pool, const char *queue, const char *id)
 {
--- a/lib/sched/config.c
+++ b/lib/sched/config.c
@@ -75,3 +75,19 @@
 	return current_us != 0 &&
 	    gw_elapsed_us(now_us, current_us) <= apply_ms * GW_US_PER_MS;
 }
+
+bool
+sched_config_allows(const sched_config_t *config, uint64_t version,
+    const char *queue, const char *pool)
+{
+	if (config == NULL || config->version <= version)
+		return true;
+	for (guint i = 0; i < config->queues->len; i++) {
+		const sched_queue_t *row =
+		    &g_array_index(config->queues, sched_queue_t, i);
+
+		if (strcmp(row->name, queue) == 0)
+			return strcmp(row->pool, pool) == 0;
+	}
+	return false;
+}
--- a/lib/sched/config.h
+++ b/lib/sched/config.h
@@ -62,4 +62,12 @@
 bool sched_config_is_current(
     uint64_t current_us, uint64_t now_us, uint32_t apply_ms);
 
+/*
+ * Returns whether a submission to the queue in the pool that another process
+ * has found in the version may be accepted: the queue is still there, or this
+ * configuration is not newer.
+ */
+bool sched_config_allows(const sched_config_t *, uint64_t version,
+    const char *queue, const char *pool);
+
 #endif
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -303,6 +303,7 @@
     sched_pool_t *, const Gw__JobSpec *, sched_response_cb_t, void *arg);
 void sched_pool_cancel(sched_pool_t *, const char *queue, const char *id,
     sched_response_cb_t, void *arg);
+bool sched_pool_has_job(const sched_pool_t *, const char *id);
 sched_response_t sched_pool_state(
     const sched_pool_t *, const char *queue, const char *id);
 uint32_t sched_pool_count_pending(const sched_pool_t *, const char *queue);
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3571,7 +3571,7 @@
   (ProtobufCMessageInit) gw__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__call__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gw__call__field_descriptors[11] =
 {
   {
     "number",
@@ -3693,9 +3693,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Call, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__call__field_indices_by_name[] = {
   8,   /* field[8] = coming */
+  10,   /* field[10] = config_version */
   7,   /* field[7] = ended */
   4,   /* field[4] = id */
   6,   /* field[6] = instance */
@@ -3709,7 +3722,7 @@
 static const ProtobufCIntRange gw__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gw__call__descriptor =
 {
@@ -3719,7 +3732,7 @@
   "Gw__Call",
   "gw",
   sizeof(Gw__Call),
-  10,
+  11,
   gw__call__field_descriptors,
   gw__call__field_indices_by_name,
   1,  gw__call__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -580,10 +580,14 @@
    * For CALL_LOAD: machines on standby that could move to the pool.
    */
   uint32_t standby;
+  /*
+   * For CALL_SUBMIT: the configuration that has the queue.
+   */
+  uint64_t config_version;
 };
 #define GW__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__call__descriptor) \
-    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
