Ask an instance again after its lease has expired

Cause: the expiry of a lease cleared the time of the next renewal. If one was in flight just then, its result scheduled the next; otherwise nothing did, and an instance that is unreachable is not used. Class: a retry that ends with the state that it should end. Change: after the expiry the next renewal is scheduled, if the instance is still listed. Test: sched/starts.sh, last play; before, no renewal was sent after the expiry. Elsewhere: an instance that leaves the registry is forgotten once nothing is placed on it, and counts as new when it is listed again; until then it is asked.

--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -435,8 +435,13 @@
 	    instance->unreachable || !instance->listed || !instance->contacted;
 
 	if (instance->tasks->len > 0 && no_contact &&
-	    now_us >= instance->expiry_us)
+	    now_us >= instance->expiry_us) {
 		sched_instance_end_runs(instance, "lapsed", SCHED_LOSS_CRASH);
+		/* It may respond again. */
+		if (instance->listed)
+			sched_instance_schedule_renewal(
+			    instance, now_us + SCHED_RENEW_RETRY_US);
+	}
 	if (!instance->renewing && instance->renew_due_us != 0 &&
 	    now_us >= instance->renew_due_us &&
 	    instance->info.address[0] != '\0')
--- a/regress/sched/starts.sh
+++ b/regress/sched/starts.sh
@@ -154,3 +154,17 @@
 report i1 clock=200 end:1:j9.0.0.0:1:stopped
 commit
 EOF
+
+# Guards against an instance that is never used again after its lease has
+# expired, although it responds: a renewal was due, but not in flight, just then.
+play "an instance is asked again after its lease has expired" one <<'EOT'
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 none
+renew-failed i1 none
+advance 4100
+renew-failed i1 none
+advance 300
+report i1 clock=4500
+commit
+EOT
