Take an expired lease for no proof of a crash

What callers would see: a job fails although nothing was wrong with it, because three instances in a row were cut off just after they had started one of its tasks. Cause: an instance that does not respond within the lease of its runs was counted like one that is seen to have restarted. An instance that crashes is back before its lease expires, or answers later as another incarnation. Test: sched/crash.sh, "an expired lease is no proof of a crash"; before, j1 failed.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -303,10 +303,11 @@
 
 /*
  * Counts the crash of an instance for the tasks whose runs may have been its
- * cause. Returns these tasks (sched_task_t).
+ * cause. Returns these tasks (sched_task_t). An instance that does not respond
+ * may only be cut off, which no run has caused.
  */
 GPtrArray *
-sched_crash_count_instance(sched_instance_t *instance)
+sched_crash_count_instance(sched_instance_t *instance, sched_loss_t loss)
 {
 	GPtrArray *suspects = g_ptr_array_new();
 	bool is_certain;
@@ -314,7 +315,7 @@
 	for (guint i = 0; i < instance->tasks->len; i++)
 		sched_crash_run_survived(instance->pool,
 		    instance->tasks->pdata[i], instance->alive_us);
-	is_certain = has_one_cause(instance);
+	is_certain = loss == SCHED_LOSS_CRASH && has_one_cause(instance);
 	for (guint i = 0; i < instance->tasks->len; i++) {
 		sched_task_t *task = instance->tasks->pdata[i];
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -53,7 +53,8 @@
 /* Why the runs on an instance have ended. */
 typedef enum {
 	SCHED_LOSS_PLANNED, /* its machine was ordered to move or stop */
-	SCHED_LOSS_CRASH    /* it runs no more, or has not responded */
+	SCHED_LOSS_LAPSED,  /* it has not responded within their lease */
+	SCHED_LOSS_CRASH    /* it runs no more */
 } sched_loss_t;
 
 typedef enum {
@@ -399,7 +400,7 @@
     const sched_instance_t *, const sched_task_t *, uint64_t now_us);
 bool sched_crash_may_start(const sched_instance_t *, const sched_task_t *);
 void sched_crash_count(sched_task_t *, const char *instance, bool is_certain);
-GPtrArray *sched_crash_count_instance(sched_instance_t *);
+GPtrArray *sched_crash_count_instance(sched_instance_t *, sched_loss_t);
 void sched_crash_give_up(sched_pool_t *, const GPtrArray *suspects);
 void sched_crash_give_up_loaded(sched_pool_t *);
 
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -245,8 +245,8 @@
 		    "instance=%s pool=%s reason=%s runs=%u born=%" PRIu64,
 		    instance->info.id, instance->pool->name, reason,
 		    instance->tasks->len, instance->info.born_ms);
-	if (loss == SCHED_LOSS_CRASH)
-		suspects = sched_crash_count_instance(instance);
+	if (loss != SCHED_LOSS_PLANNED)
+		suspects = sched_crash_count_instance(instance, loss);
 	while (instance->tasks->len > 0)
 		sched_task_requeue(
 		    instance->tasks->pdata[instance->tasks->len - 1], reason);
@@ -436,7 +436,7 @@
 
 	if (instance->tasks->len > 0 && no_contact &&
 	    now_us >= instance->expiry_us) {
-		sched_instance_end_runs(instance, "lapsed", SCHED_LOSS_CRASH);
+		sched_instance_end_runs(instance, "lapsed", SCHED_LOSS_LAPSED);
 		/* It may respond again. */
 		if (instance->listed)
 			sched_instance_schedule_renewal(
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -140,6 +140,39 @@
 state j1
 EOT
 
+# Guards against a job that fails because its instances were cut off just after
+# they had started it.
+play "an expired lease is no proof of a crash" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+renew-failed i1 none
+instance i2
+tick
+report i2 clock=100
+advance 4150
+commit
+started i2 j1.0.0.0 2 ok
+renew-failed i2 none
+instance i3
+tick
+report i3 clock=100
+advance 4300
+commit
+started i3 j1.0.0.0 3 ok
+renew-failed i3 none
+instance i4
+tick
+report i4 clock=100
+advance 4300
+commit
+state j1
+EOT
+
 # Guards against a crash that is charged to a run that had lasted.
 play "a run that has lasted is not the cause" two <<'EOT'
 submit j1 1:1000:5000
