--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -30,7 +30,7 @@
  * At most one in so many of the pool's instances hosts a trial, of tasks
  * without and with a crash on trial. The latter most likely crash one more.
  */
-static const uint32_t instances_per_trial[] = {2, 8};
+static const uint32_t instances_per_trial[] = {2, 4};
 
 /*
  * Returns whether the next run of the task is a trial. The runs that a previous
