--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -277,17 +277,16 @@
     dispatch_response_cb_t cb, void *arg)
 {
 	sched_pool_t *pool = owner_pool(owner);
+	bool is_submit = call->kind == GW__CALL_KIND__CALL_SUBMIT &&
+	    call->spec != NULL && sched_spec_is_valid(call->spec);
 
 	if (!owner_can_write(owner)) {
 		refuse(STORE_RETRY_AFTER_MS, "store-not-writable", cb, arg);
 		return;
 	}
-	if (call->kind == GW__CALL_KIND__CALL_SUBMIT && call->spec != NULL &&
-	    sched_spec_is_valid(call->spec) &&
-	    !is_queue_in_force(owners, pool, call))
+	if (is_submit && !is_queue_in_force(owners, pool, call))
 		refuse(CONFIG_RETRY_AFTER_MS, "queue-dropped", cb, arg);
-	else if (call->kind == GW__CALL_KIND__CALL_SUBMIT &&
-	    call->spec != NULL && sched_spec_is_valid(call->spec))
+	else if (is_submit)
 		sched_pool_submit(pool, call->spec, on_recorded,
 		    pending_response_new(cb, arg));
 	else if (call->kind == GW__CALL_KIND__CALL_CANCEL)
