Stop what an instance's next incarnation may have started

What callers would see: a task that runs twice. Cause: an instance may start again under its id, and a start names only the id. A start that was sent, or repeated for want of a response, before the owner knew of the restart was carried out by the next incarnation; the owner took the run for ended with the previous one and started its task elsewhere. Class: a decision on what one incarnation did by what another one answered. In the log, 7004 RUN_START attempt=2 of run 1 on w-0 after its crash, 7025 INSTANCE_LOST w-0 reason=restarted, run 2 on w-2, and 7005 RUN_END of run 1 on w-0, end=done current=0. Change: when an instance restarts under its id, a run of which not all starts are known to have been carried out by the ended incarnation (one start, listed in a report) stays placed and is stopped there; the stop's response and the next report show how it ended. An entry of the same id does not count as another instance of the machine.

--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -93,6 +93,7 @@
 	/* When the run was last known to be on the instance; 0: never. */
 	uint64_t confirmed_us;
 	uint64_t begun_us; /* when the run was first known there; 0: not */
+	bool is_listed;	   /* a report of the incarnation has listed the run */
 	/* The placed run has lasted beyond its start. */
 	bool has_lasted;
 	bool on_trial; /* no other start goes to the instance; see crash.c */
@@ -341,7 +342,7 @@
 void sched_instance_release(sched_task_t *);
 uint64_t sched_instance_clock_ms(const sched_instance_t *, uint64_t now_us);
 uint64_t sched_instance_extend_lease(sched_instance_t *, uint64_t now_us);
-void sched_instance_begin_incarnation(sched_instance_t *, uint64_t born_ms);
+void sched_instance_restarted(sched_instance_t *, uint64_t born_ms);
 void sched_instance_ack(sched_instance_t *, uint64_t number);
 void sched_instance_end_runs(
     sched_instance_t *, const char *reason, sched_loss_t);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -230,6 +230,16 @@
 		instance->renew_due_us = due_us;
 }
 
+static void
+log_lost(const sched_instance_t *instance, const char *reason)
+{
+	if (instance->tasks->len > 0)
+		gw_log(GW_EV_INSTANCE_LOST,
+		    "instance=%s pool=%s reason=%s runs=%u born=%" PRIu64,
+		    instance->info.id, instance->pool->name, reason,
+		    instance->tasks->len, instance->info.born_ms);
+}
+
 /*
  * Ends all runs on the instance: its incarnation has ended, or its lease has
  * expired.
@@ -240,11 +250,7 @@
 {
 	g_autoptr(GPtrArray) suspects = NULL;
 
-	if (instance->tasks->len > 0)
-		gw_log(GW_EV_INSTANCE_LOST,
-		    "instance=%s pool=%s reason=%s runs=%u born=%" PRIu64,
-		    instance->info.id, instance->pool->name, reason,
-		    instance->tasks->len, instance->info.born_ms);
+	log_lost(instance, reason);
 	if (loss != SCHED_LOSS_PLANNED)
 		suspects = sched_crash_count_instance(instance, loss);
 	while (instance->tasks->len > 0)
@@ -258,8 +264,8 @@
 /*
  * Resets the state that belongs to one incarnation of the instance.
  */
-void
-sched_instance_begin_incarnation(sched_instance_t *instance, uint64_t born_ms)
+static void
+begin_incarnation(sched_instance_t *instance, uint64_t born_ms)
 {
 	instance->info.born_ms = born_ms;
 	instance->renewing = false;
@@ -276,6 +282,56 @@
 	g_hash_table_remove_all(instance->recorded_ends);
 }
 
+/*
+ * Returns whether an incarnation that began later may have carried out a start
+ * of the run, or may yet: not all starts are known to have been carried out by
+ * the one that has ended. A response to a start does not show which one it is
+ * from. The starts of a previous owner are not known at all.
+ */
+static bool
+may_reach_next_incarnation(const sched_task_t *task)
+{
+	return task->state != SCHED_TASK_RESERVED &&
+	    (task->starts_sent != 1 || !task->is_listed);
+}
+
+/*
+ * Handles that the instance has started again under its id. Orders name only
+ * the id, so the new incarnation may carry out a start that was meant for the
+ * previous one. Such a run is stopped before its task runs elsewhere.
+ */
+void
+sched_instance_restarted(sched_instance_t *instance, uint64_t born_ms)
+{
+	uint64_t now_us = gw_clock_now_us(instance->pool->clock);
+	g_autoptr(GPtrArray) suspects =
+	    sched_crash_count_instance(instance, SCHED_LOSS_CRASH);
+	g_autoptr(GPtrArray) tasks =
+	    g_ptr_array_copy(instance->tasks, NULL, NULL);
+
+	log_lost(instance, "restarted");
+	begin_incarnation(instance, born_ms);
+	for (guint i = tasks->len; i-- > 0;) {
+		sched_task_t *task = tasks->pdata[i];
+
+		if (!may_reach_next_incarnation(task)) {
+			sched_task_requeue(task, "restarted");
+			continue;
+		}
+		task->begun_us = 0;
+		task->is_listed = false;
+		task->confirmed_us = 0;
+		task->refused_as_stale = false;
+		task->stop_answered_us = 0;
+		sched_task_stop(task);
+	}
+	/* A start may carry a deadline on the clock of the previous one. */
+	instance->expiry_us = MAX(instance->expiry_us,
+	    now_us + sched_drift_bound_us(instance->pool->bounds.hold_max_ms));
+	sched_instance_schedule_renewal(instance, now_us);
+	sched_crash_give_up(instance->pool, suspects);
+}
+
 static const char *
 find_rack(GStrv labels)
 {
@@ -302,11 +358,8 @@
 
 	if (is_new_incarnation && instance->info.born_ms > info->born_ms)
 		return; /* an entry of an earlier incarnation */
-	if (is_new_incarnation) {
-		sched_instance_end_runs(
-		    instance, "restarted", SCHED_LOSS_CRASH);
-		sched_instance_begin_incarnation(instance, info->born_ms);
-	}
+	if (is_new_incarnation)
+		sched_instance_restarted(instance, info->born_ms);
 	if (!was_listed || is_new_incarnation ||
 	    info->leaving != instance->info.leaving ||
 	    info->capacity.cpu_millis != instance->info.capacity.cpu_millis ||
@@ -355,8 +408,8 @@
 }
 
 /*
- * Ends the instances that ran on the same machine before this one. Registry
- * entries may arrive out of order, so the start times are compared.
+ * Ends the other instances that ran on the same machine before this one.
+ * Registry entries may arrive out of order, so the start times are compared.
  */
 void
 sched_pool_end_superseded(sched_pool_t *pool, const sched_instance_info_t *info)
@@ -369,6 +422,7 @@
 	g_hash_table_iter_init(&iter, pool->instances);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
 		if (strcmp(instance->info.machine, info->machine) == 0 &&
+		    strcmp(instance->info.id, info->id) != 0 &&
 		    instance->info.born_ms < info->born_ms)
 			end_instance(
 			    instance, "machine-restarted", SCHED_LOSS_CRASH);
--- a/lib/sched/report.c
+++ b/lib/sched/report.c
@@ -78,6 +78,7 @@
 	}
 	task->refused_as_stale = false;
 	task->confirmed_us = MAX(task->confirmed_us, sent_us);
+	task->is_listed = true;
 	if (task->begun_us == 0)
 		task->begun_us = now_us;
 	sched_crash_run_survived(pool, task, sent_us);
@@ -164,10 +165,7 @@
 		return;
 	instance->renewing = false;
 	if (report->born_ms != 0 && report->born_ms != instance->info.born_ms) {
-		sched_instance_end_runs(
-		    instance, "restarted", SCHED_LOSS_CRASH);
-		sched_instance_begin_incarnation(instance, report->born_ms);
-		sched_instance_schedule_renewal(instance, now_us);
+		sched_instance_restarted(instance, report->born_ms);
 		return;
 	}
 	if (!instance->contacted || instance->unreachable)
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -50,6 +50,7 @@
 	task->stop_answered_us = 0;
 	task->percent = 0;
 	task->begun_us = 0;
+	task->is_listed = false;
 	g_clear_pointer(&task->ticket, g_free);
 	sched_task_step_state(task)->waiting++;
 	if (!sched_job_has_ended(task->job))
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -18,12 +18,19 @@
 instance i1 born=2
 tick
 report i1 clock=0 born=2
+stopped i1 j1.0.0.0 1 ok
+stopped i1 j2.0.0.0 1 ok
+advance 5
+report i1 clock=5 born=2
 commit
 # One at a time, whichever comes first.
 started i1 j1.0.0.0 2 ok
 instance i1 born=3
 tick
 report i1 clock=0 born=3
+stopped i1 j1.0.0.0 2 ok
+advance 5
+report i1 clock=5 born=3
 commit
 # Then the one that has not crashed an instance on trial.
 started i1 j2.0.0.0 2 ok
@@ -34,6 +41,10 @@
 instance i1 born=4
 tick
 report i1 clock=0 born=4
+stopped i1 j2.0.0.0 2 ok
+stopped i1 j1.0.0.0 3 ok
+advance 5
+report i1 clock=5 born=4
 commit
 state j1
 state j2
@@ -56,6 +67,9 @@
 instance i1 born=2
 tick
 report i1 clock=0 born=2
+stopped i1 j1.0.0.0 1 ok
+advance 5
+report i1 clock=5 born=2
 commit
 takeover previous-gone
 instance i1 born=2
@@ -66,6 +80,9 @@
 instance i1 born=3
 tick
 report i1 clock=0 born=3
+stopped i1 j1.0.0.0 2 ok
+advance 5
+report i1 clock=5 born=3
 commit
 takeover previous-gone
 instance i1 born=4
@@ -76,6 +93,9 @@
 instance i1 born=5
 tick
 report i1 clock=0 born=5
+stopped i1 j1.0.0.0 4 ok
+advance 5
+report i1 clock=5 born=5
 commit
 state j1
 EOT
@@ -183,6 +203,9 @@
 instance i1 born=2
 tick
 report i1 clock=0 born=2
+stopped i1 j1.0.0.0 1 ok
+advance 5
+report i1 clock=5 born=2
 report i2 clock=360
 submit j2 1:1000:500
 commit
@@ -256,8 +279,17 @@
 instance i4 born=2
 tick
 report i1 clock=0 born=2
+stopped i1 j3.0.0.0 1 ok
+advance 5
+report i1 clock=5 born=2
 report i2 clock=0 born=2
+stopped i2 j1.0.0.0 1 ok
+advance 5
+report i2 clock=5 born=2
 report i4 clock=0 born=2
+stopped i4 j2.0.0.0 1 ok
+advance 5
+report i4 clock=5 born=2
 # Two of four instances; j3 waits.
 commit
 advance 650
@@ -285,7 +317,13 @@
 instance i2 born=2
 tick
 report i1 clock=0 born=2
+stopped i1 j2.0.0.0 1 ok
+advance 5
+report i1 clock=5 born=2
 report i2 clock=0 born=2
+stopped i2 j1.0.0.0 1 ok
+advance 5
+report i2 clock=5 born=2
 commit
 EOT
 
@@ -313,6 +351,9 @@
 instance i1 born=2
 tick
 report i1 clock=0 born=2
+stopped i1 j1.0.0.0 1 ok
+advance 5
+report i1 clock=5 born=2
 commit
 submit j2 1:1000:500
 commit
@@ -359,25 +400,30 @@
 report i1 clock=100
 submit j1 1:1000:500
 commit
-started i1 j1.0.0.0 1 ok
 drain i1 1000
 instance i1 born=2
 instance i2
 tick
 report i2 clock=100
-submit j2 1:1000:500
+stopped i1 j1.0.0.0 1 ok
+advance 5
+report i1 clock=5 born=2
 commit
-started i2 j1.0.0.0 2 ok
 drain i2 1000
 instance i2 born=2
 instance i3
 tick
-report i3 clock=100
+report i3 clock=105
+stopped i2 j1.0.0.0 2 ok
+advance 5
+report i2 clock=5 born=2
 commit
-started i3 j1.0.0.0 3 ok
 drain i3 1000
 instance i3 born=2
 tick
+stopped i3 j1.0.0.0 3 ok
+advance 5
+report i3 clock=5 born=2
 commit
 state j1
 EOT
--- a/regress/sched/starts.sh
+++ b/regress/sched/starts.sh
@@ -168,3 +168,38 @@
 report i1 clock=4500
 commit
 EOT
+
+# Guards against a task that runs twice because its start, repeated without a
+# response, is carried out by the next incarnation of its instance.
+play "a start that the next incarnation has carried out" two <<'EOT'
+submit j1 1:1000:500
+submit j2 1:1000:500
+commit
+started i1 j1.0.0.0 1 none
+started i1 j2.0.0.0 1 none
+advance 500
+report i1 clock=100 born=2 run:j1.0.0.0:1:10 run:j2.0.0.0:1:10
+commit
+advance 10
+report i1 clock=110 born=2 end:1:j1.0.0.0:1:done run:j2.0.0.0:1:10
+stopped i1 j2.0.0.0 1 ok
+advance 10
+report i1 clock=120 born=2 end:2:j2.0.0.0:1:stopped
+commit
+state j1
+EOT
+
+play "a start that the next incarnation has not carried out" two <<'EOT'
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 none
+report i1 clock=100 born=2
+commit
+advance 10
+report i1 clock=110 born=2
+commit
+stopped i1 j1.0.0.0 1 ok
+advance 10
+report i1 clock=120 born=2
+commit
+EOT
--- a/tools/gwworkerd/main.c
+++ b/tools/gwworkerd/main.c
@@ -38,8 +38,8 @@
 
 /*
  * Sets the faults of one worker: {"worker":0,"muted":true,"lose_starts":1,
- * "late_starts":1}. Without "muted" that fault stays as it is; a missing count
- * is set to 0. Returns 0, or -1 when there is no such worker.
+ * "late_starts":1,"crash":true}. Without "muted" that fault stays as it is; a
+ * missing count is set to 0. Returns 0, or -1 when there is no such worker.
  */
 static int
 set_faults(const json_t *request)
@@ -58,16 +58,19 @@
 	    json_object_get(request, "lose_starts"));
 	worker->late_starts = (uint32_t)json_integer_value(
 	    json_object_get(request, "late_starts"));
+	if (json_is_true(json_object_get(request, "crash")) && !worker->crashed)
+		worker_crash(worker);
 	return 0;
 }
 
 static json_t *
 stats_json(void)
 {
-	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "starts",
+	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "starts",
 	    (int)stats.starts, "ends", (int)stats.ends, "lapses",
 	    (int)stats.lapses, "doubles", (int)stats.doubles, "fenced",
-	    (int)stats.fenced, "upkeeps", (int)stats.upkeeps, "running",
+	    (int)stats.fenced, "upkeeps", (int)stats.upkeeps, "crashes",
+	    (int)stats.crashes, "running",
 	    (int)g_hash_table_size(stats.running));
 }
 
--- a/tools/gwworkerd/registration.c
+++ b/tools/gwworkerd/registration.c
@@ -16,6 +16,7 @@
 	char pool[64];
 	char data_centre[64];
 	uint64_t lease_id;
+	uint64_t written_born_ms; /* start of the incarnation in the entry */
 	gw_timer_t timer;
 };
 
@@ -67,6 +68,7 @@
 	text = json_dumps(entry, JSON_COMPACT);
 	json_decref(entry);
 	(void)snprintf(key, sizeof(key), "servers/%s", worker->id);
+	registration->written_born_ms = worker->born_ms;
 	write.value = text;
 	write.size_bytes = strlen(text);
 	store_txn(registration->store, &txn, on_entry_written, registration);
@@ -82,7 +84,8 @@
 	if (err != NULL) {
 		registration->lease_id = 0;
 		schedule_update(registration);
-	} else if (registration->lease_id == 0) {
+	} else if (registration->lease_id == 0 ||
+	    registration->written_born_ms != registration->worker->born_ms) {
 		registration->lease_id = lease_id;
 		write_entry(registration);
 	} else {
@@ -92,12 +95,12 @@
 
 /*
  * Opens a lease and writes the worker's entry under it, or renews the lease.
- * While the worker is muted, neither is done, so that the lease expires.
+ * While the worker is silent, neither is done, so that the lease expires.
  */
 static void
 update_registration(registration_t *registration)
 {
-	if (registration->worker->muted)
+	if (worker_is_silent(registration->worker))
 		schedule_update(registration);
 	else if (registration->lease_id == 0)
 		store_lease_open(
--- a/tools/gwworkerd/worker.c
+++ b/tools/gwworkerd/worker.c
@@ -5,6 +5,8 @@
 #define BODY_MAX_BYTES 65536
 #define IDLE_TIMEOUT_MS 60000
 #define CONNECTIONS_MAX 64
+/* Time from a crash to the next start. */
+#define RESTART_MS 1000
 
 static void
 run_free(gpointer data)
@@ -56,6 +58,65 @@
 	return gw_rt_now_us(worker->rt) / GW_US_PER_MS;
 }
 
+/*
+ * Returns whether the worker neither carries out orders nor registers.
+ */
+bool
+worker_is_silent(const worker_t *worker)
+{
+	return worker->muted || worker->crashed;
+}
+
+static void
+on_restart(gw_timer_t *timer, void *arg)
+{
+	worker_t *worker = arg;
+
+	(void)timer;
+	worker->crashed = false;
+	worker->born_ms = (uint64_t)g_get_real_time() / 1000;
+}
+
+/*
+ * Removes the worker's runs, and the ends that are not acknowledged, from what
+ * counts as running or done: their tasks must run again.
+ */
+static void
+forget_runs(worker_t *worker)
+{
+	GHashTableIter iter;
+	gpointer task;
+
+	g_hash_table_iter_init(&iter, worker->runs);
+	while (g_hash_table_iter_next(&iter, &task, NULL))
+		g_hash_table_remove(worker->stats->running, task);
+	for (guint i = 0; i < worker->ends->len; i++)
+		g_hash_table_remove(worker->stats->done,
+		    json_string_value(
+			json_array_get(worker->ends->pdata[i], 1)));
+	g_hash_table_remove_all(worker->runs);
+	g_ptr_array_set_size(worker->ends, 0);
+}
+
+/*
+ * Ends the worker's runs without a trace and starts it again under its id after
+ * RESTART_MS. Then it knows nothing of before.
+ */
+void
+worker_crash(worker_t *worker)
+{
+	worker->stats->crashes++;
+	worker->crashed = true;
+	forget_runs(worker);
+	g_hash_table_remove_all(worker->highest_ended_run);
+	worker->next_end_number = 1;
+	worker->fence = 0;
+	worker->lease_end_ms = 0;
+	gw_timer_stop(&worker->lease_timer);
+	gw_timer_start(worker->rt, &worker->restart_timer,
+	    RESTART_MS * GW_US_PER_MS, on_restart, worker);
+}
+
 /*
  * Ends all runs when the worker's lease has expired.
  */
--- a/tools/gwworkerd/worker.h
+++ b/tools/gwworkerd/worker.h
@@ -27,6 +27,7 @@
 	uint32_t doubles; /* starts of a task that was running or done */
 	uint32_t fenced;  /* orders refused: a higher fence was seen */
 	uint32_t upkeeps; /* orders to maintain a machine */
+	uint32_t crashes; /* of workers */
 };
 
 typedef struct {
@@ -49,6 +50,7 @@
 	uint64_t next_end_number; /* numbers the ends */
 	uint32_t work_ms;	  /* duration of a run */
 	bool muted;	      /* ignores orders, and its registration expires */
+	bool crashed;	      /* the same, until it starts again */
 	uint32_t lose_starts; /* next starts: applied without a response */
 	uint32_t late_starts; /* next starts: applied late without a response */
 	GHashTable *runs;     /* task -> run_t */
@@ -56,11 +58,14 @@
 	GHashTable *highest_ended_run; /* task -> run number */
 	GQueue waiting_renewals;       /* until a run ends */
 	gw_timer_t lease_timer;
+	gw_timer_t restart_timer;
 };
 
 worker_t *worker_new(gw_rt_t *, worker_stats_t *, const char *id,
     const gw_addr_t *, uint32_t work_ms, gw_err_t *);
 uint64_t worker_clock_ms(const worker_t *);
+bool worker_is_silent(const worker_t *);
+void worker_crash(worker_t *);
 void worker_extend_lease(worker_t *, uint64_t deadline_ms);
 void worker_start_run(worker_t *, const char *task, uint32_t number);
 void worker_end_run(worker_t *, const char *task, const char *kind);
--- a/tools/gwworkerd/worker_api.c
+++ b/tools/gwworkerd/worker_api.c
@@ -6,6 +6,9 @@
 /* Delay of a late start, whose order gets no response. */
 #define START_DELAY_MS 1500
 
+/* Text of a specification whose tasks crash each worker that starts them. */
+#define DEADLY_SPEC "deadly"
+
 /* A renewal that waits until a run ends; allocated from the request's pool. */
 typedef struct {
 	worker_t *worker;
@@ -78,6 +81,9 @@
 	if (run <= worker_highest_ended_run(worker, task))
 		return "old";
 	worker_start_run(worker, task, run);
+	if (g_strcmp0(json_string_value(json_object_get(request, "spec")),
+		DEADLY_SPEC) == 0)
+		worker_crash(worker);
 	return NULL;
 }
 
@@ -87,7 +93,8 @@
 	delayed_start_t *delayed = arg;
 
 	(void)timer;
-	(void)apply_start(delayed->worker, delayed->request);
+	if (!worker_is_silent(delayed->worker))
+		(void)apply_start(delayed->worker, delayed->request);
 	json_decref(delayed->request);
 	g_free(delayed);
 }
@@ -114,6 +121,8 @@
 		return;
 	}
 	reason = apply_start(worker, request);
+	if (worker->crashed)
+		return;
 	if (worker->lose_starts > 0) {
 		worker->lose_starts--;
 		return;
@@ -251,7 +260,7 @@
 }
 
 /*
- * Handles an order. A muted worker neither applies it nor replies.
+ * Handles an order. A silent worker neither applies it nor replies.
  */
 int
 worker_handle_request(h2o_req_t *req, void *arg)
@@ -259,7 +268,7 @@
 	worker_t *worker = arg;
 	json_t *request;
 
-	if (worker->muted)
+	if (worker_is_silent(worker))
 		return 0;
 	if (is_misdirected(worker, req)) {
 		reply(worker, req, 421, json_object());
