--- a/regress/entry/deadly_task.sh
+++ b/regress/entry/deadly_task.sh
@@ -1,6 +1,5 @@
 #!/bin/sh
-# Guards against a task that crashes one worker after the other without a limit,
-# while its owner is killed, and against its neighbours being given up.
+# Guards against a task that crashes worker after worker while its owner is killed.
 . ./lib.subr
 
 submit_deadly()
--- a/regress/entry/dropped_queue.sh
+++ b/regress/entry/dropped_queue.sh
@@ -1,6 +1,5 @@
 #!/bin/sh
-# Guards against a job that is accepted for a queue that has been dropped, by a
-# process whose configuration is older than the owner's.
+# Guards against a job that an old configuration takes for a dropped queue.
 . ./lib.subr
 
 is_dropped()
--- a/regress/entry/stale_refusal.sh
+++ b/regress/entry/stale_refusal.sh
@@ -1,6 +1,5 @@
 #!/bin/sh
-# Guards against a 404 by a configuration that may have been replaced: the store
-# has not confirmed it for longer than a new one may take to be in force.
+# Guards against a 404 by a configuration that may have been replaced.
 . ./lib.subr
 
 # status: of a request to a queue that the configuration in force does not have.
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -2,8 +2,7 @@
 # Tasks that crash the instance that starts them, and those that run beside.
 . ./lib.subr
 
-# Guards against a task that crashes one instance after the other without a
-# limit, and against a crash that is charged to the task that ran beside.
+# Guards against an endless series of crashes, and a crash charged to a neighbour.
 play "a task is given up after three crashes, its neighbour is not" <<'EOT'
 pool
 instance i1
@@ -23,7 +22,6 @@
 advance 5
 report i1 clock=5 born=2
 commit
-# One at a time, whichever comes first.
 started i1 j1.0.0.0 2 ok
 instance i1 born=3
 tick
@@ -32,7 +30,6 @@
 advance 5
 report i1 clock=5 born=3
 commit
-# Then the one that has not crashed an instance on trial.
 started i1 j2.0.0.0 2 ok
 advance 250
 report i1 clock=250 born=3 run:j2.0.0.0:2:50
@@ -100,8 +97,7 @@
 state j1
 EOT
 
-# Guards against a takeover that puts all runs lost with their instances on
-# trial, one after the other; a second crash does.
+# Guards against a takeover that puts all runs lost with their instances on trial.
 play "runs of the previous owner are not tried after one crash" two <<'EOT'
 submit j1 1:1000:5000
 submit j2 1:1000:5000
@@ -122,8 +118,7 @@
 commit
 EOT
 
-# Guards against crashes in series with losses of the owner: none of them has one
-# possible cause for certain.
+# Guards against an endless series of crashes with a loss of the owner in each.
 play "five crashes are enough whatever the causes" <<'EOT'
 pool
 instance i1
@@ -160,8 +155,7 @@
 state j1
 EOT
 
-# Guards against a job that fails because its instances were cut off just after
-# they had started it.
+# Guards against a job that fails because its instances were cut off.
 play "an expired lease is no proof of a crash" <<'EOT'
 pool
 instance i1
@@ -214,8 +208,7 @@
 commit
 EOT
 
-# Guards against too many suspects: the response to the second start shows that
-# the instance was alive long after the first run had begun.
+# Guards against a suspect of which the response to a later start shows that it lasted.
 play "a run before which the instance responded is not the cause" two <<'EOT'
 submit j1 1:1000:5000
 commit
@@ -235,8 +228,7 @@
 commit
 EOT
 
-# Guards against a crash of which several jobs may be the cause, since all were
-# started on the instance at once: they are not after a sign of a crash.
+# Guards against crashes of which several jobs may be the cause.
 play "jobs are started apart after a sign of a crash" one <<'EOT'
 submit j1 1:1000:500
 commit
@@ -254,8 +246,7 @@
 commit
 EOT
 
-# Guards against trials one after the other in a pool that has idle instances, and
-# against a pool that keeps its few machines meanwhile: the planner is told.
+# Guards against trials that wait for each other, unknown to the planner.
 play "idle instances host more trials" <<'EOT'
 pool
 instance i1
@@ -327,8 +318,7 @@
 commit
 EOT
 
-# Guards against an order to a machine that counts as a crash: the task would be
-# on trial, and the other task not be placed beside it.
+# Guards against an order to a machine that counts as a crash: j1 would be on trial.
 play "a planned stop of a machine is not a crash" two <<'EOT'
 submit j1 1:1000:500
 commit
@@ -338,8 +328,7 @@
 commit
 EOT
 
-# Guards against a second start beside a trial, which would leave two possible
-# causes of the next crash, and against a trial that never ends.
+# Guards against a trial beside another start, and a trial that never ends.
 play "no other start goes to the instance of a trial" <<'EOT'
 pool
 instance i1
@@ -365,8 +354,7 @@
 commit
 EOT
 
-# Guards against a task that waits for ever for its trial in a busy pool: an
-# instance is withheld until its runs have lasted and there is room.
+# Guards against a task that waits for ever for its trial in a busy pool.
 play "an instance is withheld for a trial" two <<'EOT'
 admission all
 submit j1 1:4000:500
@@ -391,8 +379,7 @@
 commit
 EOT
 
-# Guards against crashes that are not counted because the planner has begun to
-# drain the instance, as it does with those on which little runs.
+# Guards against crashes that are not counted on an instance that is to be moved.
 play "a crash counts on an instance that is being drained" <<'EOT'
 pool
 instance i1
--- a/regress/sched/starts.sh
+++ b/regress/sched/starts.sh
@@ -120,8 +120,7 @@
 commit
 EOT
 
-# Guards against a start on an instance whose capacity has shrunk since the task
-# was placed there, which an instance may accept beyond its capacity.
+# Guards against a start beyond a capacity that has shrunk since the placement.
 play "no start goes to an instance that has become too small" two <<'EOF'
 submit j1 2:1000:500
 tick
@@ -144,8 +143,7 @@
 commit
 EOF
 
-# Guards against a start beside a run that is being stopped and that the owner does
-# not know, and so does not count as used.
+# Guards against a start beyond the capacity beside a run that the owner does not know.
 play "no start goes to an instance while it lists an unknown run" two <<'EOF'
 report i1 clock=100 run:j9.0.0.0:1:10
 report i2 clock=100 run:j9.0.0.1:1:10
@@ -155,8 +153,7 @@
 commit
 EOF
 
-# Guards against an instance that is never used again after its lease has
-# expired, although it responds: a renewal was due, but not in flight, just then.
+# Guards against an instance that is never used again after its lease has expired.
 play "an instance is asked again after its lease has expired" one <<'EOT'
 submit j1 1:1000:500
 commit
@@ -169,8 +166,7 @@
 commit
 EOT
 
-# Guards against a task that runs twice because its start, repeated without a
-# response, is carried out by the next incarnation of its instance.
+# Guards against a task that runs twice since the next incarnation has its first run.
 play "a start that the next incarnation has carried out" two <<'EOT'
 submit j1 1:1000:500
 submit j2 1:1000:500
