--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "gw/log.h"
 #include "sched/impl.h"
 
@@ -7,8 +5,7 @@
  * Tasks that crash the instance that starts them. A crash ends all runs there,
  * so only those that had just begun are suspected. The next run of a suspect is
  * on trial: no other start goes to its instance until the run has lasted
- * START_WINDOW_US, so that a second crash has one possible cause. Tasks of one
- * job are tried together, since the job fails whichever of them is the cause.
+ * START_WINDOW_US, so that a second crash has one possible cause (trial.c).
  * The counts are part of the job's record and so outlive their owner.
  */
 
@@ -26,12 +23,6 @@
  * ended instance is likely to be back and the cause is on trial.
  */
 #define START_APART_US (6 * GW_US_PER_S)
-/*
- * At most one in so many of the pool's instances hosts a trial, of tasks
- * without and with a crash on trial. The latter most likely crash one more.
- */
-static const uint32_t instances_per_trial[] = {2, 4};
-
 /*
  * Returns whether the next run of the task is a trial. The runs that a previous
  * owner has started and that are lost with their instance are many, and most of
@@ -110,74 +101,6 @@
 	return instance->trials == 0 ? 0 : now_us + START_WINDOW_US;
 }
 
-static sched_trials_t *
-trials_of(sched_pool_t *pool, const sched_task_t *task)
-{
-	return &pool->trials[task->crashes_alone > 0];
-}
-
-/*
- * Returns a task on trial on the instance, or NULL.
- */
-static const sched_task_t *
-find_trial(const sched_instance_t *instance)
-{
-	for (guint i = 0; instance->trials > 0 && i < instance->tasks->len; i++)
-		if (((sched_task_t *)instance->tasks->pdata[i])->on_trial)
-			return instance->tasks->pdata[i];
-	return NULL;
-}
-
-/*
- * Counts the trials of the pool's instances, also of those that do not respond
- * any more, and sets how many there may be.
- */
-void
-sched_crash_begin_round(sched_pool_t *pool)
-{
-	sched_instance_t *instance;
-	GHashTableIter iter;
-	uint32_t count = 0;
-
-	memset(pool->trials, 0, sizeof(pool->trials));
-	g_hash_table_iter_init(&iter, pool->instances);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
-		const sched_task_t *task = find_trial(instance);
-
-		count += instance->listed;
-		if (task != NULL)
-			trials_of(pool, task)->count++;
-	}
-	for (guint i = 0; i < G_N_ELEMENTS(pool->trials); i++)
-		pool->trials[i].max = MAX(count / instances_per_trial[i], 1);
-}
-
-/*
- * Returns whether a trial of the task may begin on the instance, or one be
- * withheld for it (NULL). On an idle instance a crash does little harm, so more
- * tasks that most likely crash it may be tried there.
- */
-bool
-sched_crash_may_try(sched_pool_t *pool, const sched_task_t *task,
-    const sched_instance_t *instance)
-{
-	const sched_trials_t *trials = trials_of(pool, task);
-
-	if (trials->count < trials->max)
-		return true;
-	return instance != NULL && instance->tasks->len == 0 &&
-	    pool->trials[0].count + pool->trials[1].count < pool->trials[0].max;
-}
-
-/*
- * Counts a trial of the task that begins, or an instance withheld for one.
- */
-void
-sched_crash_add_trial(sched_pool_t *pool, const sched_task_t *task)
-{
-	trials_of(pool, task)->count++;
-}
-
 /*
  * Handles that the instance does not respond. If runs have just begun there, it
  * may have crashed.
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -280,7 +280,7 @@
 	bool loaded;
 	uint64_t loaded_us; /* when the records had been loaded */
 	uint64_t round;	    /* number of placement rounds */
-	/* Of tasks without and with a crash on trial; see crash.c. */
+	/* Of tasks without and with a crash on trial; see trial.c. */
 	sched_trials_t trials[2];
 	bool has_suspects;	 /* a suspected task waited in the last round */
 	uint64_t apart_until_us; /* jobs are started apart; see crash.c */
@@ -342,16 +342,18 @@
 void sched_instance_release(sched_task_t *);
 uint64_t sched_instance_clock_ms(const sched_instance_t *, uint64_t now_us);
 uint64_t sched_instance_extend_lease(sched_instance_t *, uint64_t now_us);
-void sched_instance_restarted(sched_instance_t *, uint64_t born_ms);
 void sched_instance_ack(sched_instance_t *, uint64_t number);
-void sched_instance_end_runs(
-    sched_instance_t *, const char *reason, sched_loss_t);
 void sched_instance_schedule_renewal(sched_instance_t *, uint64_t due_us);
 void sched_instance_request_ended(sched_pool_t *, const char *id);
 void sched_instance_tick(sched_instance_t *, uint64_t now_us);
 
 uint64_t sched_drift_bound_us(uint64_t ms);
 
+/* loss.c */
+void sched_instance_end_runs(
+    sched_instance_t *, const char *reason, sched_loss_t);
+void sched_instance_restarted(sched_instance_t *, uint64_t born_ms);
+
 /* batch.c */
 extern const sched_response_t sched_response_owner_gone;
 void sched_notify_waiters(const GArray *waiters, const sched_response_t *);
@@ -382,8 +384,18 @@
     sched_pool_t *, const sched_task_t *, uint64_t now_us);
 void sched_place_round(sched_pool_t *, uint64_t now_us);
 bool sched_place_fits(const sched_instance_t *, const Gw__JobStep *);
+bool sched_place_has_label(const sched_instance_t *, const char *label);
+bool sched_place_ensure_advice(
+    sched_pool_t *, sched_task_t *, sched_step_t *, uint64_t now_us);
+void sched_place_reserve(
+    sched_pool_t *, sched_task_t *, sched_instance_t *, uint32_t run);
+void sched_place_mark_blocked(sched_job_t *, uint64_t now_us);
 uint64_t sched_step_cpu_millis(const Gw__JobStep *);
 
+/* trial.c */
+uint64_t sched_trial_cost(const sched_instance_t *);
+void sched_trial_place_all(sched_pool_t *, const GPtrArray *, uint64_t now_us);
+
 /* crash.c */
 bool sched_crash_is_suspect(const sched_task_t *);
 void sched_crash_run_placed(sched_task_t *);
@@ -391,10 +403,6 @@
 void sched_crash_run_survived(sched_pool_t *, sched_task_t *, uint64_t at_us);
 void sched_crash_clear(sched_pool_t *, sched_task_t *);
 uint64_t sched_crash_report_due_us(const sched_instance_t *, uint64_t now_us);
-void sched_crash_begin_round(sched_pool_t *);
-bool sched_crash_may_try(
-    sched_pool_t *, const sched_task_t *, const sched_instance_t *);
-void sched_crash_add_trial(sched_pool_t *, const sched_task_t *);
 void sched_crash_note_silence(const sched_instance_t *, uint64_t now_us);
 bool sched_crash_is_watched(const sched_instance_t *, uint64_t now_us);
 bool sched_crash_prefers_other(
--- /dev/null
+++ b/lib/sched/loss.c
@@ -0,0 +1,152 @@
+#include <string.h>
+
+#include "gw/log.h"
+#include "sched/impl.h"
+
+/*
+ * The end of an instance, or of one of its incarnations, with all that runs
+ * there.
+ */
+
+static void
+log_lost(const sched_instance_t *instance, const char *reason)
+{
+	if (instance->tasks->len > 0)
+		gw_log(GW_EV_INSTANCE_LOST,
+		    "instance=%s pool=%s reason=%s runs=%u born=%" PRIu64,
+		    instance->info.id, instance->pool->name, reason,
+		    instance->tasks->len, instance->info.born_ms);
+}
+
+/*
+ * Ends all runs on the instance: its incarnation has ended, or its lease has
+ * expired.
+ */
+void
+sched_instance_end_runs(
+    sched_instance_t *instance, const char *reason, sched_loss_t loss)
+{
+	g_autoptr(GPtrArray) suspects = NULL;
+
+	log_lost(instance, reason);
+	if (loss != SCHED_LOSS_PLANNED)
+		suspects = sched_crash_count_instance(instance, loss);
+	while (instance->tasks->len > 0)
+		sched_task_requeue(
+		    instance->tasks->pdata[instance->tasks->len - 1], reason);
+	instance->renew_due_us = 0;
+	if (suspects != NULL)
+		sched_crash_give_up(instance->pool, suspects);
+}
+
+/*
+ * Resets the state that belongs to one incarnation of the instance.
+ */
+static void
+begin_incarnation(sched_instance_t *instance, uint64_t born_ms)
+{
+	instance->info.born_ms = born_ms;
+	instance->renewing = false;
+	instance->contacted = false;
+	instance->unreachable = false;
+	instance->runs_unknown = 0;
+	instance->alive_us = 0;
+	instance->seen_number = 0;
+	instance->ack_number = 0;
+	instance->clock_ms = 0;
+	instance->deadline_ms = 0;
+	instance->consecutive_failures = 0;
+	instance->avoid_until_us = 0;
+	g_hash_table_remove_all(instance->recorded_ends);
+}
+
+/*
+ * Returns whether an incarnation that began later may have carried out a start
+ * of the run, or may yet: not all starts are known to have been carried out by
+ * the one that has ended. A response to a start does not show which one it is
+ * from. The starts of a previous owner are not known at all.
+ */
+static bool
+may_reach_next_incarnation(const sched_task_t *task)
+{
+	return task->state != SCHED_TASK_RESERVED &&
+	    (task->starts_sent != 1 || !task->is_listed);
+}
+
+/*
+ * Handles that the instance has started again under its id. Orders name only
+ * the id, so the new incarnation may carry out a start that was meant for the
+ * previous one. Such a run is stopped before its task runs elsewhere.
+ */
+void
+sched_instance_restarted(sched_instance_t *instance, uint64_t born_ms)
+{
+	uint64_t now_us = gw_clock_now_us(instance->pool->clock);
+	g_autoptr(GPtrArray) suspects =
+	    sched_crash_count_instance(instance, SCHED_LOSS_CRASH);
+	g_autoptr(GPtrArray) tasks =
+	    g_ptr_array_copy(instance->tasks, NULL, NULL);
+
+	log_lost(instance, "restarted");
+	begin_incarnation(instance, born_ms);
+	for (guint i = tasks->len; i-- > 0;) {
+		sched_task_t *task = tasks->pdata[i];
+
+		if (!may_reach_next_incarnation(task)) {
+			sched_task_requeue(task, "restarted");
+			continue;
+		}
+		task->begun_us = 0;
+		task->is_listed = false;
+		task->confirmed_us = 0;
+		task->refused_as_stale = false;
+		task->stop_answered_us = 0;
+		sched_task_stop(task);
+	}
+	/* A start may carry a deadline on the clock of the previous one. */
+	instance->expiry_us = MAX(instance->expiry_us,
+	    now_us + sched_drift_bound_us(instance->pool->bounds.hold_max_ms));
+	sched_instance_schedule_renewal(instance, now_us);
+	sched_crash_give_up(instance->pool, suspects);
+}
+
+static void
+end_instance(sched_instance_t *instance, const char *reason, sched_loss_t loss)
+{
+	sched_instance_end_runs(instance, reason, loss);
+	instance->listed = false;
+	instance->contacted = false;
+}
+
+/*
+ * Ends the runs of an instance whose machine was ordered to stop.
+ */
+void
+sched_pool_end_instance(sched_pool_t *pool, const char *id, const char *reason)
+{
+	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
+
+	if (instance != NULL)
+		end_instance(instance, reason, SCHED_LOSS_PLANNED);
+}
+
+/*
+ * Ends the other instances that ran on the same machine before this one.
+ * Registry entries may arrive out of order, so the start times are compared.
+ */
+void
+sched_pool_end_superseded(sched_pool_t *pool, const sched_instance_info_t *info)
+{
+	sched_instance_t *instance;
+	GHashTableIter iter;
+
+	if (info->machine[0] == '\0')
+		return;
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
+		if (strcmp(instance->info.machine, info->machine) == 0 &&
+		    strcmp(instance->info.id, info->id) != 0 &&
+		    instance->info.born_ms < info->born_ms)
+			end_instance(
+			    instance, "machine-restarted", SCHED_LOSS_CRASH);
+}
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -37,8 +37,11 @@
 	    used->accelerators + step->accelerators <= capacity->accelerators;
 }
 
-static bool
-has_label(const sched_instance_t *instance, const char *label)
+/*
+ * Returns whether the instance has the label; every one has the empty label.
+ */
+bool
+sched_place_has_label(const sched_instance_t *instance, const char *label)
 {
 	return label[0] == '\0' ||
 	    (instance->info.labels != NULL &&
@@ -69,7 +72,7 @@
 	const Gw__JobStep *step = sched_task_step_spec(task);
 	const GHashTable *tickets = sched_task_step_state(task)->tickets;
 
-	if (!has_label(instance, step->label) ||
+	if (!sched_place_has_label(instance, step->label) ||
 	    !sched_crash_may_start(instance, task))
 		return false;
 	if (task->job->spec->advice != NULL &&
@@ -81,23 +84,6 @@
 	    count_step(instance, task) < step->max_per_instance;
 }
 
-/*
- * Returns the cost of a trial on the instance: what a crash would end. A
- * long-running task counts more than any work. An instance that already hosts a
- * trial of the job comes first.
- */
-static uint64_t
-trial_cost(const sched_instance_t *instance)
-{
-	uint64_t cost = instance->used.cpu_millis;
-
-	if (instance->trials > 0)
-		return 0;
-	if (sched_instance_hosts_long_running(instance))
-		cost += UINT64_C(1) << 48;
-	return cost;
-}
-
 /*
  * Returns the cost of placing the task on an instance on which it fits; the
  * instance with the lowest cost is chosen. In descending order of weight, it
@@ -123,7 +109,7 @@
 	uint64_t cost = 0;
 
 	if (sched_crash_is_suspect(task))
-		return trial_cost(instance);
+		return sched_trial_cost(instance);
 	if (strcmp(task->failed_on, instance->info.id) == 0)
 		cost += UINT64_C(1) << 50;
 	if (step->rack[0] != '\0' && g_strcmp0(step->rack, instance->rack) != 0)
@@ -217,33 +203,6 @@
 		best->withheld_round = pool->round;
 }
 
-/*
- * Withholds an instance from other tasks in this round, so that the runs that
- * have just begun there settle and the trial of a suspect can follow.
- */
-static void
-withhold_for_trial(
-    sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
-{
-	const char *label = sched_task_step_spec(task)->label;
-	sched_instance_t *instance, *best = NULL;
-	GHashTableIter iter;
-
-	g_hash_table_iter_init(&iter, pool->instances);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
-		if (!sched_instance_is_usable(instance, now_us) ||
-		    instance->withheld_round == pool->round ||
-		    instance->trials > 0 || !has_label(instance, label))
-			continue;
-		if (best == NULL || trial_cost(instance) < trial_cost(best))
-			best = instance;
-	}
-	if (best == NULL)
-		return;
-	best->withheld_round = pool->round;
-	sched_crash_add_trial(pool, task);
-}
-
 /*
  * Returns the instance with the lowest cost for the task, or NULL.
  */
@@ -254,9 +213,13 @@
 	return find_best_instance(pool, task, NULL, now_us);
 }
 
-static void
-reserve_task(sched_pool_t *pool, sched_task_t *task, sched_instance_t *instance,
-    uint32_t run)
+/*
+ * Places a waiting task on the instance as this run. Its start is sent once the
+ * record is written.
+ */
+void
+sched_place_reserve(sched_pool_t *pool, sched_task_t *task,
+    sched_instance_t *instance, uint32_t run)
 {
 	const GHashTable *tickets = sched_task_step_state(task)->tickets;
 
@@ -278,8 +241,8 @@
  * Requests advice when the step has no tickets or they are about to expire.
  * Returns whether tasks of the step can be placed now.
  */
-static bool
-ensure_advice(
+bool
+sched_place_ensure_advice(
     sched_pool_t *pool, sched_task_t *task, sched_step_t *step, uint64_t now_us)
 {
 	g_autoptr(GPtrArray) ids = NULL;
@@ -308,37 +271,14 @@
 	return false;
 }
 
-static void
-mark_blocked(sched_job_t *job, uint64_t now_us)
-{
-	if (job->blocked_since_us == 0)
-		job->blocked_since_us = now_us;
-}
-
 /*
- * Places a suspected task, if a trial may begin now.
+ * Notes that a ready task of the job finds no instance, for the planner.
  */
-static void
-place_suspect(sched_pool_t *pool, sched_task_t *task, uint64_t now_us)
+void
+sched_place_mark_blocked(sched_job_t *job, uint64_t now_us)
 {
-	sched_instance_t *instance;
-	bool is_new;
-
-	instance = sched_place_find_instance(pool, task, now_us);
-	/* Or the task joins a trial of its job. */
-	is_new = instance == NULL || instance->trials == 0;
-	if (is_new && !sched_crash_may_try(pool, task, instance)) {
-		mark_blocked(task->job, now_us);
-		return;
-	}
-	if (instance == NULL) {
-		mark_blocked(task->job, now_us);
-		withhold_for_trial(pool, task, now_us);
-		return;
-	}
-	if (is_new)
-		sched_crash_add_trial(pool, task);
-	reserve_task(pool, task, instance, task->run + 1);
+	if (job->blocked_since_us == 0)
+		job->blocked_since_us = now_us;
 }
 
 static void
@@ -353,15 +293,15 @@
 		    now_us < task->not_before_us)
 			continue;
 		if (sched_crash_is_suspect(task))
-			continue; /* by place_suspects() */
+			continue; /* by sched_trial_place_all() */
 		instance = sched_place_find_instance(pool, task, now_us);
 		if (instance == NULL) {
-			mark_blocked(task->job, now_us);
+			sched_place_mark_blocked(task->job, now_us);
 			if (sched_task_step_spec(task)->lasting)
 				withhold_instance(pool, task, now_us);
 			return;
 		}
-		reserve_task(pool, task, instance, task->run + 1);
+		sched_place_reserve(pool, task, instance, task->run + 1);
 	}
 }
 
@@ -388,7 +328,7 @@
 
 		if (instance == NULL)
 			break;
-		reserve_task(pool, task, instance, run + 1);
+		sched_place_reserve(pool, task, instance, run + 1);
 	}
 	is_placed = placed == count;
 	while (!is_placed && placed-- > 0) {
@@ -463,7 +403,8 @@
 			pool, occurrence, step, spec->count, rack, now_us))
 			return;
 	if (!reserve_gang(pool, occurrence, step, spec->count, NULL, now_us))
-		mark_blocked(occurrence->tasks[step->first_task].job, now_us);
+		sched_place_mark_blocked(
+		    occurrence->tasks[step->first_task].job, now_us);
 }
 
 static void
@@ -476,8 +417,8 @@
 
 		if (step->waiting == 0 ||
 		    !sched_step_is_ready(job, occurrence, (uint32_t)i) ||
-		    !ensure_advice(pool, &occurrence->tasks[step->first_task],
-			step, now_us))
+		    !sched_place_ensure_advice(pool,
+			&occurrence->tasks[step->first_task], step, now_us))
 			continue;
 		if (spec->gang)
 			place_gang(pool, occurrence, step, spec, now_us);
@@ -502,60 +443,6 @@
 	return false;
 }
 
-/*
- * Places suspected tasks of the job, as far as trials may begin now: those that
- * have crashed an instance on trial, or the others.
- */
-static void
-place_suspects(sched_pool_t *pool, sched_job_t *job, bool crashed_on_trial,
-    uint64_t now_us)
-{
-	bool has_suspect = false;
-
-	for (guint i = 0; i < job->occurrences->len; i++) {
-		sched_occurrence_t *occurrence = job->occurrences->pdata[i];
-
-		for (uint32_t k = 0; k < occurrence->task_count; k++) {
-			sched_task_t *task = &occurrence->tasks[k];
-			sched_step_t *step = &occurrence->steps[task->step];
-
-			has_suspect |= sched_crash_is_suspect(task);
-			if (!sched_crash_is_suspect(task) ||
-			    (task->crashes_alone > 0) != crashed_on_trial ||
-			    task->state != SCHED_TASK_WAITING ||
-			    now_us < task->not_before_us ||
-			    sched_task_step_spec(task)->gang ||
-			    !sched_step_is_ready(job, occurrence, task->step) ||
-			    !ensure_advice(pool, task, step, now_us))
-				continue;
-			place_suspect(pool, task, now_us);
-		}
-	}
-	job->has_suspect = has_suspect;
-}
-
-/*
- * Places the suspected tasks of the jobs. This comes first in a round, so that
- * an instance that is withheld for a trial goes to no other task. Those that
- * have crashed an instance on trial come last.
- */
-static void
-place_all_suspects(sched_pool_t *pool, const GPtrArray *jobs, uint64_t now_us)
-{
-	pool->has_suspects = false;
-	for (int pass = 0; pass < 2; pass++)
-		for (guint i = 0; i < jobs->len; i++) {
-			sched_job_t *job = jobs->pdata[i];
-
-			if (!job->has_suspect)
-				continue;
-			pool->has_suspects = true;
-			if (sched_window_may_place(
-				pool->window, pool->unsent_bytes))
-				place_suspects(pool, job, pass == 1, now_us);
-		}
-}
-
 /*
  * Places the waiting tasks for which there is room, in the order of
  * sched_sort_jobs(), as long as their starts can be sent soon.
@@ -566,7 +453,6 @@
 	g_autoptr(GPtrArray) jobs = g_ptr_array_new();
 
 	pool->round++;
-	sched_crash_begin_round(pool);
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
 
@@ -574,7 +460,7 @@
 			g_ptr_array_add(jobs, job);
 	}
 	sched_sort_jobs(jobs, now_us);
-	place_all_suspects(pool, jobs, now_us);
+	sched_trial_place_all(pool, jobs, now_us);
 	for (guint i = 0; i < jobs->len; i++) {
 		sched_job_t *job = jobs->pdata[i];
 
