--- a/lib/http/httpc.c
+++ b/lib/http/httpc.c
@@ -6,26 +6,11 @@
 #include <glib.h>
 
 #include "gw/log.h"
+#include "http/connpool.h"
 #include "http/httpc.h"
-#include "http/reap.h"
 
-#define POOL_CONNECTIONS 64
-/* Long enough to reuse a connection across the gaps between bursts of calls. */
-#define POOL_IDLE_MS 20000
 #define RESPONSE_MAX_MIB 16
 #define RESPONSE_MAX_BYTES (RESPONSE_MAX_MIB * 1024 * 1024)
-/* Upper limit that libh2o requires; calls have their own, shorter time-outs. */
-#define IO_TIMEOUT_MS 3600000
-
-/* A client's connections. After a time-out the client gets a new pool. */
-typedef struct {
-	uv_loop_t *loop;
-	h2o_socketpool_t pool;
-	h2o_timeout_t io_timeout;
-	h2o_http1client_ctx_t ctx;
-	uv_timer_t free_timer; /* started when the last reference is dropped */
-	uint32_t refs;	       /* one for the client and one for each call */
-} conn_pool_t;
 
 struct gw_httpc {
 	gw_rt_t *rt;
@@ -54,49 +39,6 @@
 	bool starting; /* the owner does not have the call's pointer yet */
 };
 
-static conn_pool_t *
-conn_pool_new(uv_loop_t *loop, const gw_addr_t *addr)
-{
-	gw_addr_t copy = *addr;
-	conn_pool_t *conns;
-
-	conns = g_new0(conn_pool_t, 1);
-	conns->loop = loop;
-	conns->refs = 1;
-	h2o_socketpool_init_by_address(&conns->pool,
-	    (struct sockaddr *)&copy.sa, copy.len_bytes, 0, POOL_CONNECTIONS);
-	h2o_socketpool_set_timeout(&conns->pool, loop, POOL_IDLE_MS);
-	h2o_timeout_init(loop, &conns->io_timeout, IO_TIMEOUT_MS);
-	conns->ctx.loop = loop;
-	conns->ctx.io_timeout = &conns->io_timeout;
-	return conns;
-}
-
-static void
-on_free_timer(uv_timer_t *timer)
-{
-	conn_pool_t *conns = timer->data;
-
-	h2o_socketpool_dispose(&conns->pool);
-	h2o_timeout_dispose(conns->loop, &conns->io_timeout);
-	uv_close((uv_handle_t *)&conns->free_timer, NULL);
-	gw_reap(conns->loop, conns);
-}
-
-/*
- * Drops a reference. The last one may be dropped in a callback of libh2o, which
- * uses the connection after the callback, so the pool is freed from the loop.
- */
-static void
-conn_pool_unref(conn_pool_t *conns)
-{
-	if (--conns->refs > 0)
-		return;
-	(void)uv_timer_init(conns->loop, &conns->free_timer);
-	conns->free_timer.data = conns;
-	(void)uv_timer_start(&conns->free_timer, on_free_timer, 0, 0);
-}
-
 /*
  * Returns a client of the server at addr. No connection is made yet.
  */
