Charge a crash as certain only to a run that is known to have begun

What callers would see: a job fails although it has crashed nothing, because three starts in a row went to instances that had ended just before. Cause: a start without a response counted like one that had been carried out, so that a task that was only on its way could be the single possible cause. Change: crashes with one possible cause are counted for runs that have begun, by the response to the start or by a report; the others count among the five. Test: sched/crash.sh, "a start without a response is no proof of a crash"; before, j1 failed. The play on drains has the responses that it needs for its count.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -244,7 +244,9 @@
 
 		if (!may_be_cause(task) || sched_job_has_ended(task->job))
 			continue;
-		sched_crash_count(task, instance->info.id, is_certain);
+		/* A start without a response may have come after the crash. */
+		sched_crash_count(task, instance->info.id,
+		    is_certain && task->begun_us != 0);
 		g_ptr_array_add(suspects, task);
 	}
 	return suspects;
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -187,6 +187,35 @@
 state j1
 EOT
 
+# Guards against crashes charged to a task whose starts came after them.
+play "a start without a response is no proof of a crash" <<'EOT'
+pool
+instance i1
+tick
+report i1 clock=100
+submit j1 1:1000:500
+commit
+instance i1 born=2
+tick
+stopped i1 j1.0.0.0 1 ok
+advance 5
+report i1 clock=5 born=2
+commit
+instance i1 born=3
+tick
+stopped i1 j1.0.0.0 2 ok
+advance 5
+report i1 clock=5 born=3
+commit
+instance i1 born=4
+tick
+stopped i1 j1.0.0.0 3 ok
+advance 5
+report i1 clock=5 born=4
+commit
+state j1
+EOT
+
 # Guards against a crash that is charged to a run that had lasted.
 play "a run that has lasted is not the cause" two <<'EOT'
 submit j1 1:1000:5000
@@ -387,6 +416,7 @@
 report i1 clock=100
 submit j1 1:1000:500
 commit
+started i1 j1.0.0.0 1 ok
 drain i1 1000
 instance i1 born=2
 instance i2
@@ -396,6 +426,7 @@
 advance 5
 report i1 clock=5 born=2
 commit
+started i2 j1.0.0.0 2 ok
 drain i2 1000
 instance i2 born=2
 instance i3
@@ -405,6 +436,7 @@
 advance 5
 report i2 clock=5 born=2
 commit
+started i3 j1.0.0.0 3 ok
 drain i3 1000
 instance i3 born=2
 tick
