Record a crash before the run is known to have ended

What callers would see: a task crashes one instance more for an owner that is lost between a restart of the instance and the stop of what its next incarnation may run. Cause: the count went into the job's record when the run was taken off the instance; since such runs stay placed until they are stopped, that is later than the crash. The next owner found the run on an incarnation that had ended and counted it as adopted. Change: a job is written again when a crash is counted for it. Test: sched/crash.sh, "a crash is recorded before the run is known to have ended"; before, nothing was written, and the next owner started j2 beside j1.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -247,6 +247,7 @@
 		/* A start without a response may have come after the crash. */
 		sched_crash_count(task, instance->info.id,
 		    is_certain && task->begun_us != 0);
+		sched_job_mark_dirty(instance->pool, task->job);
 		g_ptr_array_add(suspects, task);
 	}
 	return suspects;
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -216,6 +216,23 @@
 state j1
 EOT
 
+# Guards against a count that is lost with an owner that has not seen the run's end.
+play "a crash is recorded before the run is known to have ended" two <<'EOT'
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+instance i1 born=2
+tick
+commit
+takeover previous-gone
+instance i1 born=2
+tick
+report i1 clock=0 born=2
+commit
+submit j2 1:1000:500
+commit
+EOT
+
 # Guards against a crash that is charged to a run that had lasted.
 play "a run that has lasted is not the cause" two <<'EOT'
 submit j1 1:1000:5000
