Start jobs apart for as long as a lease may run

Cause: a constant of 6 s stood for how long a crashed instance may stay unknown, although the settings tell it: at the latest when the longest lease has expired. On the deployments in force hold_max_ms is 6,000, so that the time is 3% longer there.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -18,11 +18,6 @@
 #define CRASHES_PROVEN 3
 #define CRASHES_ALONE_PROVEN 2
 #define CRASHES_MAX 5
-/*
- * After a sign of a crash, jobs are started apart for this long: until the
- * ended instance is likely to be back and the cause is on trial.
- */
-#define START_APART_US (6 * GW_US_PER_S)
 /*
  * Returns whether the next run of the task is a trial. The runs that a previous
  * owner has started and that are lost with their instance are many, and most of
@@ -103,13 +98,17 @@
 
 /*
  * Handles that the instance does not respond. If runs have just begun there, it
- * may have crashed.
+ * may have crashed: until that is known, at the latest when their longest lease
+ * has expired, jobs are started apart.
  */
 void
 sched_crash_note_silence(const sched_instance_t *instance, uint64_t now_us)
 {
+	sched_pool_t *pool = instance->pool;
+
 	if (instance->runs_new > 0)
-		instance->pool->apart_until_us = now_us + START_APART_US;
+		pool->apart_until_us =
+		    now_us + sched_drift_bound_us(pool->bounds.hold_max_ms);
 }
 
 static bool
@@ -245,8 +244,8 @@
 		if (!may_be_cause(task) || sched_job_has_ended(task->job))
 			continue;
 		/* A start without a response may have come after the crash. */
-		sched_crash_count(task, instance->info.id,
-		    is_certain && task->begun_us != 0);
+		sched_crash_count(
+		    task, instance->info.id, is_certain && task->begun_us != 0);
 		sched_job_mark_dirty(instance->pool, task->job);
 		g_ptr_array_add(suspects, task);
 	}
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -203,7 +203,7 @@
 	uint32_t remote_permille;
 	/*
 	 * These five are read from the settings but not used by the scheduler;
-	 * neither are hold_max_ms, gang_timeout_ms and remote_permille.
+	 * neither are gang_timeout_ms and remote_permille.
 	 */
 	uint32_t early_ms;
 	uint32_t restore_ms;
