Log late work by pool, and records that wait to be written

POOL_WANT gets late_used_cpu, late_waiting_cpu_ms (the parts that belong to jobs that can no longer be in time), late_hosts and long_running_hosts; the load report carries them. No decision uses the new fields.

--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -248,8 +248,7 @@
 	sched_pool_get_load(owner_pool(owner), &load);
 	response.load = &load;
 	cb(&response, arg);
-	g_free(load.idle_instances);
-	g_free(load.lasting_instances);
+	sched_load_clear(&load);
 }
 
 /*
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -1,9 +1,13 @@
 #include <string.h>
 
+#include "gw/log.h"
 #include "sched/impl.h"
 
 /* Most writes that one job adds to a batch: specification and progress. */
 #define JOB_WRITES_MAX 2
+/* A wait of records that is logged. */
+#define HELD_MIN_US (200 * GW_US_PER_MS)
+#define HELD_LOG_INTERVAL_US (500 * GW_US_PER_MS)
 
 const sched_response_t sched_response_owner_gone = {
     .outcome = GW__CALL_OUTCOME__CALL_UNKNOWN, .reason = "owner-gone"};
@@ -103,6 +107,7 @@
 static void
 add_job(sched_batch_t *batch, sched_job_t *job)
 {
+	batch->dirty_since_us = MIN(batch->dirty_since_us, job->dirty_since_us);
 	job->dirty = false;
 	job->in_batch = true;
 	job->batch_state = job->state;
@@ -138,6 +143,8 @@
 	if (pool->dirty->length == 0)
 		return NULL;
 	batch = batch_new();
+	batch->taken_us = gw_clock_now_us(pool->clock);
+	batch->dirty_since_us = batch->taken_us;
 	while (pool->dirty->length > 0 &&
 	    batch->writes->len + JOB_WRITES_MAX <= writes_max)
 		add_job(batch, g_queue_pop_head(pool->dirty));
@@ -197,6 +204,43 @@
 	}
 }
 
+/*
+ * Logs that records waited long, with the tasks that are placed but not
+ * started.
+ */
+static void
+log_held(sched_pool_t *pool, const sched_batch_t *batch, uint64_t now_us)
+{
+	uint64_t waited_us = gw_elapsed_us(now_us, batch->dirty_since_us);
+	uint64_t unsent_cpu_millis = 0;
+	sched_instance_t *instance;
+	GHashTableIter iter;
+	uint32_t unsent = 0;
+
+	if (waited_us < HELD_MIN_US ||
+	    gw_elapsed_us(now_us, pool->records_logged_us) <
+		HELD_LOG_INTERVAL_US)
+		return;
+	pool->records_logged_us = now_us;
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
+		for (guint i = 0; i < instance->tasks->len; i++) {
+			const sched_task_t *task = instance->tasks->pdata[i];
+
+			if (task->state != SCHED_TASK_RESERVED)
+				continue;
+			unsent++;
+			unsent_cpu_millis +=
+			    sched_step_cpu_millis(sched_task_step_spec(task));
+		}
+	gw_log(GW_EV_RECORDS_HELD,
+	    "pool=%s writes=%u waited_ms=%" PRIu64 " took_ms=%" PRIu64
+	    " queued=%u unsent=%u unsent_cpu=%" PRIu64,
+	    pool->name, batch->writes->len, waited_us / GW_US_PER_MS,
+	    gw_elapsed_us(now_us, batch->taken_us) / GW_US_PER_MS,
+	    pool->dirty->length, unsent, unsent_cpu_millis);
+}
+
 /*
  * Handles a batch that is in the store: starts the runs, lets ends be
  * acknowledged and replies to callers. Frees the batch.
@@ -207,6 +251,7 @@
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 
+	log_held(pool, batch, now_us);
 	queue_starts(pool, batch);
 	sched_send_starts(pool, now_us);
 	for (guint i = 0; i < batch->jobs->len; i++) {
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -3,10 +3,6 @@
 #include "gw/log.h"
 #include "sched/impl.h"
 
-/* A task that waits for less time than this usually gets room from one that
- * ends. */
-#define BLOCKED_MIN_US (600 * GW_US_PER_MS)
-
 static void
 wait_for_record(
     sched_pool_t *pool, sched_job_t *job, sched_response_cb_t cb, void *arg)
@@ -159,55 +155,3 @@
 	}
 	return pending;
 }
-
-/*
- * Fills in the pool's load for the planner. The strings belong to the pool; the
- * caller frees the two lists of instances with g_free().
- */
-void
-sched_pool_get_load(const sched_pool_t *pool, Gw__PoolLoad *load)
-{
-	uint64_t now_us = gw_clock_now_us(pool->clock);
-	sched_ready_t ready = {0};
-	sched_instance_t *instance;
-	GHashTableIter iter;
-
-	gw__pool_load__init(load);
-	load->demand_cpu_ms = pool->demand_cpu_ms;
-	load->idle_instances =
-	    g_new0(char *, g_hash_table_size(pool->instances) + 1);
-	load->lasting_instances =
-	    g_new0(char *, g_hash_table_size(pool->instances) + 1);
-	g_hash_table_iter_init(&iter, pool->instances);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
-		if (!sched_instance_is_usable(instance, now_us))
-			continue;
-		load->instances++;
-		load->capacity_cpu_millis += instance->info.capacity.cpu_millis;
-		load->used_cpu_millis += instance->used.cpu_millis;
-		load->capacity_memory_mib += instance->info.capacity.memory_mib;
-		load->used_memory_mib += instance->used.memory_mib;
-		load->lasting_used_cpu_millis +=
-		    sched_instance_long_running_cpu_millis(instance);
-		if (instance->tasks->len == 0)
-			load->idle_instances[load->n_idle_instances++] =
-			    instance->info.id;
-		else if (sched_instance_hosts_long_running(instance))
-			load->lasting_instances[load->n_lasting_instances++] =
-			    instance->info.id;
-	}
-	for (guint i = 0; i < pool->open->len; i++) {
-		const sched_job_t *job = pool->open->pdata[i];
-
-		sched_job_add_ready(job, &ready);
-		load->blocked_jobs += job->blocked_since_us != 0 &&
-		    gw_elapsed_us(now_us, job->blocked_since_us) >
-			BLOCKED_MIN_US;
-	}
-	load->waiting_cpu_ms = ready.cpu_ms;
-	load->waiting_cpu_millis = ready.cpu_millis;
-	load->waiting_memory_mib_ms = ready.memory_mib_ms;
-	load->lasting_waiting = (uint32_t)ready.long_running;
-	load->lasting_waiting_cpu_millis = ready.long_running_cpu_millis;
-	load->lasting_waiting_memory_mib = ready.long_running_memory_mib;
-}
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -42,8 +42,12 @@
 	uint32_t instances;	   /* usable ones */
 	uint64_t capacity_cpu_millis;
 	uint64_t used_cpu_millis;
-	uint64_t waiting_cpu_ms;       /* waiting work, in core milliseconds */
-	uint64_t waiting_cpu_millis;   /* CPU of the waiting tasks */
+	uint64_t waiting_cpu_ms;     /* waiting work, in core milliseconds */
+	uint64_t waiting_cpu_millis; /* CPU of the waiting tasks */
+	/* The parts of these three of jobs that can no longer be in time. */
+	uint64_t late_used_cpu_millis;
+	uint64_t late_waiting_cpu_ms;
+	uint64_t late_waiting_cpu_millis;
 	uint64_t demand_cpu_ms;	       /* all work that arrived so far */
 	uint64_t rate_cpu_millis;      /* arrival rate; short average */
 	uint64_t long_rate_cpu_millis; /* arrival rate; long average */
@@ -55,8 +59,9 @@
 	uint64_t long_running_waiting_cpu_millis;
 	uint64_t long_running_waiting_memory_mib;
 	uint64_t long_running_used_cpu_millis;
-	uint32_t blocked_jobs; /* with a task that fits on no instance */
-	GHashTable *idle;      /* instance -> NULL */
+	uint32_t blocked_jobs;	 /* with a task that fits on no instance */
+	uint32_t late_instances; /* that run only late tasks */
+	GHashTable *idle;	 /* instance -> NULL */
 	/* Instances with long-running tasks, which never become idle. */
 	GHashTable *long_running_hosts; /* instance -> NULL */
 	uint64_t surplus_since_us;	/* 0: no surplus */
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -327,13 +327,18 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
 		gw_log(GW_EV_POOL_WANT,
 		    "pool=%s standby=%d machines=%u wanted=%u usable=%u "
-		    "idle=%u used_cpu=%" PRIu64 " waiting_cpu_ms=%" PRIu64
+		    "idle=%u long_running_hosts=%u late_hosts=%u "
+		    "used_cpu=%" PRIu64 " late_used_cpu=%" PRIu64
+		    " waiting_cpu_ms=%" PRIu64 " late_waiting_cpu_ms=%" PRIu64
 		    " rate_cpu=%" PRIu64 " load_age_ms=%" PRIu64,
 		    pool->name, pool->standby,
 		    fleet_count_pool_machines(fleet, pool->name),
 		    pool->wanted_machines, pool->instances,
-		    g_hash_table_size(pool->idle), pool->used_cpu_millis,
-		    pool->waiting_cpu_ms, pool->rate_cpu_millis,
+		    g_hash_table_size(pool->idle),
+		    g_hash_table_size(pool->long_running_hosts),
+		    pool->late_instances, pool->used_cpu_millis,
+		    pool->late_used_cpu_millis, pool->waiting_cpu_ms,
+		    pool->late_waiting_cpu_ms, pool->rate_cpu_millis,
 		    gw_elapsed_us(now_us, pool->load_received_us) /
 			GW_US_PER_MS);
 }
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -94,6 +94,8 @@
 	uint64_t confirmed_us;
 	uint64_t begun_us; /* when the run was first known there; 0: not */
 	bool is_listed;	   /* a report of the incarnation has listed the run */
+	/* The job could no longer be in time when the run was placed. */
+	bool placed_late;
 	/* The placed run has lasted beyond its start. */
 	bool has_lasted;
 	bool on_trial; /* no other start goes to the instance; see crash.c */
@@ -176,7 +178,8 @@
 	Gw__JobState batch_state;
 	/* The specification has been written to the store. */
 	bool spec_recorded;
-	bool dirty;    /* the record must be written */
+	bool dirty; /* the record must be written */
+	uint64_t dirty_since_us;
 	bool in_batch; /* the record is being written */
 	bool expired;  /* the record is to be removed from the store */
 	bool started;  /* a task has started */
@@ -240,6 +243,8 @@
 } sched_pending_start_t;
 
 struct sched_batch {
+	uint64_t dirty_since_us; /* of the job that has waited longest */
+	uint64_t taken_us;
 	GArray *writes; /* sched_write_t */
 	GPtrArray *jobs;
 	GArray *starts;	 /* sched_pending_start_t */
@@ -298,9 +303,10 @@
 	sched_window_t *window;	    /* of the process, or own_window */
 	sched_window_t *own_window; /* without a bound */
 	/* Tasks whose run is recorded and whose start waits to be sent. */
-	GPtrArray *unsent;	 /* sched_task_t, in SCHED_TASK_RESERVED */
-	uint64_t unsent_bytes;	 /* starts of all tasks in that state */
-	uint64_t held_logged_us; /* when GW_EV_STARTS_HELD was logged last */
+	GPtrArray *unsent;	    /* sched_task_t, in SCHED_TASK_RESERVED */
+	uint64_t unsent_bytes;	    /* starts of all tasks in that state */
+	uint64_t held_logged_us;    /* when GW_EV_STARTS_HELD was logged last */
+	uint64_t records_logged_us; /* the same for GW_EV_RECORDS_HELD */
 };
 
 /* job.c */
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -285,6 +285,7 @@
 	if (job->dirty)
 		return;
 	job->dirty = true;
+	job->dirty_since_us = gw_clock_now_us(pool->clock);
 	g_queue_push_tail(pool->dirty, job);
 }
 
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -226,6 +226,7 @@
 	pool->demand_cpu_ms +=
 	    sched_step_work_cpu_ms(sched_task_step_spec(task), 1);
 	sched_instance_assign(instance, task);
+	task->placed_late = task->job->rank_class > SCHED_RANK_IN_TIME;
 	sched_task_step_state(task)->waiting--;
 	task->state = SCHED_TASK_RESERVED;
 	task->run = run;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -334,5 +334,6 @@
  */
 bool sched_pool_drain(sched_pool_t *, const char *instance, uint32_t for_ms);
 void sched_pool_get_load(const sched_pool_t *, Gw__PoolLoad *);
+void sched_load_clear(Gw__PoolLoad *);
 
 #endif
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -642,10 +642,23 @@
    * loaded the pool, in core milliseconds. Long-running tasks are left out.
    */
   uint64_t demand_cpu_ms;
+  /*
+   * The parts of used_cpu_millis and of the fields with "waiting" that belong to
+   * jobs that can no longer meet their objectives.
+   */
+  uint64_t late_used_cpu_millis;
+  uint64_t late_waiting_cpu_ms;
+  uint64_t late_waiting_cpu_millis;
+  uint64_t late_waiting_memory_mib_ms;
+  /*
+   * Instances that run nothing else than tasks of such jobs.
+   */
+  size_t n_late_instances;
+  char **late_instances;
 };
 #define GW__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__pool_load__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/regress/sched/admission.sh
+++ b/regress/sched/admission.sh
@@ -89,3 +89,19 @@
 submit j5 2:1000:1000 repeats=3 interval=1000
 commit
 EOT
+
+# Guards against a load report in which work that is late looks like work in time.
+play "the load report tells late work from work in time" one <<'EOT'
+admission all
+submit j1 1:4000:1000
+submit j2 1:4000:900
+commit
+started i1 j2.0.0.0 1 ok
+late
+jump 2000
+tick
+late
+report i1 clock=2100 end:1:j2.0.0.0:1:done
+commit
+late
+EOT
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -420,8 +420,22 @@
 	    load.demand_cpu_ms, load.lasting_waiting,
 	    load.lasting_waiting_cpu_millis, load.lasting_used_cpu_millis,
 	    load.blocked_jobs);
-	g_free(load.idle_instances);
-	g_free(load.lasting_instances);
+	sched_load_clear(&load);
+}
+
+/* late: what the load report shows of jobs that can no longer be in time */
+static void
+do_late(void)
+{
+	Gw__PoolLoad load;
+
+	sched_pool_get_load(pool, &load);
+	printf("%6" PRIu64 " late used=%" PRIu64 " of %" PRIu64
+	       " waiting=%" PRIu64 " of %" PRIu64 " hosts=%zu\n",
+	    now_ms(), load.late_used_cpu_millis, load.used_cpu_millis,
+	    load.late_waiting_cpu_ms, load.waiting_cpu_ms,
+	    load.n_late_instances);
+	sched_load_clear(&load);
 }
 
 static void
@@ -639,6 +653,7 @@
     {"state", 2, do_state},
     {"pending", 1, do_pending},
     {"load", 1, do_load},
+    {"late", 1, do_late},
     {"advance", 2, do_advance},
     {"jump", 2, do_jump},
     {"lease", 2, do_lease},
