Let processes with wide links claim roles first

Cause: the owner of a part sends its starts and records over its own link. Eight of 42 processes have 200 Mbit/s, the others 10, for eleven roles. A claim waited 150 ms for each owned role and at most 200 ms for a lack of CPU, so that a process of 10 Mbit/s without a role was as early as one of 200 Mbit/s with one; the link did not count. Such an owner writes about 240 records a second of 700 that a surge takes (RECORDS_HELD: up to 380 jobs waiting for 2.6 s, 1,690 cores held by tasks without a start).

Change: the delay is a function of its own (lib/sched/claim.c): 50 ms a role, and up to 300 ms for what the process lacks of CPU or of its link, whichever is more. A process that lacks nothing comes first with up to four roles.

Why it works: the roles go to the processes that can carry them, again after each loss of an owner, while any can still claim any role.

Test: regress/sched/claim_test. On the previous formula, moved unchanged: ERROR:claim_test.c:33:test_wide_link_first: 'is_surely_first(&wide, &narrow)' should be TRUE.

--- a/gwentryd/claim.c
+++ b/gwentryd/claim.c
@@ -3,14 +3,6 @@
 
 #include "claim.h"
 
-/*
- * Delay before a claim. It grows with the number of owned roles, so that the
- * process that owns the fewest roles claims first. Jitter avoids most
- * concurrent claims.
- */
-#define CLAIM_DELAY_BASE_MS 20
-#define CLAIM_DELAY_PER_ROLE_MS 150
-#define CLAIM_JITTER_MS 100
 /*
  * Claims during this time after the start of the process are delayed by as
  * much, so that all processes of a system that has just started know the roles
@@ -96,16 +88,16 @@
 {
 	roles_t *roles = role->roles;
 	uint64_t now_us = gw_rt_now_us(roles->rt);
+	sched_claimant_t claimant = roles->claimant;
 	uint64_t delay_us;
 
 	if (role->owner != NULL || role->claim_in_flight ||
 	    !role->claim_enabled || roles->released)
 		return;
 	role->owned_when_scheduled = roles_count_owned(roles);
-	delay_us = (CLAIM_DELAY_BASE_MS +
-		       CLAIM_DELAY_PER_ROLE_MS * role->owned_when_scheduled +
-		       role->roles->low_cpu_delay_ms +
-		       jitter_seed(role) % CLAIM_JITTER_MS) *
+	claimant.owned_roles = role->owned_when_scheduled;
+	delay_us = (sched_claim_delay_ms(&claimant) +
+		       jitter_seed(role) % SCHED_CLAIM_JITTER_MS) *
 	    GW_US_PER_MS;
 	if (now_us < roles->started_us + CLAIM_STARTUP_DELAY_MS * GW_US_PER_MS)
 		delay_us += CLAIM_STARTUP_DELAY_MS * GW_US_PER_MS;
--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -304,6 +304,8 @@
 entry_t *
 entry_new(gw_rt_t *rt, const plat_settings_t *settings, gw_err_t *err)
 {
+	const sched_claimant_t claimant = {
+	    settings->cpu_permille, settings->link_kbps, 0};
 	entry_t *entry = g_new0(entry_t, 1);
 	gw_addr_t peer;
 
@@ -317,8 +319,8 @@
 	entry->owners = owners_new(rt, entry->store, settings->data_centre,
 	    &settings->bounds, &owner_ops, entry);
 	entry->roles = roles_new(rt, entry->store, settings->node,
-	    gw_addr_text(&peer, entry->peer_address), settings->cpu_permille,
-	    &roles_ops, entry);
+	    gw_addr_text(&peer, entry->peer_address), &claimant, &roles_ops,
+	    entry);
 	entry->dispatch =
 	    dispatch_new(rt, entry->roles, &peer, on_call, entry, err);
 	if (entry->dispatch == NULL)
--- a/gwentryd/role.h
+++ b/gwentryd/role.h
@@ -6,6 +6,7 @@
 #include "gw/id.h"
 #include "lease.h"
 #include "roles.h"
+#include "sched/claim.h"
 #include "sched/name.h"
 #include "store/follow.h"
 
@@ -39,7 +40,7 @@
 	store_follow_t *follow;
 	lease_t *lease;
 	uint64_t started_us;
-	uint32_t low_cpu_delay_ms; /* extra delay of claims; 0: enough CPU */
+	sched_claimant_t claimant; /* this process; owned_roles is not set */
 	bool listed;		   /* the roles in the store were read */
 	bool store_unreachable;
 	bool released; /* roles_release_all() was called */
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -8,13 +8,6 @@
 #define ROLE_BATCH_MS 20
 /* Time in which a change of owner at the store becomes known here. */
 #define REGAIN_DELAY_MS 100
-/*
- * A process with less than FULL_CPU_PERMILLE of CPU delays its claims by up to
- * this time, in proportion to the CPU that it lacks.
- */
-#define CLAIM_LOW_CPU_DELAY_MAX_MS 200
-#define FULL_CPU_PERMILLE 500
-
 /*
  * Applies an owner's key, whose value is the owner's address, boot id and node
  * name. This process gains the role if the key is its own, else it loses it.
@@ -123,7 +116,7 @@
  */
 roles_t *
 roles_new(gw_rt_t *rt, store_t *store, const char *node, const char *address,
-    uint32_t cpu_permille, const roles_ops_t *ops, void *arg)
+    const sched_claimant_t *claimant, const roles_ops_t *ops, void *arg)
 {
 	roles_t *roles;
 
@@ -133,9 +126,7 @@
 	g_strlcpy(roles->node, node, sizeof(roles->node));
 	g_strlcpy(roles->address, address, sizeof(roles->address));
 	gw_id_random(roles->boot_id);
-	roles->low_cpu_delay_ms = CLAIM_LOW_CPU_DELAY_MAX_MS *
-	    (FULL_CPU_PERMILLE - MIN(cpu_permille, FULL_CPU_PERMILLE)) /
-	    FULL_CPU_PERMILLE;
+	roles->claimant = *claimant;
 	roles->ops = ops;
 	roles->arg = arg;
 	roles->started_us = gw_rt_now_us(rt);
--- a/gwentryd/roles.h
+++ b/gwentryd/roles.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "gw/runtime.h"
+#include "sched/claim.h"
 #include "store/store.h"
 
 /*
@@ -33,11 +34,10 @@
 } roles_ops_t;
 
 /*
- * cpu_permille: CPU share of this process, in thousandths of a core. A process
- * with little CPU claims roles later.
+ * claimant describes this process; its owned_roles is not used.
  */
 roles_t *roles_new(gw_rt_t *, store_t *, const char *node, const char *address,
-    uint32_t cpu_permille, const roles_ops_t *, void *arg);
+    const sched_claimant_t *claimant, const roles_ops_t *, void *arg);
 /* Lets this process claim the role; otherwise it only follows the owner. */
 void roles_enable_claim(roles_t *, const char *name);
 /* Returns the address of the owner, or NULL when none is known. */
--- a/regress/platform/decode.sh
+++ b/regress/platform/decode.sh
@@ -81,6 +81,8 @@
 settings {"node":"n1","zone":"z-a","ip":"10.1.0.9","listen":{"front":"10.1.0.9:8624","ready":"10.1.0.9:8622"},"internal_ports":[7060,7075],"bounds":{"grace_s":6,"hold_max_ms":6000,"remote_factor":1.5},"advice":"10.200.1.9:8621","platform":{"address":"10.200.1.7:8621"},"cloud":{"address":"10.200.0.107:8621"},"limits":{"max_fds":4100}}
 settings {"node":"n1","zone":"z-a","ip":"10.1.0.9","listen":{"front":"10.1.0.9:8624","ready":"10.1.0.9:8622"},"internal_ports":[7060]}
 settings {"node":"","zone":"z-a"}
+settings {"node":"n1","zone":"z-a","ip":"10.1.0.9","listen":{"front":"10.1.0.9:8624","ready":"10.1.0.9:8622"},"internal_ports":[7060,7075],"platform":{"address":"10.200.1.7:8621"},"limits":{"link_mbps":"fast"}}
+settings {"node":"n1","zone":"z-a","ip":"10.1.0.9","listen":{"front":"10.1.0.9:8624","ready":"10.1.0.9:8622"},"internal_ports":[7060,7075],"platform":{"address":"10.200.1.7:8621"},"limits":{"link_mbps":2.5}}
 EOT
 
 # Guards against mistaking one outcome of a store call for another, such as a
