Leave out odd rows of a list instead of the whole list

Reported by operators of similar systems: one odd entry among those of the instances (nested deeply, a number too large, a port out of range), and the processes that read the list ended or stopped following it.

Here no process ends. But a page of the list of machines, and of items or changes of the store, was rejected whole if one row of it could not be parsed (nested beyond 2,048, 1e400, an integer beyond 64 bits, \u0000 or half a surrogate pair in a string). The planner then never had the list of machines, so no wave and no move; a follower repeated the same poll for ever.

A page that cannot be parsed is now scanned for its rows, those that cannot be parsed become null, and they are left out, counted and logged (8010 ENTRY_IGNORED). The scan is not recursive and runs only on such pages.

Configurations are still rejected whole, so that none takes effect in part.

--- a/gwentryd/planner_machines.c
+++ b/gwentryd/planner_machines.c
@@ -37,11 +37,12 @@
 handle_page(planner_t *planner, const gw_http_response_t *response)
 {
 	GArray *machines = g_array_new(FALSE, FALSE, sizeof(plat_machine_t));
+	uint32_t ignored_rows;
 	gw_err_t err;
 
 	g_clear_pointer(&planner->list_page_token, g_free);
-	if (plat_machines_decode(
-		machines, &planner->list_page_token, response, &err) != 0) {
+	if (plat_machines_decode(machines, &planner->list_page_token,
+		&ignored_rows, response, &err) != 0) {
 		gw_log(GW_EV_DEPENDENCY_LOST,
 		    "dependency=machines step=\"%s\" text=\"%s\"", err.step,
 		    err.text);
@@ -49,6 +50,9 @@
 		planner->reading_list = false;
 		return;
 	}
+	if (ignored_rows > 0)
+		gw_log(
+		    GW_EV_ENTRY_IGNORED, "list=machines rows=%u", ignored_rows);
 	for (guint i = 0; i < machines->len; i++) {
 		const plat_machine_t *from =
 		    &g_array_index(machines, plat_machine_t, i);
--- a/lib/store/protocol.c
+++ b/lib/store/protocol.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "gw/log.h"
 #include "store/call.h"
 #include "store/protocol.h"
 
@@ -87,10 +88,14 @@
 		return;
 	}
 	store_page_init(&page);
-	if (decode(response, &page, &bad) == 0)
+	if (decode(response, &page, &bad) == 0) {
+		if (page.ignored_items > 0)
+			gw_log(GW_EV_ENTRY_IGNORED, "list=%s items=%u",
+			    call->key, page.ignored_items);
 		call->cb.page(&page, NULL, call->arg);
-	else
+	} else {
 		call->cb.page(NULL, &bad, call->arg);
+	}
 	store_page_clear(&page);
 }
 
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -106,8 +106,9 @@
 
 /* One response's items, in the order of the store. */
 typedef struct {
-	GPtrArray *items; /* store_item_t */
-	bool truncated;	  /* the store has more after the last key */
+	GPtrArray *items;	/* store_item_t */
+	bool truncated;		/* the store has more after the last key */
+	uint32_t ignored_items; /* that could not be parsed */
 	uint64_t store_revision;
 } store_page_t;
 
--- a/regress/platform/platplay.c
+++ b/regress/platform/platplay.c
@@ -170,13 +170,17 @@
 	g_autoptr(GArray) machines =
 	    g_array_new(FALSE, FALSE, sizeof(plat_machine_t));
 	g_autofree char *next = NULL;
+	uint32_t ignored_rows;
 	gw_err_t error;
 
-	if (plat_machines_decode(machines, &next, &response, &error) != 0) {
+	if (plat_machines_decode(
+		machines, &next, &ignored_rows, &response, &error) != 0) {
 		print_error(&error);
 		return;
 	}
 	printf("machines next=%s\n", next == NULL ? "-" : next);
+	if (ignored_rows > 0)
+		printf("  ignored=%u\n", ignored_rows);
 	for (guint i = 0; i < machines->len; i++) {
 		const plat_machine_t *machine =
 		    &g_array_index(machines, plat_machine_t, i);
@@ -237,6 +241,8 @@
 	else
 		printf("page at=%" PRIu64 " truncated=%d\n",
 		    page.store_revision, page.truncated);
+	if (page.ignored_items > 0)
+		printf("  ignored=%u\n", page.ignored_items);
 	print_page(&page);
 	store_page_clear(&page);
 }
@@ -293,7 +299,7 @@
 int
 main(void)
 {
-	char line[8192];
+	char line[16384];
 
 	while (fgets(line, sizeof(line), stdin) != NULL) {
 		char *json = strchr(line, ' ');
