--- a/gwentryd/agents.c
+++ b/gwentryd/agents.c
@@ -371,6 +371,9 @@
 		return;
 	}
 	result = plat_report_decode(&report, response, &bad);
+	if (result == SCHED_RESULT_NO_RESPONSE)
+		gw_log(GW_EV_ENTRY_IGNORED, "instance=%s text=\"%s\"",
+		    agent->instance, bad.text);
 	if (report.ignored_rows > 0)
 		gw_log(GW_EV_ENTRY_IGNORED, "instance=%s rows=%u",
 		    agent->instance, report.ignored_rows);
