Remove the key of a role that names no process

A key below gw/role/ whose value is not the address and boot id of a process was taken for a role with an unknown owner. No process could claim the role, since its key existed, so the pool accepted nothing and the planner did nothing for good; the previous owner kept the role until its next write failed.

The key is logged (8010 ENTRY_IGNORED) and removed, on condition that it is unchanged, with the delay of a claim; the owner loses the role at once. It is then claimed as after any removal: a new key is needed, since the revision of its creation is the fence.

--- a/gwentryd/claim.c
+++ b/gwentryd/claim.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "claim.h"
+#include "gw/log.h"
 
 /*
  * Claims during this time after the start of the process are delayed by as
@@ -27,6 +28,39 @@
 		role_schedule_claim(role);
 }
 
+static void
+on_removed(uint64_t revision, const store_page_t *current, const gw_err_t *err,
+    void *arg)
+{
+	role_t *role = arg;
+
+	(void)revision;
+	(void)current;
+	role->claim_in_flight = false;
+	if (err != NULL && err->code != GW_ERR_CONFLICT)
+		gw_log(GW_EV_COMMIT_FAILED,
+		    "role=%s step=remove err=%s text=\"%s\"", role->name,
+		    gw_errc_name(err->code), err->text);
+	role_schedule_claim(role);
+}
+
+/*
+ * Removes the key of the role if it is still the one that names no process. The
+ * role is claimed once the followed key shows the removal.
+ */
+static void
+remove_odd_key(role_t *role, const char *key)
+{
+	store_precondition_t precondition = {key, role->odd_key_revision};
+	store_txn_t txn = {.preconditions = &precondition,
+	    .precondition_count = 1,
+	    .removes = &key,
+	    .remove_count = 1};
+
+	role->claim_in_flight = true;
+	store_txn(role->roles->store, &txn, on_removed, role);
+}
+
 /*
  * Claims the role: creates its key under this process's lease, on condition
  * that the key does not exist. The claim is scheduled again if the lease is not
@@ -57,6 +91,10 @@
 		return;
 	}
 	roles_key(role->name, key, sizeof(key));
+	if (role->odd_key_revision != 0) {
+		remove_odd_key(role, key);
+		return;
+	}
 	value = g_strdup_printf(
 	    "%s %s %s", roles->address, roles->boot_id, roles->node);
 	write.value = value;
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "claim.h"
+#include "gw/addr.h"
 #include "gw/log.h"
 #include "role.h"
 
@@ -8,6 +9,31 @@
 #define ROLE_BATCH_MS 20
 /* Time in which a change of owner at the store becomes known here. */
 #define REGAIN_DELAY_MS 100
+static bool
+names_process(char *const *words)
+{
+	gw_err_t unused_err;
+	gw_addr_t address;
+
+	return words[0] != NULL && words[1] != NULL && words[1][0] != '\0' &&
+	    gw_addr_parse(&address, words[0], &unused_err) == 0 &&
+	    gw_addr_port(&address) != 0;
+}
+
+/*
+ * Handles a key that no process of this system has written. It is removed, so
+ * that the role can be claimed.
+ */
+static void
+apply_odd_key(role_t *role, const store_item_t *item)
+{
+	gw_log(
+	    GW_EV_ENTRY_IGNORED, "key=%s text=\"names no process\"", item->key);
+	role->odd_key_revision = item->mod_revision;
+	role_lose(role, "role-key-changed");
+	role_schedule_claim(role);
+}
+
 /*
  * Applies an owner's key, whose value is the owner's address, boot id and node
  * name. This process gains the role if the key is its own, else it loses it.
@@ -20,8 +46,10 @@
 
 	g_clear_pointer(&role->owner, g_free);
 	role->own_key_revision = 0;
-	if (g_strv_length(words) < 2)
+	if (!names_process(words)) {
+		apply_odd_key(role, item);
 		return;
+	}
 	role->owner = g_strdup(words[0]);
 	if (strcmp(words[1], roles->boot_id) == 0 && !roles->released)
 		role_gain(role, item->create_revision);
@@ -43,6 +71,7 @@
 	if (item->mod_revision < role->revision)
 		return;
 	role->revision = item->mod_revision;
+	role->odd_key_revision = 0;
 	if (!item->removed) {
 		apply_owner(role, item);
 		return;
