Grow the window of starts only when starts fill it

What callers saw: on a part whose owner has a narrow link, up to 1,180 tasks held 1,690 cores without running while jobs in time waited.

Cause: at most two windows of starts are placed ahead of those sent. Placing beyond that counted as a full window too, so that the window grew by a quarter every 200 ms although nothing filled it: the starts waited for their records. At 1 MiB it allowed 1,200 tasks to be placed, and they kept their place in the order of the records instead of their rank.

Change: only starts that wait to be sent show that the window is too small. Class: a limit that is raised by pressure from elsewhere (RFC 7661 has the same for TCP).

Test: window_test, /window/no-growth-without-use. Before: assertion failed (sched_window_size(window) == start_bytes): (1048576 == 32768).

--- a/lib/sched/window.c
+++ b/lib/sched/window.c
@@ -230,14 +230,15 @@
 	return sched_window_has_room(window);
 }
 
+/*
+ * Starts that are placed may wait for the store too, so that many of them do
+ * not show that the window is too small.
+ */
 bool
-sched_window_may_place(sched_window_t *window, uint64_t unsent_bytes)
+sched_window_may_place(const sched_window_t *window, uint64_t unsent_bytes)
 {
-	bool may_place = !window->policy->is_bounded ||
+	return !window->policy->is_bounded ||
 	    unsent_bytes < PLACED_WINDOWS * window->window_bytes;
-
-	window->was_full |= !may_place;
-	return may_place;
 }
 
 uint64_t
--- a/lib/sched/window.h
+++ b/lib/sched/window.h
@@ -50,7 +50,7 @@
  * Whether more work may be placed while starts of this many bytes wait to be
  * sent.
  */
-bool sched_window_may_place(sched_window_t *, uint64_t unsent_bytes);
+bool sched_window_may_place(const sched_window_t *, uint64_t unsent_bytes);
 /* Time for the response to a start or a stop. */
 uint64_t sched_window_timeout_us(const sched_window_t *);
 /* How long a request waits on the link, beyond the time without a queue. */
--- a/regress/sched/window_test.c
+++ b/regress/sched/window_test.c
@@ -158,6 +158,28 @@
 	sched_window_free(window);
 }
 
+/*
+ * Guards against a window that grows while the store, not the link, holds the
+ * starts back: tasks would then fill the pool long before they are started.
+ */
+static void
+test_no_growth_without_use(void)
+{
+	sched_window_t *window = sched_window_new(&sched_window_delay);
+	uint64_t start_bytes = sched_window_size(window);
+
+	for (uint64_t now_us = GW_US_PER_S; now_us < 6 * GW_US_PER_S;
+	     now_us += 50 * GW_US_PER_MS) {
+		g_assert_false(
+		    sched_window_may_place(window, UINT64_C(16) << 20));
+		sched_window_add(window, START_BYTES);
+		sched_window_remove(window, START_BYTES,
+		    now_us - ROUND_TRIP_US, now_us, true);
+	}
+	g_assert_cmpuint(sched_window_size(window), ==, start_bytes);
+	sched_window_free(window);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -165,5 +187,7 @@
 	g_test_add_func("/window/surge-on-slow-link", test_surge_on_slow_link);
 	g_test_add_func("/window/repeats-without-responses",
 	    test_repeats_without_responses);
+	g_test_add_func(
+	    "/window/no-growth-without-use", test_no_growth_without_use);
 	return g_test_run();
 }
