Count the delay of a claim from when the role was vacant

Cause: a process that had gained a role began the delay for the others anew, and processes start up to 0.13 s apart after a loss of power. At 43.16 s four roles were still free, and those of the processes of 10 Mbit/s that had started first were due.

Change: the delay counts from when the process found the role without an owner, and a process that lacks CPU or a wide link waits up to 150 ms more while it is starting. The wait at the start moves into lib/sched/claim.c.

Test: regress/sched/claim_test, /sched/claim/wide-link-first-at-start. Without the longer wait: ERROR:claim_test.c: assertion failed (sched_claim_delay_ms (&wide) + SCHED_CLAIM_JITTER_MS + STARTED_LATER_MS <= sched_claim_delay_ms (&narrow)).

--- a/gwentryd/claim.c
+++ b/gwentryd/claim.c
@@ -4,12 +4,8 @@
 #include "claim.h"
 #include "gw/log.h"
 
-/*
- * Claims during this time after the start of the process are delayed by as
- * much, so that all processes of a system that has just started know the roles
- * first.
- */
-#define CLAIM_STARTUP_DELAY_MS 300
+/* Shortest time to the next attempt, for a claim that was due before. */
+#define CLAIM_RETRY_MIN_MS 40
 
 static void
 on_claimed(uint64_t revision, const store_page_t *current, const gw_err_t *err,
@@ -120,6 +116,9 @@
 
 /*
  * Schedules a claim, if the role has no owner and this process may claim it.
+ * The delay counts from when the role was first found without an owner: a
+ * process that has gained another role meanwhile keeps its lead over those that
+ * have less to offer.
  */
 void
 role_schedule_claim(role_t *role)
@@ -127,17 +126,22 @@
 	roles_t *roles = role->roles;
 	uint64_t now_us = gw_rt_now_us(roles->rt);
 	sched_claimant_t claimant = roles->claimant;
-	uint64_t delay_us;
+	uint64_t due_us;
 
 	if (role->owner != NULL || role->claim_in_flight ||
 	    !role->claim_enabled || roles->released)
 		return;
+	if (role->vacant_since_us == 0)
+		role->vacant_since_us = now_us;
 	role->owned_when_scheduled = roles_count_owned(roles);
 	claimant.owned_roles = role->owned_when_scheduled;
-	delay_us = (sched_claim_delay_ms(&claimant) +
-		       jitter_seed(role) % SCHED_CLAIM_JITTER_MS) *
-	    GW_US_PER_MS;
-	if (now_us < roles->started_us + CLAIM_STARTUP_DELAY_MS * GW_US_PER_MS)
-		delay_us += CLAIM_STARTUP_DELAY_MS * GW_US_PER_MS;
-	gw_timer_start(roles->rt, &role->claim_timer, delay_us, on_claim, role);
+	claimant.is_starting = role->vacant_since_us <
+	    roles->started_us + SCHED_CLAIM_STARTING_MS * GW_US_PER_MS;
+	due_us = role->vacant_since_us +
+	    (sched_claim_delay_ms(&claimant) +
+		jitter_seed(role) % SCHED_CLAIM_JITTER_MS) *
+		GW_US_PER_MS;
+	due_us = MAX(due_us, now_us + CLAIM_RETRY_MIN_MS * GW_US_PER_MS);
+	gw_timer_start(
+	    roles->rt, &role->claim_timer, due_us - now_us, on_claim, role);
 }
--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -305,7 +305,8 @@
 entry_new(gw_rt_t *rt, const plat_settings_t *settings, gw_err_t *err)
 {
 	const sched_claimant_t claimant = {
-	    settings->cpu_permille, settings->link_kbps, 0};
+	    .cpu_permille = settings->cpu_permille,
+	    .link_kbps = settings->link_kbps};
 	entry_t *entry = g_new0(entry_t, 1);
 	gw_addr_t peer;
 
--- a/gwentryd/role.c
+++ b/gwentryd/role.c
@@ -101,6 +101,7 @@
 	role->revision = MAX(role->revision, fence);
 	g_free(role->owner);
 	role->owner = g_strdup(roles->address);
+	role->vacant_since_us = 0;
 	gw_log(GW_EV_ROLE_GAINED, "role=%s fence=%" PRIu64 " owned=%u",
 	    role->name, fence, roles_count_owned(roles));
 	roles->ops->on_gain(
--- a/gwentryd/role.h
+++ b/gwentryd/role.h
@@ -23,7 +23,9 @@
 	uint64_t fence;		   /* fencing token; 0: not owned here */
 	uint64_t own_key_revision; /* creation of the key; 0: not ours */
 	uint64_t odd_key_revision; /* of a key that names no process; 0: none */
-	bool claim_enabled;	   /* this process may claim the role */
+	/* Since when a claim has been scheduled; 0: it has an owner. */
+	uint64_t vacant_since_us;
+	bool claim_enabled; /* this process may claim the role */
 	bool claim_in_flight;
 	uint32_t owned_when_scheduled; /* roles owned at that time */
 	gw_timer_t claim_timer;
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -51,6 +51,7 @@
 		return;
 	}
 	role->owner = g_strdup(words[0]);
+	role->vacant_since_us = 0;
 	if (strcmp(words[1], roles->boot_id) == 0 && !roles->released)
 		role_gain(role, item->create_revision);
 	else {
--- a/lib/sched/claim.c
+++ b/lib/sched/claim.c
@@ -9,6 +9,13 @@
  * a process that lacks nothing.
  */
 #define DELAY_LACK_MAX_MS 300
+/*
+ * Added at the start of a process, so that all processes of a system that has
+ * just started know the roles first; and, for what a process lacks, the most by
+ * which others may start later.
+ */
+#define DELAY_STARTING_MS SCHED_CLAIM_STARTING_MS
+#define DELAY_STARTING_LACK_MAX_MS 150
 /* A process with less than these delays its claims, in proportion. */
 #define FULL_CPU_PERMILLE 500
 #define FULL_LINK_KBPS 100000
@@ -31,6 +38,12 @@
 	    MAX(lack_permille(claimant->cpu_permille, FULL_CPU_PERMILLE),
 		lack_permille(claimant->link_kbps, FULL_LINK_KBPS));
 
-	return DELAY_BASE_MS + DELAY_PER_ROLE_MS * claimant->owned_roles +
+	uint32_t delay_ms = DELAY_BASE_MS +
+	    DELAY_PER_ROLE_MS * claimant->owned_roles +
 	    DELAY_LACK_MAX_MS * lack / 1000;
+
+	if (claimant->is_starting)
+		delay_ms += DELAY_STARTING_MS +
+		    DELAY_STARTING_LACK_MAX_MS * lack / 1000;
+	return delay_ms;
 }
--- a/regress/sched/claim_test.c
+++ b/regress/sched/claim_test.c
@@ -7,6 +7,8 @@
 #define WIDE_LINK_KBPS 200000
 #define NARROW_LINK_KBPS 10000
 #define FULL_CPU_PERMILLE 500
+/* How much later than others a process may start after a loss of power. */
+#define STARTED_LATER_MS 150
 
 /*
  * Returns whether the first process claims before the second, whatever the
@@ -24,11 +26,11 @@
 test_wide_link_first(void)
 {
 	const sched_claimant_t narrow = {
-	    FULL_CPU_PERMILLE, NARROW_LINK_KBPS, 0};
+	    FULL_CPU_PERMILLE, NARROW_LINK_KBPS, 0, false};
 
 	for (uint32_t owned = 0; owned <= 2; owned++) {
 		const sched_claimant_t wide = {
-		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned};
+		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned, false};
 
 		g_assert_true(is_surely_first(&wide, &narrow));
 	}
@@ -38,11 +40,11 @@
 static void
 test_full_cpu_first(void)
 {
-	const sched_claimant_t slow = {120, WIDE_LINK_KBPS, 0};
+	const sched_claimant_t slow = {120, WIDE_LINK_KBPS, 0, false};
 
 	for (uint32_t owned = 0; owned <= 2; owned++) {
 		const sched_claimant_t full = {
-		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned};
+		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned, false};
 
 		g_assert_true(is_surely_first(&full, &slow));
 	}
@@ -54,9 +56,9 @@
 {
 	for (uint32_t owned = 0; owned < 10; owned++) {
 		const sched_claimant_t fewer = {
-		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned};
+		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned, false};
 		const sched_claimant_t more = {
-		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned + 2};
+		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned + 2, false};
 
 		g_assert_true(is_surely_first(&fewer, &more));
 	}
@@ -66,11 +68,28 @@
 static void
 test_narrow_links_alone(void)
 {
-	const sched_claimant_t narrow = {0, 1, 0};
+	const sched_claimant_t narrow = {0, 1, 0, false};
 
 	g_assert_cmpuint(sched_claim_delay_ms(&narrow), <=, 400);
 }
 
+/*
+ * Guards against narrow owners after a loss of power, when processes with wide
+ * links have started a little later.
+ */
+static void
+test_wide_link_first_at_start(void)
+{
+	const sched_claimant_t narrow = {
+	    FULL_CPU_PERMILLE, NARROW_LINK_KBPS, 0, true};
+	const sched_claimant_t wide = {
+	    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, 2, true};
+
+	g_assert_cmpuint(sched_claim_delay_ms(&wide) + SCHED_CLAIM_JITTER_MS +
+		STARTED_LATER_MS,
+	    <=, sched_claim_delay_ms(&narrow));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -81,5 +100,7 @@
 	    "/sched/claim/fewest-roles-first", test_fewest_roles_first);
 	g_test_add_func(
 	    "/sched/claim/narrow-links-alone", test_narrow_links_alone);
+	g_test_add_func("/sched/claim/wide-link-first-at-start",
+	    test_wide_link_first_at_start);
 	return g_test_run();
 }
