Report the number of instances with late tasks, not their names

The planner logs only the number; the names took up to 1.5 KB a report on links that matter. Two parts of the late work that nothing used go, too.

--- a/gwentryd/claim.c
+++ b/gwentryd/claim.c
@@ -25,8 +25,8 @@
 }
 
 static void
-on_removed(uint64_t revision, const store_page_t *current, const gw_err_t *err,
-    void *arg)
+on_odd_key_removed(uint64_t revision, const store_page_t *current,
+    const gw_err_t *err, void *arg)
 {
 	role_t *role = arg;
 
@@ -54,7 +54,7 @@
 	    .remove_count = 1};
 
 	role->claim_in_flight = true;
-	store_txn(role->roles->store, &txn, on_removed, role);
+	store_txn(role->roles->store, &txn, on_odd_key_removed, role);
 }
 
 /*
--- a/lib/sched/claim.c
+++ b/lib/sched/claim.c
@@ -5,8 +5,8 @@
 #define DELAY_BASE_MS 20
 #define DELAY_PER_ROLE_MS 50
 /*
- * Longest delay of a process for what it lacks: more than that for the roles of
- * a process that lacks nothing.
+ * Longest delay of a process for what it lacks. A process that lacks nothing
+ * comes first until it owns five roles.
  */
 #define DELAY_LACK_MAX_MS 300
 /*
@@ -37,7 +37,6 @@
 	uint32_t lack =
 	    MAX(lack_permille(claimant->cpu_permille, FULL_CPU_PERMILLE),
 		lack_permille(claimant->link_kbps, FULL_LINK_KBPS));
-
 	uint32_t delay_ms = DELAY_BASE_MS +
 	    DELAY_PER_ROLE_MS * claimant->owned_roles +
 	    DELAY_LACK_MAX_MS * lack / 1000;
--- a/lib/sched/claim.h
+++ b/lib/sched/claim.h
@@ -4,7 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* What a process that may claim a role has for it. */
+/* A process that may claim a role. */
 typedef struct {
 	uint32_t cpu_permille; /* its CPU share, in thousandths of a core */
 	uint32_t link_kbps;    /* its link, in kilobits a second */
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -44,10 +44,9 @@
 	uint64_t used_cpu_millis;
 	uint64_t waiting_cpu_ms;     /* waiting work, in core milliseconds */
 	uint64_t waiting_cpu_millis; /* CPU of the waiting tasks */
-	/* The parts of these three of jobs that can no longer be in time. */
+	/* The parts of used_cpu_millis and waiting_cpu_ms of late jobs. */
 	uint64_t late_used_cpu_millis;
 	uint64_t late_waiting_cpu_ms;
-	uint64_t late_waiting_cpu_millis;
 	uint64_t demand_cpu_ms;	       /* all work that arrived so far */
 	uint64_t rate_cpu_millis;      /* arrival rate; short average */
 	uint64_t long_rate_cpu_millis; /* arrival rate; long average */
--- a/lib/sched/fleet_load.c
+++ b/lib/sched/fleet_load.c
@@ -86,7 +86,6 @@
 	pool->waiting_cpu_millis = load->waiting_cpu_millis;
 	pool->late_used_cpu_millis = load->late_used_cpu_millis;
 	pool->late_waiting_cpu_ms = load->late_waiting_cpu_ms;
-	pool->late_waiting_cpu_millis = load->late_waiting_cpu_millis;
 	pool->capacity_memory_mib = load->capacity_memory_mib;
 	pool->used_memory_mib = load->used_memory_mib;
 	pool->waiting_memory_mib_ms = load->waiting_memory_mib_ms;
@@ -97,7 +96,7 @@
 	    load->lasting_waiting_memory_mib;
 	pool->long_running_used_cpu_millis = load->lasting_used_cpu_millis;
 	pool->blocked_jobs = load->blocked_jobs;
-	pool->late_instances = (uint32_t)load->n_late_instances;
+	pool->late_instances = load->late_instances;
 	replace_names(pool->idle, load->idle_instances, load->n_idle_instances);
 	replace_names(pool->long_running_hosts, load->lasting_instances,
 	    load->n_lasting_instances);
--- a/lib/sched/load.c
+++ b/lib/sched/load.c
@@ -52,7 +52,7 @@
 	else if (sched_instance_hosts_long_running(instance))
 		load->lasting_instances[load->n_lasting_instances++] = id;
 	else if (has_late_tasks_only(instance))
-		load->late_instances[load->n_late_instances++] = id;
+		load->late_instances++;
 }
 
 static void
@@ -74,8 +74,6 @@
 	load->waiting_cpu_millis = ready.cpu_millis;
 	load->waiting_memory_mib_ms = ready.memory_mib_ms;
 	load->late_waiting_cpu_ms = late.cpu_ms;
-	load->late_waiting_cpu_millis = late.cpu_millis;
-	load->late_waiting_memory_mib_ms = late.memory_mib_ms;
 	load->lasting_waiting = (uint32_t)ready.long_running;
 	load->lasting_waiting_cpu_millis = ready.long_running_cpu_millis;
 	load->lasting_waiting_memory_mib = ready.long_running_memory_mib;
@@ -97,7 +95,6 @@
 	load->demand_cpu_ms = pool->demand_cpu_ms;
 	load->idle_instances = g_new0(char *, size);
 	load->lasting_instances = g_new0(char *, size);
-	load->late_instances = g_new0(char *, size);
 	g_hash_table_iter_init(&iter, pool->instances);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance))
 		if (sched_instance_is_usable(instance, now_us))
@@ -113,5 +110,4 @@
 {
 	g_free(load->idle_instances);
 	g_free(load->lasting_instances);
-	g_free(load->late_instances);
 }
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3739,7 +3739,7 @@
   (ProtobufCMessageInit) gw__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[21] =
+static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[19] =
 {
   {
     "instances",
@@ -3958,38 +3958,14 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "late_waiting_cpu_millis",
+    "late_instances",
     19,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Gw__PoolLoad, late_waiting_cpu_millis),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "late_waiting_memory_mib_ms",
-    20,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gw__PoolLoad, late_waiting_memory_mib_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "late_instances",
-    21,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Gw__PoolLoad, n_late_instances),
     offsetof(Gw__PoolLoad, late_instances),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -4006,11 +3982,9 @@
   8,   /* field[8] = lasting_waiting */
   12,   /* field[12] = lasting_waiting_cpu_millis */
   13,   /* field[13] = lasting_waiting_memory_mib */
-  20,   /* field[20] = late_instances */
+  18,   /* field[18] = late_instances */
   16,   /* field[16] = late_used_cpu_millis */
-  18,   /* field[18] = late_waiting_cpu_millis */
   17,   /* field[17] = late_waiting_cpu_ms */
-  19,   /* field[19] = late_waiting_memory_mib_ms */
   2,   /* field[2] = used_cpu_millis */
   6,   /* field[6] = used_memory_mib */
   10,   /* field[10] = waiting_cpu_millis */
@@ -4020,7 +3994,7 @@
 static const ProtobufCIntRange gw__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gw__pool_load__descriptor =
 {
@@ -4030,7 +4004,7 @@
   "Gw__PoolLoad",
   "gw",
   sizeof(Gw__PoolLoad),
-  21,
+  19,
   gw__pool_load__field_descriptors,
   gw__pool_load__field_indices_by_name,
   1,  gw__pool_load__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -643,22 +643,19 @@
    */
   uint64_t demand_cpu_ms;
   /*
-   * The parts of used_cpu_millis and of the fields with "waiting" that belong to
-   * jobs that can no longer meet their objectives.
+   * The parts of used_cpu_millis and waiting_cpu_ms that belong to jobs that can
+   * no longer meet their objectives.
    */
   uint64_t late_used_cpu_millis;
   uint64_t late_waiting_cpu_ms;
-  uint64_t late_waiting_cpu_millis;
-  uint64_t late_waiting_memory_mib_ms;
   /*
-   * Instances that run nothing else than tasks of such jobs.
+   * Number of instances that run nothing else than tasks of such jobs.
    */
-  size_t n_late_instances;
-  char **late_instances;
+  uint32_t late_instances;
 };
 #define GW__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__pool_load__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -431,10 +431,9 @@
 
 	sched_pool_get_load(pool, &load);
 	printf("%6" PRIu64 " late used=%" PRIu64 " of %" PRIu64
-	       " waiting=%" PRIu64 " of %" PRIu64 " hosts=%zu\n",
+	       " waiting=%" PRIu64 " of %" PRIu64 " hosts=%u\n",
 	    now_ms(), load.late_used_cpu_millis, load.used_cpu_millis,
-	    load.late_waiting_cpu_ms, load.waiting_cpu_ms,
-	    load.n_late_instances);
+	    load.late_waiting_cpu_ms, load.waiting_cpu_ms, load.late_instances);
 	sched_load_clear(&load);
 }
 
--- a/regress/sched/window_test.c
+++ b/regress/sched/window_test.c
@@ -173,8 +173,8 @@
 		g_assert_false(
 		    sched_window_may_place(window, UINT64_C(16) << 20));
 		sched_window_add(window, START_BYTES);
-		sched_window_remove(window, START_BYTES,
-		    now_us - ROUND_TRIP_US, now_us, true);
+		sched_window_remove(
+		    window, START_BYTES, now_us - ROUND_TRIP_US, now_us, true);
 	}
 	g_assert_cmpuint(sched_window_size(window), ==, start_bytes);
 	sched_window_free(window);
