Prefer owners of a pool's shards in different data centres

Cause: a claim knew how many roles its process had, not which; class: a failure domain that placement does not know.

Change: an owner's key names its data centre too, and a process waits 100 ms more for a role whose pool has another shard in its data centre. It looks again just before it claims, since shards are claimed together at a start. A key of an earlier version has no data centre and changes nothing.

Test: regress/sched/claim_test, /sched/claim/other-data-centre-first. Without the delay: assertion failed (sched_claim_delay_ms(&other) < sched_claim_delay_ms(&sharing)): (20 < 20).

--- a/gwentryd/claim.c
+++ b/gwentryd/claim.c
@@ -3,6 +3,7 @@
 
 #include "claim.h"
 #include "gw/log.h"
+#include "sched/shard.h"
 
 /* Shortest time to the next attempt, for a claim that was due before. */
 #define CLAIM_RETRY_MIN_MS 40
@@ -57,11 +58,35 @@
 	store_txn(role->roles->store, &txn, on_odd_key_removed, role);
 }
 
+/*
+ * Returns whether another shard of the role's pool has its owner in the data
+ * centre of this process.
+ */
+static bool
+shares_pool(const role_t *role)
+{
+	const roles_t *roles = role->roles;
+	char pool[SCHED_NAME_BYTES], other_pool[SCHED_NAME_BYTES];
+	GHashTableIter iter;
+	role_t *other;
+
+	(void)shard_parse_name(role->name, pool);
+	g_hash_table_iter_init(&iter, roles->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&other)) {
+		(void)shard_parse_name(other->name, other_pool);
+		if (other != role && strcmp(pool, other_pool) == 0 &&
+		    g_strcmp0(other->owner_data_centre, roles->data_centre) ==
+			0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Claims the role: creates its key under this process's lease, on condition
  * that the key does not exist. The claim is scheduled again if the lease is not
- * valid, the roles have not been read, or this process owns more roles than
- * when the claim was scheduled.
+ * valid, the roles have not been read, or this process owns more roles or
+ * shares the pool, other than when the claim was scheduled.
  */
 static void
 on_claim(gw_timer_t *timer, void *arg)
@@ -82,7 +107,8 @@
 	    roles->released || !role->claim_enabled)
 		return;
 	if (!lease_valid(roles->lease) || !roles->listed ||
-	    roles_count_owned(roles) > role->owned_when_scheduled) {
+	    roles_count_owned(roles) > role->owned_when_scheduled ||
+	    (shares_pool(role) && !role->shared_when_scheduled)) {
 		role_schedule_claim(role);
 		return;
 	}
@@ -91,8 +117,8 @@
 		remove_odd_key(role, key);
 		return;
 	}
-	value = g_strdup_printf(
-	    "%s %s %s", roles->address, roles->boot_id, roles->node);
+	value = g_strdup_printf("%s %s %s %s", roles->address, roles->boot_id,
+	    roles->data_centre, roles->node);
 	write.value = value;
 	write.size_bytes = strlen(value);
 	role->claim_in_flight = true;
@@ -134,7 +160,9 @@
 	if (role->vacant_since_us == 0)
 		role->vacant_since_us = now_us;
 	role->owned_when_scheduled = roles_count_owned(roles);
+	role->shared_when_scheduled = shares_pool(role);
 	claimant.owned_roles = role->owned_when_scheduled;
+	claimant.shares_pool = role->shared_when_scheduled;
 	claimant.is_starting = role->vacant_since_us <
 	    roles->started_us + SCHED_CLAIM_STARTING_MS * GW_US_PER_MS;
 	due_us = role->vacant_since_us +
--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -320,8 +320,8 @@
 	entry->owners = owners_new(rt, entry->store, settings->data_centre,
 	    &settings->bounds, &owner_ops, entry);
 	entry->roles = roles_new(rt, entry->store, settings->node,
-	    gw_addr_text(&peer, entry->peer_address), &claimant, &roles_ops,
-	    entry);
+	    settings->data_centre, gw_addr_text(&peer, entry->peer_address),
+	    &claimant, &roles_ops, entry);
 	entry->dispatch =
 	    dispatch_new(rt, entry->roles, &peer, on_call, entry, err);
 	if (entry->dispatch == NULL)
--- a/gwentryd/role.c
+++ b/gwentryd/role.c
@@ -37,6 +37,7 @@
 
 	gw_timer_stop(&role->claim_timer);
 	g_free(role->owner);
+	g_free(role->owner_data_centre);
 	g_free(role->previous_owner);
 	g_free(role);
 }
@@ -101,6 +102,8 @@
 	role->revision = MAX(role->revision, fence);
 	g_free(role->owner);
 	role->owner = g_strdup(roles->address);
+	g_free(role->owner_data_centre);
+	role->owner_data_centre = g_strdup(roles->data_centre);
 	role->vacant_since_us = 0;
 	gw_log(GW_EV_ROLE_GAINED, "role=%s fence=%" PRIu64 " owned=%u",
 	    role->name, fence, roles_count_owned(roles));
--- a/gwentryd/role.h
+++ b/gwentryd/role.h
@@ -17,7 +17,9 @@
 typedef struct {
 	roles_t *roles;
 	char name[SCHED_NAME_BYTES];
-	char *owner;		   /* address; NULL: none, or not known */
+	char *owner; /* address; NULL: none, or not known */
+	/* Of the owner; NULL: none, or not known. */
+	char *owner_data_centre;
 	char *previous_owner;	   /* address of the last owner seen, or NULL */
 	uint64_t revision;	   /* of the newest change to the key seen */
 	uint64_t fence;		   /* fencing token; 0: not owned here */
@@ -28,6 +30,7 @@
 	bool claim_enabled; /* this process may claim the role */
 	bool claim_in_flight;
 	uint32_t owned_when_scheduled; /* roles owned at that time */
+	bool shared_when_scheduled;    /* shares_pool at that time */
 	gw_timer_t claim_timer;
 } role_t;
 
@@ -35,6 +38,7 @@
 	gw_rt_t *rt;
 	store_t *store;
 	char node[SCHED_NAME_BYTES];
+	char data_centre[SCHED_NAME_BYTES];
 	char address[GW_ADDR_TEXT_BYTES];
 	char boot_id[GW_ID_TEXT_BYTES]; /* random; of this incarnation */
 	const roles_ops_t *ops;
@@ -43,7 +47,7 @@
 	store_follow_t *follow;
 	lease_t *lease;
 	uint64_t started_us;
-	sched_claimant_t claimant; /* this process; owned_roles is not set */
+	sched_claimant_t claimant; /* this process; without the role */
 	bool listed;		   /* the roles in the store were read */
 	bool store_unreachable;
 	bool released; /* roles_release_all() was called */
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -35,22 +35,26 @@
 }
 
 /*
- * Applies an owner's key, whose value is the owner's address, boot id and node
- * name. This process gains the role if the key is its own, else it loses it.
+ * Applies an owner's key, whose value is the owner's address, boot id, data
+ * centre and node name; earlier versions wrote no data centre. This process
+ * gains the role if the key is its own, else it loses it.
  */
 static void
 apply_owner(role_t *role, const store_item_t *item)
 {
 	roles_t *roles = role->roles;
-	g_auto(GStrv) words = g_strsplit(item->value, " ", 3);
+	g_auto(GStrv) words = g_strsplit(item->value, " ", 4);
 
 	g_clear_pointer(&role->owner, g_free);
+	g_clear_pointer(&role->owner_data_centre, g_free);
 	role->own_key_revision = 0;
 	if (!names_process(words)) {
 		apply_odd_key(role, item);
 		return;
 	}
 	role->owner = g_strdup(words[0]);
+	if (g_strv_length(words) == 4)
+		role->owner_data_centre = g_strdup(words[2]);
 	role->vacant_since_us = 0;
 	if (strcmp(words[1], roles->boot_id) == 0 && !roles->released)
 		role_gain(role, item->create_revision);
@@ -78,6 +82,7 @@
 		return;
 	}
 	g_clear_pointer(&role->owner, g_free);
+	g_clear_pointer(&role->owner_data_centre, g_free);
 	role->own_key_revision = 0;
 	role_lose(role, "key-removed");
 	role_schedule_claim(role);
@@ -145,7 +150,8 @@
  * their calls to address.
  */
 roles_t *
-roles_new(gw_rt_t *rt, store_t *store, const char *node, const char *address,
+roles_new(gw_rt_t *rt, store_t *store, const char *node,
+    const char *data_centre, const char *address,
     const sched_claimant_t *claimant, const roles_ops_t *ops, void *arg)
 {
 	roles_t *roles;
@@ -154,6 +160,7 @@
 	roles->rt = rt;
 	roles->store = store;
 	g_strlcpy(roles->node, node, sizeof(roles->node));
+	g_strlcpy(roles->data_centre, data_centre, sizeof(roles->data_centre));
 	g_strlcpy(roles->address, address, sizeof(roles->address));
 	gw_id_random(roles->boot_id);
 	roles->claimant = *claimant;
--- a/gwentryd/roles.h
+++ b/gwentryd/roles.h
@@ -34,9 +34,10 @@
 } roles_ops_t;
 
 /*
- * claimant describes this process; its owned_roles is not used.
+ * claimant has the CPU and the link of this process; the rest is not used.
  */
-roles_t *roles_new(gw_rt_t *, store_t *, const char *node, const char *address,
+roles_t *roles_new(gw_rt_t *, store_t *, const char *node,
+    const char *data_centre, const char *address,
     const sched_claimant_t *claimant, const roles_ops_t *, void *arg);
 /* Lets this process claim the role; otherwise it only follows the owner. */
 void roles_enable_claim(roles_t *, const char *name);
--- a/lib/sched/claim.c
+++ b/lib/sched/claim.c
@@ -9,6 +9,11 @@
  * comes first until it owns five roles.
  */
 #define DELAY_LACK_MAX_MS 300
+/*
+ * Added for a second shard of a pool in one data centre, which would be lost
+ * together with the first.
+ */
+#define DELAY_SHARED_MS 100
 /*
  * Added at the start of a process, so that all processes of a system that has
  * just started know the roles first; and, for what a process lacks, the most by
@@ -41,6 +46,8 @@
 	    DELAY_PER_ROLE_MS * claimant->owned_roles +
 	    DELAY_LACK_MAX_MS * lack / 1000;
 
+	if (claimant->shares_pool)
+		delay_ms += DELAY_SHARED_MS;
 	if (claimant->is_starting)
 		delay_ms += DELAY_STARTING_MS +
 		    DELAY_STARTING_LACK_MAX_MS * lack / 1000;
--- a/lib/sched/claim.h
+++ b/lib/sched/claim.h
@@ -10,6 +10,8 @@
 	uint32_t link_kbps;    /* its link, in kilobits a second */
 	uint32_t owned_roles;
 	bool is_starting; /* started a moment ago */
+	/* Its data centre has the owner of another shard of the pool. */
+	bool shares_pool;
 } sched_claimant_t;
 
 /* Bound of the random part of a claim's delay, in ms. */
--- a/regress/sched/claim_test.c
+++ b/regress/sched/claim_test.c
@@ -26,11 +26,11 @@
 test_wide_link_first(void)
 {
 	const sched_claimant_t narrow = {
-	    FULL_CPU_PERMILLE, NARROW_LINK_KBPS, 0, false};
+	    FULL_CPU_PERMILLE, NARROW_LINK_KBPS, 0, false, false};
 
 	for (uint32_t owned = 0; owned <= 2; owned++) {
 		const sched_claimant_t wide = {
-		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned, false};
+		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned, false, false};
 
 		g_assert_true(is_surely_first(&wide, &narrow));
 	}
@@ -40,25 +40,47 @@
 static void
 test_full_cpu_first(void)
 {
-	const sched_claimant_t slow = {120, WIDE_LINK_KBPS, 0, false};
+	const sched_claimant_t slow = {120, WIDE_LINK_KBPS, 0, false, false};
 
 	for (uint32_t owned = 0; owned <= 2; owned++) {
 		const sched_claimant_t full = {
-		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned, false};
+		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned, false, false};
 
 		g_assert_true(is_surely_first(&full, &slow));
 	}
 }
 
+/*
+ * Guards against both shards of a pool in one data centre, with which the whole
+ * pool would lose its owners.
+ */
+static void
+test_other_data_centre_first(void)
+{
+	const sched_claimant_t sharing = {
+	    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, 0, false, true};
+	const sched_claimant_t narrow = {
+	    FULL_CPU_PERMILLE, NARROW_LINK_KBPS, 0, false, false};
+
+	g_assert_true(is_surely_first(&sharing, &narrow));
+	for (uint32_t owned = 0; owned <= 1; owned++) {
+		const sched_claimant_t other = {
+		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned, false, false};
+
+		g_assert_cmpuint(sched_claim_delay_ms(&other), <,
+		    sched_claim_delay_ms(&sharing));
+	}
+}
+
 /* Guards against one process that takes every role of equal ones. */
 static void
 test_fewest_roles_first(void)
 {
 	for (uint32_t owned = 0; owned < 10; owned++) {
 		const sched_claimant_t fewer = {
-		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned, false};
+		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned, false, false};
 		const sched_claimant_t more = {
-		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned + 2, false};
+		    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, owned + 2, false, false};
 
 		g_assert_true(is_surely_first(&fewer, &more));
 	}
@@ -68,7 +90,7 @@
 static void
 test_narrow_links_alone(void)
 {
-	const sched_claimant_t narrow = {0, 1, 0, false};
+	const sched_claimant_t narrow = {0, 1, 0, false, false};
 
 	g_assert_cmpuint(sched_claim_delay_ms(&narrow), <=, 400);
 }
@@ -81,9 +103,9 @@
 test_wide_link_first_at_start(void)
 {
 	const sched_claimant_t narrow = {
-	    FULL_CPU_PERMILLE, NARROW_LINK_KBPS, 0, true};
+	    FULL_CPU_PERMILLE, NARROW_LINK_KBPS, 0, true, false};
 	const sched_claimant_t wide = {
-	    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, 2, true};
+	    FULL_CPU_PERMILLE, WIDE_LINK_KBPS, 2, true, false};
 
 	g_assert_cmpuint(sched_claim_delay_ms(&wide) + SCHED_CLAIM_JITTER_MS +
 		STARTED_LATER_MS,
@@ -96,6 +118,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/sched/claim/wide-link-first", test_wide_link_first);
 	g_test_add_func("/sched/claim/full-cpu-first", test_full_cpu_first);
+	g_test_add_func("/sched/claim/other-data-centre-first",
+	    test_other_data_centre_first);
 	g_test_add_func(
 	    "/sched/claim/fewest-roles-first", test_fewest_roles_first);
 	g_test_add_func(
