Ignore names that are longer than their field

Cause: a role's name was cut to 95 bytes and entered in a table under the cut name, but looked up under the full one. The second change to such a key, or a second key with the same beginning, replaced the entry, and the table kept the freed key. The planner's record of orders and the instances of a job's record were entered in the same way.

Change: a role's key or an ordered machine with such a name is ignored and logged; a job's record with such an instance does not match.

Test: regress/entry/odd_keys.sh with a name of 120 bytes, before the start and while jobs run, eight times each.

--- a/gwentryd/planner_records.c
+++ b/gwentryd/planner_records.c
@@ -252,7 +252,11 @@
 	for (char **line = lines; *line != NULL; line++) {
 		g_auto(GStrv) words = g_strsplit(*line, " ", 2);
 
-		if (g_strv_length(words) == 2)
+		if (g_strv_length(words) == 2 &&
+		    strlen(words[0]) >= SCHED_NAME_BYTES)
+			gw_log(GW_EV_ENTRY_IGNORED,
+			    "key=%s text=\"name too long\"", item->key);
+		else if (g_strv_length(words) == 2)
 			fleet_add_previous_order(planner->fleet, words[0],
 			    g_ascii_strtoull(words[1], NULL, 10),
 			    planner->order_handover_us / GW_US_PER_MS);
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -68,11 +68,18 @@
 on_item(const store_item_t *item, void *arg)
 {
 	roles_t *roles = arg;
+	const char *name;
 	role_t *role;
 
 	if (!g_str_has_prefix(item->key, ROLE_PREFIX))
 		return;
-	role = role_get(roles, item->key + strlen(ROLE_PREFIX));
+	name = item->key + strlen(ROLE_PREFIX);
+	if (strlen(name) >= SCHED_NAME_BYTES) {
+		gw_log(GW_EV_ENTRY_IGNORED, "key=%s text=\"name too long\"",
+		    item->key);
+		return;
+	}
+	role = role_get(roles, name);
 	if (item->mod_revision < role->revision)
 		return;
 	role->revision = item->mod_revision;
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -155,7 +155,9 @@
 		step->open--;
 		occurrence->open--;
 	} else if (from->state == GW__TASK_STATE__TASK_PLACED) {
-		if (from->host == 0 || from->host > record->n_hosts)
+		if (from->host == 0 || from->host > record->n_hosts ||
+		    strlen(record->hosts[from->host - 1]->instance) >=
+			SCHED_NAME_BYTES)
 			return -1;
 		adopt_placed(pool, task, record->hosts[from->host - 1]);
 	}
--- a/regress/entry/odd_keys.sh
+++ b/regress/entry/odd_keys.sh
@@ -5,6 +5,7 @@
 
 machines=$with_machines
 deep=$(awk 'BEGIN { for (i = 0; i < 30000; i++) printf "[" }')
+long=$(printf "%0120d" 7)
 zero='"\u0000"'
 
 # Writes an odd key to each list.
@@ -17,6 +18,7 @@
 		put "gw/run/p1/odd$1" "$odd"
 		put "gw/run/p1/a-name-that-is-longer-than-any-job-has$1" "$odd"
 		put "gw/role/odd$1" "$odd"
+		put "gw/role/$long" "$odd"
 		put "gw/planner/wave/odd$1" "$odd"
 		put "gw/planner/odd$1" "$odd"
 	done
@@ -25,7 +27,7 @@
 before_entries()
 {
 	put_odd 1
-	put gw/planner/orders 'w-0 99999999999999999999999999 x'
+	put gw/planner/orders "$(printf '%s 1\n%s 2\nw-0 99999999999999999999999999 x' "$long" "$long")"
 }
 
 start_all 2
