Compare claimants with the processes that are present

A claim that failed, or found the lease not valid, was tried again each 40 ms on every role.

Change: each process announces its CPU and link in a key under its lease. The reference is what the strongest processes that are enough for all roles, at five each, have at least; a process waits in proportion to what it lacks of that, for 1 s at most, and its delay is computed again when it is due. Where no process has more than the others none waits. A claim that fails or comes before the lease begins its delay again, as before.

--- a/gwentryd/claim.c
+++ b/gwentryd/claim.c
@@ -5,8 +5,15 @@
 #include "gw/log.h"
 #include "sched/shard.h"
 
-/* Shortest time to the next attempt, for a claim that was due before. */
-#define CLAIM_RETRY_MIN_MS 40
+/*
+ * Schedules a claim as if the role had just been found without an owner.
+ */
+static void
+restart_claim(role_t *role)
+{
+	role->vacant_since_us = 0;
+	role_schedule_claim(role);
+}
 
 static void
 on_claimed(uint64_t revision, const store_page_t *current, const gw_err_t *err,
@@ -22,7 +29,7 @@
 		lease_mark_ended(role->roles->lease);
 	/* If the response was lost, the followed key still shows the owner. */
 	if (role->fence == 0)
-		role_schedule_claim(role);
+		restart_claim(role);
 }
 
 static void
@@ -38,7 +45,7 @@
 		gw_log(GW_EV_COMMIT_FAILED,
 		    "role=%s step=remove err=%s text=\"%s\"", role->name,
 		    gw_errc_name(err->code), err->text);
-	role_schedule_claim(role);
+	restart_claim(role);
 }
 
 /*
@@ -82,11 +89,48 @@
 	return false;
 }
 
+/*
+ * Returns a hash of the process and the role, the source of the jitter.
+ */
+static uint32_t
+jitter_seed(const role_t *role)
+{
+	g_autofree char *text =
+	    g_strdup_printf("%s %s", role->roles->boot_id, role->name);
+	char digest[GW_ID_TEXT_BYTES];
+
+	gw_id_content(text, strlen(text), digest);
+	digest[7] = '\0';
+	return (uint32_t)strtoul(digest, NULL, 16);
+}
+
+/*
+ * Returns when this process may claim the role. The delay counts from when the
+ * role was found without an owner: a process that has gained another role
+ * meanwhile keeps its lead over those that have less to offer.
+ */
+static uint64_t
+claim_due_us(const role_t *role)
+{
+	const roles_t *roles = role->roles;
+	const sched_claimant_t claimant = {.process = roles->process,
+	    .owned_roles = roles_count_owned(roles),
+	    .is_starting = role->vacant_since_us <
+		roles->started_us + SCHED_CLAIM_STARTING_MS * GW_US_PER_MS,
+	    .shares_pool = shares_pool(role)};
+	const sched_process_t reference = roles_claim_reference(roles);
+
+	return role->vacant_since_us +
+	    (sched_claim_delay_ms(&claimant, &reference) +
+		jitter_seed(role) % SCHED_CLAIM_JITTER_MS) *
+	    GW_US_PER_MS;
+}
+
 /*
  * Claims the role: creates its key under this process's lease, on condition
- * that the key does not exist. The claim is scheduled again if the lease is not
- * valid, the roles have not been read, or this process owns more roles or
- * shares the pool, other than when the claim was scheduled.
+ * that the key does not exist. The delay begins again if the lease is not valid
+ * or the roles have not been read, and goes on if it has become longer since
+ * the claim was scheduled.
  */
 static void
 on_claim(gw_timer_t *timer, void *arg)
@@ -106,9 +150,11 @@
 	if (role->owner != NULL || role->claim_in_flight || role->fence != 0 ||
 	    roles->released || !role->claim_enabled)
 		return;
-	if (!lease_valid(roles->lease) || !roles->listed ||
-	    roles_count_owned(roles) > role->owned_when_scheduled ||
-	    (shares_pool(role) && !role->shared_when_scheduled)) {
+	if (!lease_valid(roles->lease) || !roles->listed) {
+		restart_claim(role);
+		return;
+	}
+	if (gw_rt_now_us(roles->rt) < claim_due_us(role)) {
 		role_schedule_claim(role);
 		return;
 	}
@@ -125,51 +171,20 @@
 	store_txn(roles->store, &txn, on_claimed, role);
 }
 
-/*
- * Returns a hash of the process and the role, the source of the jitter.
- */
-static uint32_t
-jitter_seed(const role_t *role)
-{
-	g_autofree char *text =
-	    g_strdup_printf("%s %s", role->roles->boot_id, role->name);
-	char digest[GW_ID_TEXT_BYTES];
-
-	gw_id_content(text, strlen(text), digest);
-	digest[7] = '\0';
-	return (uint32_t)strtoul(digest, NULL, 16);
-}
-
 /*
  * Schedules a claim, if the role has no owner and this process may claim it.
- * The delay counts from when the role was first found without an owner: a
- * process that has gained another role meanwhile keeps its lead over those that
- * have less to offer.
  */
 void
 role_schedule_claim(role_t *role)
 {
 	roles_t *roles = role->roles;
 	uint64_t now_us = gw_rt_now_us(roles->rt);
-	sched_claimant_t claimant = roles->claimant;
-	uint64_t due_us;
 
 	if (role->owner != NULL || role->claim_in_flight ||
 	    !role->claim_enabled || roles->released)
 		return;
 	if (role->vacant_since_us == 0)
 		role->vacant_since_us = now_us;
-	role->owned_when_scheduled = roles_count_owned(roles);
-	role->shared_when_scheduled = shares_pool(role);
-	claimant.owned_roles = role->owned_when_scheduled;
-	claimant.shares_pool = role->shared_when_scheduled;
-	claimant.is_starting = role->vacant_since_us <
-	    roles->started_us + SCHED_CLAIM_STARTING_MS * GW_US_PER_MS;
-	due_us = role->vacant_since_us +
-	    (sched_claim_delay_ms(&claimant) +
-		jitter_seed(role) % SCHED_CLAIM_JITTER_MS) *
-		GW_US_PER_MS;
-	due_us = MAX(due_us, now_us + CLAIM_RETRY_MIN_MS * GW_US_PER_MS);
-	gw_timer_start(
-	    roles->rt, &role->claim_timer, due_us - now_us, on_claim, role);
+	gw_timer_start(roles->rt, &role->claim_timer,
+	    MAX(claim_due_us(role), now_us) - now_us, on_claim, role);
 }
--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -304,8 +304,7 @@
 entry_t *
 entry_new(gw_rt_t *rt, const plat_settings_t *settings, gw_err_t *err)
 {
-	const sched_claimant_t claimant = {
-	    .cpu_permille = settings->cpu_permille,
+	const sched_process_t process = {.cpu_permille = settings->cpu_permille,
 	    .link_kbps = settings->link_kbps};
 	entry_t *entry = g_new0(entry_t, 1);
 	gw_addr_t peer;
@@ -321,7 +320,7 @@
 	    &settings->bounds, &owner_ops, entry);
 	entry->roles = roles_new(rt, entry->store, settings->node,
 	    settings->data_centre, gw_addr_text(&peer, entry->peer_address),
-	    &claimant, &roles_ops, entry);
+	    &process, &roles_ops, entry);
 	entry->dispatch =
 	    dispatch_new(rt, entry->roles, &peer, on_call, entry, err);
 	if (entry->dispatch == NULL)
--- a/gwentryd/lease.c
+++ b/gwentryd/lease.c
@@ -49,12 +49,13 @@
 {
 	lease_t *lease = arg;
 	uint64_t delay_ms = RENEW_INTERVAL_MS;
+	bool is_new = err == NULL && lease->id == 0;
 
 	lease->call_in_flight = false;
 	if (lease->closed)
 		return;
 	if (err == NULL) {
-		if (lease->id == 0) {
+		if (is_new) {
 			lease->id = id;
 			gw_log(GW_EV_LEASE_OPEN, "lease=%" PRIu64 " ttl_ms=%u",
 			    id, ttl_ms);
@@ -66,6 +67,8 @@
 			mark_lost(lease, "ended");
 		delay_ms = RETRY_DELAY_MS;
 	}
+	if (is_new)
+		lease->ops->on_open(lease->arg);
 	gw_timer_start(lease->rt, &lease->renew_timer, delay_ms * GW_US_PER_MS,
 	    on_renew, lease);
 }
--- a/gwentryd/lease.h
+++ b/gwentryd/lease.h
@@ -15,6 +15,8 @@
 typedef struct lease lease_t;
 
 typedef struct {
+	/* The store has granted a lease. */
+	void (*on_open)(void *arg);
 	/*
 	 * The lease has ended, or was not renewed within the grace period
 	 * after its expiry. A new lease is opened.
--- a/gwentryd/role.h
+++ b/gwentryd/role.h
@@ -10,9 +10,13 @@
 #include "sched/name.h"
 #include "store/follow.h"
 
-/* The state of the roles; private to roles.c, role.c and claim.c. */
+/*
+ * The state of the roles; private to roles.c, role.c, claim.c and processes.c.
+ */
 
 #define ROLE_PREFIX "gw/role/"
+/* Below ROLE_PREFIX: the keys of processes. No role's name begins so. */
+#define PROCESS_PREFIX "@process/"
 
 typedef struct {
 	roles_t *roles;
@@ -29,8 +33,6 @@
 	uint64_t vacant_since_us;
 	bool claim_enabled; /* this process may claim the role */
 	bool claim_in_flight;
-	uint32_t owned_when_scheduled; /* roles owned at that time */
-	bool shared_when_scheduled;    /* shares_pool at that time */
 	gw_timer_t claim_timer;
 } role_t;
 
@@ -47,8 +49,10 @@
 	store_follow_t *follow;
 	lease_t *lease;
 	uint64_t started_us;
-	sched_claimant_t claimant; /* this process; without the role */
-	bool listed;		   /* the roles in the store were read */
+	sched_process_t process; /* this one */
+	GHashTable *processes;	 /* those present: key -> sched_process_t */
+	gw_timer_t announce_timer;
+	bool listed; /* the roles in the store were read */
 	bool store_unreachable;
 	bool released; /* roles_release_all() was called */
 };
@@ -60,4 +64,9 @@
 void role_gain(role_t *, uint64_t fence);
 uint32_t roles_count_owned(const roles_t *);
 
+/* processes.c */
+void roles_announce(roles_t *);
+void roles_apply_process(roles_t *, const store_item_t *);
+sched_process_t roles_claim_reference(const roles_t *);
+
 #endif
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -79,6 +79,10 @@
 		    item->key);
 		return;
 	}
+	if (g_str_has_prefix(name, PROCESS_PREFIX)) {
+		roles_apply_process(roles, item);
+		return;
+	}
 	role = role_get(roles, name);
 	if (item->mod_revision < role->revision)
 		return;
@@ -150,7 +154,14 @@
 	lose_all(arg, reason);
 }
 
-static const lease_ops_t lease_ops = {.on_lost = on_lease_lost};
+static void
+on_lease_open(void *arg)
+{
+	roles_announce(arg);
+}
+
+static const lease_ops_t lease_ops = {
+    .on_open = on_lease_open, .on_lost = on_lease_lost};
 
 /*
  * Begins to follow the roles, and opens a lease. Other entry processes send
@@ -159,7 +170,7 @@
 roles_t *
 roles_new(gw_rt_t *rt, store_t *store, const char *node,
     const char *data_centre, const char *address,
-    const sched_claimant_t *claimant, const roles_ops_t *ops, void *arg)
+    const sched_process_t *process, const roles_ops_t *ops, void *arg)
 {
 	roles_t *roles;
 
@@ -170,12 +181,14 @@
 	g_strlcpy(roles->data_centre, data_centre, sizeof(roles->data_centre));
 	g_strlcpy(roles->address, address, sizeof(roles->address));
 	gw_id_random(roles->boot_id);
-	roles->claimant = *claimant;
+	roles->process = *process;
 	roles->ops = ops;
 	roles->arg = arg;
 	roles->started_us = gw_rt_now_us(rt);
 	roles->by_name =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, role_free);
+	roles->processes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	roles->follow =
 	    store_follow(store, ROLE_PREFIX, ROLE_BATCH_MS, &follow_ops, roles);
 	roles->lease = lease_new(
--- a/gwentryd/roles.h
+++ b/gwentryd/roles.h
@@ -34,11 +34,11 @@
 } roles_ops_t;
 
 /*
- * claimant has the CPU and the link of this process; the rest is not used.
+ * process is what this process has, compared with others.
  */
 roles_t *roles_new(gw_rt_t *, store_t *, const char *node,
     const char *data_centre, const char *address,
-    const sched_claimant_t *claimant, const roles_ops_t *, void *arg);
+    const sched_process_t *process, const roles_ops_t *, void *arg);
 /* Lets this process claim the role; otherwise it only follows the owner. */
 void roles_enable_claim(roles_t *, const char *name);
 /* Returns the address of the owner, or NULL when none is known. */
--- a/lib/store/protocol.c
+++ b/lib/store/protocol.c
@@ -75,6 +75,12 @@
 	g_free(request->body);
 }
 
+static const char *
+first_key(const store_page_t *page)
+{
+	return ((const store_item_t *)page->items->pdata[0])->key;
+}
+
 static void
 complete_page(store_call_t *call, const gw_http_response_t *response,
     const gw_err_t *err,
@@ -90,8 +96,10 @@
 	store_page_init(&page);
 	if (decode(response, &page, &bad) == 0) {
 		if (page.ignored_items > 0)
-			gw_log(GW_EV_ENTRY_IGNORED, "list=%s items=%u",
-			    call->key, page.ignored_items);
+			gw_log(GW_EV_ENTRY_IGNORED,
+			    "list=store beside=%s items=%u",
+			    page.items->len == 0 ? "none" : first_key(&page),
+			    page.ignored_items);
 		call->cb.page(&page, NULL, call->arg);
 	} else {
 		call->cb.page(NULL, &bad, call->arg);
--- a/regress/entry/odd_keys.sh
+++ b/regress/entry/odd_keys.sh
@@ -50,5 +50,9 @@
 until_true 10 follows && echo "configuration followed"
 put op/wave/90 '{"wave":90,"machines":["w-0"],"duration_s":5,"max_count":1}'
 until_true 15 wave_is 90 completed && echo "wave completed"
+for n in 1 2; do
+	grep -q "ENTRY_IGNORED .*name too long" "$tmp/entry$n.log" "$tmp/entry$n.out" &&
+	    echo "process $n has ignored the long name"
+done
 kill -0 "$pid_entry1" "$pid_entry2" && echo "both processes run"
 doubles
