Split the choice of an instance from the placement of tasks

lib/sched/place.c held two things: which instance suits a task best, and the rounds that place tasks and gangs. The first moves to choose.c; the functions are the same but for the wrapper that passed no rack, whose callers pass NULL now.

--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -385,18 +385,22 @@
 void sched_send_repeat(sched_task_t *, uint64_t now_us);
 uint64_t sched_renew_delay_us(const sched_pool_t *);
 
-/* place.c */
-sched_instance_t *sched_place_find_instance(
+/* choose.c */
+sched_instance_t *sched_place_find_instance(sched_pool_t *,
+    const sched_task_t *, const char *only_rack, uint64_t now_us);
+void sched_place_withhold(
     sched_pool_t *, const sched_task_t *, uint64_t now_us);
-void sched_place_round(sched_pool_t *, uint64_t now_us);
 bool sched_place_fits(const sched_instance_t *, const Gw__JobStep *);
 bool sched_place_has_label(const sched_instance_t *, const char *label);
+uint64_t sched_step_cpu_millis(const Gw__JobStep *);
+
+/* place.c */
+void sched_place_round(sched_pool_t *, uint64_t now_us);
 bool sched_place_ensure_advice(
     sched_pool_t *, sched_task_t *, sched_step_t *, uint64_t now_us);
 void sched_place_reserve(
     sched_pool_t *, sched_task_t *, sched_instance_t *, uint32_t run);
 void sched_place_mark_blocked(sched_job_t *, uint64_t now_us);
-uint64_t sched_step_cpu_millis(const Gw__JobStep *);
 
 /* trial.c */
 uint64_t sched_trial_cost(const sched_instance_t *);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -1,217 +1,8 @@
-#include <string.h>
-
 #include "sched/impl.h"
 
 /* New advice is requested this long before the step's tickets expire. */
 #define TICKET_MARGIN_US (200 * GW_US_PER_MS)
 #define ADVICE_INSTANCES_MAX 100
-/*
- * Tasks of one long-running step that may share an instance before other
- * instances are preferred.
- */
-#define LONG_RUNNING_PER_INSTANCE 2
-
-/*
- * Returns the CPU that a task takes from its instance's capacity, in
- * thousandths of a core. A task that uses only CPU left over by others takes
- * none.
- */
-uint64_t
-sched_step_cpu_millis(const Gw__JobStep *step)
-{
-	return step->fills ? 0 : step->cpu_millis;
-}
-
-/*
- * Returns whether the instance has room for one more task of the step.
- */
-bool
-sched_place_fits(const sched_instance_t *instance, const Gw__JobStep *step)
-{
-	const sched_resources_t *capacity = &instance->info.capacity;
-	const sched_resources_t *used = &instance->used;
-
-	return used->cpu_millis + sched_step_cpu_millis(step) <=
-	    capacity->cpu_millis &&
-	    used->memory_mib + step->memory_mib <= capacity->memory_mib &&
-	    used->accelerators + step->accelerators <= capacity->accelerators;
-}
-
-/*
- * Returns whether the instance has the label; every one has the empty label.
- */
-bool
-sched_place_has_label(const sched_instance_t *instance, const char *label)
-{
-	return label[0] == '\0' ||
-	    (instance->info.labels != NULL &&
-		g_strv_contains(
-		    (const char *const *)instance->info.labels, label));
-}
-
-/*
- * Counts the tasks of the same step and occurrence on the instance.
- */
-static uint32_t
-count_step(const sched_instance_t *instance, const sched_task_t *task)
-{
-	uint32_t count = 0;
-
-	for (guint i = 0; i < instance->tasks->len; i++) {
-		const sched_task_t *other = instance->tasks->pdata[i];
-
-		count += other->job == task->job && other->step == task->step &&
-		    other->occurrence == task->occurrence;
-	}
-	return count;
-}
-
-static bool
-is_allowed(const sched_instance_t *instance, const sched_task_t *task)
-{
-	const Gw__JobStep *step = sched_task_step_spec(task);
-	const GHashTable *tickets = sched_task_step_state(task)->tickets;
-
-	if (!sched_place_has_label(instance, step->label) ||
-	    !sched_crash_may_start(instance, task))
-		return false;
-	if (task->job->spec->advice != NULL &&
-	    (tickets == NULL ||
-		!g_hash_table_contains(
-		    (GHashTable *)tickets, instance->info.id)))
-		return false;
-	return step->max_per_instance == 0 ||
-	    count_step(instance, task) < step->max_per_instance;
-}
-
-/*
- * Returns the cost of placing the task on an instance on which it fits; the
- * instance with the lowest cost is chosen. In descending order of weight, it
- * avoids:
- * - the instance on which the task failed last, where it may fail again;
- * - other racks than that of the task's data, where it runs slower;
- * - for a long-running task, an instance that has several tasks of its step,
- *   since an instance may fail, and one without long-running tasks; and
- * - after a sign of a crash, an instance where another job has just begun.
- *
- * The unused CPU is added, so that the fullest instance is preferred: others
- * stay idle and can be lent or switched off. Another data centre, where
- * requests take longer, costs as much as half a core of unused CPU.
- */
-static uint64_t
-placement_cost(
-    const sched_instance_t *instance, const sched_task_t *task, uint64_t now_us)
-{
-	const Gw__JobStep *step = sched_task_step_spec(task);
-	const sched_pool_t *pool = instance->pool;
-	uint64_t free_cpu = instance->info.capacity.cpu_millis -
-	    MIN(instance->info.capacity.cpu_millis, instance->used.cpu_millis);
-	uint64_t cost = 0;
-
-	if (sched_crash_is_suspect(task))
-		return sched_trial_cost(instance);
-	if (strcmp(task->failed_on, instance->info.id) == 0)
-		cost += UINT64_C(1) << 50;
-	if (step->rack[0] != '\0' && g_strcmp0(step->rack, instance->rack) != 0)
-		cost += UINT64_C(1) << 49;
-	if (step->lasting) {
-		if (count_step(instance, task) >= LONG_RUNNING_PER_INSTANCE)
-			cost += UINT64_C(1) << 48;
-		if (!sched_instance_hosts_long_running(instance))
-			cost += UINT64_C(1) << 47;
-	}
-	if (sched_crash_prefers_other(instance, task, now_us))
-		cost += UINT64_C(1) << 46;
-	if (strcmp(instance->info.data_centre, pool->data_centre) != 0)
-		cost += 500;
-	return cost + free_cpu;
-}
-
-/*
- * Returns the instance with the lowest cost for the task, or NULL if none has
- * room. only_rack limits the choice to one rack; NULL: any rack.
- */
-static sched_instance_t *
-find_best_instance(sched_pool_t *pool, const sched_task_t *task,
-    const char *only_rack, uint64_t now_us)
-{
-	const Gw__JobStep *step = sched_task_step_spec(task);
-	sched_instance_t *instance, *best = NULL;
-	uint64_t best_cost = 0, cost;
-	GHashTableIter iter;
-
-	g_hash_table_iter_init(&iter, pool->instances);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
-		if (!sched_instance_is_usable(instance, now_us) ||
-		    instance->withheld_round == pool->round ||
-		    !sched_place_fits(instance, step) ||
-		    !is_allowed(instance, task))
-			continue;
-		if (only_rack != NULL &&
-		    g_strcmp0(instance->rack, only_rack) != 0)
-			continue;
-		cost = placement_cost(instance, task, now_us);
-		if (best == NULL || cost < best_cost) {
-			best = instance;
-			best_cost = cost;
-		}
-	}
-	return best;
-}
-
-/*
- * Withholds the emptiest instance that may run the task from all other tasks in
- * this round. Otherwise smaller tasks would take all room that becomes free in
- * a full pool, and the task would wait for ever.
- */
-static void
-withhold_instance(sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
-{
-	const sched_resources_t *capacity;
-	sched_instance_t *instance, *best = NULL;
-	GHashTableIter iter;
-	uint64_t best_free = 0;
-
-	g_hash_table_iter_init(&iter, pool->instances);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
-		uint64_t free_share;
-
-		if (!sched_instance_is_usable(instance, now_us) ||
-		    instance->withheld_round == pool->round ||
-		    !is_allowed(instance, task))
-			continue;
-		capacity = &instance->info.capacity;
-		/*
-		 * The free share of CPU or of memory, whichever is less, in
-		 * thousandths, plus 1.
-		 */
-		free_share = 1 +
-		    MIN((capacity->cpu_millis -
-			    MIN(capacity->cpu_millis,
-				instance->used.cpu_millis)) *
-			    1000 / MAX(capacity->cpu_millis, 1),
-			(capacity->memory_mib -
-			    MIN(capacity->memory_mib,
-				instance->used.memory_mib)) *
-			    1000 / MAX(capacity->memory_mib, 1));
-		if (free_share > best_free) {
-			best = instance;
-			best_free = free_share;
-		}
-	}
-	if (best != NULL)
-		best->withheld_round = pool->round;
-}
-
-/*
- * Returns the instance with the lowest cost for the task, or NULL.
- */
-sched_instance_t *
-sched_place_find_instance(
-    sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
-{
-	return find_best_instance(pool, task, NULL, now_us);
-}
 
 /*
  * Places a waiting task on the instance as this run. Its start is sent once the
@@ -295,11 +86,11 @@
 			continue;
 		if (sched_crash_is_suspect(task))
 			continue; /* by sched_trial_place_all() */
-		instance = sched_place_find_instance(pool, task, now_us);
+		instance = sched_place_find_instance(pool, task, NULL, now_us);
 		if (instance == NULL) {
 			sched_place_mark_blocked(task->job, now_us);
 			if (sched_task_step_spec(task)->lasting)
-				withhold_instance(pool, task, now_us);
+				sched_place_withhold(pool, task, now_us);
 			return;
 		}
 		sched_place_reserve(pool, task, instance, task->run + 1);
@@ -325,7 +116,7 @@
 		sched_task_t *task =
 		    &occurrence->tasks[step->first_task + placed];
 		sched_instance_t *instance =
-		    find_best_instance(pool, task, rack, now_us);
+		    sched_place_find_instance(pool, task, rack, now_us);
 
 		if (instance == NULL)
 			break;
--- a/lib/sched/trial.c
+++ b/lib/sched/trial.c
@@ -137,7 +137,7 @@
 	sched_instance_t *instance;
 	bool is_new;
 
-	instance = sched_place_find_instance(pool, task, now_us);
+	instance = sched_place_find_instance(pool, task, NULL, now_us);
 	/* Or the task joins a trial of its job. */
 	is_new = instance == NULL || instance->trials == 0;
 	if (is_new && !may_try(pool, task, instance)) {
