--- a/review/standin/minion.py
+++ b/review/standin/minion.py
@@ -2,7 +2,8 @@
 
 One process is one life of the minion: a kill is a crash, and a new process with
 the same --id is the next life, which knows nothing of before. A task works for
-the time that its spec names ("ms=800"). Everything that it does is appended to
+the time that its spec names ("ms=800"); one whose spec is "lasts" runs until it is
+stopped, and is at work after WARM_UP_MS. Everything that it does is appended to
 --events as lines of JSON.
 """
 import argparse
@@ -29,6 +30,7 @@
 parser.add_argument("--stop-ms", type=int, default=200)
 args = parser.parse_args()
 
+WARM_UP_MS = 200
 BORN_MS = int(time.time() * 1000)
 STARTED = time.monotonic()
 changed = threading.Condition()
@@ -106,7 +108,9 @@
         return 409, {"reason": "old"}
     found = re.search(r"ms=(\d+)", body["spec"])
     work_ms = int(found.group(1)) if found else 500
-    running[task] = {"run": run, "until": clock_ms() + work_ms,
+    lasts = body["spec"] == "lasts"
+    running[task] = {"run": run, "since": clock_ms(), "lasts": lasts,
+                     "until": float("inf") if lasts else clock_ms() + work_ms,
                      "stopping": None}
     log(event="start", task=task, run=run, spec=body["spec"], fence=fence,
         deadline_ms=body["deadline_ms"])
@@ -125,6 +129,12 @@
     return 200, {}
 
 
+def percent(state):
+    if not state["lasts"]:
+        return 50
+    return 100 if clock_ms() >= state["since"] + WARM_UP_MS else 0
+
+
 def hold(body):
     if is_fenced(body):
         return 409, {"reason": "fence"}
@@ -139,7 +149,7 @@
     while not ends and time.monotonic() < until:
         changed.wait(until - time.monotonic())
     return 200, {"born": BORN_MS,
-                 "running": [[t, s["run"], "", 50, 500]
+                 "running": [[t, s["run"], "", percent(s), 500]
                              for t, s in running.items()],
                  "finished": [list(e) for e in ends[:500]]}
 
