--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "standin"))
-from world import BOUNDS, TROUBLE, main  # noqa: E402
+from world import BOUNDS, TROUBLE, CannotRun, main  # noqa: E402
 
 JOB, RUNNING, CANCELLED = ("00000000000000%02x" % n for n in (1, 2, 3))
 Q1 = {"name": "r-one", "prefix": "/q/", "service": "p1"}
@@ -52,6 +52,8 @@
     time.sleep((BOUNDS["cancel_ms"] + BOUNDS["stop_grace_ms"]) / 1000 + 1)
 
     done = world.events(event="acknowledged", task=task, how="done")[0]
+    if done["clock_ms"] >= done["lease_end_ms"]:
+        raise CannotRun("the lease lapsed before the end was taken note of")
     again = [e for e in world.events(event="start", task=task)
              if e["t"] > done["t"]]
     broken = []
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "standin"))
-from world import TROUBLE, main  # noqa: E402
+from world import TROUBLE, CannotRun, main  # noqa: E402
 
 LATE_S = 8.0            # applied_late: 2 to 12 s later
 DOWN_S = 1.5            # srv_crash
@@ -64,6 +64,8 @@
     time.sleep(max(0, sent + LATE_S + 3 - time.time()))
 
     done = world.events(event="acknowledged", task=task, how="done")[0]
+    if done["clock_ms"] >= done["lease_end_ms"]:
+        raise CannotRun("the lease lapsed before the end was taken note of")
     again = [e for e in world.events(event="start", task=task)
              if e["t"] > done["t"]]
     if again:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,6 +9,7 @@
 from world import BOUNDS, TROUBLE, main  # noqa: E402
 
 MINIONS = 8
+TRAFFIC_S = 8
 JOB, LARGE = "00000000000000e1", "00000000000000e2"
 
 
@@ -17,6 +18,10 @@
                  "estimated_ms": work_ms}, **more)
 
 
+def running(world):
+    return len(world.events(event="start")) - len(world.events(event="end"))
+
+
 def case(world):
     world.start_store()
     world.limit_values()
@@ -38,26 +43,38 @@
                 "steps": [step(64, 300)]}
         world.request(0, "POST", "/q/" + LARGE, body)
         world.request(1, "POST", "/q/" + LARGE, body)
-    end = time.time() + BOUNDS["finish_s"] + 10
     other, accepted = 0, 0
+    end = time.time() + TRAFFIC_S
     while time.time() < end:
         status, _ = world.request(other % 2, "POST", "/q/%016x" % (
             0xf00 + other), {"spec": "ms=300", "steps": [step(1, 300)]})
         accepted += status == 200
         other += 1
         time.sleep(1)
-    state = world.state(1, "/q/" + JOB)
-    first = world.events(event="end", task=JOB + ".0.0.0", how="done")
-    second = world.events(event="start", task=JOB + ".0.1.0")
-    running = len(world.events(event="start")) - len(world.events(event="end"))
-    if first and not second and state != "completed" and running == 0:
-        world.finish("LOST: %.1f s after its first step was done nothing of the "
-                     "accepted job runs, with %d idle minions; it is shown as "
-                     "%s; of %d other jobs %d were accepted" % (
-                         time.time() - first[0]["t"], MINIONS, state, other,
-                         accepted), True)
-    world.finish("held: the job is %s; of %d other jobs %d were accepted" % (
-        state, other, accepted), False)
+    world.note("end of the traffic")
+    time.sleep(BOUNDS["finish_s"])
+
+    # For 3 s: the second step's turn has come, and nothing of the job runs.
+    stuck, state = True, None
+    end = time.time() + 3
+    while time.time() < end:
+        state = world.state(other % 2, "/q/" + JOB)
+        stuck = stuck and state not in ("completed", "cancelled") and \
+            world.events(event="end", task=JOB + ".0.0.0", how="done") != [] \
+            and not world.events(event="start", task=JOB + ".0.1.0") \
+            and running(world) == 0
+        other += 1
+        time.sleep(0.5)
+    world.note("peak memory of the entry processes in MB: %s" %
+               world.peak_mb())
+    if stuck:
+        world.finish("LOST: finish_s after the end of the traffic, for 3 s, "
+                     "nothing of the accepted job runs, though its second "
+                     "step's turn has come and %d minions are idle; it is shown "
+                     "as %s; %d other jobs were accepted" % (
+                         MINIONS, state, accepted), True)
+    world.finish("held: the job is %s; %d other jobs were accepted" % (
+        state, accepted), False)
 
 
 main(case)
--- a/review/standin/minion.py
+++ b/review/standin/minion.py
@@ -24,6 +24,7 @@
 parser.add_argument("--service", required=True)
 parser.add_argument("--events", required=True)
 parser.add_argument("--zone", default="dc-a")
+parser.add_argument("--rack", default="r1-1")
 parser.add_argument("--cpu", type=int, default=4000)
 parser.add_argument("--heartbeat-ms", type=int, default=1500)
 parser.add_argument("--hold-max-ms", type=int, default=6000)
@@ -142,7 +143,7 @@
     for end in [e for e in ends if e[0] <= cursor]:
         ends.remove(end)
         log(event="acknowledged", task=end[1], run=end[2], how=end[3],
-            number=end[0])
+            number=end[0], lease_end_ms=lease_end_ms)
     if body.get("deadline_ms"):
         extend(body["deadline_ms"])
     until = time.monotonic() + min(body.get("wait_ms", 0), 2000) / 1000
@@ -214,7 +215,7 @@
                      "state": "ready", "cold_remaining_ms": 0,
                      "sequence": sequence, "born": BORN_MS,
                      "capacity": {"cpu": args.cpu, "mem_mb": 65536, "gpu": 0},
-                     "labels": ["a", "r1-1"], "machine": "m-" + args.id}
+                     "labels": ["a", args.rack], "machine": "m-" + args.id}
             value = base64.b64encode(json.dumps(entry).encode()).decode()
             store_call("/kv-txn", {"precondition": [], "remove": [], "writes": [
                 {"key": "servers/" + args.id, "value": value, "lease": lease}]})
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -312,6 +312,15 @@
         status, body = self.request(entry, "GET", path)
         return json.loads(body).get("state") if status == 200 else status
 
+    def peak_mb(self):
+        """Returns the peak memory of each entry process."""
+        peaks = []
+        for entry in self.entries:
+            with open("/proc/%d/status" % entry["process"].pid) as file:
+                peaks += [int(line.split()[1]) // 1024 for line in file
+                          if line.startswith("VmHWM")]
+        return peaks
+
     def events(self, **match):
         with open(self.events_path) as file:
             rows = [json.loads(line) for line in file]
