--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -6,6 +6,7 @@
 #include "entry.h"
 #include "front.h"
 #include "gw/log.h"
+#include "homes.h"
 #include "layout.h"
 #include "owners.h"
 #include "planner.h"
@@ -50,6 +51,7 @@
 	planner_t *planner; /* NULL unless this process has the planner role */
 	dispatch_t *dispatch;
 	front_t *front;
+	homes_t *homes;
 	layout_t *layout;
 	stats_t *stats;
 	gw_timer_t drain_timer;
@@ -219,6 +221,7 @@
 {
 	entry_t *entry = arg;
 
+	homes_set_config(entry->homes, config);
 	front_set_config(entry->front, config);
 	owners_set_config(entry->owners, config);
 	if (entry->planner != NULL)
@@ -267,6 +270,27 @@
     .on_instance_removed = on_instance_removed,
     .on_wave = on_wave};
 
+/* Callbacks of the homes. */
+
+static void
+on_homes_read(void *arg)
+{
+	front_homes_read(((entry_t *)arg)->front);
+}
+
+/*
+ * Lets this process claim a shard that has jobs, although no configuration in
+ * force has the pool.
+ */
+static void
+on_shard_with_jobs(const char *shard, void *arg)
+{
+	roles_enable_claim(((entry_t *)arg)->roles, shard);
+}
+
+static const homes_ops_t homes_ops = {
+    .on_read = on_homes_read, .on_shard = on_shard_with_jobs};
+
 /* Callbacks of dispatch and the probe. */
 
 static void
@@ -325,8 +349,10 @@
 	    dispatch_new(rt, entry->roles, &peer, on_call, entry, err);
 	if (entry->dispatch == NULL)
 		goto fail;
-	entry->front =
-	    front_new(rt, entry->dispatch, entry->stats, settings, err);
+	entry->homes = homes_new(
+	    rt, entry->store, settings->config_apply_ms, &homes_ops, entry);
+	entry->front = front_new(
+	    rt, entry->dispatch, entry->homes, entry->stats, settings, err);
 	if (entry->front == NULL)
 		goto fail;
 	entry->view = view_new(rt, entry->store, &view_ops, entry);
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -1,10 +1,10 @@
 #include <string.h>
 
+#include "forward.h"
 #include "front.h"
 #include "gw/log.h"
 #include "platform/job.h"
 #include "request.h"
-#include "sched/shard.h"
 
 /*
  * A request with a larger body is answered with 413. max_body_bytes and
@@ -26,11 +26,13 @@
 
 struct front {
 	dispatch_t *dispatch;
+	const homes_t *homes;
 	gw_httpd_t *httpd;
 	const sched_config_t *config;
 	uint32_t shard_count; /* shards of each pool; 0: not known yet */
 	requests_t requests;
 	uint32_t config_apply_ms;
+	GQueue held;  /* request_t; see hold_request() */
 	bool closing; /* every new request is refused */
 };
 
@@ -40,130 +42,34 @@
 	request_reply_error(request, status, reason, RETRY_AFTER_DEFAULT_MS);
 }
 
-static void
-reply_ok(request_t *request, const Gw__Reply *response)
-{
-	char body[64];
-
-	switch (request->kind) {
-	case GW__CALL_KIND__CALL_STATE:
-		request_reply(request, STATUS_OK,
-		    plat_job_state_body(response->state), "ok", 0);
-		return;
-	case GW__CALL_KIND__CALL_PENDING:
-		plat_pending_body_format(
-		    body, sizeof(body), request->pending_jobs);
-		request_reply(request, STATUS_OK, body, "ok", 0);
-		return;
-	default:
-		request_reply(request, STATUS_OK, "{}", "ok", 0);
-	}
-}
-
-/*
- * Adds the response of one shard's owner. Returns true when the caller can be
- * replied to: all owners have responded, or one has failed, so that the sum of
- * pending jobs cannot be known.
- */
-static bool
-add_shard_response(request_t *request, const Gw__Reply *response)
-{
-	request->responses_awaited--;
-	request->pending_jobs += response->pending;
-	request->response_failed |=
-	    response->outcome != GW__CALL_OUTCOME__CALL_OK;
-	return request->responses_awaited == 0 || request->response_failed;
-}
-
 /*
- * Replies to the caller from the owner's response. 503 means that the request
- * can be repeated safely: it was refused, or it is a read. 504 means that a
- * submit or cancel may have been accepted.
+ * Forwards a request. A submission whose body is malformed is refused.
  */
 static void
-on_response(const Gw__Reply *response, void *arg)
-{
-	request_t *request = arg;
-	const char *reason = response->reason == NULL ? "" : response->reason;
-
-	if (!add_shard_response(request, response)) {
-		request_unref(request);
-		return;
-	}
-	if (response->outcome == GW__CALL_OUTCOME__CALL_OK)
-		reply_ok(request, response);
-	else if (response->outcome == GW__CALL_OUTCOME__CALL_ABSENT)
-		request_reply_error(request, STATUS_GONE, reason, 0);
-	else if (response->outcome == GW__CALL_OUTCOME__CALL_REFUSED ||
-	    request_is_read_only(request))
-		request_reply_error(request, STATUS_UNAVAILABLE, reason,
-		    response->retry_after_ms);
-	else
-		request_reply_error(request, STATUS_TIMEOUT, reason, 0);
-	request_unref(request);
-}
-
-/*
- * Forwards the request to the owner of one shard of the pool.
- */
-static void
-send_to_shard(
-    request_t *request, Gw__Call *call, const char *pool, uint32_t shard)
-{
-	front_t *front = request->requests->front;
-	char name[SCHED_NAME_BYTES];
-
-	shard_format_name(pool, shard, front->shard_count, name);
-	call->pool = name;
-	request->refs++;
-	dispatch_call(front->dispatch, call, request->response_timeout_ms,
-	    on_response, request);
-}
-
-/*
- * Forwards the request to the owner of the job's shard; to count the pending
- * jobs of a queue, to the owners of all shards of the pool.
- */
-static void
-forward_request(
-    request_t *request, const sched_queue_t *queue, Gw__JobSpec *spec)
+forward(request_t *request, const sched_queue_t *queue)
 {
 	const front_t *front = request->requests->front;
-	uint32_t shard_count = front->shard_count;
-	bool is_count = request->kind == GW__CALL_KIND__CALL_PENDING;
-	uint32_t first = is_count ? 0 : shard_of_id(request->id, shard_count);
-	uint32_t count = is_count ? shard_count : 1;
-	Gw__Call call = GW__CALL__INIT;
-
-	call.kind = request->kind;
-	call.queue = queue->name;
-	call.id = request->id;
-	call.spec = spec;
-	call.config_version = front->config->version;
-	request->responses_awaited = count;
-	request_start_deadline(request);
-	request->refs++;
-	for (uint32_t i = 0; i < count && request->req != NULL; i++)
-		send_to_shard(request, &call, queue->pool, first + i);
-	request_unref(request);
-}
-
-static void
-submit(request_t *request, const sched_queue_t *queue)
-{
 	const h2o_iovec_t *body = &request->req->entity;
-	Gw__JobSpec *spec;
+	const forward_target_t target = {.dispatch = front->dispatch,
+	    .homes = homes_table(front->homes),
+	    .queue = queue,
+	    .shard_count = front->shard_count,
+	    .config_version = front->config->version};
+	Gw__JobSpec *spec = NULL;
 	gw_err_t err;
 
-	spec = plat_job_decode(request->id, queue, body->base, body->len, &err);
-	if (spec == NULL) {
-		gw_log(GW_EV_ENTRY_IGNORED, "job=%s text=\"%s\"", request->id,
-		    err.text);
-		reply_error(request, STATUS_BAD_REQUEST, "malformed-job");
-		return;
+	if (request->kind == GW__CALL_KIND__CALL_SUBMIT) {
+		spec = plat_job_decode(
+		    request->id, queue, body->base, body->len, &err);
+		if (spec == NULL) {
+			gw_log(GW_EV_ENTRY_IGNORED, "job=%s text=\"%s\"",
+			    request->id, err.text);
+			reply_error(
+			    request, STATUS_BAD_REQUEST, "malformed-job");
+			return;
+		}
 	}
-	forward_request(request, queue, spec);
-	gw__job_spec__free_unpacked(spec, NULL);
+	forward_request(request, &target, spec);
 }
 
 /*
@@ -205,11 +111,33 @@
 		    request, STATUS_UNAVAILABLE, "configuration-not-current");
 }
 
-static int
-on_request(h2o_req_t *req, void *arg)
+/*
+ * Holds a request whose queue is new or has another pool than before, until the
+ * pools that have jobs of it are known.
+ */
+static void
+hold_request(front_t *front, request_t *request)
 {
-	front_t *front = arg;
-	request_t *request = request_new(&front->requests, req);
+	request_t *oldest = g_queue_peek_head(&front->held);
+
+	while (oldest != NULL && !oldest->is_open) {
+		request_unref(g_queue_pop_head(&front->held));
+		oldest = g_queue_peek_head(&front->held);
+	}
+	request_start_deadline(request);
+	request->refs++;
+	g_queue_push_tail(&front->held, request);
+}
+
+/*
+ * Finds the request's queue by the configuration in force, and forwards the
+ * request or replies to it.
+ */
+static void
+route_request(request_t *request)
+{
+	front_t *front = request->requests->front;
+	const h2o_req_t *req = request->req;
 	const char *query = memchr(req->path.base, '?', req->path.len);
 	size_t path_bytes =
 	    query == NULL ? req->path.len : (size_t)(query - req->path.base);
@@ -217,49 +145,69 @@
 	size_t prefix_bytes;
 	bool has_id;
 
-	if (front->closing) {
-		reply_error(request, STATUS_UNAVAILABLE, "shutting-down");
-		return 0;
-	}
-	if (front->config == NULL || front->shard_count == 0) {
-		reply_error(request, STATUS_UNAVAILABLE, "no-configuration");
-		return 0;
-	}
 	queue = sched_config_find_queue(front->config, req->authority.base,
 	    req->authority.len, req->path.base, path_bytes);
 	if (queue == NULL) {
 		reply_no_queue(request);
-		return 0;
+		return;
 	}
 	g_strlcpy(request->queue, queue->name, sizeof(request->queue));
 	prefix_bytes = strlen(queue->path_prefix);
 	has_id = plat_job_id_parse(request->id, req->path.base + prefix_bytes,
 	    path_bytes - prefix_bytes);
-	if (!has_id && path_bytes > prefix_bytes) {
+	if (!has_id && path_bytes > prefix_bytes)
 		reply_error(request, STATUS_NOT_FOUND, "no-job-id");
-		return 0;
-	}
-	if (!parse_kind(request, req, has_id))
+	else if (!parse_kind(request, req, has_id))
 		reply_error(request, STATUS_BAD_METHOD, "method");
-	else if (request->kind == GW__CALL_KIND__CALL_SUBMIT)
-		submit(request, queue);
+	else if (homes_are_known(front->homes, queue))
+		forward(request, queue);
 	else
-		forward_request(request, queue, NULL);
+		hold_request(front, request);
+}
+
+static int
+on_request(h2o_req_t *req, void *arg)
+{
+	front_t *front = arg;
+	request_t *request = request_new(&front->requests, req);
+
+	if (front->closing)
+		reply_error(request, STATUS_UNAVAILABLE, "shutting-down");
+	else if (front->config == NULL || front->shard_count == 0)
+		reply_error(request, STATUS_UNAVAILABLE, "no-configuration");
+	else
+		route_request(request);
 	return 0;
 }
 
+/*
+ * Routes the requests that were held; some may be held again.
+ */
+void
+front_homes_read(front_t *front)
+{
+	for (guint count = front->held.length; count > 0; count--) {
+		request_t *request = g_queue_pop_head(&front->held);
+
+		if (request->is_open)
+			route_request(request);
+		request_unref(request);
+	}
+}
+
 /*
  * Listens for callers. Returns NULL and sets err on failure.
  */
 front_t *
-front_new(gw_rt_t *rt, dispatch_t *dispatch, stats_t *stats,
-    const plat_settings_t *settings, gw_err_t *err)
+front_new(gw_rt_t *rt, dispatch_t *dispatch, const homes_t *homes,
+    stats_t *stats, const plat_settings_t *settings, gw_err_t *err)
 {
 	const gw_httpd_limits_t limits = {
 	    BODY_MAX_BYTES, IDLE_TIMEOUT_MS, CONNECTIONS_MAX};
 	front_t *front = g_new0(front_t, 1);
 
 	front->dispatch = dispatch;
+	front->homes = homes;
 	front->config_apply_ms = settings->config_apply_ms;
 	requests_init(&front->requests, rt, stats, front);
 	front->httpd = gw_httpd_new(rt, &limits, on_request, front);
--- a/gwentryd/front.h
+++ b/gwentryd/front.h
@@ -3,6 +3,7 @@
 
 #include "dispatch.h"
 #include "gw/runtime.h"
+#include "homes.h"
 #include "platform/settings.h"
 #include "sched/config.h"
 #include "stats.h"
@@ -13,10 +14,12 @@
  */
 typedef struct front front_t;
 
-front_t *front_new(
-    gw_rt_t *, dispatch_t *, stats_t *, const plat_settings_t *, gw_err_t *);
+front_t *front_new(gw_rt_t *, dispatch_t *, const homes_t *, stats_t *,
+    const plat_settings_t *, gw_err_t *);
 /* Sets the configuration, which must stay valid until the next call. */
 void front_set_config(front_t *, const sched_config_t *);
+/* The homes have been read again. */
+void front_homes_read(front_t *);
 /* The configuration was the newest one at at_us. */
 void front_set_config_current(front_t *, uint64_t at_us);
 /* Sets the number of shards of each pool; before, requests are refused. */
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 
 #include "gw/log.h"
+#include "homes.h"
 #include "owner_impl.h"
 
 /* Delay after a change, so that one tick handles several changes. */
@@ -173,6 +174,8 @@
 	    owner->spec_prefix, ROLE_KEY_BYTES, "gw/job/%s/", role->shard);
 	(void)snprintf(
 	    owner->record_prefix, ROLE_KEY_BYTES, "gw/run/%s/", role->shard);
+	(void)snprintf(owner->queue_prefix, ROLE_KEY_BYTES,
+	    HOMES_KEY_PREFIX "%s/", role->shard);
 	(void)snprintf(
 	    owner->sequence_key, ROLE_KEY_BYTES, "gw/seq/%s/n", role->shard);
 	gw_id_random(owner->boot_id);
--- a/gwentryd/owner_commit.c
+++ b/gwentryd/owner_commit.c
@@ -114,6 +114,19 @@
 		retry_commit(owner, err);
 }
 
+static const char *
+record_prefix(const owner_t *owner, sched_write_kind_t kind)
+{
+	switch (kind) {
+	case SCHED_WRITE_SPEC:
+		return owner->spec_prefix;
+	case SCHED_WRITE_QUEUE:
+		return owner->queue_prefix;
+	default:
+		return owner->record_prefix;
+	}
+}
+
 /*
  * Sends the current batch, on condition that the role key and the sequence key
  * are unchanged. A duplicate of the request that reaches the store late fails
@@ -143,8 +156,7 @@
 		gsize size_bytes = 0;
 
 		(void)snprintf(keys[i], RECORD_KEY_BYTES, "%s%s",
-		    from->is_spec ? owner->spec_prefix : owner->record_prefix,
-		    from->job);
+		    record_prefix(owner, from->kind), from->id);
 		if (from->value == NULL) {
 			remove[removes++] = keys[i];
 			continue;
--- a/gwentryd/owner_impl.h
+++ b/gwentryd/owner_impl.h
@@ -16,6 +16,7 @@
 typedef enum {
 	LOAD_SPECS,    /* jobs as submitted */
 	LOAD_RECORDS,  /* progress of the jobs */
+	LOAD_QUEUES,   /* queues that have jobs */
 	LOAD_SEQUENCE, /* revision of the sequence key */
 	LOADED
 } load_step_t;
@@ -27,6 +28,7 @@
 	char role_key[ROLE_KEY_BYTES];
 	char spec_prefix[ROLE_KEY_BYTES];
 	char record_prefix[ROLE_KEY_BYTES];
+	char queue_prefix[ROLE_KEY_BYTES];
 	char sequence_key[ROLE_KEY_BYTES];
 	char boot_id[GW_ID_TEXT_BYTES]; /* random, to recognize own writes */
 	uint64_t fence; /* revision that the role key must still have */
--- a/gwentryd/owner_load.c
+++ b/gwentryd/owner_load.c
@@ -10,17 +10,31 @@
 	owner_load_next_page(arg);
 }
 
+static const char *
+load_prefix(const owner_t *owner)
+{
+	switch (owner->load_step) {
+	case LOAD_SPECS:
+		return owner->spec_prefix;
+	case LOAD_RECORDS:
+		return owner->record_prefix;
+	case LOAD_QUEUES:
+		return owner->queue_prefix;
+	default:
+		return owner->sequence_key;
+	}
+}
+
 static void
 load_item(owner_t *owner, const store_item_t *item)
 {
-	const char *prefix = owner->load_step == LOAD_SPECS
-	    ? owner->spec_prefix
-	    : owner->record_prefix;
-	const char *job = item->key + strlen(prefix);
-	int rc;
+	const char *job = item->key + strlen(load_prefix(owner));
+	int rc = 0;
 
 	if (strlen(job) >= SCHED_JOB_ID_BYTES)
 		rc = -1;
+	else if (owner->load_step == LOAD_QUEUES)
+		sched_pool_load_queue(owner->pool, job);
 	else if (owner->load_step == LOAD_SPECS)
 		rc = sched_pool_load_spec(
 		    owner->pool, job, item->value, item->size_bytes);
@@ -29,7 +43,7 @@
 		    owner->pool, job, item->value, item->size_bytes);
 	if (rc != 0)
 		gw_log(GW_EV_ENTRY_IGNORED,
-		    "key=%s text=\"not a job record; skipped\"", item->key);
+		    "key=%s text=\"not a record; skipped\"", item->key);
 }
 
 static void
@@ -80,13 +94,9 @@
 void
 owner_load_next_page(owner_t *owner)
 {
-	const char *prefix = owner->load_step == LOAD_SPECS ? owner->spec_prefix
-	    : owner->load_step == LOAD_RECORDS ? owner->record_prefix
-					       : owner->sequence_key;
-
 	if (owner->closing || owner->call_in_progress)
 		return;
 	owner->call_in_progress = true;
-	store_range(
-	    owner->store, prefix, owner->load_after_key, on_page, owner);
+	store_range(owner->store, load_prefix(owner), owner->load_after_key,
+	    on_page, owner);
 }
--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -21,6 +21,7 @@
 	sched_bounds_t bounds;
 	sched_window_t *window;	      /* of starts in flight, of all owners */
 	const sched_config_t *config; /* in force; NULL before the first */
+	uint64_t seen_version;	      /* see sched_config_claim_t */
 	const owner_ops_t *ops;
 	void *arg;
 	GHashTable *by_shard; /* shard name -> owner_t */
@@ -180,12 +181,19 @@
 	cb(&response, arg);
 }
 
+static sched_queue_ref_t
+queue_of(const Gw__Call *call)
+{
+	return (sched_queue_ref_t){.name = call->queue, .key = call->queue_key};
+}
+
 static void
 reply_state(owner_t *owner, const Gw__Call *call, bool lease_valid,
     dispatch_response_cb_t cb, void *arg)
 {
+	sched_queue_ref_t queue = queue_of(call);
 	sched_response_t from =
-	    sched_pool_state(owner_pool(owner), call->queue, call->id);
+	    sched_pool_state(owner_pool(owner), &queue, call->id);
 	Gw__Reply response = GW__REPLY__INIT;
 
 	/* Another process may own the shard now and have accepted the job. */
@@ -204,11 +212,11 @@
 reply_pending(
     owner_t *owner, const Gw__Call *call, dispatch_response_cb_t cb, void *arg)
 {
+	sched_queue_ref_t queue = queue_of(call);
 	Gw__Reply response = GW__REPLY__INIT;
 
 	response.outcome = GW__CALL_OUTCOME__CALL_OK;
-	response.pending =
-	    sched_pool_count_pending(owner_pool(owner), call->queue);
+	response.pending = sched_pool_count_pending(owner_pool(owner), &queue);
 	cb(&response, arg);
 }
 
@@ -260,11 +268,34 @@
     const owners_t *owners, const sched_pool_t *pool, const Gw__Call *call)
 {
 	char name[SCHED_NAME_BYTES];
+	const sched_config_claim_t claim = {.config = owners->config,
+	    .seen_version = owners->seen_version,
+	    .version = call->config_version,
+	    .queue = call->queue,
+	    .pool = name};
 
 	(void)shard_parse_name(call->pool, name);
 	return sched_pool_has_job(pool, call->spec->id) ||
-	    sched_config_allows(
-		owners->config, call->config_version, call->queue, name);
+	    sched_config_allows(&claim);
+}
+
+/*
+ * Handles a submission to a queue that has another pool now. If this one does
+ * not have the job, the caller submits it there: a copy that another process
+ * sends by an older configuration is refused from now on. So is the call itself
+ * if another process may own the shard.
+ */
+static void
+resubmit(owners_t *owners, owner_t *owner, const Gw__Call *call,
+    bool lease_valid, dispatch_response_cb_t cb, void *arg)
+{
+	owners->seen_version = MAX(owners->seen_version, call->config_version);
+	if (!lease_valid)
+		refuse(STORE_RETRY_AFTER_MS, "lease-not-renewed", cb, arg);
+	else
+		sched_pool_resubmit(owner_pool(owner), call->id, on_recorded,
+		    pending_response_new(cb, arg));
+	owner_schedule_tick(owner);
 }
 
 /*
@@ -275,6 +306,7 @@
 submit_or_cancel(owners_t *owners, owner_t *owner, const Gw__Call *call,
     dispatch_response_cb_t cb, void *arg)
 {
+	sched_queue_ref_t queue = queue_of(call);
 	sched_pool_t *pool = owner_pool(owner);
 	bool is_submit = call->kind == GW__CALL_KIND__CALL_SUBMIT &&
 	    call->spec != NULL && sched_spec_is_valid(call->spec);
@@ -289,7 +321,7 @@
 		sched_pool_submit(pool, call->spec, on_recorded,
 		    pending_response_new(cb, arg));
 	else if (call->kind == GW__CALL_KIND__CALL_CANCEL)
-		sched_pool_cancel(pool, call->queue, call->id, on_recorded,
+		sched_pool_cancel(pool, &queue, call->id, on_recorded,
 		    pending_response_new(cb, arg));
 	else
 		refuse(STORE_RETRY_AFTER_MS, "malformed-call", cb, arg);
@@ -387,6 +419,8 @@
 	default:
 		if (owners->closing)
 			refuse(0, "handing-over", cb, arg);
+		else if (call->kind == GW__CALL_KIND__CALL_RESUBMIT)
+			resubmit(owners, owner, call, lease_valid, cb, arg);
 		else
 			submit_or_cancel(owners, owner, call, cb, arg);
 	}
--- a/gwentryd/request.c
+++ b/gwentryd/request.c
@@ -203,9 +203,22 @@
 	request_reply_error(arg, STATUS_TIMEOUT, "deadline", 0);
 }
 
+uint64_t
+request_time_left_ms(const request_t *request)
+{
+	uint64_t passed_ms = gw_elapsed_us(gw_rt_now_us(request->requests->rt),
+				 request->arrived_us) /
+	    GW_US_PER_MS;
+
+	return request->response_timeout_ms -
+	    MIN(passed_ms, request->response_timeout_ms);
+}
+
 void
 request_start_deadline(request_t *request)
 {
-	gw_timer_start(request->requests->rt, &request->deadline,
-	    request->response_timeout_ms * GW_US_PER_MS, on_deadline, request);
+	if (!gw_timer_armed(&request->deadline))
+		gw_timer_start(request->requests->rt, &request->deadline,
+		    request_time_left_ms(request) * GW_US_PER_MS, on_deadline,
+		    request);
 }
--- a/gwentryd/request.h
+++ b/gwentryd/request.h
@@ -40,9 +40,6 @@
 	/* From arrival; shorter than the caller's timeout. */
 	uint64_t response_timeout_ms;
 	gw_timer_t deadline;
-	uint32_t responses_awaited; /* of owners */
-	uint32_t pending_jobs;	    /* sum over the responses */
-	bool response_failed;	    /* at least one was not CALL_OK */
 	uint32_t refs;
 	GList link;   /* in requests->open */
 	bool is_open; /* not replied to, and the caller is connected */
@@ -54,6 +51,8 @@
 void request_unref(request_t *);
 /* True for requests that change nothing. */
 bool request_is_read_only(const request_t *);
+/* Returns the time until response_timeout_ms has passed. */
+uint64_t request_time_left_ms(const request_t *);
 /* Replies with 504 once response_timeout_ms has passed. */
 void request_start_deadline(request_t *);
 /* Replies to, logs and counts a request; does nothing if it is not open. */
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -3,8 +3,10 @@
 #include "gw/log.h"
 #include "sched/impl.h"
 
-/* Most writes that one job adds to a batch: specification and progress. */
-#define JOB_WRITES_MAX 2
+/*
+ * Most writes that one job adds to a batch: specification, progress and queue.
+ */
+#define JOB_WRITES_MAX 3
 /* A wait of records that is logged. */
 #define HELD_MIN_US (200 * GW_US_PER_MS)
 #define HELD_LOG_INTERVAL_US (500 * GW_US_PER_MS)
@@ -62,12 +64,12 @@
 }
 
 static void
-add_write(
-    sched_batch_t *batch, const sched_job_t *job, bool is_spec, GBytes *value)
+add_write(sched_batch_t *batch, sched_write_kind_t kind, const char *id,
+    GBytes *value)
 {
-	sched_write_t write = {.is_spec = is_spec, .value = value};
+	sched_write_t write = {.kind = kind, .value = value};
 
-	g_strlcpy(write.job, job->id, sizeof(write.job));
+	g_strlcpy(write.id, id, sizeof(write.id));
 	g_array_append_val(batch->writes, write);
 }
 
@@ -105,7 +107,7 @@
  * wait for them.
  */
 static void
-add_job(sched_batch_t *batch, sched_job_t *job)
+add_job(sched_pool_t *pool, sched_batch_t *batch, sched_job_t *job)
 {
 	batch->dirty_since_us = MIN(batch->dirty_since_us, job->dirty_since_us);
 	job->dirty = false;
@@ -113,15 +115,20 @@
 	job->batch_state = job->state;
 	g_ptr_array_add(batch->jobs, job);
 	if (job->expired) {
-		add_write(batch, job, false, NULL);
+		add_write(batch, SCHED_WRITE_RECORD, job->id, NULL);
+		sched_queue_job_removed(pool, job);
 		return;
 	}
 	if (!job->spec_recorded && !sched_job_has_ended(job))
-		add_write(batch, job, true, sched_spec_encode(job->spec));
+		add_write(batch, SCHED_WRITE_SPEC, job->id,
+		    sched_spec_encode(job->spec));
 	else if (sched_job_has_ended(job) &&
 	    job->recorded < GW__JOB_STATE__JOB_COMPLETED && job->spec_recorded)
-		add_write(batch, job, true, NULL);
-	add_write(batch, job, false, sched_record_encode(job));
+		add_write(batch, SCHED_WRITE_SPEC, job->id, NULL);
+	if (!job->spec_recorded && sched_queue_take_row(pool, job))
+		add_write(batch, SCHED_WRITE_QUEUE, job->queue_key,
+		    g_bytes_new(job->queue, strlen(job->queue)));
+	add_write(batch, SCHED_WRITE_RECORD, job->id, sched_record_encode(job));
 	collect_starts(batch, job);
 	g_array_append_vals(batch->acks, job->acks->data, job->acks->len);
 	g_array_set_size(job->acks, 0);
@@ -130,6 +137,22 @@
 	g_array_set_size(job->waiters, 0);
 }
 
+/*
+ * Removes the rows of queues whose last job has been removed.
+ */
+static void
+remove_unused_queues(
+    sched_pool_t *pool, sched_batch_t *batch, uint32_t writes_max)
+{
+	while (batch->writes->len < writes_max) {
+		g_autofree char *key = sched_queue_take_unused(pool);
+
+		if (key == NULL)
+			return;
+		add_write(batch, SCHED_WRITE_QUEUE, key, NULL);
+	}
+}
+
 /*
  * Returns a batch of at most writes_max writes, or NULL if no record must be
  * written. The caller passes it to sched_pool_batch_done() once all of it is in
@@ -147,7 +170,8 @@
 	batch->dirty_since_us = batch->taken_us;
 	while (pool->dirty->length > 0 &&
 	    batch->writes->len + JOB_WRITES_MAX <= writes_max)
-		add_job(batch, g_queue_pop_head(pool->dirty));
+		add_job(pool, batch, g_queue_pop_head(pool->dirty));
+	remove_unused_queues(pool, batch, writes_max);
 	return batch;
 }
 
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -51,6 +51,7 @@
 		job = sched_job_new(pool, spec->id);
 		job->accepted_us = since_us;
 		sched_job_set_spec(job, copy_spec(spec));
+		sched_job_set_queue_key(pool, job, spec->queue_key);
 		/*
 		 * Opened now, so that admission of the next job counts this
 		 * one's work as waiting.
@@ -83,20 +84,52 @@
 	return g_hash_table_contains(pool->jobs, id);
 }
 
+/*
+ * Handles a submission that may have been accepted before. Replies
+ * GW__CALL_OUTCOME__CALL_ABSENT if the pool does not have the job, else once it
+ * is in the store.
+ */
+void
+sched_pool_resubmit(
+    sched_pool_t *pool, const char *id, sched_response_cb_t cb, void *arg)
+{
+	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
+	const sched_response_t absent = {
+	    .outcome = GW__CALL_OUTCOME__CALL_ABSENT, .reason = "no-such-job"};
+	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
+
+	if (job == NULL)
+		cb(&absent, arg);
+	else if (job->spec_recorded)
+		cb(&ok, arg);
+	else
+		wait_for_record(pool, job, cb, arg);
+}
+
+static bool
+is_of_queue(const sched_job_t *job, const sched_queue_ref_t *queue)
+{
+	if (strcmp(job->queue, queue->name) == 0)
+		return true;
+	return job->queue_key[0] != '\0' &&
+	    strcmp(job->queue_key, queue->key) == 0;
+}
+
 static sched_job_t *
-find_job(const sched_pool_t *pool, const char *queue, const char *id)
+find_job(
+    const sched_pool_t *pool, const sched_queue_ref_t *queue, const char *id)
 {
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
 
-	return job == NULL || strcmp(job->queue, queue) != 0 ? NULL : job;
+	return job != NULL && is_of_queue(job, queue) ? job : NULL;
 }
 
 /*
  * Cancels a job. Replies to the caller once that is in the store.
  */
 void
-sched_pool_cancel(sched_pool_t *pool, const char *queue, const char *id,
-    sched_response_cb_t cb, void *arg)
+sched_pool_cancel(sched_pool_t *pool, const sched_queue_ref_t *queue,
+    const char *id, sched_response_cb_t cb, void *arg)
 {
 	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 	const sched_response_t absent = {
@@ -121,7 +154,8 @@
  * store; until then the job is reported as queued or running.
  */
 sched_response_t
-sched_pool_state(const sched_pool_t *pool, const char *queue, const char *id)
+sched_pool_state(
+    const sched_pool_t *pool, const sched_queue_ref_t *queue, const char *id)
 {
 	sched_response_t response = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 	const sched_job_t *job = find_job(pool, queue, id);
@@ -143,7 +177,8 @@
  * Counts the recorded jobs of a queue of which no task has started.
  */
 uint32_t
-sched_pool_count_pending(const sched_pool_t *pool, const char *queue)
+sched_pool_count_pending(
+    const sched_pool_t *pool, const sched_queue_ref_t *queue)
 {
 	uint32_t pending = 0;
 
@@ -151,7 +186,7 @@
 		const sched_job_t *job = pool->open->pdata[i];
 
 		pending += !job->started && job->spec_recorded &&
-		    strcmp(job->queue, queue) == 0;
+		    is_of_queue(job, queue);
 	}
 	return pending;
 }
--- a/lib/sched/config.c
+++ b/lib/sched/config.c
@@ -1,5 +1,9 @@
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "sched/config.h"
 
 static void
@@ -12,6 +16,17 @@
 	g_free(queue->path_prefix);
 }
 
+void
+sched_queue_set_key(sched_queue_t *queue)
+{
+	g_autofree char *host = g_ascii_strdown(queue->host, -1);
+	g_autofree char *text =
+	    g_strdup_printf("%s %s", host, queue->path_prefix);
+
+	(void)snprintf(queue->key, sizeof(queue->key), "%016" PRIx64,
+	    (uint64_t)XXH64(text, strlen(text), 0));
+}
+
 /*
  * Returns an empty configuration of version 0.
  */
@@ -77,17 +92,22 @@
 }
 
 bool
-sched_config_allows(const sched_config_t *config, uint64_t version,
-    const char *queue, const char *pool)
+sched_config_allows(const sched_config_claim_t *claim)
 {
-	if (config == NULL || config->version <= version)
+	const sched_config_t *config = claim->config;
+	uint64_t known_version = config == NULL ? 0 : config->version;
+
+	if (claim->version < claim->seen_version &&
+	    known_version < claim->seen_version)
+		return false;
+	if (known_version <= claim->version)
 		return true;
 	for (guint i = 0; i < config->queues->len; i++) {
 		const sched_queue_t *row =
 		    &g_array_index(config->queues, sched_queue_t, i);
 
-		if (strcmp(row->name, queue) == 0)
-			return strcmp(row->pool, pool) == 0;
+		if (strcmp(row->name, claim->queue) == 0)
+			return strcmp(row->pool, claim->pool) == 0;
 	}
 	return false;
 }
--- a/lib/sched/config.h
+++ b/lib/sched/config.h
@@ -16,6 +16,11 @@
 	char *name;
 	char *host;
 	char *path_prefix;
+	/*
+	 * Identifies host and path_prefix, which are all that callers know of a
+	 * queue. Its name and its pool may change.
+	 */
+	char key[SCHED_QUEUE_KEY_BYTES];
 	char pool[SCHED_NAME_BYTES];
 	uint32_t priority; /* logged; not used for placement */
 	uint32_t max_attempts;
@@ -50,6 +55,9 @@
 	uint32_t idle_timeout_ms;
 } sched_config_t;
 
+/* Sets the key of a queue from its host and path_prefix. */
+void sched_queue_set_key(sched_queue_t *);
+
 sched_config_t *sched_config_new(void);
 void sched_config_free(sched_config_t *);
 const sched_queue_t *sched_config_find_queue(const sched_config_t *,
@@ -62,12 +70,23 @@
 bool sched_config_is_current(
     uint64_t current_us, uint64_t now_us, uint32_t apply_ms);
 
+/* A submission, and what is known here when it arrives. */
+typedef struct {
+	const sched_config_t *config; /* in force here; NULL: none */
+	/*
+	 * The newest version by which another process has sent a queue's jobs
+	 * away from here; 0: none.
+	 */
+	uint64_t seen_version;
+	uint64_t version;  /* by which the submission was sent here */
+	const char *queue; /* in that version */
+	const char *pool;
+} sched_config_claim_t;
+
 /*
- * Returns whether a submission to the queue in the pool that another process
- * has found in the version may be accepted: the queue is still there, or this
- * configuration is not newer.
+ * Returns whether the submission may be accepted: the queue is still there, or
+ * no newer configuration is known here.
  */
-bool sched_config_allows(const sched_config_t *, uint64_t version,
-    const char *queue, const char *pool);
+bool sched_config_allows(const sched_config_claim_t *);
 
 #endif
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -49,6 +49,7 @@
 typedef struct sched_job sched_job_t;
 typedef struct sched_refusals sched_refusals_t;
 typedef struct sched_instance sched_instance_t;
+typedef struct sched_queue_use sched_queue_use_t;
 
 /* Why the runs on an instance have ended. */
 typedef enum {
@@ -165,7 +166,8 @@
 	/* NULL once the job has ended and its tasks are freed. */
 	Gw__JobSpec *spec;
 	char id[SCHED_JOB_ID_BYTES];
-	char *queue;
+	char *queue; /* its name when the job was submitted */
+	char queue_key[SCHED_QUEUE_KEY_BYTES];
 	Gw__JobState state;
 	Gw__JobState recorded;	  /* the state in the store */
 	GPtrArray *occurrences;	  /* those that are open (sched_occurrence_t) */
@@ -275,9 +277,11 @@
 	sched_bounds_t bounds;
 	const sched_ops_t *ops;
 	void *arg;
-	GHashTable *jobs;      /* id -> sched_job_t */
-	GPtrArray *open;       /* jobs that have not ended (sched_job_t) */
-	GHashTable *instances; /* id -> sched_instance_t */
+	GHashTable *jobs;	/* id -> sched_job_t */
+	GPtrArray *open;	/* jobs that have not ended (sched_job_t) */
+	GHashTable *instances;	/* id -> sched_instance_t */
+	GHashTable *queues;	/* key -> sched_queue_use_t; see queue.c */
+	bool has_unused_queues; /* one of them may be without jobs */
 	GQueue *dirty; /* jobs whose record must be written (sched_job_t) */
 	GQueue *ended; /* ended jobs, oldest first (sched_job_t) */
 	/* Ended jobs that still have tasks or a specification (sched_job_t). */
@@ -333,6 +337,12 @@
     const sched_pool_t *, const sched_task_ref_t *);
 sched_task_ref_t sched_task_ref(const sched_task_t *);
 
+/* queue.c */
+void sched_job_set_queue_key(sched_pool_t *, sched_job_t *, const char *key);
+void sched_queue_job_removed(sched_pool_t *, const sched_job_t *);
+bool sched_queue_take_row(sched_pool_t *, const sched_job_t *);
+char *sched_queue_take_unused(sched_pool_t *);
+
 /* record.c */
 GBytes *sched_record_encode(const sched_job_t *);
 int sched_record_apply(sched_pool_t *, sched_job_t *, const Gw__JobRecord *);
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -29,6 +29,8 @@
 	    g_str_hash, g_str_equal, NULL, sched_job_free);
 	pool->instances = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, sched_instance_free);
+	pool->queues =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->previous_leases =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->admission = &sched_admission_in_time;
@@ -61,6 +63,7 @@
 	g_ptr_array_free(pool->unsent, TRUE);
 	sched_window_free(pool->own_window);
 	g_hash_table_destroy(pool->previous_leases);
+	g_hash_table_destroy(pool->queues);
 	sched_refusals_free(pool->refusals);
 	g_ptr_array_free(pool->open, TRUE);
 	g_ptr_array_free(pool->cleanup, TRUE);
@@ -88,6 +91,7 @@
 	job = sched_job_new(pool, id);
 	job->spec_recorded = true;
 	sched_job_set_spec(job, spec);
+	sched_job_set_queue_key(pool, job, spec->queue_key);
 	return 0;
 }
 
@@ -121,6 +125,7 @@
 		job = sched_job_new(pool, id);
 		job->queue = g_strdup(record->queue);
 		job->spec_recorded = true;
+		sched_job_set_queue_key(pool, job, record->queue_key);
 	}
 	job->state = job->recorded = record->state;
 	if (sched_job_has_ended(job))
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -93,6 +93,7 @@
 
 	record.state = job->state;
 	record.queue = job->queue;
+	record.queue_key = (char *)job->queue_key;
 	record.finished_wall_ms = job->finished_wall_ms;
 	record.first_open = job->next_occurrence;
 	for (guint i = 0;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -20,6 +20,8 @@
 typedef struct sched_pool sched_pool_t;
 
 #define SCHED_JOB_ID_BYTES 17
+/* Size of the key of a queue; see sched_queue_t. */
+#define SCHED_QUEUE_KEY_BYTES 17
 /* Most steps in a job; a job with more is refused. */
 #define SCHED_STEPS_MAX 64
 
@@ -31,6 +33,15 @@
 	uint32_t index;
 } sched_task_ref_t;
 
+/*
+ * Names a queue: jobs belong to it that were submitted under its name or its
+ * key. An operator may give a queue another name, or its name to another one.
+ */
+typedef struct {
+	const char *name;
+	const char *key; /* empty: not known */
+} sched_queue_ref_t;
+
 /* Capacity of an instance, or a part of it. */
 typedef struct {
 	uint64_t cpu_millis; /* thousandths of a core */
@@ -146,11 +157,17 @@
 
 typedef void (*sched_response_cb_t)(const sched_response_t *, void *arg);
 
+typedef enum {
+	SCHED_WRITE_SPEC,   /* a job as submitted */
+	SCHED_WRITE_RECORD, /* its progress */
+	SCHED_WRITE_QUEUE   /* that the pool has jobs of a queue */
+} sched_write_kind_t;
+
 /* A record to write to the store or to remove from it. */
 typedef struct {
-	char job[SCHED_JOB_ID_BYTES];
-	bool is_spec;  /* true: the job as submitted; false: its progress */
-	GBytes *value; /* NULL: remove the record */
+	sched_write_kind_t kind;
+	char id[SCHED_JOB_ID_BYTES]; /* of the job, or the queue's key */
+	GBytes *value;		     /* NULL: remove the record */
 } sched_write_t;
 
 /*
@@ -232,13 +249,14 @@
 bool sched_spec_is_valid(const Gw__JobSpec *);
 
 /*
- * Takeover: load every specification, then every record of the store, then call
- * sched_pool_finish_load().
+ * Takeover: load every specification, then every record and every queue of the
+ * store, then call sched_pool_finish_load().
  */
 int sched_pool_load_spec(
     sched_pool_t *, const char *id, const void *, size_t size_bytes);
 int sched_pool_load_record(
     sched_pool_t *, const char *id, const void *, size_t size_bytes);
+void sched_pool_load_queue(sched_pool_t *, const char *key);
 void sched_pool_finish_load(sched_pool_t *);
 /*
  * The previous owner has released the pool and sends no more starts or
@@ -301,12 +319,15 @@
  */
 void sched_pool_submit(
     sched_pool_t *, const Gw__JobSpec *, sched_response_cb_t, void *arg);
-void sched_pool_cancel(sched_pool_t *, const char *queue, const char *id,
-    sched_response_cb_t, void *arg);
+void sched_pool_resubmit(
+    sched_pool_t *, const char *id, sched_response_cb_t, void *arg);
+void sched_pool_cancel(sched_pool_t *, const sched_queue_ref_t *,
+    const char *id, sched_response_cb_t, void *arg);
 bool sched_pool_has_job(const sched_pool_t *, const char *id);
 sched_response_t sched_pool_state(
-    const sched_pool_t *, const char *queue, const char *id);
-uint32_t sched_pool_count_pending(const sched_pool_t *, const char *queue);
+    const sched_pool_t *, const sched_queue_ref_t *, const char *id);
+uint32_t sched_pool_count_pending(
+    const sched_pool_t *, const sched_queue_ref_t *);
 
 /*
  * Writes to the store, one batch at a time. sched_pool_take_batch() returns
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3043,7 +3043,7 @@
   (ProtobufCMessageInit) gw__job_advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__job_spec__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gw__job_spec__field_descriptors[14] =
 {
   {
     "id",
@@ -3201,6 +3201,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue_key",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, queue_key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__job_spec__field_indices_by_name[] = {
   12,   /* field[12] = advice */
@@ -3212,6 +3224,7 @@
   2,   /* field[2] = payload */
   7,   /* field[7] = priority */
   1,   /* field[1] = queue */
+  13,   /* field[13] = queue_key */
   4,   /* field[4] = repeats */
   3,   /* field[3] = steps */
   10,   /* field[10] = stretch_permille */
@@ -3220,7 +3233,7 @@
 static const ProtobufCIntRange gw__job_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor gw__job_spec__descriptor =
 {
@@ -3230,7 +3243,7 @@
   "Gw__JobSpec",
   "gw",
   sizeof(Gw__JobSpec),
-  13,
+  14,
   gw__job_spec__field_descriptors,
   gw__job_spec__field_indices_by_name,
   1,  gw__job_spec__number_ranges,
@@ -3468,7 +3481,7 @@
   (ProtobufCMessageInit) gw__occurrence_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[7] =
 {
   {
     "state",
@@ -3542,6 +3555,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue_key",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobRecord, queue_key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__job_record__field_indices_by_name[] = {
   4,   /* field[4] = finished_wall_ms */
@@ -3549,12 +3574,13 @@
   3,   /* field[3] = hosts */
   2,   /* field[2] = occurrences */
   1,   /* field[1] = queue */
+  6,   /* field[6] = queue_key */
   0,   /* field[0] = state */
 };
 static const ProtobufCIntRange gw__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gw__job_record__descriptor =
 {
@@ -3564,14 +3590,14 @@
   "Gw__JobRecord",
   "gw",
   sizeof(Gw__JobRecord),
-  6,
+  7,
   gw__job_record__field_descriptors,
   gw__job_record__field_indices_by_name,
   1,  gw__job_record__number_ranges,
   (ProtobufCMessageInit) gw__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__call__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gw__call__field_descriptors[12] =
 {
   {
     "number",
@@ -3705,6 +3731,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue_key",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Call, queue_key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__call__field_indices_by_name[] = {
   8,   /* field[8] = coming */
@@ -3716,13 +3754,14 @@
   0,   /* field[0] = number */
   2,   /* field[2] = pool */
   3,   /* field[3] = queue */
+  11,   /* field[11] = queue_key */
   5,   /* field[5] = spec */
   9,   /* field[9] = standby */
 };
 static const ProtobufCIntRange gw__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gw__call__descriptor =
 {
@@ -3732,7 +3771,7 @@
   "Gw__Call",
   "gw",
   sizeof(Gw__Call),
-  11,
+  12,
   gw__call__field_descriptors,
   gw__call__field_indices_by_name,
   1,  gw__call__number_ranges,
@@ -4560,7 +4599,7 @@
   gw__job_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[7] =
+static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[8] =
 {
   { "CALL_SUBMIT", "GW__CALL_KIND__CALL_SUBMIT", 0 },
   { "CALL_STATE", "GW__CALL_KIND__CALL_STATE", 1 },
@@ -4569,17 +4608,19 @@
   { "CALL_DRAIN", "GW__CALL_KIND__CALL_DRAIN", 4 },
   { "CALL_LOAD", "GW__CALL_KIND__CALL_LOAD", 5 },
   { "CALL_OWNS", "GW__CALL_KIND__CALL_OWNS", 6 },
+  { "CALL_RESUBMIT", "GW__CALL_KIND__CALL_RESUBMIT", 7 },
 };
 static const ProtobufCIntRange gw__call_kind__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{0, 8}
 };
-static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[8] =
 {
   { "CALL_CANCEL", 2 },
   { "CALL_DRAIN", 4 },
   { "CALL_LOAD", 5 },
   { "CALL_OWNS", 6 },
   { "CALL_PENDING", 3 },
+  { "CALL_RESUBMIT", 7 },
   { "CALL_STATE", 1 },
   { "CALL_SUBMIT", 0 },
 };
@@ -4590,9 +4631,9 @@
   "CallKind",
   "Gw__CallKind",
   "gw",
-  7,
+  8,
   gw__call_kind__enum_values_by_number,
-  7,
+  8,
   gw__call_kind__enum_values_by_name,
   1,
   gw__call_kind__value_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -94,7 +94,13 @@
    * The reply is CALL_ABSENT if the process does not own the pool; then it
    * starts and renews no runs there.
    */
-  GW__CALL_KIND__CALL_OWNS = 6
+  GW__CALL_KIND__CALL_OWNS = 6,
+  /*
+   * A CALL_SUBMIT to a pool that the queue used before: the reply is CALL_ABSENT
+   * if the pool does not have the job. It then accepts no job from a process
+   * whose configuration is older than config_version.
+   */
+  GW__CALL_KIND__CALL_RESUBMIT = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__CALL_KIND)
 } Gw__CallKind;
 typedef enum _Gw__CallOutcome {
@@ -473,10 +479,14 @@
   uint32_t stretch_permille;
   uint64_t submitted_wall_ms;
   Gw__JobAdvice *advice;
+  /*
+   * Identifies the host and path at which the job was submitted.
+   */
+  char *queue_key;
 };
 #define GW__JOB_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__job_spec__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Gw__TaskRecord
@@ -551,10 +561,14 @@
    * done.
    */
   uint32_t first_open;
+  /*
+   * JobSpec.queue_key.
+   */
+  char *queue_key;
 };
 #define GW__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__job_record__descriptor) \
-    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0 }
+    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Gw__Call
@@ -581,13 +595,17 @@
    */
   uint32_t standby;
   /*
-   * For CALL_SUBMIT: the configuration that has the queue.
+   * For CALL_SUBMIT and CALL_RESUBMIT: the configuration that has the queue.
    */
   uint64_t config_version;
+  /*
+   * Identifies the host and path of the queue, whatever its name.
+   */
+  char *queue_key;
 };
 #define GW__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__call__descriptor) \
-    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -244,6 +244,15 @@
 	g_list_free(keys);
 }
 
+static int
+load_queue(sched_pool_t *to, const char *key, const void *data, size_t size)
+{
+	(void)data;
+	(void)size;
+	sched_pool_load_queue(to, key);
+	return 0;
+}
+
 /*
  * takeover [previous-gone] [left ms=MS]: a new owner reads the store. The
  * previous one has released the pool, without leases or with one on i1 that has
@@ -259,6 +268,7 @@
 	pool = sched_pool_new("p", "dc-a", &clock_state, &bounds, &ops, NULL);
 	load("spec/", sched_pool_load_spec);
 	load("record/", sched_pool_load_record);
+	load("queue/", load_queue);
 	sched_pool_finish_load(pool);
 	if (has_word("previous-gone"))
 		sched_pool_previous_owner_gone(pool, NULL, 0);
@@ -310,7 +320,7 @@
 }
 
 /*
- * submit ID [KEY=NUMBER...] STEP...: STEP is
+ * submit ID [queue=NAME] [key=KEY] [KEY=NUMBER...] STEP...: STEP is
  * COUNT:CPU_MILLIS:ESTIMATE_MS[:FLAG...] and depends on the step before
  */
 static void
@@ -321,7 +331,8 @@
 	Gw__JobSpec spec = GW__JOB_SPEC__INIT;
 
 	spec.id = words[1];
-	spec.queue = "q";
+	spec.queue = (char *)lookup_value("queue", "q");
+	spec.queue_key = (char *)lookup_value("key", "");
 	spec.payload = "x";
 	spec.max_attempts = (uint32_t)lookup_number("attempts", 3);
 	spec.objective_ms = (uint32_t)lookup_number("objective", 600);
@@ -387,10 +398,28 @@
 	    word_count > 2 ? (uint32_t)atoi(words[2]) : 0);
 }
 
+/* [queue=NAME] [key=KEY] of a caller's request */
+static sched_queue_ref_t
+parse_queue(void)
+{
+	return (sched_queue_ref_t){
+	    .name = lookup_value("queue", "q"), .key = lookup_value("key", "")};
+}
+
 static void
 do_cancel(void)
 {
-	sched_pool_cancel(pool, "q", words[1], on_response, g_strdup(words[1]));
+	sched_queue_ref_t queue = parse_queue();
+
+	sched_pool_cancel(
+	    pool, &queue, words[1], on_response, g_strdup(words[1]));
+}
+
+/* resubmit ID: a submission that the pool may have accepted before */
+static void
+do_resubmit(void)
+{
+	sched_pool_resubmit(pool, words[1], on_response, g_strdup(words[1]));
 }
 
 static void
@@ -398,7 +427,8 @@
 {
 	static const char *const names[] = {
 	    "queued", "running", "completed", "failed", "cancelled"};
-	sched_response_t response = sched_pool_state(pool, "q", words[1]);
+	sched_queue_ref_t queue = parse_queue();
+	sched_response_t response = sched_pool_state(pool, &queue, words[1]);
 
 	printf("%6" PRIu64 " state %s %s\n", now_ms(), words[1],
 	    response.outcome == GW__CALL_OUTCOME__CALL_ABSENT
@@ -440,8 +470,10 @@
 static void
 do_pending(void)
 {
+	sched_queue_ref_t queue = parse_queue();
+
 	printf("%6" PRIu64 " pending %u\n", now_ms(),
-	    sched_pool_count_pending(pool, "q"));
+	    sched_pool_count_pending(pool, &queue));
 }
 
 /* advance MS: in steps of 5 ms, with a tick after each */
@@ -485,6 +517,8 @@
 static void
 do_take(void)
 {
+	static const char *const kinds[] = {"spec", "record", "queue"};
+
 	batch = sched_pool_take_batch(pool, 28);
 	if (batch == NULL) {
 		printf("%6" PRIu64 " nothing to write\n", now_ms());
@@ -492,8 +526,8 @@
 	}
 	for (uint32_t i = 0; i < sched_batch_write_count(batch); i++) {
 		const sched_write_t *write = sched_batch_write(batch, i);
-		char *key = g_strdup_printf(
-		    "%s/%s", write->is_spec ? "spec" : "record", write->job);
+		char *key =
+		    g_strdup_printf("%s/%s", kinds[write->kind], write->id);
 
 		printf("%6" PRIu64 " %s %s\n", now_ms(),
 		    write->value == NULL ? "remove" : "write", key);
@@ -649,6 +683,7 @@
     {"admission", 2, do_admission},
     {"coming", 2, do_coming},
     {"cancel", 2, do_cancel},
+    {"resubmit", 2, do_resubmit},
     {"state", 2, do_state},
     {"pending", 1, do_pending},
     {"load", 1, do_load},
--- a/tools/gwworkerd/main.c
+++ b/tools/gwworkerd/main.c
@@ -18,7 +18,7 @@
 
 static gw_addr_t listen_addr, store_addr, control_addr;
 static uint32_t worker_count, work_ms;
-static char *pool_name;
+static char *pool_name, *id_prefix;
 static worker_t **workers;
 static worker_stats_t stats;
 
@@ -34,6 +34,8 @@
     {"work-ms", GW_SETTING_U32, &work_ms, "200", "duration of a run", 1,
 	600000},
     {"pool", GW_SETTING_TEXT, &pool_name, "p1", "pool of the workers", 0, 0},
+    {"id-prefix", GW_SETTING_TEXT, &id_prefix, "w",
+	"the workers' ids are this and a number", 0, 0},
 };
 
 /*
@@ -136,7 +138,7 @@
 		gw_addr_t addr = listen_addr;
 		char id[32];
 
-		(void)snprintf(id, sizeof(id), "w-%u", i);
+		(void)snprintf(id, sizeof(id), "%.20s-%u", id_prefix, i);
 		gw_addr_set_port(
 		    &addr, (uint16_t)(gw_addr_port(&listen_addr) + i));
 		workers[i] = worker_new(rt, &stats, id, &addr, work_ms, &error);
