Stop runs that are over on an instance's next incarnation

What callers saw: a job that is completed runs again. A start gets no response and is repeated, the task runs and ends, the instance crashes and begins again under its id, and then carries the first copy of the start out.

Cause: starts without a response were counted with the placed task and forgotten when it left the instance; the stops on a new incarnation went out for placed tasks only. Evidence: in the case's log the owner lists the new incarnation and hears from it, and sends no stop; the copy comes 4.4 s after the incarnation's start.

Change: each instance keeps the runs that have left it while starts of them have no response, for a minute (lib/sched/stray.c). An incarnation that did not receive those starts is told to stop the runs, and gets no starts before it has confirmed that. Idle instances with such starts are polled, so that a new incarnation is seen soon. Found on the search for related paths: a new owner that reads records of two incarnations of an instance took the run of the later one for ended; both stay placed now, and the earlier one is stopped first.

Why it works: an instance refuses a start of a run that was stopped there, and the owner sends the stops with its first requests to an incarnation. Starts of a previous owner are refused by their fence.

--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -84,9 +84,10 @@
 	 * the end of the run.
 	 */
 	bool refused_as_stale;
-	bool is_unsent;	      /* its start waits in the pool's unsent */
-	uint32_t starts_sent; /* for this run, answered or not */
-	uint32_t stops_sent;  /* for this run, answered or not */
+	bool is_unsent;		  /* its start waits in the pool's unsent */
+	uint32_t starts_sent;	  /* for this run, answered or not */
+	uint32_t starts_answered; /* of these, by whichever incarnation */
+	uint32_t stops_sent;	  /* for this run, answered or not */
 	/* Starts and stops of this run without a result so far. */
 	uint32_t requests_in_flight;
 	uint64_t stop_answered_us; /* when the stop was answered; 0: not yet */
@@ -222,6 +223,7 @@
 	/* Numbers of the ends that are in the store, beyond a gap. */
 	GHashTable *recorded_ends;
 	GPtrArray *tasks;  /* tasks placed on it (sched_task_t) */
+	GArray *strays;	   /* starts of runs that are over; see stray.c */
 	uint32_t runs_new; /* placed runs that have not lasted; see crash.c */
 	uint32_t trials;   /* of these, runs of suspected tasks */
 	/* When a request was sent that it has responded to. */
@@ -370,6 +372,16 @@
     sched_instance_t *, const char *reason, sched_loss_t);
 void sched_instance_restarted(sched_instance_t *, uint64_t born_ms);
 
+/* stray.c */
+GArray *sched_strays_new(void);
+void sched_stray_add(const sched_task_t *, uint64_t now_us);
+void sched_stray_start_answered(
+    sched_instance_t *, const sched_task_ref_t *, uint32_t run, sched_result_t);
+void sched_stray_stop_answered(
+    sched_instance_t *, const sched_task_ref_t *, uint32_t run, sched_result_t);
+bool sched_stray_is_possible(const sched_instance_t *);
+void sched_stray_tick(sched_instance_t *, uint64_t now_us);
+
 /* batch.c */
 extern const sched_response_t sched_response_owner_gone;
 void sched_notify_waiters(const GArray *waiters, const sched_response_t *);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -22,6 +22,7 @@
 	instance->pool = pool;
 	g_strlcpy(instance->info.id, id, sizeof(instance->info.id));
 	instance->tasks = g_ptr_array_new();
+	instance->strays = sched_strays_new();
 	instance->recorded_ends =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	instance->expiry_us = sched_pool_previous_expiry_us(
@@ -39,6 +40,7 @@
 	sched_instance_t *instance = data;
 
 	g_ptr_array_free(instance->tasks, TRUE);
+	g_array_free(instance->strays, TRUE);
 	g_hash_table_destroy(instance->recorded_ends);
 	g_strfreev(instance->info.labels);
 	g_free(instance);
@@ -53,7 +55,8 @@
 	return instance->listed && instance->contacted &&
 	    !instance->unreachable && !instance->info.leaving &&
 	    instance->runs_unknown == 0 && now_us >= instance->avoid_until_us &&
-	    now_us >= instance->drain_until_us;
+	    now_us >= instance->drain_until_us &&
+	    !sched_stray_is_possible(instance);
 }
 
 /*
@@ -132,6 +135,7 @@
 	sched_instance_t *instance = task->instance;
 
 	sched_send_unreserved(instance->pool, task);
+	sched_stray_add(task, gw_clock_now_us(instance->pool->clock));
 	sched_crash_run_settled(task);
 	instance->used.cpu_millis -= sched_step_cpu_millis(step);
 	instance->used.memory_mib -= step->memory_mib;
@@ -313,6 +317,7 @@
 {
 	sched_pool_t *pool = instance->pool;
 	bool is_busy = instance->tasks->len > 0;
+	bool is_watched = is_busy || instance->strays->len > 0;
 	bool is_fresh = instance->contacted && !instance->unreachable &&
 	    gw_elapsed_us(now_us, instance->report_us) <
 		SCHED_ACK_REPORT_AGE_MAX_US;
@@ -325,7 +330,7 @@
 		renewal.deadline_ms =
 		    sched_instance_extend_lease(instance, now_us);
 	renewal.ack_number = is_fresh ? instance->ack_number : 0;
-	if (is_fresh && is_busy && instance->trials == 0)
+	if (is_fresh && is_watched && instance->trials == 0)
 		renewal.wait_ms = sched_crash_is_watched(instance, now_us)
 		    ? SCHED_RENEW_WATCH_MS
 		    : SCHED_RENEW_WAIT_MS;
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -240,9 +240,12 @@
 static void
 tick_instance(sched_instance_t *instance, uint64_t now_us)
 {
-	for (guint i = 0; !instance->unreachable && i < instance->tasks->len;
-	     i++)
+	bool is_reachable =
+	    !instance->unreachable && instance->info.address[0] != '\0';
+
+	for (guint i = 0; is_reachable && i < instance->tasks->len; i++)
 		sched_send_repeat(instance->tasks->pdata[i], now_us);
+	sched_stray_tick(instance, now_us);
 	sched_evacuate(instance, now_us);
 	sched_instance_tick(instance, now_us);
 }
@@ -258,7 +261,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
 		tick_instance(instance, now_us);
 		if (!instance->listed && instance->tasks->len == 0 &&
-		    !instance->renewing) {
+		    instance->strays->len == 0 && !instance->renewing) {
 			pool->ops->instance_removed(
 			    instance->info.id, pool->arg);
 			g_hash_table_iter_remove(&iter);
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -112,9 +112,22 @@
 	return g_bytes_new_take(data, size_bytes);
 }
 
+/*
+ * Marks a task whose run is recorded on an incarnation that has ended. The next
+ * one may have carried out the start late, so the run is stopped there before
+ * the task runs elsewhere.
+ */
+static void
+mark_incarnation_ended(sched_task_t *task)
+{
+	sched_crash_count(task, task->instance->info.id, false);
+	task->state = SCHED_TASK_STOPPING;
+}
+
 /*
  * Places a task as recorded. Its start may never have been sent, or the run may
- * have ended; the instance's next report shows which.
+ * have ended; the instance's next report shows which. Records that were written
+ * at different times may name different incarnations.
  */
 static void
 adopt_placed(sched_pool_t *pool, sched_task_t *task, const Gw__HostRecord *host)
@@ -122,17 +135,17 @@
 	sched_instance_t *instance;
 
 	instance = sched_instance_get(pool, host->instance);
-	if (instance->info.born_ms == 0)
+	if (instance->info.born_ms < host->born_ms) {
+		for (guint i = 0; i < instance->tasks->len; i++)
+			mark_incarnation_ended(instance->tasks->pdata[i]);
 		instance->info.born_ms = host->born_ms;
-	if (instance->info.born_ms != host->born_ms) {
-		/* The incarnation has ended, and so has the run. */
-		sched_crash_count(task, host->instance, false);
-		return;
 	}
 	task->state = SCHED_TASK_RUNNING;
 	sched_instance_assign(instance, task);
 	sched_task_step_state(task)->waiting--;
 	task->job->started = true;
+	if (instance->info.born_ms > host->born_ms)
+		mark_incarnation_ended(task);
 }
 
 static int
--- a/lib/sched/report.c
+++ b/lib/sched/report.c
@@ -207,6 +207,10 @@
 	else if (instance->tasks->len > 0 || report->running_count > 0)
 		sched_instance_schedule_renewal(
 		    instance, now_us + sched_renew_delay_us(pool));
+	else if (instance->strays->len > 0)
+		/* Shows at once that another incarnation has begun. */
+		sched_instance_schedule_renewal(
+		    instance, now_us + SCHED_RENEW_WAIT_MS * GW_US_PER_MS);
 	else if (instance->seen_number > instance->ack_number)
 		sched_instance_schedule_renewal(
 		    instance, now_us + GW_US_PER_S / 2);
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -45,6 +45,7 @@
 	task->state = SCHED_TASK_WAITING;
 	task->refused_as_stale = false;
 	task->starts_sent = 0;
+	task->starts_answered = 0;
 	task->stops_sent = 0;
 	task->requests_in_flight = 0;
 	task->stop_answered_us = 0;
@@ -235,6 +236,7 @@
 		       : 0);
 	if (!is_current || task->state == SCHED_TASK_DONE)
 		return;
+	task->is_listed = true;
 	/* The instance has survived the start of the run. */
 	if (end->kind == SCHED_END_DONE || end->kind == SCHED_END_FAILED)
 		sched_crash_clear(pool, task);
@@ -320,13 +322,17 @@
 sched_pool_apply_stop_result(sched_pool_t *pool, const char *id,
     const sched_task_ref_t *ref, uint32_t run, sched_result_t result)
 {
+	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
 	sched_task_t *task = sched_pool_find_task(pool, ref);
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 
 	sched_instance_request_ended(pool, id);
 	if (task == NULL || task->instance == NULL || task->run != run ||
-	    strcmp(task->instance->info.id, id) != 0)
+	    strcmp(task->instance->info.id, id) != 0) {
+		if (instance != NULL)
+			sched_stray_stop_answered(instance, ref, run, result);
 		return;
+	}
 	task->requests_in_flight -= MIN(task->requests_in_flight, 1);
 	if (task->state != SCHED_TASK_STOPPING ||
 	    (result != SCHED_RESULT_OK && result != SCHED_RESULT_STALE))
@@ -344,9 +350,9 @@
 sched_pool_apply_start_result(sched_pool_t *pool, const char *id,
     const sched_task_ref_t *ref, uint32_t run, sched_result_t result)
 {
+	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
 	sched_task_t *task = sched_pool_find_task(pool, ref);
 	uint64_t now_us = gw_clock_now_us(pool->clock);
-	sched_instance_t *instance;
 
 	sched_instance_request_ended(pool, id);
 	if (result == SCHED_RESULT_FENCED) {
@@ -354,10 +360,13 @@
 		return;
 	}
 	if (task == NULL || task->instance == NULL || task->run != run ||
-	    strcmp(task->instance->info.id, id) != 0)
+	    strcmp(task->instance->info.id, id) != 0) {
+		if (instance != NULL)
+			sched_stray_start_answered(instance, ref, run, result);
 		return;
+	}
 	task->requests_in_flight -= MIN(task->requests_in_flight, 1);
-	instance = task->instance;
+	task->starts_answered += result != SCHED_RESULT_NO_RESPONSE;
 	/* A repeated start may have been answered to an earlier request. */
 	if (result != SCHED_RESULT_NO_RESPONSE &&
 	    result != SCHED_RESULT_REPLACED && task->starts_sent == 1 &&
--- /dev/null
+++ b/lib/sched/stray.c
@@ -0,0 +1,178 @@
+#include <string.h>
+
+#include "gw/log.h"
+#include "sched/impl.h"
+
+/*
+ * Starts without a response, of runs that are over. They may be carried out
+ * later. The incarnation that they were sent to refuses them, since it knows
+ * that the run has ended or that the deadline has passed; one that begins later
+ * under the same id knows neither. It is told to stop these runs, and then
+ * refuses the starts, before it gets any others.
+ *
+ * Starts of a previous owner need no such stop: an instance refuses them once
+ * it has had a request of this one.
+ */
+
+/*
+ * How long a request without a response may be carried out after its run is
+ * over; the platform says seconds.
+ */
+#define STRAY_KEPT_US (60 * GW_US_PER_S)
+/* A stop without a response is repeated after this time. */
+#define STOP_RETRY_US (400 * GW_US_PER_MS)
+
+typedef struct {
+	sched_task_ref_t ref;
+	uint32_t run;
+	uint32_t starts;  /* without a response */
+	uint64_t born_ms; /* the incarnation that refuses them, or 0: none */
+	uint64_t forget_us;
+	uint64_t stop_sent_us;	    /* 0: no stop without a response */
+	uint64_t stop_sent_born_ms; /* to this incarnation */
+} stray_t;
+
+GArray *
+sched_strays_new(void)
+{
+	return g_array_new(FALSE, TRUE, sizeof(stray_t));
+}
+
+/*
+ * Returns how many starts of the task's run may still be carried out. One that
+ * the instance has listed was carried out, even if its response was lost.
+ */
+static uint32_t
+starts_outstanding(const sched_task_t *task)
+{
+	uint32_t known = MAX(task->starts_answered, task->is_listed ? 1 : 0);
+
+	return task->starts_sent - MIN(known, task->starts_sent);
+}
+
+/*
+ * Handles that the task leaves its instance.
+ */
+void
+sched_stray_add(const sched_task_t *task, uint64_t now_us)
+{
+	sched_instance_t *instance = task->instance;
+	stray_t stray = {.ref = sched_task_ref(task),
+	    .run = task->run,
+	    .starts = starts_outstanding(task),
+	    .born_ms = instance->info.born_ms,
+	    .forget_us = now_us + STRAY_KEPT_US};
+
+	if (stray.starts > 0)
+		g_array_append_val(instance->strays, stray);
+}
+
+static stray_t *
+find(
+    const sched_instance_t *instance, const sched_task_ref_t *ref, uint32_t run)
+{
+	for (guint i = 0; i < instance->strays->len; i++) {
+		stray_t *stray = &g_array_index(instance->strays, stray_t, i);
+
+		if (stray->run == run && stray->ref.index == ref->index &&
+		    stray->ref.step == ref->step &&
+		    stray->ref.occurrence == ref->occurrence &&
+		    strcmp(stray->ref.job, ref->job) == 0)
+			return stray;
+	}
+	return NULL;
+}
+
+/*
+ * Handles the response to a start whose task has left the instance.
+ */
+void
+sched_stray_start_answered(sched_instance_t *instance,
+    const sched_task_ref_t *ref, uint32_t run, sched_result_t result)
+{
+	stray_t *stray = find(instance, ref, run);
+
+	if (stray != NULL && result != SCHED_RESULT_NO_RESPONSE &&
+	    stray->starts > 0)
+		stray->starts--;
+}
+
+/*
+ * Handles the result of a stop. One that was sent to an earlier incarnation
+ * says nothing about the present one.
+ */
+void
+sched_stray_stop_answered(sched_instance_t *instance,
+    const sched_task_ref_t *ref, uint32_t run, sched_result_t result)
+{
+	stray_t *stray = find(instance, ref, run);
+
+	if (stray == NULL || stray->stop_sent_us == 0 ||
+	    stray->stop_sent_born_ms != instance->info.born_ms)
+		return;
+	if (result == SCHED_RESULT_OK || result == SCHED_RESULT_STALE)
+		stray->born_ms = instance->info.born_ms;
+}
+
+/*
+ * Returns whether the instance may still carry out a start of a run that is
+ * over: this incarnation has not confirmed the stops.
+ */
+bool
+sched_stray_is_possible(const sched_instance_t *instance)
+{
+	for (guint i = 0; i < instance->strays->len; i++) {
+		const stray_t *stray =
+		    &g_array_index(instance->strays, stray_t, i);
+
+		if (stray->born_ms != instance->info.born_ms)
+			return true;
+	}
+	return false;
+}
+
+static void
+send_stop(sched_instance_t *instance, stray_t *stray, uint64_t now_us)
+{
+	sched_pool_t *pool = instance->pool;
+
+	stray->stop_sent_us = now_us;
+	stray->stop_sent_born_ms = instance->info.born_ms;
+	gw_log(GW_EV_RUN_STOP,
+	    "job=%s task=%u.%u.%u run=%u instance=%s reason=restarted",
+	    stray->ref.job, stray->ref.occurrence, stray->ref.step,
+	    stray->ref.index, stray->run, instance->info.id);
+	instance->requests_in_flight++;
+	pool->ops->stop(instance->info.id, instance->info.address, &stray->ref,
+	    stray->run, pool->arg);
+}
+
+/*
+ * Sends the stops that the present incarnation has not confirmed, and forgets
+ * starts that have been answered or are too old.
+ */
+void
+sched_stray_tick(sched_instance_t *instance, uint64_t now_us)
+{
+	sched_window_t *window = instance->pool->window;
+
+	for (guint i = instance->strays->len; i-- > 0;) {
+		stray_t *stray = &g_array_index(instance->strays, stray_t, i);
+		bool is_sent = stray->stop_sent_us != 0 &&
+		    stray->stop_sent_born_ms == instance->info.born_ms;
+
+		if (stray->starts == 0 || now_us >= stray->forget_us) {
+			g_array_remove_index_fast(instance->strays, i);
+			continue;
+		}
+		if (stray->born_ms == instance->info.born_ms ||
+		    !instance->listed || instance->unreachable ||
+		    (is_sent &&
+			gw_elapsed_us(now_us, stray->stop_sent_us) <
+			    STOP_RETRY_US) ||
+		    !sched_window_has_room_at(
+			window, instance->requests_in_flight))
+			continue;
+		send_stop(instance, stray, now_us);
+	}
+}
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -203,12 +203,15 @@
 commit
 instance i1 born=3
 tick
+stopped i1 j1.0.0.0 1 ok
 stopped i1 j1.0.0.0 2 ok
 advance 5
 report i1 clock=5 born=3
 commit
 instance i1 born=4
 tick
+stopped i1 j1.0.0.0 1 ok
+stopped i1 j1.0.0.0 2 ok
 stopped i1 j1.0.0.0 3 ok
 advance 5
 report i1 clock=5 born=4
--- a/tools/gwworkerd/main.c
+++ b/tools/gwworkerd/main.c
@@ -40,8 +40,9 @@
 
 /*
  * Sets the faults of one worker: {"worker":0,"muted":true,"lose_starts":1,
- * "late_starts":1,"crash":true}. Without "muted" that fault stays as it is; a
- * missing count is set to 0. Returns 0, or -1 when there is no such worker.
+ * "late_starts":1,"late_ms":1500,"crash":true}. Without "muted" or "late_ms"
+ * these stay as they are; a missing count is set to 0. Returns 0, or -1 when
+ * there is no such worker.
  */
 static int
 set_faults(const json_t *request)
@@ -49,6 +50,7 @@
 	json_int_t index =
 	    json_integer_value(json_object_get(request, "worker"));
 	const json_t *muted = json_object_get(request, "muted");
+	const json_t *late_ms = json_object_get(request, "late_ms");
 	worker_t *worker;
 
 	if (index < 0 || index >= worker_count)
@@ -56,6 +58,8 @@
 	worker = workers[index];
 	if (muted != NULL)
 		worker->muted = json_is_true(muted);
+	if (late_ms != NULL)
+		worker->late_ms = (uint32_t)json_integer_value(late_ms);
 	worker->lose_starts = (uint32_t)json_integer_value(
 	    json_object_get(request, "lose_starts"));
 	worker->late_starts = (uint32_t)json_integer_value(
--- a/tools/gwworkerd/worker.c
+++ b/tools/gwworkerd/worker.c
@@ -34,6 +34,7 @@
 	g_strlcpy(worker->id, id, sizeof(worker->id));
 	worker->born_ms = (uint64_t)g_get_real_time() / 1000;
 	worker->work_ms = work_ms;
+	worker->late_ms = WORKER_LATE_MS;
 	worker->next_end_number = 1;
 	worker->runs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, run_free);
@@ -55,7 +56,8 @@
 uint64_t
 worker_clock_ms(const worker_t *worker)
 {
-	return gw_rt_now_us(worker->rt) / GW_US_PER_MS;
+	return gw_elapsed_us(gw_rt_now_us(worker->rt), worker->started_us) /
+	    GW_US_PER_MS;
 }
 
 /*
@@ -74,6 +76,7 @@
 
 	(void)timer;
 	worker->crashed = false;
+	worker->started_us = gw_rt_now_us(worker->rt);
 	worker->born_ms = (uint64_t)g_get_real_time() / 1000;
 }
 
--- a/tools/gwworkerd/worker.h
+++ b/tools/gwworkerd/worker.h
@@ -9,6 +9,9 @@
 #include "gw/runtime.h"
 #include "http/httpd.h"
 
+/* Delay of a late start, whose request gets no response. */
+#define WORKER_LATE_MS 1500
+
 /*
  * Stand-in for an instance that runs tasks under a lease. Each worker listens
  * on its own port. The counts of all workers are kept together, to detect a
@@ -44,7 +47,8 @@
 	char id[32];
 	gw_addr_t addr;
 	gw_httpd_t *httpd;
-	uint64_t born_ms; /* start time, wall clock */
+	uint64_t born_ms;    /* start time, wall clock */
+	uint64_t started_us; /* when its clock began; 0: with the machine's */
 	uint64_t fence;
 	uint64_t lease_end_ms;	  /* on the worker's clock */
 	uint64_t next_end_number; /* numbers the ends */
@@ -53,6 +57,7 @@
 	bool crashed;	      /* the same, until it starts again */
 	uint32_t lose_starts; /* next starts: applied without a response */
 	uint32_t late_starts; /* next starts: applied late without a response */
+	uint32_t late_ms;     /* how much later */
 	GHashTable *runs;     /* task -> run_t */
 	GPtrArray *ends;      /* json_t; not yet acknowledged */
 	GHashTable *highest_ended_run; /* task -> run number */
--- a/tools/gwworkerd/worker_api.c
+++ b/tools/gwworkerd/worker_api.c
@@ -3,9 +3,6 @@
 
 #include "worker.h"
 
-/* Delay of a late start, whose order gets no response. */
-#define START_DELAY_MS 1500
-
 /* Text of a specification whose tasks crash each worker that starts them. */
 #define DEADLY_SPEC "deadly"
 
@@ -107,7 +104,7 @@
 	delayed->worker = worker;
 	delayed->request = json_deep_copy(request);
 	gw_timer_start(worker->rt, &delayed->timer,
-	    START_DELAY_MS * GW_US_PER_MS, on_start_due, delayed);
+	    worker->late_ms * GW_US_PER_MS, on_start_due, delayed);
 }
 
 static void
