Bound records by the store's limit, and set refused ones aside

What callers saw: after a repeating job with many due occurrences was handed in, nothing else of its service is accepted, started or acknowledged, by any owner.

Cause: a record had all occurrences that were ever due, done ones too, with no bound, and a commit that the store refuses as it is was repeated for ever like one without a response. Evidence: the case's log repeats COMMIT_FAILED 'sequence=2 writes=2 status 400' to its end, while the processes stay up.

Change: done occurrences leave the record and the memory; due ones are opened while fewer than 1024 tasks wait and all open ones fit into value_bytes, which is read from the settings. Checkpoints are left out of a record that they would make too large. An occurrence is found by binary search, since a job may have many.

Why it works: no record that the owner makes can exceed the limit it knows, and where the store's limit is lower only the job that exceeds it waits.

--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -32,8 +32,9 @@
 	uint32_t shard_count; /* shards of each pool; 0: not known yet */
 	requests_t requests;
 	uint32_t config_apply_ms;
-	GQueue held;  /* request_t; see hold_request() */
-	bool closing; /* every new request is refused */
+	uint32_t value_max_bytes; /* of a record in the store */
+	GQueue held;		  /* request_t; see hold_request() */
+	bool closing;		  /* every new request is refused */
 };
 
 static void
@@ -68,6 +69,12 @@
 			    request, STATUS_BAD_REQUEST, "malformed-job");
 			return;
 		}
+		if (!sched_spec_fits(spec, front->value_max_bytes)) {
+			gw__job_spec__free_unpacked(spec, NULL);
+			reply_error(
+			    request, STATUS_BAD_REQUEST, "job-too-large");
+			return;
+		}
 	}
 	forward_request(request, &target, spec);
 }
@@ -209,6 +216,7 @@
 	front->dispatch = dispatch;
 	front->homes = homes;
 	front->config_apply_ms = settings->config_apply_ms;
+	front->value_max_bytes = settings->bounds.value_max_bytes;
 	requests_init(&front->requests, rt, stats, front);
 	front->httpd = gw_httpd_new(rt, &limits, on_request, front);
 	if (gw_httpd_listen(front->httpd, &settings->callers, NULL, err) == 0)
--- a/gwentryd/owner_commit.c
+++ b/gwentryd/owner_commit.c
@@ -98,6 +98,28 @@
 	owner->retry_ms = MIN(owner->retry_ms * 2, RETRY_MAX_MS);
 }
 
+/*
+ * Handles a commit that the store refuses as it is, so that it would refuse it
+ * again. The pool commits the jobs one by one instead. If, against its
+ * response, the store has written it, the next one fails on the sequence key.
+ */
+static void
+split_commit(owner_t *owner, const gw_err_t *err)
+{
+	sched_batch_t *batch = owner->batch;
+
+	gw_log(GW_EV_COMMIT_FAILED,
+	    "pool=%s sequence=%" PRIu64 " writes=%u err=%s text=\"%s\"",
+	    owner->shard, owner->sequence, sched_batch_write_count(batch),
+	    gw_errc_name(err->code), err->text);
+	owner->batch = NULL;
+	owner->retry_ms = RETRY_MIN_MS;
+	owner->commit_started_us = 0;
+	owner->last_commit_us = gw_rt_now_us(owner->rt);
+	sched_pool_batch_refused(owner->pool, batch);
+	owner_schedule_tick_in(owner, 0);
+}
+
 static void
 on_commit_response(uint64_t revision, const store_page_t *current,
     const gw_err_t *err, void *arg)
@@ -110,6 +132,8 @@
 		finish_commit(owner, revision);
 	else if (err->code == GW_ERR_CONFLICT)
 		resolve_conflict(owner, current);
+	else if (err->code == GW_ERR_LIMIT)
+		split_commit(owner, err);
 	else
 		retry_commit(owner, err);
 }
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -7,6 +7,8 @@
  * Most writes that one job adds to a batch: specification, progress and queue.
  */
 #define JOB_WRITES_MAX 3
+/* No job is added to a batch whose values have this size. */
+#define BATCH_FULL_BYTES (256 * 1024)
 /* A wait of records that is logged. */
 #define HELD_MIN_US (200 * GW_US_PER_MS)
 #define HELD_LOG_INTERVAL_US (500 * GW_US_PER_MS)
@@ -44,7 +46,7 @@
 
 	batch->writes = g_array_new(FALSE, FALSE, sizeof(sched_write_t));
 	g_array_set_clear_func(batch->writes, write_clear);
-	batch->jobs = g_ptr_array_new();
+	batch->jobs = g_array_new(FALSE, FALSE, sizeof(sched_batch_job_t));
 	batch->starts =
 	    g_array_new(FALSE, FALSE, sizeof(sched_pending_start_t));
 	batch->acks = g_array_new(FALSE, FALSE, sizeof(sched_ack_t));
@@ -56,7 +58,7 @@
 batch_free(sched_batch_t *batch)
 {
 	g_array_free(batch->writes, TRUE);
-	g_ptr_array_free(batch->jobs, TRUE);
+	g_array_free(batch->jobs, TRUE);
 	g_array_free(batch->starts, TRUE);
 	g_array_free(batch->acks, TRUE);
 	g_array_free(batch->waiters, TRUE);
@@ -69,6 +71,7 @@
 {
 	sched_write_t write = {.kind = kind, .value = value};
 
+	batch->size_bytes += value == NULL ? 0 : g_bytes_get_size(value);
 	g_strlcpy(write.id, id, sizeof(write.id));
 	g_array_append_val(batch->writes, write);
 }
@@ -109,11 +112,15 @@
 static void
 add_job(sched_pool_t *pool, sched_batch_t *batch, sched_job_t *job)
 {
+	sched_batch_job_t entry = {.job = job,
+	    .first_ack = batch->acks->len,
+	    .first_waiter = batch->waiters->len};
+
 	batch->dirty_since_us = MIN(batch->dirty_since_us, job->dirty_since_us);
 	job->dirty = false;
 	job->in_batch = true;
 	job->batch_state = job->state;
-	g_ptr_array_add(batch->jobs, job);
+	g_array_append_val(batch->jobs, entry);
 	if (job->expired) {
 		add_write(batch, SCHED_WRITE_RECORD, job->id, NULL);
 		sched_queue_job_removed(pool, job);
@@ -128,7 +135,8 @@
 	if (!job->spec_recorded && sched_queue_take_row(pool, job))
 		add_write(batch, SCHED_WRITE_QUEUE, job->queue_key,
 		    g_bytes_new(job->queue, strlen(job->queue)));
-	add_write(batch, SCHED_WRITE_RECORD, job->id, sched_record_encode(job));
+	add_write(batch, SCHED_WRITE_RECORD, job->id,
+	    sched_record_encode(job, pool->bounds.value_max_bytes));
 	collect_starts(batch, job);
 	g_array_append_vals(batch->acks, job->acks->data, job->acks->len);
 	g_array_set_size(job->acks, 0);
@@ -153,6 +161,23 @@
 	}
 }
 
+/*
+ * Returns whether the next job goes into the batch.
+ */
+static bool
+has_room(
+    const sched_batch_t *batch, const sched_job_t *next, uint32_t writes_max)
+{
+	const sched_batch_job_t *first =
+	    &g_array_index(batch->jobs, sched_batch_job_t, 0);
+
+	if (batch->jobs->len == 0)
+		return true;
+	return batch->writes->len + JOB_WRITES_MAX <= writes_max &&
+	    batch->size_bytes < BATCH_FULL_BYTES && !next->write_alone &&
+	    !first->job->write_alone;
+}
+
 /*
  * Returns a batch of at most writes_max writes, or NULL if no record must be
  * written. The caller passes it to sched_pool_batch_done() once all of it is in
@@ -169,7 +194,7 @@
 	batch->taken_us = gw_clock_now_us(pool->clock);
 	batch->dirty_since_us = batch->taken_us;
 	while (pool->dirty->length > 0 &&
-	    batch->writes->len + JOB_WRITES_MAX <= writes_max)
+	    has_room(batch, g_queue_peek_head(pool->dirty), writes_max))
 		add_job(pool, batch, g_queue_pop_head(pool->dirty));
 	remove_unused_queues(pool, batch, writes_max);
 	return batch;
@@ -279,9 +304,11 @@
 	queue_starts(pool, batch);
 	sched_send_starts(pool, now_us);
 	for (guint i = 0; i < batch->jobs->len; i++) {
-		sched_job_t *job = batch->jobs->pdata[i];
+		sched_job_t *job =
+		    g_array_index(batch->jobs, sched_batch_job_t, i).job;
 
 		job->in_batch = false;
+		job->write_alone = false;
 		job->recorded = job->batch_state;
 		job->spec_recorded = true;
 		if (job->expired)
@@ -293,6 +320,59 @@
 	batch_free(batch);
 }
 
+/*
+ * Gives back to a job the acknowledgements and callers that waited for the
+ * batch.
+ */
+static void
+return_job(const sched_batch_t *batch, guint i)
+{
+	const sched_batch_job_t *entry =
+	    &g_array_index(batch->jobs, sched_batch_job_t, i);
+	bool is_last = i + 1 == batch->jobs->len;
+	guint ack_end = is_last ? batch->acks->len : entry[1].first_ack;
+	guint waiter_end =
+	    is_last ? batch->waiters->len : entry[1].first_waiter;
+
+	entry->job->in_batch = false;
+	for (guint k = entry->first_ack; k < ack_end; k++)
+		g_array_append_val(entry->job->acks,
+		    g_array_index(batch->acks, sched_ack_t, k));
+	for (guint k = entry->first_waiter; k < waiter_end; k++)
+		g_array_append_val(entry->job->waiters,
+		    g_array_index(batch->waiters, sched_waiter_t, k));
+}
+
+/*
+ * Handles a batch that the store refuses as it is. Its jobs are written again
+ * one by one, so that only those whose own records are refused are set aside.
+ * Frees the batch.
+ */
+void
+sched_pool_batch_refused(sched_pool_t *pool, sched_batch_t *batch)
+{
+	bool is_alone = batch->jobs->len == 1;
+
+	for (guint i = 0; i < batch->writes->len; i++) {
+		const sched_write_t *write = sched_batch_write(batch, i);
+
+		if (write->kind == SCHED_WRITE_QUEUE)
+			sched_queue_undo_write(pool, write);
+	}
+	for (guint i = 0; i < batch->jobs->len; i++) {
+		sched_job_t *job =
+		    g_array_index(batch->jobs, sched_batch_job_t, i).job;
+
+		return_job(batch, i);
+		job->write_alone = true;
+		if (is_alone)
+			sched_aside_add(pool, job);
+		else
+			sched_job_mark_dirty(pool, job);
+	}
+	batch_free(batch);
+}
+
 /*
  * Frees a batch of a pool that is released, and replies to its callers that the
  * outcome is unknown.
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -56,7 +56,7 @@
 		 * Opened now, so that admission of the next job counts this
 		 * one's work as waiting.
 		 */
-		sched_job_open_occurrences(job, pool->wall_ms);
+		sched_job_open_occurrences(pool, job, pool->wall_ms);
 		g_ptr_array_add(pool->open, job);
 		gw_log(GW_EV_SCHED_ACCEPTED,
 		    "job=%s pool=%s queue=%s steps=%zu tasks=%u cpu_millis=%u "
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -43,6 +43,14 @@
 #define SCHED_CONSECUTIVE_FAILURES_MAX 3
 #define SCHED_AVOID_FAILING_US (5 * GW_US_PER_S)
 
+/* Retry-After of a job whose record the store refuses. */
+#define SCHED_REFUSED_RETRY_AFTER_MS 60000
+/*
+ * A job's due occurrences are opened while fewer of its tasks wait than this:
+ * more would not run earlier.
+ */
+#define SCHED_WAITING_TASKS_MAX 1024
+
 /* A job is late until this many times its objective, then overdue. */
 #define SCHED_OVERDUE_FACTOR 3
 
@@ -184,8 +192,12 @@
 	bool dirty; /* the record must be written */
 	uint64_t dirty_since_us;
 	bool in_batch; /* the record is being written */
-	bool expired;  /* the record is to be removed from the store */
-	bool started;  /* a task has started */
+	/* The store has refused a batch with the record: it is written alone.
+	 */
+	bool write_alone;
+	uint64_t aside_until_us; /* set aside; see aside.c; 0: not */
+	bool expired; /* the record is to be removed from the store */
+	bool started; /* a task has started */
 	bool long_running;
 	bool has_suspect; /* a task may be suspected; see crash.c */
 	uint32_t trials;  /* tasks on trial */
@@ -240,6 +252,13 @@
 	const char *rack; /* rack label in info, or NULL */
 };
 
+/* A job in a batch, with what to undo if the store refuses the batch. */
+typedef struct {
+	sched_job_t *job;
+	guint first_ack;    /* in the batch's acks, up to the next job's */
+	guint first_waiter; /* the same in its waiters */
+} sched_batch_job_t;
+
 /* A run that is started once its record is written. */
 typedef struct {
 	sched_task_t *task;
@@ -249,11 +268,12 @@
 struct sched_batch {
 	uint64_t dirty_since_us; /* of the job that has waited longest */
 	uint64_t taken_us;
-	GArray *writes; /* sched_write_t */
-	GPtrArray *jobs;
-	GArray *starts;	 /* sched_pending_start_t */
-	GArray *acks;	 /* sched_ack_t */
-	GArray *waiters; /* sched_waiter_t */
+	GArray *writes;	     /* sched_write_t */
+	uint64_t size_bytes; /* of the values */
+	GArray *jobs;	     /* sched_batch_job_t */
+	GArray *starts;	     /* sched_pending_start_t */
+	GArray *acks;	     /* sched_ack_t */
+	GArray *waiters;     /* sched_waiter_t */
 };
 
 /*
@@ -284,8 +304,9 @@
 	GHashTable *instances;	/* id -> sched_instance_t */
 	GHashTable *queues;	/* key -> sched_queue_use_t; see queue.c */
 	bool has_unused_queues; /* one of them may be without jobs */
-	GQueue *dirty; /* jobs whose record must be written (sched_job_t) */
-	GQueue *ended; /* ended jobs, oldest first (sched_job_t) */
+	GQueue *dirty;	  /* jobs whose record must be written (sched_job_t) */
+	GPtrArray *aside; /* jobs set aside (sched_job_t); see aside.c */
+	GQueue *ended;	  /* ended jobs, oldest first (sched_job_t) */
 	/* Ended jobs that still have tasks or a specification (sched_job_t). */
 	GPtrArray *cleanup;
 	bool loaded;
@@ -319,7 +340,9 @@
 sched_job_t *sched_job_new(sched_pool_t *, const char *id);
 void sched_job_free(gpointer);
 void sched_job_set_spec(sched_job_t *, Gw__JobSpec *);
-void sched_job_open_occurrences(sched_job_t *, uint64_t wall_ms);
+void sched_job_open_occurrences(
+    const sched_pool_t *, sched_job_t *, uint64_t wall_ms);
+void sched_job_close_occurrences(sched_job_t *);
 sched_occurrence_t *sched_job_find_occurrence(
     const sched_job_t *, uint32_t number);
 sched_occurrence_t *sched_occurrence_new(sched_job_t *, uint32_t number);
@@ -339,14 +362,20 @@
     const sched_pool_t *, const sched_task_ref_t *);
 sched_task_ref_t sched_task_ref(const sched_task_t *);
 
+/* aside.c */
+void sched_aside_add(sched_pool_t *, sched_job_t *);
+void sched_aside_end(sched_pool_t *, sched_job_t *);
+void sched_aside_tick(sched_pool_t *, uint64_t now_us);
+
 /* queue.c */
 void sched_job_set_queue_key(sched_pool_t *, sched_job_t *, const char *key);
-void sched_queue_job_removed(sched_pool_t *, const sched_job_t *);
+void sched_queue_job_removed(sched_pool_t *, sched_job_t *);
 bool sched_queue_take_row(sched_pool_t *, const sched_job_t *);
+void sched_queue_undo_write(sched_pool_t *, const sched_write_t *);
 char *sched_queue_take_unused(sched_pool_t *);
 
 /* record.c */
-GBytes *sched_record_encode(const sched_job_t *);
+GBytes *sched_record_encode(const sched_job_t *, uint64_t max_bytes);
 int sched_record_apply(sched_pool_t *, sched_job_t *, const Gw__JobRecord *);
 
 /* instance.c */
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -2,6 +2,10 @@
 
 #include "gw/log.h"
 #include "sched/impl.h"
+#include "wire/frame.h"
+
+/* A call without its specification. */
+#define CALL_OVERHEAD_BYTES 4096
 
 /*
  * Returns whether the specification has 1 to SCHED_STEPS_MAX steps, each of
@@ -19,6 +23,23 @@
 	return true;
 }
 
+/*
+ * Returns whether the store takes the specification and any record of the job,
+ * and a call between processes the specification.
+ */
+bool
+sched_spec_fits(const Gw__JobSpec *spec, uint64_t value_max_bytes)
+{
+	uint64_t size_bytes = gw__job_spec__get_packed_size(spec);
+	uint64_t tasks = 0;
+
+	for (size_t i = 0; i < spec->n_steps; i++)
+		tasks += spec->steps[i]->count;
+	return size_bytes <= value_max_bytes &&
+	    size_bytes + CALL_OVERHEAD_BYTES <= GW_FRAME_MAX_BYTES &&
+	    tasks * SCHED_TASK_RECORD_BYTES <= value_max_bytes;
+}
+
 /*
  * Returns a job without a specification.
  */
@@ -136,12 +157,37 @@
 }
 
 /*
- * Creates the occurrences that are due at wall_ms. A job without a schedule has
- * one occurrence, which is due at once.
+ * Returns whether another occurrence may be opened. The record has the tasks of
+ * all that are open, at most tasks_max, and may not outgrow the store's limit.
+ */
+static bool
+may_open(const sched_job_t *job, uint64_t tasks_max)
+{
+	uint64_t tasks = 0, waiting = 0;
+
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		const sched_occurrence_t *occurrence =
+		    job->occurrences->pdata[i];
+
+		tasks += occurrence->task_count;
+		for (uint32_t k = 0; k < occurrence->step_count; k++)
+			waiting += occurrence->steps[k].waiting;
+	}
+	for (size_t i = 0; tasks > 0 && i < job->spec->n_steps; i++)
+		tasks += job->spec->steps[i]->count;
+	return tasks <= tasks_max && waiting < SCHED_WAITING_TASKS_MAX;
+}
+
+/*
+ * Creates the occurrences that are due at wall_ms, and others later if they are
+ * many. A job without a schedule has one occurrence, which is due at once.
  */
 void
-sched_job_open_occurrences(sched_job_t *job, uint64_t wall_ms)
+sched_job_open_occurrences(
+    const sched_pool_t *pool, sched_job_t *job, uint64_t wall_ms)
 {
+	uint64_t tasks_max =
+	    pool->bounds.value_max_bytes / SCHED_TASK_RECORD_BYTES;
 	const Gw__JobSpec *spec = job->spec;
 	uint32_t total = MAX(spec->repeats, 1);
 
@@ -150,7 +196,7 @@
 						     : spec->first_due_wall_ms +
 			job->next_occurrence * spec->interval_ms;
 
-		if (due_ms > wall_ms)
+		if (due_ms > wall_ms || !may_open(job, tasks_max))
 			return;
 		g_ptr_array_add(job->occurrences,
 		    sched_occurrence_new(job, job->next_occurrence));
@@ -159,16 +205,43 @@
 }
 
 /*
- * Returns the open occurrence with this number, or NULL.
+ * Frees the occurrences whose tasks are all done, once that is in the store. A
+ * record without them says the same.
+ */
+void
+sched_job_close_occurrences(sched_job_t *job)
+{
+	if (job->dirty || job->in_batch || job->aside_until_us != 0)
+		return;
+	for (guint i = job->occurrences->len; i-- > 0;) {
+		const sched_occurrence_t *occurrence =
+		    job->occurrences->pdata[i];
+
+		if (occurrence->open == 0)
+			g_ptr_array_remove_index(job->occurrences, i);
+	}
+}
+
+/*
+ * Returns the open occurrence with this number, or NULL. They are in the order
+ * of their numbers.
  */
 sched_occurrence_t *
 sched_job_find_occurrence(const sched_job_t *job, uint32_t number)
 {
-	for (guint i = 0; i < job->occurrences->len; i++) {
-		sched_occurrence_t *occurrence = job->occurrences->pdata[i];
+	guint first = 0, end = job->occurrences->len;
+
+	while (first < end) {
+		guint middle = first + (end - first) / 2;
+		sched_occurrence_t *occurrence =
+		    job->occurrences->pdata[middle];
 
 		if (occurrence->number == number)
 			return occurrence;
+		if (occurrence->number < number)
+			first = middle + 1;
+		else
+			end = middle;
 	}
 	return NULL;
 }
@@ -282,7 +355,7 @@
 void
 sched_job_mark_dirty(sched_pool_t *pool, sched_job_t *job)
 {
-	if (job->dirty)
+	if (job->dirty || job->aside_until_us != 0)
 		return;
 	job->dirty = true;
 	job->dirty_since_us = gw_clock_now_us(pool->clock);
@@ -317,6 +390,7 @@
 	g_queue_push_tail(pool->ended, job);
 	g_ptr_array_add(pool->cleanup, job);
 	stop_tasks(job);
+	sched_aside_end(pool, job);
 	sched_job_mark_dirty(pool, job);
 	gw_log(GW_EV_SCHED_ENDED,
 	    "job=%s pool=%s queue=%s state=%s age_ms=%" PRIu64, job->id,
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -39,6 +39,7 @@
 	pool->unsent = g_ptr_array_new();
 	pool->open = g_ptr_array_new();
 	pool->cleanup = g_ptr_array_new();
+	pool->aside = g_ptr_array_new();
 	pool->dirty = g_queue_new();
 	pool->ended = g_queue_new();
 	return pool;
@@ -67,6 +68,7 @@
 	sched_refusals_free(pool->refusals);
 	g_ptr_array_free(pool->open, TRUE);
 	g_ptr_array_free(pool->cleanup, TRUE);
+	g_ptr_array_free(pool->aside, TRUE);
 	g_queue_free(pool->dirty);
 	g_queue_free(pool->ended);
 	g_free(pool);
@@ -314,13 +316,15 @@
 }
 
 static void
-open_occurrences(sched_pool_t *pool)
+update_occurrences(sched_pool_t *pool)
 {
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
 
+		if (job->spec->repeats > 0)
+			sched_job_close_occurrences(job);
 		if (job->next_occurrence < MAX(job->spec->repeats, 1))
-			sched_job_open_occurrences(job, pool->wall_ms);
+			sched_job_open_occurrences(pool, job, pool->wall_ms);
 	}
 }
 
@@ -336,7 +340,8 @@
 	pool->wall_ms = wall_ms;
 	if (!pool->loaded)
 		return TICK_BUSY_US;
-	open_occurrences(pool);
+	sched_aside_tick(pool, now_us);
+	update_occurrences(pool);
 	due_us = tick_instances(pool, now_us);
 	sched_send_starts(pool, now_us);
 	sched_place_round(pool, now_us);
--- a/lib/sched/queue.c
+++ b/lib/sched/queue.c
@@ -36,20 +36,22 @@
 }
 
 /*
- * Handles that the job is removed from the pool.
+ * Handles that the job is removed from the pool, or is about to be.
  */
 void
-sched_queue_job_removed(sched_pool_t *pool, const sched_job_t *job)
+sched_queue_job_removed(sched_pool_t *pool, sched_job_t *job)
 {
 	sched_queue_use_t *use =
 	    g_hash_table_lookup(pool->queues, job->queue_key);
 
-	if (use == NULL || --use->jobs > 0)
+	if (use == NULL)
 		return;
-	if (use->is_recorded)
+	use->jobs--;
+	if (use->jobs == 0 && use->is_recorded)
 		pool->has_unused_queues = true;
-	else
+	else if (use->jobs == 0)
 		(void)g_hash_table_remove(pool->queues, job->queue_key);
+	job->queue_key[0] = '\0';
 }
 
 /*
@@ -105,3 +107,17 @@
 	use->is_recorded = true;
 	pool->has_unused_queues |= use->jobs == 0;
 }
+
+/*
+ * Handles that the store has refused a batch with a write of a row.
+ */
+void
+sched_queue_undo_write(sched_pool_t *pool, const sched_write_t *write)
+{
+	sched_queue_use_t *use = g_hash_table_lookup(pool->queues, write->id);
+
+	if (write->value == NULL)
+		sched_pool_load_queue(pool, write->id);
+	else if (use != NULL)
+		use->is_recorded = false;
+}
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -1,17 +1,19 @@
 #include <string.h>
 
+#include "gw/log.h"
 #include "sched/impl.h"
 
-/* The instances in a record that is being encoded. */
+/* A record that is being encoded, and the instances in it. */
 typedef struct {
 	GPtrArray *hosts;  /* Gw__HostRecord */
 	GHashTable *index; /* instance -> index in hosts + 1 */
-} hosts_t;
+	bool with_checkpoints;
+} encoding_t;
 
 static uint32_t
-host_index(hosts_t *hosts, sched_instance_t *instance)
+host_index(encoding_t *encoding, sched_instance_t *instance)
 {
-	gpointer found = g_hash_table_lookup(hosts->index, instance);
+	gpointer found = g_hash_table_lookup(encoding->index, instance);
 	Gw__HostRecord *host;
 
 	if (found != NULL)
@@ -20,14 +22,15 @@
 	gw__host_record__init(host);
 	host->instance = instance->info.id;
 	host->born_ms = instance->info.born_ms;
-	g_ptr_array_add(hosts->hosts, host);
+	g_ptr_array_add(encoding->hosts, host);
 	g_hash_table_insert(
-	    hosts->index, instance, GUINT_TO_POINTER(hosts->hosts->len));
-	return hosts->hosts->len;
+	    encoding->index, instance, GUINT_TO_POINTER(encoding->hosts->len));
+	return encoding->hosts->len;
 }
 
 static void
-encode_task(Gw__TaskRecord *record, const sched_task_t *task, hosts_t *hosts)
+encode_task(
+    Gw__TaskRecord *record, const sched_task_t *task, encoding_t *encoding)
 {
 	gw__task_record__init(record);
 	record->run = task->run;
@@ -39,16 +42,16 @@
 		record->state = GW__TASK_STATE__TASK_DONE;
 		return;
 	}
-	if (task->checkpoint != NULL)
+	if (encoding->with_checkpoints && task->checkpoint != NULL)
 		record->checkpoint = task->checkpoint;
 	if (task->instance == NULL)
 		return;
 	record->state = GW__TASK_STATE__TASK_PLACED;
-	record->host = host_index(hosts, task->instance);
+	record->host = host_index(encoding, task->instance);
 }
 
 static Gw__OccurrenceRecord *
-encode_occurrence(const sched_occurrence_t *occurrence, hosts_t *hosts)
+encode_occurrence(const sched_occurrence_t *occurrence, encoding_t *encoding)
 {
 	Gw__OccurrenceRecord *record = g_new(Gw__OccurrenceRecord, 1);
 	Gw__TaskRecord *tasks = g_new(Gw__TaskRecord, occurrence->task_count);
@@ -59,7 +62,7 @@
 	record->tasks = g_new(Gw__TaskRecord *, occurrence->task_count);
 	for (uint32_t i = 0; i < occurrence->task_count; i++) {
 		record->tasks[i] = &tasks[i];
-		encode_task(&tasks[i], &occurrence->tasks[i], hosts);
+		encode_task(&tasks[i], &occurrence->tasks[i], encoding);
 	}
 	return record;
 }
@@ -75,18 +78,13 @@
 	g_free(record);
 }
 
-/*
- * Returns the job's progress in the encoding of the store. The tasks of an
- * ended job are left out: a later owner stops any runs of it that instances
- * report.
- */
-GBytes *
-sched_record_encode(const sched_job_t *job)
+static GBytes *
+encode(const sched_job_t *job, bool with_checkpoints)
 {
 	g_autoptr(GPtrArray) occurrences =
 	    g_ptr_array_new_with_free_func(occurrence_record_free);
-	hosts_t hosts = {g_ptr_array_new_with_free_func(g_free),
-	    g_hash_table_new(NULL, NULL)};
+	encoding_t encoding = {g_ptr_array_new_with_free_func(g_free),
+	    g_hash_table_new(NULL, NULL), with_checkpoints};
 	Gw__JobRecord record = GW__JOB_RECORD__INIT;
 	uint8_t *data;
 	size_t size_bytes;
@@ -99,19 +97,39 @@
 	for (guint i = 0;
 	     !sched_job_has_ended(job) && i < job->occurrences->len; i++)
 		g_ptr_array_add(occurrences,
-		    encode_occurrence(job->occurrences->pdata[i], &hosts));
+		    encode_occurrence(job->occurrences->pdata[i], &encoding));
 	record.n_occurrences = occurrences->len;
 	record.occurrences = (Gw__OccurrenceRecord **)occurrences->pdata;
-	record.n_hosts = hosts.hosts->len;
-	record.hosts = (Gw__HostRecord **)hosts.hosts->pdata;
+	record.n_hosts = encoding.hosts->len;
+	record.hosts = (Gw__HostRecord **)encoding.hosts->pdata;
 	size_bytes = gw__job_record__get_packed_size(&record);
 	data = g_malloc(size_bytes);
 	gw__job_record__pack(&record, data);
-	g_ptr_array_free(hosts.hosts, TRUE);
-	g_hash_table_destroy(hosts.index);
+	g_ptr_array_free(encoding.hosts, TRUE);
+	g_hash_table_destroy(encoding.index);
 	return g_bytes_new_take(data, size_bytes);
 }
 
+/*
+ * Returns the job's progress in the encoding of the store. The tasks of an
+ * ended job are left out: a later owner stops any runs of it that instances
+ * report. So are checkpoints, whose length instances choose, if the record
+ * would exceed max_bytes with them: a later owner starts those tasks from
+ * scratch.
+ */
+GBytes *
+sched_record_encode(const sched_job_t *job, uint64_t max_bytes)
+{
+	GBytes *value = encode(job, true);
+
+	if (g_bytes_get_size(value) <= max_bytes)
+		return value;
+	gw_log(GW_EV_RECORD_SHORTENED, "job=%s bytes=%zu max_bytes=%" PRIu64,
+	    job->id, g_bytes_get_size(value), max_bytes);
+	g_bytes_unref(value);
+	return encode(job, false);
+}
+
 /*
  * Marks a task whose run is recorded on an incarnation that has ended. The next
  * one may have carried out the start late, so the run is stopped there before
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -22,6 +22,11 @@
 #define SCHED_JOB_ID_BYTES 17
 /* Size of the key of a queue; see sched_queue_t. */
 #define SCHED_QUEUE_KEY_BYTES 17
+/*
+ * A task in the record of its job takes no more than this, without its
+ * checkpoint.
+ */
+#define SCHED_TASK_RECORD_BYTES 100
 /* Most steps in a job; a job with more is refused. */
 #define SCHED_STEPS_MAX 64
 
@@ -235,6 +240,7 @@
 	uint32_t renew_grace_ms;
 	/* How long a previous owner may renew leases after a takeover. */
 	uint32_t previous_renew_max_ms;
+	uint32_t value_max_bytes; /* of a record in the store */
 } sched_bounds_t;
 
 sched_pool_t *sched_pool_new(const char *name, const char *data_centre,
@@ -247,6 +253,7 @@
 void sched_pool_set_window(sched_pool_t *, sched_window_t *);
 
 bool sched_spec_is_valid(const Gw__JobSpec *);
+bool sched_spec_fits(const Gw__JobSpec *, uint64_t value_max_bytes);
 
 /*
  * Takeover: load every specification, then every record and every queue of the
@@ -337,6 +344,8 @@
 uint32_t sched_batch_write_count(const sched_batch_t *);
 const sched_write_t *sched_batch_write(const sched_batch_t *, uint32_t i);
 void sched_pool_batch_done(sched_pool_t *, sched_batch_t *);
+/* The store has refused the batch as it is, and has written nothing of it. */
+void sched_pool_batch_refused(sched_pool_t *, sched_batch_t *);
 /* Frees a batch whose outcome is not known, when the pool is released. */
 void sched_batch_drop(sched_batch_t *);
 bool sched_pool_is_dirty(const sched_pool_t *);
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -10,7 +10,7 @@
 #include "gw/err.h"
 #include "gw/runtime.h"
 
-/* Largest value that the store accepts. */
+/* Largest value that the store accepts, unless the platform says otherwise. */
 #define GW_STORE_VALUE_MAX_BYTES (1024 * 1024)
 
 /*
@@ -120,6 +120,8 @@
     const store_page_t *, const gw_err_t *, void *arg);
 /*
  * On success revision is that of the change. Errors:
+ * GW_ERR_LIMIT: the store refuses the change as it is, for instance since a
+ * value is too large; nothing was changed;
  * GW_ERR_CONFLICT: a precondition failed, nothing was changed, and current
  * has the current state of the preconditions' keys;
  * GW_ERR_NOT_FOUND: the lease of a write has expired;
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -26,7 +26,7 @@
 static uint32_t request_bytes; /* counted in the window for each start */
 static char *words[WORDS_MAX];
 static int word_count;
-static const sched_bounds_t bounds = {.hold_max_ms = 6000,
+static sched_bounds_t bounds = {.hold_max_ms = 6000,
     .stop_grace_ms = 900,
     .gang_timeout_ms = 3000,
     .status_s = 120,
@@ -180,10 +180,11 @@
 	g_free(arg);
 }
 
-/* pool: a new owner without records. */
+/* pool [value=BYTES]: a new owner without records; the store's largest value */
 static void
 do_pool(void)
 {
+	bounds.value_max_bytes = (uint32_t)lookup_number("value", 1048576);
 	pool = sched_pool_new("p", "dc-a", &clock_state, &bounds, &ops, NULL);
 	sched_pool_finish_load(pool);
 }
@@ -510,12 +511,9 @@
 	(void)sched_pool_tick(pool, WALL_START_MS + now_ms());
 }
 
-/*
- * take: a batch is sent to the store; done: the store has written it; commit: a
- * tick and both
- */
+/* Prints the writes of the batch and, unless they are refused, stores them. */
 static void
-do_take(void)
+send_batch(bool is_refused)
 {
 	static const char *const kinds[] = {"spec", "record", "queue"};
 
@@ -531,8 +529,9 @@
 
 		printf("%6" PRIu64 " %s %s\n", now_ms(),
 		    write->value == NULL ? "remove" : "write", key);
-		if (write->value == NULL) {
-			g_hash_table_remove(store, key);
+		if (write->value == NULL || is_refused) {
+			if (!is_refused)
+				g_hash_table_remove(store, key);
 			g_free(key);
 		} else {
 			g_hash_table_replace(
@@ -541,6 +540,40 @@
 	}
 }
 
+/*
+ * take: a batch is sent to the store; done: the store has written it; commit: a
+ * tick and both; refuse: a tick, and the store refuses the batch as it is
+ */
+static void
+do_take(void)
+{
+	send_batch(false);
+}
+
+static void
+do_refuse(void)
+{
+	sched_batch_t *refused;
+
+	do_tick();
+	send_batch(true);
+	refused = batch;
+	batch = NULL;
+	if (refused != NULL)
+		sched_pool_batch_refused(pool, refused);
+}
+
+/* stored ID: prints the size of the job's record */
+static void
+do_stored(void)
+{
+	g_autofree char *key = g_strdup_printf("record/%s", words[1]);
+	GBytes *value = g_hash_table_lookup(store, key);
+
+	printf("%6" PRIu64 " stored %s bytes=%zu\n", now_ms(), words[1],
+	    value == NULL ? 0 : g_bytes_get_size(value));
+}
+
 static void
 do_done(void)
 {
@@ -694,6 +727,8 @@
     {"tick", 1, do_tick},
     {"take", 1, do_take},
     {"done", 1, do_done},
+    {"refuse", 1, do_refuse},
+    {"stored", 2, do_stored},
     {"commit", 1, do_commit},
     {"report", 2, do_report},
     {"started", 5, do_started},
--- a/tools/gwstored/fault.c
+++ b/tools/gwstored/fault.c
@@ -18,6 +18,17 @@
 	return 0;
 }
 
+static int
+set_size(uint32_t *dest, const json_t *value)
+{
+	json_int_t number = json_integer_value(value);
+
+	if (!json_is_integer(value) || number < 0 || number > UINT32_MAX)
+		return -1;
+	*dest = (uint32_t)number;
+	return 0;
+}
+
 static int
 set_flag(bool *dest, const json_t *value)
 {
@@ -63,6 +74,8 @@
 		return set_count(&faults->hang_answers, value);
 	if (strcmp(name, "stale_reads") == 0)
 		return set_count(&faults->stale_reads, value);
+	if (strcmp(name, "value_max_bytes") == 0)
+		return set_size(&faults->value_max_bytes, value);
 	if (strcmp(name, "watch_double") == 0)
 		return set_flag(&faults->watch_double, value);
 	if (strcmp(name, "watch_reorder") == 0)
--- a/tools/gwstored/fault.h
+++ b/tools/gwstored/fault.h
@@ -35,6 +35,8 @@
 	char *raw_answer;	/* body of every response, or NULL; etcd */
 	char *refuse_prefix;	/* keys of refuse_writes, or NULL */
 	uint32_t refuse_writes; /* writes get 503, no effect; platform */
+	/* writes of larger values get 400; 0: no limit; platform */
+	uint32_t value_max_bytes;
 } faults_t;
 
 int faults_update(faults_t *, const char *json, size_t size_bytes, gw_err_t *);
--- a/tools/gwstored/platform_kv.c
+++ b/tools/gwstored/platform_kv.c
@@ -297,6 +297,27 @@
 	return false;
 }
 
+static bool
+has_large_value(const faults_t *faults, const json_t *writes)
+{
+	const json_t *row;
+	size_t i;
+
+	if (faults->value_max_bytes == 0)
+		return false;
+	json_array_foreach(writes, i, row)
+	{
+		const char *text =
+		    json_string_value(json_object_get(row, "value"));
+		gsize size_bytes = 0;
+
+		g_free(g_base64_decode(text == NULL ? "" : text, &size_bytes));
+		if (size_bytes > faults->value_max_bytes)
+			return true;
+	}
+	return false;
+}
+
 static void
 post_txn(server_t *server, h2o_req_t *req, const json_t *request)
 {
@@ -310,6 +331,11 @@
 		reply_now(server, req, 503, json_object());
 		return;
 	}
+	if (has_large_value(&server->faults, writes)) {
+		json_decref(current);
+		reply_now(server, req, 400, json_object());
+		return;
+	}
 	if (current != NULL) {
 		reply_now(
 		    server, req, 412, json_pack("{s:o}", "items", current));
