Pause longer between failed reads of the queues' homes

The pause doubles now, from 100 ms to 1.6 s.

Tests: entry/moved_queue.sh and the scripts of sched pass as before.

--- a/gwentryd/homes.c
+++ b/gwentryd/homes.c
@@ -3,7 +3,9 @@
 #include "gw/log.h"
 #include "homes.h"
 
-#define RETRY_MS 100
+/* Pause after a failed read, doubled with each failure up to the maximum. */
+#define RETRY_MIN_MS 100
+#define RETRY_MAX_MS 1600
 /* Interval of reads while a queue in force has jobs in more than one pool. */
 #define REREAD_MS 10000
 
@@ -21,12 +23,13 @@
 	void *arg;
 	GHashTable *queues;   /* key -> queue_state_t */
 	sched_homes_t *table; /* as last read */
-	sched_homes_t
-	    *reading;	     /* rows read so far; NULL: no read is going on */
+	/* The rows read so far; NULL unless they are being read. */
+	sched_homes_t *reading;
 	char *after_key;     /* last key of the last page, or NULL */
 	uint64_t read_us;    /* when the last complete read began; 0: none */
 	uint64_t reading_us; /* when the present one began */
 	uint64_t changed_us; /* when a queue was last new or moved */
+	uint32_t retry_ms;   /* pause after the next failure */
 	gw_timer_t timer;    /* the next read */
 };
 
@@ -100,6 +103,7 @@
 	homes->table = homes->reading;
 	homes->reading = NULL;
 	homes->read_us = homes->reading_us;
+	homes->retry_ms = RETRY_MIN_MS;
 	sched_homes_foreach(homes->table, homes->ops->on_shard, homes->arg);
 	schedule_next(homes);
 	homes->ops->on_read(homes->arg);
@@ -131,11 +135,12 @@
 
 	if (err != NULL) {
 		gw_log(GW_EV_HOMES_NOT_READ, "err=%s text=\"%s\" retry_ms=%u",
-		    gw_errc_name(err->code), err->text, RETRY_MS);
+		    gw_errc_name(err->code), err->text, homes->retry_ms);
 		sched_homes_free(homes->reading);
 		homes->reading = NULL;
 		g_clear_pointer(&homes->after_key, g_free);
-		read_in(homes, RETRY_MS);
+		read_in(homes, homes->retry_ms);
+		homes->retry_ms = MIN(homes->retry_ms * 2, RETRY_MAX_MS);
 		return;
 	}
 	for (guint i = 0; i < page->items->len; i++) {
@@ -167,6 +172,7 @@
 	homes->rt = rt;
 	homes->store = store;
 	homes->config_apply_ms = config_apply_ms;
+	homes->retry_ms = RETRY_MIN_MS;
 	homes->ops = ops;
 	homes->arg = arg;
 	homes->queues =
