soak: ask for completed tasks with one call at a time

Cause: when the events end, the soak asks for the state of every job, and each that is shown as completed made a GET /done of its own: some 300 at once, while gwworkerd serves 16 connections. The calls waited for a connection until their time-out; a request to set a fault, sent meanwhile, waited behind them. Each check of a completed job whose call failed was left out without a word.

Change: completed jobs are queued, and one call checks all of them; a call without a response is repeated. A stand-in that does not respond is a violation again, as before, and so is a completed job that was not checked by the end.

--- a/soak/check.c
+++ b/soak/check.c
@@ -13,11 +13,6 @@
 
 static gw_timer_t timer;
 
-typedef struct {
-	soak_t *soak;
-	job_t *job;
-} completed_t;
-
 static json_t *
 parse(const gw_http_response_t *response)
 {
@@ -135,25 +130,55 @@
 	on_tick(&timer, soak);
 }
 
+static GQueue unchecked = G_QUEUE_INIT; /* completed jobs (job_t) */
+static guint being_checked;		 /* by the call in progress */
+
+static void check_next(soak_t *);
+
 static void
-on_done(const gw_http_response_t *response, const gw_err_t *err, void *arg)
+check_done(soak_t *soak, const job_t *job, json_t *done)
 {
-	g_autofree completed_t *completed = arg;
-	json_t *root = parse(response), *row;
-	const job_t *job = completed->job;
 	uint32_t count = 0;
+	json_t *row;
 	size_t i;
 
-	(void)err;
-	if (root == NULL)
-		return;
-	json_array_foreach(json_object_get(root, "done"), i, row) count +=
+	json_array_foreach(done, i, row) count +=
 	    g_str_has_prefix(json_string_value(row), job->id);
 	if (count < job->tasks)
-		soak_violation(completed->soak, job->id,
+		soak_violation(soak, job->id,
 		    "MIXED job=%s completed with %u of %u tasks done", job->id,
 		    count, job->tasks);
+}
+
+static void
+on_done(const gw_http_response_t *response, const gw_err_t *err, void *arg)
+{
+	json_t *root = parse(response);
+	soak_t *soak = arg;
+
+	if (root == NULL)
+		soak_on_control(response, err, soak);
+	else
+		for (; being_checked > 0; being_checked--)
+			check_done(soak, g_queue_pop_head(&unchecked),
+			    json_object_get(root, "done"));
+	being_checked = 0;
 	json_decref(root);
+	check_next(soak);
+}
+
+/*
+ * Asks for the tasks that are done. One call at a time checks all jobs that
+ * were shown as completed before it: the worker serves 16 connections.
+ */
+static void
+check_next(soak_t *soak)
+{
+	if (being_checked > 0 || unchecked.length == 0)
+		return;
+	being_checked = unchecked.length;
+	(void)gw_httpc_call(soak->control, "GET", "/done", NULL,
+	    CALL_TIMEOUT_MS, on_done, soak);
 }
 
 /*
@@ -162,10 +187,15 @@
 void
 check_completed(soak_t *soak, job_t *job)
 {
-	completed_t *completed = g_new0(completed_t, 1);
+	g_queue_push_tail(&unchecked, job);
+	check_next(soak);
+}
 
-	completed->soak = soak;
-	completed->job = job;
-	(void)gw_httpc_call(soak->control, "GET", "/done", NULL,
-	    CALL_TIMEOUT_MS, on_done, completed);
+/*
+ * Returns how many completed jobs have not been checked.
+ */
+uint32_t
+check_pending(void)
+{
+	return unchecked.length;
 }
--- a/soak/main.c
+++ b/soak/main.c
@@ -118,7 +118,8 @@
     const gw_http_response_t *response, const gw_err_t *error, void *arg)
 {
 	if (response == NULL)
-		soak_print(arg, "a stand-in does not respond: %s", error->text);
+		soak_violation(arg, "silent stand-in",
+		    "a stand-in does not respond: %s", error->text);
 	else if (response->status != 200)
 		soak_violation(arg, "setup", "a stand-in refuses a request: %d",
 		    response->status);
@@ -206,6 +207,9 @@
 			open_jobs += !job->completed;
 	}
 	soak_print(&soak, "%u short jobs are not completed", open_jobs);
+	if (check_pending() > 0)
+		soak_violation(&soak, "setup",
+		    "%u completed jobs are not checked", check_pending());
 	end_processes();
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -100,6 +100,7 @@
 /* check.c */
 void check_start(soak_t *);
 void check_completed(soak_t *, job_t *);
+uint32_t check_pending(void);
 
 /* events.c */
 void events_start(soak_t *);
