Log the previous owner of a role, and what is open at the end of a shutdown

A process that gains a role logs whether it knows the owner before it, and how long after its own start that is: with previous_owner=unknown it waits the full lease for instances that it cannot reach. A process that ends logs 2201 DRAINED with its open requests and connections, as the router does: callers whose requests end unanswered are among these connections.

No decision changes.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -420,6 +420,9 @@
 		now_us >= entry->drain_close_at_us +
 			DRAIN_LINGER_MS * GW_US_PER_MS)) {
 		release_roles(entry);
+		gw_log(GW_EV_DRAINED, "requests=%u connections=%u",
+		    front_request_count(entry->front),
+		    front_connection_count(entry->front));
 		gw_rt_stop(entry->rt);
 		return;
 	}
--- a/gwentryd/role.c
+++ b/gwentryd/role.c
@@ -154,8 +154,15 @@
 	role->owner_data_centre = g_strdup(roles->data_centre);
 	role->vacant_since_us = 0;
 	role_set_owner_lease(role, lease_id(roles->lease));
-	gw_log(GW_EV_ROLE_GAINED, "role=%s fence=%" PRIu64 " owned=%u",
-	    role->name, fence, roles_count_owned(roles));
+	gw_log(GW_EV_ROLE_GAINED,
+	    "role=%s fence=%" PRIu64
+	    " owned=%u previous_owner=%s since_start_ms=%" PRIu64,
+	    role->name, fence, roles_count_owned(roles),
+	    role->previous_owners->len == 0
+		? "unknown"
+		: (const char *)role->previous_owners->pdata[0],
+	    gw_elapsed_us(gw_rt_now_us(roles->rt), roles->started_us) /
+		GW_US_PER_MS);
 	roles->ops->on_gain(&gain, roles->arg);
 	role_add_previous_owner(role, roles->address);
 }
