gwrouted: refuse requests that arrive after the drain; announce the close

Cause: a router that has drained logs DRAINED, sends its Goodbye and exits 50 ms later. A request that arrived on an open connection in these 50 ms, from a caller or a router of another data centre, was started, and the exit broke its connection. Besides, responses said "Connection: close" only after the listener had closed, and not those of requests that had been read before.

Change: once drained the router refuses requests with 503, outcome not-run and reason shutting-down, which is true and lets the caller or peer try elsewhere. From the signal on each response closes its connection and says so.

--- a/gwrouted/caller.c
+++ b/gwrouted/caller.c
@@ -152,7 +152,7 @@
 {
 	caller->started = true;
 	caller->req->res.content_length = caller->content_length;
-	h2o_start_response(caller->req, &caller->generator);
+	gw_http_start_response(caller->req, &caller->generator);
 }
 
 static void
--- a/gwrouted/drain.c
+++ b/gwrouted/drain.c
@@ -17,64 +17,47 @@
 }
 
 /*
- * Returns whether the router may exit. All requests must have ended. As long as
- * connections are open, drain_linger_ms must also have passed, because a caller
- * may have sent a request before it saw that the listener closed. After
- * drain_max_ms the router may exit in any case.
+ * Ends the shutdown. Requests that arrive from now on are refused: they could
+ * not be answered before the exit.
  */
-static bool
-is_drained(const drain_t *drain)
-{
-	const router_t *router = drain->router;
-	uint64_t now_us = gw_rt_now_us(router->rt);
-
-	if (now_us >= drain->deadline_us)
-		return true;
-	if (router->requests.length > 0 || router->open_responses > 0)
-		return false;
-	return gw_httpd_connections(router->caller_httpd) == 0 ||
-	    now_us >= drain->listener_closed_us +
-		router->settings->drain_linger_ms * GW_US_PER_MS;
-}
-
 static void
-on_check(gw_timer_t *timer, void *arg)
+drain_end(drain_t *drain)
 {
-	drain_t *drain = arg;
 	router_t *router = drain->router;
 
-	if (!is_drained(drain)) {
-		gw_timer_start(router->rt, timer, DRAIN_CHECK_INTERVAL_US,
-		    on_check, drain);
-		return;
-	}
+	router->drained = true;
 	gw_log(GW_EV_DRAINED, "requests=%u connections=%u",
 	    router->requests.length,
 	    gw_httpd_connections(router->caller_httpd));
 	fleet_send_goodbye(router->fleet);
 	admin_shutdown(router->admin);
-	gw_timer_start(
-	    router->rt, timer, GOODBYE_FLUSH_US, on_goodbye_sent, drain);
+	gw_timer_start(router->rt, &drain->timer, GOODBYE_FLUSH_US,
+	    on_goodbye_sent, drain);
 }
 
-/*
- * Called when the load balancer has had time to see /readyz fail. Stops
- * accepting connections. Responses to further requests on open connections
- * contain "Connection: close".
- */
 static void
-on_delay_expired(gw_timer_t *timer, void *arg)
+on_check(gw_timer_t *timer, void *arg)
 {
 	drain_t *drain = arg;
+	router_t *router = drain->router;
+	uint64_t elapsed_us =
+	    gw_elapsed_us(gw_rt_now_us(router->rt), drain->begun_us);
+	gw_drain_step_t step = gw_drain_step(&drain->plan, elapsed_us,
+	    MAX(router->requests.length, router->open_responses),
+	    gw_httpd_connections(router->caller_httpd));
 
-	gw_httpd_shutdown(drain->router->caller_httpd);
-	drain->listener_closed_us = gw_rt_now_us(drain->router->rt);
-	on_check(timer, drain);
+	if (step.close_listener)
+		gw_httpd_shutdown(router->caller_httpd);
+	if (step.end)
+		drain_end(drain);
+	else
+		gw_timer_start(router->rt, timer, DRAIN_CHECK_INTERVAL_US,
+		    on_check, drain);
 }
 
 /*
- * Starts the graceful shutdown; the event loop stops at its end. A second call
- * does nothing.
+ * Starts the graceful shutdown; the event loop stops at its end. Responses
+ * contain "Connection: close" from now on. A second call does nothing.
  */
 void
 drain_begin(drain_t *drain, router_t *router)
@@ -85,9 +68,12 @@
 		return;
 	router->draining = true;
 	drain->router = router;
-	drain->deadline_us =
-	    gw_rt_now_us(router->rt) + settings->drain_max_ms * GW_US_PER_MS;
+	drain->begun_us = gw_rt_now_us(router->rt);
+	drain->plan = (gw_drain_plan_t){
+	    .listen_us = settings->drain_delay_ms * GW_US_PER_MS,
+	    .linger_us = settings->drain_linger_ms * GW_US_PER_MS,
+	    .end_us = settings->drain_max_ms * GW_US_PER_MS};
 	gw_log(GW_EV_SHUTDOWN, "requests=%u", router->requests.length);
-	gw_timer_start(router->rt, &drain->timer,
-	    settings->drain_delay_ms * GW_US_PER_MS, on_delay_expired, drain);
+	gw_httpd_announce_close(router->caller_httpd);
+	on_check(&drain->timer, drain);
 }
--- a/gwrouted/drain.h
+++ b/gwrouted/drain.h
@@ -2,6 +2,7 @@
 #define GWROUTED_DRAIN_H
 
 #include "gw/runtime.h"
+#include "http/drain.h"
 
 typedef struct router router_t;
 
@@ -9,8 +10,8 @@
 typedef struct {
 	router_t *router;
 	gw_timer_t timer;
-	uint64_t listener_closed_us; /* time when the listener closed */
-	uint64_t deadline_us; /* the shutdown ends then even if requests run */
+	gw_drain_plan_t plan;
+	uint64_t begun_us;
 } drain_t;
 
 void drain_begin(drain_t *, router_t *);
--- a/gwrouted/intake.c
+++ b/gwrouted/intake.c
@@ -163,6 +163,8 @@
 	const manifest_t *manifest = request->router->config.manifest;
 	const manifest_route_t *route;
 
+	if (request->router->drained)
+		return REASON_SHUTTING_DOWN;
 	if (manifest == NULL)
 		return REASON_NO_MANIFEST;
 	if (!request->router->view.admitted)
--- a/gwrouted/reason.c
+++ b/gwrouted/reason.c
@@ -18,6 +18,8 @@
 	"the router has no manifest yet"},
     [REASON_NOT_ADMITTED] = {"not-admitted", 503,
 	"the planner has not admitted the router yet"},
+    [REASON_SHUTTING_DOWN] = {"shutting-down", 503,
+	"the router is about to exit"},
     [REASON_QUEUE_FULL] = {"queue-full", 503, "the pool's queue is full"},
     [REASON_OVER_SHARE] = {"over-share", 429,
 	"the team is beyond its share of the pool's queue"},
--- a/gwrouted/router.h
+++ b/gwrouted/router.h
@@ -42,6 +42,7 @@
 	admin_t *admin;
 	gw_timer_t tick;
 	bool draining;
+	bool drained; /* the process is about to exit; it takes no requests */
 };
 
 router_t *router_new(gw_rt_t *, const settings_t *);
--- a/lib/http/httpd.c
+++ b/lib/http/httpd.c
@@ -174,8 +174,18 @@
 }
 
 /*
- * Stops accepting connections and closes each open one after its current
- * request.
+ * Closes each connection after its next response, which says so, that callers
+ * use another server from then on. New connections are still accepted.
+ */
+void
+gw_httpd_announce_close(gw_httpd_t *httpd)
+{
+	if (!httpd->context.shutdown_requested)
+		h2o_context_request_shutdown(&httpd->context);
+}
+
+/*
+ * Stops accepting connections and closes each open one after its next response.
  */
 void
 gw_httpd_shutdown(gw_httpd_t *httpd)
@@ -183,7 +193,7 @@
 	if (httpd->listening)
 		uv_close((uv_handle_t *)&httpd->listener, NULL);
 	httpd->listening = false;
-	h2o_context_request_shutdown(&httpd->context);
+	gw_httpd_announce_close(httpd);
 }
 
 /*
@@ -243,6 +253,18 @@
 	return pfd.fd >= 0 && poll(&pfd, 1, 0) == 1;
 }
 
+/*
+ * Starts a response. libh2o decides when it reads a request whether the
+ * connection stays open; a shutdown may have begun since.
+ */
+void
+gw_http_start_response(h2o_req_t *req, h2o_generator_t *generator)
+{
+	if (req->conn->ctx->shutdown_requested)
+		req->http1_is_persistent = 0;
+	h2o_start_response(req, generator);
+}
+
 /*
  * Sends a complete response. body is copied; content_type is not and must be a
  * constant.
@@ -260,7 +282,7 @@
 	req->res.content_length = size_bytes;
 	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
 	    NULL, content_type, strlen(content_type));
-	h2o_start_response(req, &generator);
+	gw_http_start_response(req, &generator);
 	h2o_send(req, &buf, 1, 1);
 }
 
--- a/lib/http/httpd.h
+++ b/lib/http/httpd.h
@@ -32,12 +32,14 @@
     gw_rt_t *, const gw_httpd_limits_t *, gw_http_handler_t, void *arg);
 int gw_httpd_listen(
     gw_httpd_t *, const gw_addr_t *, gw_addr_t *bound, gw_err_t *);
+void gw_httpd_announce_close(gw_httpd_t *);
 void gw_httpd_shutdown(gw_httpd_t *);
 uint32_t gw_httpd_connections(const gw_httpd_t *);
 void gw_httpd_free(gw_httpd_t *);
 
 int gw_http_caller_fd(h2o_req_t *);
 bool gw_http_caller_gone(h2o_req_t *);
+void gw_http_start_response(h2o_req_t *, h2o_generator_t *);
 void gw_http_reply(h2o_req_t *, int status, const char *content_type,
     const void *body, size_t size_bytes);
 void gw_http_reply_error(
