gwentryd: keep callers' connections until they leave or the grace period ends

Cause: a process that shuts down ended 2.8 s after the signal as soon as no request was open, whatever connections were, though its grace period is longer. Responses said "Connection: close" only from 2.5 s on, so callers that send less often learned of the end by losing a request, or their connection.

Change: each response closes its connection and says so from the signal on; the process ends when no connection is left, or DRAIN_MARGIN_MS before the end of the grace period; all that is open by then is replied to. The decision is gw_drain_step(). A grace period shorter than the margin no longer wraps.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -7,6 +7,7 @@
 #include "front.h"
 #include "gw/log.h"
 #include "homes.h"
+#include "http/drain.h"
 #include "layout.h"
 #include "owners.h"
 #include "planner.h"
@@ -36,8 +37,6 @@
  * reach the callers.
  */
 #define DRAIN_REPLY_ALL_MS 250
-/* Minimum time from closing the listener to the exit. */
-#define DRAIN_LINGER_MS 300
 #define MS_PER_S 1000
 
 struct entry {
@@ -55,9 +54,8 @@
 	layout_t *layout;
 	stats_t *stats;
 	gw_timer_t drain_timer;
-	uint64_t drain_release_at_us; /* latest release of the roles */
-	uint64_t drain_end_at_us;     /* latest exit of the process */
-	uint64_t drain_close_at_us;   /* when the callers' listener closes */
+	gw_drain_plan_t drain_plan;
+	uint64_t drain_begun_us;
 	bool draining;
 	bool roles_released;
 	bool listener_closed;
@@ -403,22 +401,22 @@
 on_drain_tick(gw_timer_t *timer, void *arg)
 {
 	entry_t *entry = arg;
-	uint64_t now_us = gw_rt_now_us(entry->rt);
+	uint64_t elapsed_us =
+	    gw_elapsed_us(gw_rt_now_us(entry->rt), entry->drain_begun_us);
+	gw_drain_step_t step = gw_drain_step(&entry->drain_plan, elapsed_us,
+	    front_request_count(entry->front),
+	    front_connection_count(entry->front));
 
 	if (owners_are_flushed(entry->owners) ||
-	    now_us >= entry->drain_release_at_us)
+	    elapsed_us >= DRAIN_RELEASE_MS * GW_US_PER_MS)
 		release_roles(entry);
-	if (now_us >= entry->drain_close_at_us && !entry->listener_closed) {
+	if (step.close_listener && !entry->listener_closed) {
 		entry->listener_closed = true;
 		front_close_listener(entry->front);
 	}
-	if (now_us + DRAIN_REPLY_ALL_MS * GW_US_PER_MS >=
-	    entry->drain_end_at_us)
+	if (step.reply_all)
 		front_reply_all(entry->front);
-	if (now_us >= entry->drain_end_at_us ||
-	    (entry->listener_closed && front_request_count(entry->front) == 0 &&
-		now_us >= entry->drain_close_at_us +
-			DRAIN_LINGER_MS * GW_US_PER_MS)) {
+	if (step.end) {
 		release_roles(entry);
 		gw_log(GW_EV_DRAINED, "requests=%u connections=%u",
 		    front_request_count(entry->front),
@@ -431,14 +429,16 @@
 }
 
 /*
- * Starts the graceful shutdown. From now on /ready fails; the roles are
- * released once all writes to the store are done; callers on open connections
- * are served until shortly before the end of the platform's grace period.
+ * Starts the graceful shutdown. From now on /ready fails, and each response
+ * ends its connection and says so; the roles are released once all writes to
+ * the store are done; callers on open connections are served until shortly
+ * before the end of the platform's grace period.
  */
 void
 entry_shutdown(entry_t *entry)
 {
-	uint64_t now_us = gw_rt_now_us(entry->rt);
+	uint32_t grace_ms = entry->settings.stop_grace_s * MS_PER_S;
+	uint64_t end_ms = grace_ms - MIN(DRAIN_MARGIN_MS, grace_ms);
 
 	if (entry->draining)
 		return;
@@ -446,11 +446,13 @@
 	gw_log(GW_EV_SHUTDOWN, "requests=%u pools=%u",
 	    front_request_count(entry->front), owners_count(entry->owners));
 	owners_refuse_changes(entry->owners);
-	entry->drain_release_at_us = now_us + DRAIN_RELEASE_MS * GW_US_PER_MS;
-	entry->drain_close_at_us = now_us + DRAIN_LISTEN_MS * GW_US_PER_MS;
-	entry->drain_end_at_us = now_us +
-	    (entry->settings.stop_grace_s * MS_PER_S - DRAIN_MARGIN_MS) *
-		GW_US_PER_MS;
+	front_announce_close(entry->front);
+	entry->drain_begun_us = gw_rt_now_us(entry->rt);
+	entry->drain_plan =
+	    (gw_drain_plan_t){.listen_us = DRAIN_LISTEN_MS * GW_US_PER_MS,
+		.linger_us = end_ms * GW_US_PER_MS,
+		.end_us = end_ms * GW_US_PER_MS,
+		.reply_all_us = DRAIN_REPLY_ALL_MS * GW_US_PER_MS};
 	on_drain_tick(&entry->drain_timer, entry);
 }
 
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -264,6 +264,12 @@
 	}
 }
 
+void
+front_announce_close(front_t *front)
+{
+	gw_httpd_announce_close(front->httpd);
+}
+
 void
 front_close_listener(front_t *front)
 {
--- a/gwentryd/front.h
+++ b/gwentryd/front.h
@@ -24,6 +24,8 @@
 void front_set_config_current(front_t *, uint64_t at_us);
 /* Sets the number of shards of each pool; before, requests are refused. */
 void front_set_shard_count(front_t *, uint32_t shard_count);
+/* Each response ends its connection from now on, and says so. */
+void front_announce_close(front_t *);
 /* Closes the listener; open connections close after their next request. */
 void front_close_listener(front_t *);
 /*
