Name a role's last owner in the store, as a condition of each claim

What callers saw: LOST, tasks that last and do not run again for 12 s, until 8.6 s after the last disruption (7 s are allowed). An instance is lost while the store is away for 3 s, and when it is back all entry processes are killed at one moment and start again.

Cause: the key of a role vanishes with its owner's lease. A process that starts afterwards finds the role vacant, knows of no owner before it, asks nobody, and counts the longest lease (8.24 s) from its own gain for an instance that it cannot reach.

Evidence: 7029 LEASES_BOUNDED vacant_ms=0 lease_ended=0 lapse_ms=8240 0.3 s after the start, and 7025 INSTANCE_LOST reason=lapsed 8.2 s later.

Change: a claim writes gw/role/@last/ROLE (address, boot id and lease) in the transaction that creates the role's key, on condition that it is unchanged since the process read it. So a process that has just started knows whom to ask, and a claim proves that nobody came in between; the wait then counts from when the role was seen vacant, not from the gain. That also ends the wait that began anew after each failed claim.

Can it let a task run twice? The bound needs the last owner's lease to have ended (seen by the announcement under the same lease), and its renewals end renew_grace_ms later by its own clock; without that the longer bound holds.

--- a/gwentryd/claim.c
+++ b/gwentryd/claim.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -128,9 +129,10 @@
 
 /*
  * Claims the role: creates its key under this process's lease, on condition
- * that the key does not exist. The delay begins again if the lease is not valid
- * or the roles have not been read, and goes on if it has become longer since
- * the claim was scheduled.
+ * that the key does not exist and that nobody has claimed the role since the
+ * last owner that this process knows. The delay begins again if the lease is
+ * not valid or the roles have not been read, and goes on if it has become
+ * longer since the claim was scheduled.
  */
 static void
 on_claim(gw_timer_t *timer, void *arg)
@@ -138,13 +140,17 @@
 	role_t *role = arg;
 	roles_t *roles = role->roles;
 	g_autofree char *value = NULL;
-	char key[ROLE_KEY_BYTES];
-	store_precondition_t precondition = {.key = key};
-	store_write_t write = {.key = key, .lease_id = lease_id(roles->lease)};
-	store_txn_t txn = {.preconditions = &precondition,
-	    .precondition_count = 1,
-	    .writes = &write,
-	    .write_count = 1};
+	g_autofree char *last = NULL;
+	char key[ROLE_KEY_BYTES], last_key[ROLE_KEY_BYTES];
+	const store_precondition_t preconditions[] = {
+	    {.key = key}, {last_key, role->last_revision}};
+	store_write_t writes[] = {
+	    {.key = key, .lease_id = lease_id(roles->lease)},
+	    {.key = last_key}};
+	store_txn_t txn = {.preconditions = preconditions,
+	    .precondition_count = G_N_ELEMENTS(preconditions),
+	    .writes = writes,
+	    .write_count = G_N_ELEMENTS(writes)};
 
 	(void)timer;
 	if (role->owner != NULL || role->claim_in_flight || role->fence != 0 ||
@@ -163,10 +169,16 @@
 		remove_odd_key(role, key);
 		return;
 	}
+	roles_last_key(role->name, last_key, sizeof(last_key));
 	value = g_strdup_printf("%s %s %s %s", roles->address, roles->boot_id,
 	    roles->data_centre, roles->node);
-	write.value = value;
-	write.size_bytes = strlen(value);
+	writes[0].value = value;
+	writes[0].size_bytes = strlen(value);
+	last = g_strdup_printf("%s %s %" PRIu64, roles->address, roles->boot_id,
+	    lease_id(roles->lease));
+	writes[1].value = last;
+	writes[1].size_bytes = strlen(last);
+	role->last_owner_certain = role_knows_last_owner(role);
 	role->claim_in_flight = true;
 	store_txn(roles->store, &txn, on_claimed, role);
 }
--- a/gwentryd/processes.c
+++ b/gwentryd/processes.c
@@ -118,6 +118,22 @@
 	g_hash_table_insert(roles->processes, g_strdup(item->key), known);
 }
 
+/*
+ * Returns whether a process has announced itself under this lease.
+ */
+bool
+roles_lease_is_present(const roles_t *roles, uint64_t lease_id)
+{
+	const present_process_t *process;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, roles->processes);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&process))
+		if (process->lease_id == lease_id)
+			return true;
+	return false;
+}
+
 static uint32_t
 count_claimable(const roles_t *roles)
 {
--- a/gwentryd/role.c
+++ b/gwentryd/role.c
@@ -1,6 +1,8 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "gw/addr.h"
 #include "gw/log.h"
 #include "role.h"
 
@@ -23,6 +25,16 @@
 	    out, size_bytes, "%s%s%s/n", ROLE_PREFIX, LAPSING_PREFIX, shard);
 }
 
+/*
+ * Writes the store's key for the last owner of a role.
+ */
+void
+roles_last_key(const char *role, char *out, uint32_t size_bytes)
+{
+	(void)snprintf(
+	    out, size_bytes, "%s%s%s", ROLE_PREFIX, LAST_PREFIX, role);
+}
+
 /*
  * Returns the role of that name; creates it if it is unknown.
  */
@@ -105,16 +117,78 @@
 }
 
 /*
- * Notes the lease of the role's key, which now has an owner.
+ * Notes the lease and the creation of the role's key, which now has an owner.
  */
 void
-role_set_owner_lease(role_t *role, uint64_t lease_id)
+role_set_owner_lease(role_t *role, uint64_t lease_id, uint64_t create_revision)
 {
 	role->owner_lease_id = lease_id;
+	role->owner_key_revision = create_revision;
 	role->owner_lease_ended_us = 0;
 	role->absent_since_us = 0;
 }
 
+/*
+ * Applies the key that names the process that claimed the role last. Its value
+ * is the process's address, boot id and lease.
+ */
+void
+role_apply_last(role_t *role, const store_item_t *item)
+{
+	const roles_t *roles = role->roles;
+	g_auto(GStrv) words = NULL;
+	gw_err_t unused_err;
+	gw_addr_t address;
+
+	if (item->mod_revision <= role->last_revision)
+		return;
+	role->last_revision = item->removed ? 0 : item->mod_revision;
+	if (item->removed)
+		return;
+	words = g_strsplit(item->value, " ", 3);
+	if (g_strv_length(words) != 3 ||
+	    gw_addr_parse(&address, words[0], &unused_err) != 0) {
+		gw_log(GW_EV_ENTRY_IGNORED, "key=%s text=\"names no process\"",
+		    item->key);
+		return;
+	}
+	if (strcmp(words[1], roles->boot_id) == 0)
+		return;
+	role_add_previous_owner(role, words[0]);
+	if (role->owner_key_revision < item->mod_revision)
+		role_set_owner_lease(
+		    role, strtoull(words[2], NULL, 10), item->mod_revision);
+}
+
+/*
+ * Handles that all keys have been read, and the role has no owner. If its last
+ * owner is known, its key was gone by now; so was its lease, unless the process
+ * is still announced under it.
+ */
+void
+role_note_listed(role_t *role)
+{
+	uint64_t now_us = gw_rt_now_us(role->roles->rt);
+
+	if (role->absent_since_us != 0 || !role_knows_last_owner(role))
+		return;
+	role->absent_since_us = now_us;
+	if (role->owner_lease_id != 0 &&
+	    !roles_lease_is_present(role->roles, role->owner_lease_id))
+		role->owner_lease_ended_us = now_us;
+}
+
+/*
+ * Returns whether the last owner that this process knows is the one that the
+ * store names. A claim on that condition proves that there was no later one.
+ */
+bool
+role_knows_last_owner(const role_t *role)
+{
+	return role->last_revision != 0 &&
+	    role->owner_key_revision == role->last_revision;
+}
+
 /*
  * Returns what this process saw of the last owner's end.
  */
@@ -124,10 +198,10 @@
 	bool lease_ended = role->owner_lease_ended_us != 0;
 
 	if (role->absent_since_us == 0)
-		return (sched_vacancy_t){0, false};
+		return (sched_vacancy_t){0, false, false};
 	return (sched_vacancy_t){
-	    MAX(role->absent_since_us, role->owner_lease_ended_us),
-	    lease_ended};
+	    MAX(role->absent_since_us, role->owner_lease_ended_us), lease_ended,
+	    role->last_owner_certain};
 }
 
 /*
@@ -153,7 +227,7 @@
 	g_free(role->owner_data_centre);
 	role->owner_data_centre = g_strdup(roles->data_centre);
 	role->vacant_since_us = 0;
-	role_set_owner_lease(role, lease_id(roles->lease));
+	role_set_owner_lease(role, lease_id(roles->lease), fence);
 	gw_log(GW_EV_ROLE_GAINED,
 	    "role=%s fence=%" PRIu64
 	    " owned=%u previous_owner=%s since_start_ms=%" PRIu64,
--- a/gwentryd/role.h
+++ b/gwentryd/role.h
@@ -19,6 +19,11 @@
 #define PROCESS_PREFIX "@process/"
 /* Below ROLE_PREFIX: a shard's list of lapsing leases. */
 #define LAPSING_PREFIX "@lapsing/"
+/*
+ * Below ROLE_PREFIX: the process that claimed a role last, under no lease. It
+ * is written with the role's key, so its revision is the last owner's fence.
+ */
+#define LAST_PREFIX "@last/"
 
 typedef struct {
 	roles_t *roles;
@@ -33,6 +38,12 @@
 	uint64_t odd_key_revision; /* of a key that names no process; 0: none */
 	/* Lease of the last owner's key; 0: not known. */
 	uint64_t owner_lease_id;
+	/* Creation of the last owner's key; 0: none was seen. */
+	uint64_t owner_key_revision;
+	/* Of the key below LAST_PREFIX; 0: there is none. */
+	uint64_t last_revision;
+	/* The claim proves that the last owner seen was the last one. */
+	bool last_owner_certain;
 	/* When that lease was seen to have ended; 0: not seen. */
 	uint64_t owner_lease_ended_us;
 	/* Since when the key has been absent, as seen; 0: not seen. */
@@ -81,7 +92,12 @@
 role_t *role_get(roles_t *, const char *name);
 void role_free(gpointer);
 void role_add_previous_owner(role_t *, const char *address);
-void role_set_owner_lease(role_t *, uint64_t lease_id);
+void role_set_owner_lease(
+    role_t *, uint64_t lease_id, uint64_t create_revision);
+void role_apply_last(role_t *, const store_item_t *);
+void role_note_listed(role_t *);
+bool role_knows_last_owner(const role_t *);
+void roles_last_key(const char *role, char *out, uint32_t size_bytes);
 void role_lose(role_t *, const char *reason);
 void role_gain(role_t *, uint64_t fence);
 uint32_t roles_count_owned(const roles_t *);
@@ -89,6 +105,7 @@
 /* processes.c */
 void roles_announce(roles_t *);
 void roles_apply_process(roles_t *, const store_item_t *);
+bool roles_lease_is_present(const roles_t *, uint64_t lease_id);
 sched_process_t roles_claim_reference(const roles_t *);
 
 #endif
--- a/gwentryd/roles.c
+++ b/gwentryd/roles.c
@@ -30,7 +30,7 @@
 	gw_log(
 	    GW_EV_ENTRY_IGNORED, "key=%s text=\"names no process\"", item->key);
 	role->odd_key_revision = item->mod_revision;
-	role_set_owner_lease(role, 0);
+	role_set_owner_lease(role, 0, 0);
 	role_lose(role, "role-key-changed");
 	role_schedule_claim(role);
 }
@@ -60,7 +60,8 @@
 	if (strcmp(words[1], roles->boot_id) == 0 && !roles->released)
 		role_gain(role, item->create_revision);
 	else {
-		role_set_owner_lease(role, item->lease_id);
+		role_set_owner_lease(
+		    role, item->lease_id, item->create_revision);
 		role_add_previous_owner(role, words[0]);
 		role_lose(role, "other-owner");
 	}
@@ -101,6 +102,7 @@
 	roles_t *roles = arg;
 	const char *name;
 	role_t *role;
+	bool is_last;
 
 	if (!g_str_has_prefix(item->key, ROLE_PREFIX))
 		return;
@@ -109,6 +111,9 @@
 		apply_lapsing(roles, item);
 		return;
 	}
+	is_last = g_str_has_prefix(name, LAST_PREFIX);
+	if (is_last)
+		name += strlen(LAST_PREFIX);
 	if (strlen(name) >= SCHED_NAME_BYTES) {
 		gw_log(GW_EV_ENTRY_IGNORED, "key=%s text=\"name too long\"",
 		    item->key);
@@ -119,6 +124,10 @@
 		return;
 	}
 	role = role_get(roles, name);
+	if (is_last) {
+		role_apply_last(role, item);
+		return;
+	}
 	if (item->mod_revision < role->revision)
 		return;
 	role->revision = item->mod_revision;
@@ -144,9 +153,13 @@
 
 	roles->listed = true;
 	g_hash_table_iter_init(&iter, roles->by_name);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&role))
-		if (role->owner == NULL && !gw_timer_armed(&role->claim_timer))
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&role)) {
+		if (role->owner != NULL)
+			continue;
+		role_note_listed(role);
+		if (!gw_timer_armed(&role->claim_timer))
 			role_schedule_claim(role);
+	}
 }
 
 static void
--- a/lib/sched/handover.c
+++ b/lib/sched/handover.c
@@ -19,9 +19,10 @@
 /*
  * Returns when previous owners send no more renewals. An owner whose lease has
  * ended goes on for renew_grace_ms; one that only lost its key may renew its
- * own lease once more before it sees that. If the role may have been vacant for
- * as long as a lease can be, another process may have owned it meanwhile,
- * unseen.
+ * own lease once more before it sees that. Both count from when the vacancy was
+ * seen if no other process can have owned the role since; else from now, and if
+ * the role may have been vacant for as long as a lease can be, another process
+ * may have owned it meanwhile, unseen.
  */
 static uint64_t
 previous_renewals_end_us(const sched_bounds_t *bounds,
@@ -33,6 +34,11 @@
 	    gw_elapsed_us(now_us, vacancy->vacant_since_us) <
 		lease_ms * GW_US_PER_MS / 2;
 
+	if (vacancy->last_owner_certain && vacancy->vacant_since_us != 0)
+		return vacancy->vacant_since_us +
+		    sched_drift_bound_us(vacancy->lease_ended
+			    ? bounds->renew_grace_ms
+			    : bounds->previous_renew_max_ms);
 	return now_us +
 	    sched_drift_bound_us(is_recent && vacancy->lease_ended
 		    ? bounds->renew_grace_ms
@@ -42,20 +48,21 @@
 void
 sched_pool_set_vacancy(sched_pool_t *pool, const sched_vacancy_t *vacancy)
 {
-	uint64_t now_us = gw_clock_now_us(pool->clock);
+	uint64_t now_us = gw_clock_now_us(pool->clock), expiry_us;
 
 	pool->previous_renewals_end_us =
 	    previous_renewals_end_us(&pool->bounds, vacancy, now_us);
+	expiry_us = sched_pool_previous_expiry_us(pool, "", now_us);
 	gw_log(GW_EV_LEASES_BOUNDED,
-	    "pool=%s vacant_ms=%" PRIu64 " lease_ended=%d lapse_ms=%" PRIu64,
+	    "pool=%s vacant_ms=%" PRIu64
+	    " lease_ended=%d last_owner_certain=%d lapse_ms=%" PRIu64,
 	    pool->name,
 	    vacancy->vacant_since_us == 0
 		? 0
 		: gw_elapsed_us(now_us, vacancy->vacant_since_us) /
 		    GW_US_PER_MS,
-	    vacancy->lease_ended,
-	    (sched_pool_previous_expiry_us(pool, "", now_us) - now_us) /
-		GW_US_PER_MS);
+	    vacancy->lease_ended, vacancy->last_owner_certain,
+	    gw_elapsed_us(expiry_us, now_us) / GW_US_PER_MS);
 }
 
 /*
@@ -69,12 +76,12 @@
 {
 	const uint64_t *expiry_us =
 	    g_hash_table_lookup(pool->previous_leases, instance);
-	uint64_t renewals_end_us = now_us;
+	uint64_t renewals_end_us = pool->previous_renewals_end_us;
 
 	if (expiry_us != NULL)
 		return *expiry_us;
-	if (!pool->previous_gone)
-		renewals_end_us = pool->previous_renewals_end_us;
+	if (pool->previous_gone)
+		renewals_end_us = MIN(renewals_end_us, now_us);
 	return renewals_end_us + sched_drift_bound_us(SCHED_LEASE_MS);
 }
 
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -291,6 +291,8 @@
 	uint64_t vacant_since_us;
 	/* The last owner's lease had ended, so it did not only lose the key. */
 	bool lease_ended;
+	/* No other process can have owned the pool since. */
+	bool last_owner_certain;
 } sched_vacancy_t;
 /*
  * Bounds the time of the last renewals by previous owners. Called before any
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -325,7 +325,7 @@
 }
 
 /*
- * takeover [vacant=MS] [lease-ended] [previous-gone] [left ms=MS] [told]
+ * takeover [vacant=MS] [lease-ended] [certain] [previous-gone] [left ms=MS] [told]
  * [unloaded] [old-version] [registered born=]: a new owner reads the store. The
  * pool was seen without an owner for MS, and the lease of the last one was seen
  * to end. The previous one has released the pool, without leases or with one on
@@ -338,7 +338,8 @@
 do_takeover(void)
 {
 	uint64_t vacant_ms = lookup_number("vacant", 0);
-	sched_vacancy_t vacancy = {.lease_ended = has_word("lease-ended")};
+	sched_vacancy_t vacancy = {.lease_ended = has_word("lease-ended"),
+	    .last_owner_certain = has_word("certain")};
 
 	if (batch != NULL)
 		sched_batch_drop(batch);
--- a/regress/sched/takeover.sh
+++ b/regress/sched/takeover.sh
@@ -107,6 +107,16 @@
 $(lapse_after 8230 vacant=1000 lease-ended)
 EOT
 
+# Guards against a wait that begins with the takeover although the claim proves that
+# nobody has owned the role since it was seen vacant.
+play "the wait counts from the vacancy when the last owner is certain" one <<EOT
+$(lapse_after 3170 vacant=3000 lease-ended certain)
+EOT
+
+play "the same for one that lost only its key" one <<EOT
+$(lapse_after 5230 vacant=3000 certain)
+EOT
+
 # Guards against an owner that was suspended, was replaced meanwhile and continues:
 # it must send no starts after its lease has expired, and extend no leases after
 # renew_grace_ms.
