gwworkerd: carry out orders to machines; list failed and running tasks

Without it orders are only counted, as before. GET /ends adds how often each task has failed, GET /running which tasks run; a start beyond a worker's capacity is logged with the worker's runs. The control address serves 64 connections, as many as its clients' pools open.

--- a/tools/gwworkerd/main.c
+++ b/tools/gwworkerd/main.c
@@ -7,6 +7,7 @@
 
 #include "gw/log.h"
 #include "gw/setting.h"
+#include "machine.h"
 #include "platform/kv.h"
 #include "registration.h"
 #include "worker.h"
@@ -14,16 +15,17 @@
 #define STORE_TIMEOUT_MS 1000
 #define CONTROL_BODY_MAX_BYTES 4096
 #define CONTROL_IDLE_TIMEOUT_MS 10000
-#define CONTROL_CONNECTIONS_MAX 16
+#define CONTROL_CONNECTIONS_MAX 64
 
 static gw_addr_t listen_addr, store_addr, control_addr;
-static uint32_t start_count, work_ms, stop_ms, cpu_millis;
-static char *pool_name, *id_prefix;
+static uint32_t start_count, work_ms, stop_ms, cpu_millis, machine_ms;
+static char *pool_name, *id_prefix, *standby_pool;
 static gw_rt_t *rt;
 static store_t *store;
 static GPtrArray *workers;	 /* worker_t, also those that have left */
 static GPtrArray *registrations; /* of the workers, in the same order */
 static worker_stats_t stats;
+static machines_t *machines;
 
 static const gw_setting_t settings[] = {
     {"listen", GW_SETTING_ADDR, &listen_addr, "127.0.0.1:28600",
@@ -42,13 +44,21 @@
     {"pool", GW_SETTING_TEXT, &pool_name, "p1", "pool of the workers", 0, 0},
     {"id-prefix", GW_SETTING_TEXT, &id_prefix, "w",
 	"the workers' ids are this and a number", 0, 0},
+    {"machine-ms", GW_SETTING_U32, &machine_ms, "0",
+	"time that a move or the upkeep of a machine takes; 0: orders are only "
+	"counted",
+	0, 600000},
+    {"standby-pool", GW_SETTING_TEXT, &standby_pool, "",
+	"pool whose machines have no workers", 0, 0},
 };
 
 /*
- * Starts a worker on the next port. Returns 0, or -1 with the error.
+ * Starts a worker on the next port; machine is NULL for a machine of its own.
+ * Returns NULL with the error.
  */
-static int
-add_worker(const char *pool, const char *data_centre, gw_err_t *err)
+static worker_t *
+start_worker(const char *pool, const char *data_centre, const char *machine,
+    gw_err_t *err)
 {
 	gw_addr_t addr = listen_addr;
 	worker_t *worker;
@@ -59,7 +69,9 @@
 	    &addr, (uint16_t)(gw_addr_port(&listen_addr) + workers->len));
 	worker = worker_new(rt, &stats, id, &addr, work_ms, err);
 	if (worker == NULL)
-		return -1;
+		return NULL;
+	g_strlcpy(worker->machine, machine == NULL ? id : machine,
+	    sizeof(worker->machine));
 	worker->stop_ms = stop_ms;
 	worker->cpu_millis = cpu_millis;
 	g_strlcpy(worker->pool, pool, sizeof(worker->pool));
@@ -67,11 +79,52 @@
 	    worker->data_centre, data_centre, sizeof(worker->data_centre));
 	g_ptr_array_add(workers, worker);
 	g_ptr_array_add(registrations, registration_new(rt, store, worker));
+	return worker;
+}
+
+/*
+ * Starts the next worker of a machine that was moved or maintained.
+ */
+static worker_t *
+start_next_worker(
+    const char *pool, const char *data_centre, const char *machine)
+{
+	gw_err_t error;
+	worker_t *worker = start_worker(pool, data_centre, machine, &error);
+
+	if (worker == NULL)
+		warnx("%s: %s", error.peer, error.text);
+	return worker;
+}
+
+static const machines_ops_t machines_ops = {.start_worker = start_next_worker};
+
+/*
+ * Adds a machine in the pool and the data centre, with a worker unless the pool
+ * is the standby pool. Returns 0, or -1 with the error.
+ */
+static int
+add_machine(const char *pool, const char *data_centre, gw_err_t *err)
+{
+	static uint32_t standby_count;
+	worker_t *worker = NULL;
+	char name[32];
+
+	if (strcmp(pool, standby_pool) != 0) {
+		worker = start_worker(pool, data_centre, NULL, err);
+		if (worker == NULL)
+			return -1;
+		g_strlcpy(name, worker->machine, sizeof(name));
+	} else {
+		(void)snprintf(
+		    name, sizeof(name), "standby-%u", standby_count++);
+	}
+	machines_add(machines, name, pool, data_centre, worker);
 	return 0;
 }
 
 /*
- * Starts a worker in the pool and the data centre that the request names.
+ * Adds a machine in the pool and the data centre that the request names.
  */
 static int
 handle_add(const json_t *request)
@@ -82,7 +135,29 @@
 	if (json_unpack((json_t *)request, "{s:s, s:s}", "add", &pool, "zone",
 		&data_centre) != 0)
 		return -1;
-	return add_worker(pool, data_centre, &error);
+	return add_machine(pool, data_centre, &error);
+}
+
+/*
+ * Carries out an order to a machine. Returns the status of the response.
+ */
+static int
+handle_order(const h2o_req_t *req, bool is_move)
+{
+	json_t *body = json_loadb(req->entity.base, req->entity.len, 0, NULL);
+	const machine_order_t order = {
+	    .machine = json_string_value(json_object_get(body, "machine")),
+	    .pool = is_move ? json_string_value(json_object_get(body, "pool"))
+			    : NULL};
+	int status;
+
+	if (is_move)
+		stats.moves++;
+	else
+		stats.upkeeps++;
+	status = machines_order(machines, &order);
+	json_decref(body);
+	return status;
 }
 
 /*
@@ -129,11 +204,12 @@
 static json_t *
 stats_json(void)
 {
-	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}",
+	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}",
 	    "over", (int)stats.over, "starts", (int)stats.starts, "ends",
 	    (int)stats.ends, "lapses", (int)stats.lapses, "doubles",
 	    (int)stats.doubles, "fenced", (int)stats.fenced, "upkeeps",
-	    (int)stats.upkeeps, "crashes", (int)stats.crashes, "running",
+	    (int)stats.upkeeps, "moves", (int)stats.moves, "crashes",
+	    (int)stats.crashes, "running",
 	    (int)g_hash_table_size(stats.running));
 }
 
@@ -185,9 +261,10 @@
 			stopping += ((run_t *)run)->stopping;
 		}
 		json_array_append_new(rows,
-		    json_pack("{s:s, s:s, s:b, s:b, s:i, s:i, s:i}", "id",
-			worker->id, "pool", worker->pool, "left", worker->left,
-			"leaving", worker->leaving, "runs",
+		    json_pack("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i}", "id",
+			worker->id, "machine", worker->machine, "pool",
+			worker->pool, "left", worker->left, "leaving",
+			worker->leaving, "runs",
 			(int)g_hash_table_size(worker->runs), "stopping",
 			stopping, "cpu", cpu));
 	}
@@ -211,23 +288,38 @@
 }
 
 /*
- * Returns the list of machines: each worker runs on its own machine.
+ * Returns how many runs of each task have ended as failed, and which tasks are
+ * done.
  */
 static json_t *
-machines_json(void)
+ends_json(void)
 {
-	json_t *rows = json_array();
+	json_t *rows = json_object(), *root = done_json();
+	GHashTableIter iter;
+	gpointer task, count;
 
-	for (guint i = 0; i < workers->len; i++) {
-		const worker_t *worker = workers->pdata[i];
+	g_hash_table_iter_init(&iter, stats.failed);
+	while (g_hash_table_iter_next(&iter, &task, &count))
+		json_object_set_new(
+		    rows, task, json_integer(GPOINTER_TO_UINT(count)));
+	json_object_set_new(root, "failed", rows);
+	return root;
+}
 
-		json_array_append_new(rows,
-		    json_pack("{s:s, s:s, s:s, s:s, s:s}", "machine",
-			worker->id, "pool", worker->pool, "state",
-			worker->left ? "down" : "up", "zone",
-			worker->data_centre, "id", worker->id));
-	}
-	return json_pack("{s:o}", "machines", rows);
+/*
+ * Returns the names of the tasks that run.
+ */
+static json_t *
+running_json(void)
+{
+	json_t *rows = json_array();
+	GHashTableIter iter;
+	gpointer task;
+
+	g_hash_table_iter_init(&iter, stats.running);
+	while (g_hash_table_iter_next(&iter, &task, NULL))
+		json_array_append_new(rows, json_string(task));
+	return json_pack("{s:o}", "running", rows);
 }
 
 static void
@@ -242,7 +334,7 @@
 
 /*
  * Handles /control, the platform's calls about machines, and for any other path
- * /stats. An order to maintain a machine is only counted.
+ * /stats.
  */
 static int
 on_control(h2o_req_t *req, void *arg)
@@ -264,11 +356,18 @@
 		reply_json(req, workers_json());
 	} else if (worker_path_is(req, "/done")) {
 		reply_json(req, done_json());
+	} else if (worker_path_is(req, "/ends")) {
+		reply_json(req, ends_json());
+	} else if (worker_path_is(req, "/running")) {
+		reply_json(req, running_json());
 	} else if (worker_path_is(req, "/machines")) {
-		reply_json(req, machines_json());
-	} else if (worker_path_is(req, "/machine-upkeep")) {
-		stats.upkeeps++;
-		reply_json(req, json_object());
+		reply_json(req, machines_json(machines));
+	} else if (worker_path_is(req, "/machine-upkeep") ||
+	    worker_path_is(req, "/machine-move")) {
+		rc = handle_order(req, worker_path_is(req, "/machine-move"));
+		gw_http_reply(req, rc, "application/json",
+		    rc == 409 ? "{\"reason\":\"busy\"}" : "{}",
+		    rc == 409 ? 17 : 2);
 	} else {
 		reply_json(req, stats_json());
 	}
@@ -283,7 +382,7 @@
 	workers = g_ptr_array_new();
 	registrations = g_ptr_array_new();
 	for (uint32_t i = 0; i < start_count; i++)
-		if (add_worker(pool_name, "dc-a", &error) != 0)
+		if (add_machine(pool_name, "dc-a", &error) != 0)
 			errx(EX_OSERR, "%s: %s", error.peer, error.text);
 }
 
@@ -326,6 +425,9 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store = store_new(rt, &store_addr, STORE_TIMEOUT_MS);
 	store_set_protocol(store, &plat_kv_protocol);
+	stats.failed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	machines = machines_new(rt, machine_ms, standby_pool, &machines_ops);
 	start_workers();
 	control = gw_httpd_new(rt, &limits, on_control, NULL);
 	if (gw_httpd_listen(control, &control_addr, NULL, &error) != 0)
--- a/tools/gwworkerd/registration.c
+++ b/tools/gwworkerd/registration.c
@@ -108,7 +108,7 @@
 	    worker->leaving ? "draining" : "ready", "cold_remaining_ms", 0,
 	    "capacity", "cpu", (int)worker->cpu_millis, "mem_mb", MEMORY_MIB,
 	    "gpu", 0, "labels", "a", "sequence", 1, "born",
-	    (json_int_t)worker->born_ms, "machine", worker->id);
+	    (json_int_t)worker->born_ms, "machine", worker->machine);
 	if (worker->leaving)
 		json_object_set_new(
 		    entry, "remaining_ms", json_integer(worker->leave_ms));
--- a/tools/gwworkerd/worker.c
+++ b/tools/gwworkerd/worker.c
@@ -182,22 +182,33 @@
 	    RESTART_MS * GW_US_PER_MS, on_restart, worker);
 }
 
-static void
-on_leave_due(gw_timer_t *timer, void *arg)
+/*
+ * Ends the worker for good, with its runs: its port is closed and its entry
+ * removed. how is a constant.
+ */
+void
+worker_leave_now(worker_t *worker, const char *how)
 {
-	worker_t *worker = arg;
-
-	(void)timer;
+	if (worker->left)
+		return;
 	worker->left = true;
-	forget_runs(worker, "left");
+	forget_runs(worker, how);
+	gw_timer_stop(&worker->leave_timer);
+	gw_timer_stop(&worker->restart_timer);
 	gw_timer_stop(&worker->lease_timer);
 	worker_cut_renewals(worker);
 	gw_httpd_shutdown(worker->httpd);
 }
 
+static void
+on_leave_due(gw_timer_t *timer, void *arg)
+{
+	(void)timer;
+	worker_leave_now(arg, "left");
+}
+
 /*
- * Ends the worker for good, with its runs, after leave_ms: its port is closed
- * and its entry removed.
+ * Ends the worker for good after leave_ms.
  */
 void
 worker_leave_later(worker_t *worker)
@@ -280,17 +291,28 @@
 	    on_stopped, run);
 }
 
+/*
+ * Returns whether the worker's runs exceed its capacity, and says which.
+ */
 static bool
 is_over_capacity(worker_t *worker)
 {
+	g_autoptr(GString) text = g_string_new(NULL);
 	uint32_t cpu_millis = 0;
 	GHashTableIter iter;
-	gpointer run;
+	run_t *run;
 
 	g_hash_table_iter_init(&iter, worker->runs);
-	while (g_hash_table_iter_next(&iter, NULL, &run))
-		cpu_millis += ((run_t *)run)->spec.cpu_millis;
-	return cpu_millis > worker->cpu_millis;
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&run)) {
+		cpu_millis += run->spec.cpu_millis;
+		g_string_append_printf(text, " %s:%u%s", run->task, run->number,
+		    run->stopping ? ":stopping" : "");
+	}
+	if (cpu_millis <= worker->cpu_millis)
+		return false;
+	warnx("over: worker=%s cpu=%u runs=%s", worker->id, cpu_millis,
+	    text->str);
+	return true;
 }
 
 /*
@@ -350,6 +372,11 @@
 		    GUINT_TO_POINTER(run->number));
 		g_hash_table_add(worker->stats->ever_done, g_strdup(task));
 	}
+	if (strcmp(kind, "failed") == 0)
+		g_hash_table_replace(worker->stats->failed, g_strdup(task),
+		    GUINT_TO_POINTER(1 +
+			GPOINTER_TO_UINT(
+			    g_hash_table_lookup(worker->stats->failed, task))));
 	g_hash_table_replace(worker->highest_ended_run, g_strdup(task),
 	    GUINT_TO_POINTER(run->number));
 	g_ptr_array_add(worker->ends,
--- a/tools/gwworkerd/worker.h
+++ b/tools/gwworkerd/worker.h
@@ -25,6 +25,7 @@
 	GHashTable *running;   /* task -> worker_t */
 	GHashTable *done;      /* tasks of which a run ended as done -> run */
 	GHashTable *ever_done; /* the same, also those whose end was lost */
+	GHashTable *failed;    /* task -> count of its failed ends */
 	GHashTable *lasting;   /* name of a task that lasts -> lasting_t */
 	uint32_t starts;
 	uint32_t ends;
@@ -32,6 +33,7 @@
 	uint32_t doubles; /* starts of a task that was running or done */
 	uint32_t fenced;  /* orders refused: a higher fence was seen */
 	uint32_t upkeeps; /* orders to maintain a machine */
+	uint32_t moves;	  /* orders to move one */
 	uint32_t crashes; /* of workers */
 	uint32_t over;	  /* starts beyond a worker's capacity */
 };
@@ -70,6 +72,7 @@
 	worker_stats_t *stats;
 	char id[32];
 	char pool[32];
+	char machine[32];
 	char data_centre[32];
 	gw_addr_t addr;
 	gw_httpd_t *httpd;
@@ -105,6 +108,7 @@
 bool worker_is_silent(const worker_t *);
 void worker_crash(worker_t *);
 void worker_leave_later(worker_t *);
+void worker_leave_now(worker_t *, const char *how);
 void worker_extend_lease(worker_t *, uint64_t deadline_ms);
 void worker_start_run(
     worker_t *, const char *task, uint32_t number, const run_spec_t *);
