--- a/regress/entry/callers.c
+++ b/regress/entry/callers.c
@@ -54,6 +54,7 @@
 	    .method = "GET",
 	    .path = "/q/",
 	    .host = "jobs.example",
+	    .deadline_ms = TIMEOUT_MS,
 	    .timeout_ms = TIMEOUT_MS};
 
 	gw_timer_start(rt, timer, interval_ms * GW_US_PER_MS, on_due, asker);
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -325,14 +325,14 @@
 }
 
 /*
- * takeover [vacant=MS] [lease-ended] [certain] [previous-gone] [left ms=MS] [told]
- * [unloaded] [old-version] [registered born=]: a new owner reads the store. The
- * pool was seen without an owner for MS, and the lease of the last one was seen
- * to end. The previous one has released the pool, without leases or with one on
- * i1 that has MS left. told: as tell-ends, before the store is read. The store
- * is not read if unloaded. old-version: an owner that does not know the list of
- * lapsing leases may have written last. registered: the registry has i1 before
- * the store is read.
+ * takeover [vacant=MS] [lease-ended] [certain] [previous-gone] [left ms=MS]
+ * [told] [unloaded] [old-version] [registered born=]: a new owner reads the
+ * store. The pool was seen without an owner for MS, and the lease of the last
+ * one was seen to end. The previous one has released the pool, without leases
+ * or with one on i1 that has MS left. told: as tell-ends, before the store is
+ * read. The store is not read if unloaded. old-version: an owner that does not
+ * know the list of lapsing leases may have written last. registered: the
+ * registry has i1 before the store is read.
  */
 static void
 do_takeover(void)
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -43,6 +43,12 @@
 	return caller;
 }
 
+bool
+caller_is_connected(const caller_t *caller)
+{
+	return caller->connected;
+}
+
 /*
  * Returns whether a request is in progress.
  */
@@ -253,7 +259,7 @@
 					 "X-Deadline-Ms: %u\r\n"
 					 "Content-Type: application/json\r\n"
 					 "Content-Length: %zu\r\n\r\n%s",
-	    request->method, request->path, request->host, request->timeout_ms,
+	    request->method, request->path, request->host, request->deadline_ms,
 	    strlen(body), body);
 	gw_timer_start(caller->rt, &caller->timer,
 	    request->timeout_ms * GW_US_PER_MS, on_timeout, caller);
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -38,12 +38,14 @@
 	const char *method;
 	const char *path;
 	const char *host;
-	const char *body; /* NULL: none */
-	uint32_t timeout_ms;
+	const char *body;     /* NULL: none */
+	uint32_t deadline_ms; /* as told to the server */
+	uint32_t timeout_ms;  /* the caller waits no longer */
 } caller_request_t;
 
 caller_t *caller_new(gw_rt_t *);
 bool caller_is_busy(const caller_t *);
+bool caller_is_connected(const caller_t *);
 void caller_send(
     caller_t *, const caller_request_t *, caller_done_t, void *arg);
 void caller_disconnect(caller_t *);
--- a/soak/main.c
+++ b/soak/main.c
@@ -7,13 +7,15 @@
 
 #include "gw/log.h"
 #include "gw/setting.h"
-#include "soak.h"
+#include "events.h"
 
 #define CALL_TIMEOUT_MS 1000
 #define SETUP_STEP_MS 300
 #define SETUP_MAX_STEPS 100
-/* Calm after the last event, so that all checks apply. */
-#define FINISH_MS 20000
+#define WORKERS_A_POOL 8
+#define STANDBY_MACHINES 3
+/* Time for the last checks, after FINISH_MS without traffic. */
+#define LAST_CHECKS_MS 6000
 #define TERM_MS 5000
 #define FAILED 1
 
@@ -92,9 +94,11 @@
  * Notes a disruption that is over at once.
  */
 void
-soak_disrupt(soak_t *self)
+soak_disrupt(soak_t *self, bool is_planned)
 {
 	self->calm_from_ms = soak_now_ms();
+	if (!is_planned)
+		self->unplanned_end_ms = self->calm_from_ms;
 }
 
 void
@@ -107,7 +111,7 @@
 soak_disruption_end(soak_t *self)
 {
 	self->disruptions--;
-	soak_disrupt(self);
+	soak_disrupt(self, false);
 }
 
 /*
@@ -125,36 +129,45 @@
 		    response->status);
 }
 
-static void
-put_config(void)
+/*
+ * Handles the response to an operator's write, which a store that is away does
+ * not take.
+ */
+void
+soak_on_config(
+    const gw_http_response_t *response, const gw_err_t *error, void *arg)
 {
-	static const char config[] =
-	    "{\"version\":1,\"routes\":[{\"name\":\"q1\",\"host\":\"" HOST
-	    "\",\"prefix\":\"/q/\",\"service\":\"p1\",\"max_attempts\":3,"
-	    "\"target_latency_ms\":600,\"stretch\":1.6}],\"services\":[{"
-	    "\"name\":\"p1\",\"enforces_capacity\":false}],\"limits\":{}}";
-	g_autofree char *value =
-	    g_base64_encode((const guchar *)config, sizeof(config) - 1);
-	g_autofree char *body = g_strdup_printf(
-	    "{\"precondition\":[],\"writes\":[{\"key\":\"op/config\","
-	    "\"value\":\"%s\"}],\"remove\":[]}",
-	    value);
-
-	(void)gw_httpc_call(soak.store_api, "POST", "/kv-txn", body,
-	    CALL_TIMEOUT_MS, soak_on_control, &soak);
+	if (response == NULL || response->status != 200)
+		soak_print(arg, "an operator's write failed: %s",
+		    response == NULL ? error->text : "refused");
 }
 
 static void
 add_workers(void)
 {
-	while (soak.worker_count < WORKERS_START) {
-		g_autofree char *body =
-		    g_strdup_printf("{\"add\":\"p1\",\"zone\":\"dc-%c\"}",
-			'a' + (int)(soak.worker_count++ % 3));
+	for (uint32_t i = 0; i < soak.pool_count; i++) {
+		g_autofree char *pool = g_strdup_printf("p%u", i + 1);
 
-		(void)gw_httpc_call(soak.control, "POST", "/control", body,
-		    CALL_TIMEOUT_MS, soak_on_control, &soak);
+		for (uint32_t k = 0; k < WORKERS_A_POOL; k++)
+			worker_add(&soak, pool);
 	}
+	for (uint32_t k = 0; soak.has_machines && k < STANDBY_MACHINES; k++)
+		worker_add(&soak, STANDBY_POOL);
+}
+
+/*
+ * Returns a client of one of the local ports.
+ */
+gw_httpc_t *
+soak_client(soak_t *self, uint32_t port_offset)
+{
+	g_autofree char *text =
+	    g_strdup_printf("127.0.0.1:%u", self->port_base + port_offset);
+	gw_addr_t addr = {0};
+	gw_err_t error;
+
+	(void)gw_addr_parse(&addr, text, &error);
+	return gw_httpc_new(self->rt, &addr);
 }
 
 static void
@@ -200,13 +213,14 @@
 	for (guint i = 0; i < soak.jobs->len; i++) {
 		const job_t *job = soak.jobs->pdata[i];
 
-		if (job->accepted && !job->asked)
+		if (job->accepted && !job->asked && !job->cancel_sent)
 			soak_violation(&soak, job->id,
 			    "LOST job=%s has no state", job->id);
-		else if (job->accepted && !job->lasting && !job->fails)
-			open_jobs += !job->completed;
+		else if (job->accepted && job->kind != JOB_LASTING &&
+		    job->kind != JOB_CANCELLED)
+			open_jobs += !job->ended;
 	}
-	soak_print(&soak, "%u short jobs are not completed", open_jobs);
+	soak_print(&soak, "%u jobs have not ended", open_jobs);
 	if (check_pending() > 0)
 		soak_violation(&soak, "setup",
 		    "%u completed jobs are not checked", check_pending());
@@ -214,14 +228,24 @@
 }
 
 static void
-on_events_over(gw_timer_t *timer, void *arg)
+on_finish_due(gw_timer_t *timer, void *arg)
 {
 	(void)arg;
-	soak_print(&soak, "no more events");
+	soak_print(&soak, "last checks");
 	soak.finishing = true;
 	traffic_ask_all(&soak);
 	gw_timer_start(
-	    soak.rt, timer, FINISH_MS * GW_US_PER_MS, on_finished, NULL);
+	    soak.rt, timer, LAST_CHECKS_MS * GW_US_PER_MS, on_finished, NULL);
+}
+
+static void
+on_events_over(gw_timer_t *timer, void *arg)
+{
+	(void)arg;
+	soak_print(&soak, "no more events");
+	soak.traffic_over = true;
+	gw_timer_start(
+	    soak.rt, timer, FINISH_MS * GW_US_PER_MS, on_finish_due, NULL);
 }
 
 /*
@@ -238,7 +262,9 @@
 	g_autofree char *listen =
 	    g_strdup_printf("--listen=127.0.0.1:%u", port_base + PORT_WORKERS);
 	const char *const workers[] = {"gwworkerd", control, store, listen,
-	    "--workers=0", "--stop-ms=200", NULL};
+	    "--workers=0", "--stop-ms=200",
+	    soak.has_machines ? "--machine-ms=1500" : "--machine-ms=0",
+	    "--standby-pool=" STANDBY_POOL, NULL};
 
 	(void)arg;
 	switch (setup_steps++) {
@@ -247,19 +273,21 @@
 		    &soak, &soak.workers, "workers", workers, NULL);
 		break;
 	case 1:
-		put_config();
+		config_put(&soak);
 		add_workers();
 		break;
 	case 2:
 		for (uint32_t i = 0; i < soak.entry_count; i++)
 			entry_start(&soak, &soak.entries[i]);
+		processes_throttle(&soak);
+		clients_start(&soak);
 		traffic_start(&soak);
 		check_start(&soak);
 		break;
 	default:
-		if (soak.accepted >= LASTING_JOBS + 4) {
+		if (soak.accepted >= soak.lasting_count + 4) {
 			soak_print(&soak, "events begin");
-			soak_disrupt(&soak);
+			soak_disrupt(&soak, false);
 			events_start(&soak);
 			gw_timer_start(soak.rt, &phase_timer,
 			    seconds * 1000 * GW_US_PER_MS, on_events_over,
@@ -284,6 +312,25 @@
 	end_processes();
 }
 
+/*
+ * Draws what runs: entry processes, pools, load, and the kinds of disruption.
+ */
+static void
+draw_system(void)
+{
+	soak.entry_count = (uint32_t)g_rand_int_range(soak.random, 3, 6);
+	if (g_rand_int_range(soak.random, 0, 8) == 0)
+		soak.entry_count = ENTRIES_MAX;
+	soak.fill_percent = (uint32_t)g_rand_int_range(soak.random, 40, 92);
+	soak.pool_count = (uint32_t)g_rand_int_range(soak.random, 1, 3);
+	soak.has_machines =
+	    soak.pool_count > 1 && g_rand_int_range(soak.random, 0, 3) > 0;
+	soak.lasting_count =
+	    soak.pool_count * (uint32_t)g_rand_int_range(soak.random, 2, 5);
+	soak.planned_only = g_rand_int_range(soak.random, 0, 4) == 0;
+	soak.cpu_percent = g_rand_int_range(soak.random, 0, 5) == 0 ? 25 : 100;
+}
+
 static void
 start(void)
 {
@@ -299,8 +346,7 @@
 	soak.jobs = g_ptr_array_new();
 	soak.reported =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	soak.entry_count = (uint32_t)g_rand_int_range(soak.random, 3, 6);
-	soak.fill_percent = (uint32_t)g_rand_int_range(soak.random, 65, 92);
+	draw_system();
 	for (uint32_t i = 0; i < soak.entry_count; i++)
 		soak.entries[i].number = i + 1;
 	soak.store_api = soak_client(&soak, PORT_STORE);
@@ -353,6 +399,14 @@
 	(void)uv_signal_init(gw_rt_loop(soak.rt), &sigint);
 	(void)uv_signal_start(&sigint, on_signal, SIGINT);
 	gw_rt_run(soak.rt);
+	(void)printf("requests: %u answered, %u without a connection, %u ended "
+		     "unanswered, longest %" PRIu64 " ms, %u timed out\n",
+	    soak.answered, soak.not_sent, soak.unanswered,
+	    soak.longest_unanswered_ms, soak.timed_out);
+	(void)printf("seed %u: %u entries, %u pools, %u moves, %u upkeeps, "
+		     "planned only %d, cpu %u\n",
+	    seed, soak.entry_count, soak.pool_count, soak.moves, soak.upkeeps,
+	    soak.planned_only, soak.cpu_percent);
 	(void)printf("seed %u: %u events, %u jobs accepted, %u refused, "
 		     "longest stand %" PRIu64 " ms, %u violations\n",
 	    seed, soak.events, soak.accepted, soak.refused,
--- a/soak/traffic.c
+++ b/soak/traffic.c
@@ -3,12 +3,16 @@
 
 #include "soak.h"
 
-#define CALL_TIMEOUT_MS 3000
-#define TICK_MS 60
+#define TICK_MS 25
 #define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
 #define STATUS_GONE 410
-/* Time of the last questions of the run. */
-#define ASK_AGAIN_MS 500
+/* Time between two rounds of the last questions of the run. */
+#define ASK_AGAIN_MS 50
+/* A submission is sent again within this time, also after its response. */
+#define RESEND_MAX_MS 4000
+/* A job that lasts may be cancelled from this time on. */
+#define CANCEL_MIN_MS 3000
 
 typedef struct {
 	soak_t *soak;
@@ -17,162 +21,224 @@
 
 static gw_timer_t timer, ask_timer;
 
-/*
- * Returns a client of one of the local ports.
- */
-gw_httpc_t *
-soak_client(soak_t *soak, uint32_t port_offset)
-{
-	g_autofree char *text =
-	    g_strdup_printf("127.0.0.1:%u", soak->port_base + port_offset);
-	gw_addr_t addr = {0};
-	gw_err_t error;
-
-	(void)gw_addr_parse(&addr, text, &error);
-	return gw_httpc_new(soak->rt, &addr);
-}
-
-static gw_httpc_t *
-any_front(soak_t *soak)
-{
-	uint32_t at =
-	    (uint32_t)g_random_int_range(0, (gint32)soak->entry_count);
-
-	return soak->entries[at].front;
-}
-
-static void
+static bool
 call(soak_t *soak, job_t *job, const char *method, const char *body,
-    gw_httpc_done_t on_done)
+    caller_done_t on_done)
 {
-	g_autofree char *path = g_strdup_printf("/q/%s", job->id);
+	g_autofree char *path =
+	    g_strdup_printf("/q%u/%s", job->pool + 1, job->id);
 	call_t *arg = g_new0(call_t, 1);
 
 	arg->soak = soak;
 	arg->job = job;
-	(void)gw_httpc_call_with_headers(any_front(soak), method, path,
-	    "Host: " HOST "\r\n", body, CALL_TIMEOUT_MS, on_done, arg);
+	if (clients_send(soak, method, path, body, on_done, arg))
+		return true;
+	g_free(arg);
+	return false;
 }
 
-static void submit(soak_t *, job_t *);
-
 static void
-on_submitted(const gw_http_response_t *response, const gw_err_t *err, void *arg)
+on_submitted(const caller_result_t *result, void *arg)
 {
 	g_autofree call_t *done = arg;
 	soak_t *soak = done->soak;
+	job_t *job = done->job;
 
-	(void)err;
-	if (response != NULL && response->status == STATUS_OK) {
-		soak->accepted += !done->job->accepted;
-		done->job->accepted = true;
+	if (result->status != STATUS_OK) {
+		soak->refused++;
 		return;
 	}
-	soak->refused++;
+	soak->accepted += !job->accepted;
+	if (!job->accepted)
+		job->accepted_ms = soak_now_ms();
+	job->accepted = true;
 }
 
-static void
-submit(soak_t *soak, job_t *job)
+static char *
+job_body(const job_t *job)
 {
-	g_autofree char *body = NULL;
-
-	if (job->lasting)
-		body = g_strdup_printf(
+	switch (job->kind) {
+	case JOB_LASTING:
+	case JOB_CANCELLED:
+		return g_strdup_printf(
 		    "{\"spec\":\"lasting cpu=1000\",\"steps\":[{\"count\":%u,"
 		    "\"cpu\":1000,\"mem_mb\":100,\"estimated_ms\":150,"
 		    "\"daemon\":true,\"anti_affinity\":1}]}",
 		    job->tasks);
-	else
-		body = g_strdup_printf(
+	case JOB_STEPS:
+		return g_strdup("{\"spec\":\"short cpu=500 ms=400\",\"steps\":["
+				"{\"count\":2,\"cpu\":500,\"mem_mb\":100,"
+				"\"estimated_ms\":400},{\"count\":1,"
+				"\"cpu\":500,\"mem_mb\":100,"
+				"\"estimated_ms\":400,\"after\":[0]}]}");
+	case JOB_GANG:
+		return g_strdup(
+		    "{\"spec\":\"short cpu=500 ms=600 gang=2\",\"steps\":["
+		    "{\"count\":2,\"cpu\":500,\"mem_mb\":100,"
+		    "\"estimated_ms\":600,\"gang\":true}]}");
+	default:
+		return g_strdup_printf(
 		    "{\"spec\":\"%s cpu=500 ms=%u\",\"steps\":[{\"count\":%u,"
 		    "\"cpu\":500,\"mem_mb\":100,\"estimated_ms\":800}]}",
-		    job->fails ? "failing" : "short", job->fails ? 200 : 800,
-		    job->tasks);
-	call(soak, job, "POST", body, on_submitted);
+		    job->kind == JOB_FAILING ? "failing" : "short",
+		    job->kind == JOB_FAILING ? 200 : 800, job->tasks);
+	}
+}
+
+static void
+submit(soak_t *soak, job_t *job)
+{
+	g_autofree char *body = job_body(job);
+
+	if (job->sent_ms == 0)
+		job->sent_ms = soak_now_ms();
+	(void)call(soak, job, "POST", body, on_submitted);
+}
+
+static void
+on_cancelled(const caller_result_t *result, void *arg)
+{
+	g_free(arg);
+	(void)result;
+}
+
+static void
+handle_state(soak_t *soak, job_t *job, const char *body)
+{
+	bool lasts = job->kind == JOB_LASTING || job->kind == JOB_CANCELLED;
+
+	job->asked = true;
+	if (strstr(body, "completed") != NULL) {
+		if (!job->ended && !lasts)
+			check_completed(soak, job);
+		else if (lasts)
+			soak_violation(soak, job->id,
+			    "MIXED job=%s lasts and is completed", job->id);
+	} else if (strstr(body, "failed") != NULL) {
+		if (!job->ended && job->kind != JOB_FAILING)
+			check_failed(soak, job);
+	} else if (strstr(body, "cancelled") != NULL) {
+		if (!job->cancel_sent)
+			soak_violation(soak, job->id,
+			    "LOST job=%s is cancelled by nobody", job->id);
+	} else {
+		return;
+	}
+	job->ended = true;
 }
 
 static void
-on_state(const gw_http_response_t *response, const gw_err_t *err, void *arg)
+on_state(const caller_result_t *result, void *arg)
 {
 	g_autofree call_t *done = arg;
 	soak_t *soak = done->soak;
 	job_t *job = done->job;
 
-	(void)err;
-	if (response == NULL)
-		return;
-	if (response->status == STATUS_GONE) {
-		soak_violation(soak, job->id, "UNKNOWN job=%s", job->id);
-	} else if (response->status == STATUS_OK) {
-		job->asked = true;
-		if (strstr(response->body, "completed") != NULL &&
-		    !job->completed) {
-			job->completed = true;
-			check_completed(soak, job);
-		} else if (strstr(response->body, "failed") != NULL &&
-		    job->lasting) {
-			soak_violation(
-			    soak, job->id, "FAILED job=%s lasts", job->id);
-		}
-	}
+	if ((result->status == STATUS_GONE && !job->cancel_sent) ||
+	    result->status == STATUS_NOT_FOUND)
+		soak_violation(soak, job->id, "UNKNOWN job=%s status=%d",
+		    job->id, result->status);
+	else if (result->status == STATUS_OK)
+		handle_state(soak, job, result->body);
 }
 
 static job_t *
-new_job(soak_t *soak)
+new_job(soak_t *soak, uint32_t pool, job_kind_t kind)
 {
 	job_t *job = g_new0(job_t, 1);
 
 	(void)snprintf(
 	    job->id, sizeof(job->id), "%016x", 0x1000 + soak->jobs->len);
+	job->pool = pool;
+	job->kind = kind;
 	g_ptr_array_add(soak->jobs, job);
 	return job;
 }
 
 /*
- * Submits the jobs that last until they are accepted, short ones while there is
- * room, and asks for the state of an accepted job.
+ * Draws a job that does not last, or one that is cancelled later.
+ */
+static void
+submit_new(soak_t *soak, uint32_t pool)
+{
+	static const job_kind_t kinds[] = {JOB_SHORT, JOB_SHORT, JOB_SHORT,
+	    JOB_SHORT, JOB_SHORT, JOB_STEPS, JOB_STEPS, JOB_GANG, JOB_FAILING,
+	    JOB_CANCELLED};
+	job_kind_t kind = kinds[g_random_int_range(0, G_N_ELEMENTS(kinds))];
+	job_t *job;
+
+	if (kind == JOB_CANCELLED && g_random_int_range(0, 4) > 0)
+		kind = JOB_SHORT;
+	job = new_job(soak, pool, kind);
+	if (kind == JOB_STEPS)
+		job->tasks = 3;
+	else if (kind == JOB_GANG || kind == JOB_CANCELLED)
+		job->tasks = 1;
+	else
+		job->tasks = (uint32_t)g_random_int_range(1, 4);
+	submit(soak, job);
+}
+
+/*
+ * Does with a job what a client does: asks for its state, hands it in again, or
+ * cancels it.
+ */
+static void
+call_again(soak_t *soak, job_t *job)
+{
+	uint64_t now_ms = soak_now_ms();
+
+	if (now_ms - job->sent_ms < RESEND_MAX_MS && !job->cancel_sent &&
+	    g_random_int_range(0, 4) == 0) {
+		submit(soak, job);
+	} else if (job->accepted && job->kind == JOB_CANCELLED &&
+	    now_ms - job->accepted_ms > CANCEL_MIN_MS) {
+		if (call(soak, job, "DELETE", NULL, on_cancelled))
+			job->cancel_sent = true;
+	} else if (job->accepted) {
+		(void)call(soak, job, "GET", NULL, on_state);
+	}
+}
+
+/*
+ * Submits the jobs that last until they are accepted, others while there is
+ * room, and calls again for one of all jobs and one of the latest.
  */
 static void
 on_tick(gw_timer_t *tick, void *arg)
 {
 	soak_t *soak = arg;
-	job_t *job;
+	gint count;
 
-	gw_timer_start(soak->rt, tick, TICK_MS * GW_US_PER_MS, on_tick, soak);
-	if (soak->finishing)
+	if (soak->traffic_over)
 		return;
-	for (guint i = 0; i < LASTING_JOBS; i++) {
-		job = soak->jobs->pdata[i];
-		if (!job->accepted && g_random_int_range(0, 8) == 0)
+	gw_timer_start(soak->rt, tick, TICK_MS * GW_US_PER_MS, on_tick, soak);
+	for (guint i = 0; i < soak->lasting_count; i++) {
+		job_t *job = soak->jobs->pdata[i];
+
+		if (!job->accepted && g_random_int_range(0, 20) == 0)
 			submit(soak, job);
 	}
-	if (soak->load_percent < soak->fill_percent) {
-		job = new_job(soak);
-		job->tasks = (uint32_t)g_random_int_range(1, 4);
-		job->fails = g_random_int_range(0, 8) == 0;
-		submit(soak, job);
-	}
-	job = soak->jobs->pdata[g_random_int_range(0, (gint)soak->jobs->len)];
-	if (job->accepted)
-		call(soak, job, "GET", NULL, on_state);
+	for (uint32_t i = 0; i < soak->pool_count; i++)
+		if (soak->loads[i].load_percent < soak->fill_percent &&
+		    g_random_int_range(0, 2) == 0)
+			submit_new(soak, i);
+	count = (gint)soak->jobs->len;
+	call_again(soak, soak->jobs->pdata[g_random_int_range(0, count)]);
+	call_again(soak,
+	    soak->jobs->pdata[g_random_int_range(MAX(0, count - 30), count)]);
 }
 
 /*
- * Starts the clients. The traffic answers to what the system does, so it does
- * not draw from the seed.
+ * Starts the clients' jobs. They answer to what the system does, so they do not
+ * draw from the seed.
  */
 void
 traffic_start(soak_t *soak)
 {
-	for (uint32_t i = 0; i < soak->entry_count; i++)
-		soak->entries[i].front =
-		    soak_client(soak, PORT_FRONT + soak->entries[i].number);
-	for (int i = 0; i < LASTING_JOBS; i++) {
-		job_t *job = new_job(soak);
-
-		job->lasting = true;
-		job->tasks = LASTING_TASKS;
-	}
+	for (guint i = 0; i < soak->lasting_count; i++)
+		new_job(soak, i % soak->pool_count, JOB_LASTING)->tasks =
+		    LASTING_TASKS;
 	on_tick(&timer, soak);
 }
 
@@ -183,11 +249,12 @@
 
 	for (guint i = 0; i < soak->jobs->len; i++) {
 		job_t *job = soak->jobs->pdata[i];
+		bool lasts =
+		    job->kind == JOB_LASTING || job->kind == JOB_CANCELLED;
 
-		if (job->accepted &&
-		    (!job->asked ||
-			(!job->completed && !job->fails && !job->lasting)))
-			call(soak, job, "GET", NULL, on_state);
+		if (job->accepted && (!job->asked || (!job->ended && !lasts)) &&
+		    !call(soak, job, "GET", NULL, on_state))
+			break;
 	}
 	gw_timer_start(
 	    soak->rt, tick, ASK_AGAIN_MS * GW_US_PER_MS, on_ask, soak);
@@ -195,7 +262,7 @@
 
 /*
  * Asks for the state of each accepted job until there is a response, and until
- * jobs that can be completed are.
+ * jobs that do not last have ended.
  */
 void
 traffic_ask_all(soak_t *soak)
