--- a/soak/main.c
+++ b/soak/main.c
@@ -261,10 +261,11 @@
 	    g_strdup_printf("--store=127.0.0.1:%u", port_base + PORT_STORE);
 	g_autofree char *listen =
 	    g_strdup_printf("--listen=127.0.0.1:%u", port_base + PORT_WORKERS);
+	static const char standby[] = "--standby-pool=" STANDBY_POOL;
 	const char *const workers[] = {"gwworkerd", control, store, listen,
 	    "--workers=0", "--stop-ms=200",
 	    soak.has_machines ? "--machine-ms=1500" : "--machine-ms=0",
-	    "--standby-pool=" STANDBY_POOL, NULL};
+	    standby, NULL};
 
 	(void)arg;
 	switch (setup_steps++) {
--- a/tools/gwworkerd/worker.c
+++ b/tools/gwworkerd/worker.c
@@ -153,6 +153,7 @@
 
 	g_hash_table_iter_init(&iter, worker->runs);
 	while (g_hash_table_iter_next(&iter, &task, &run)) {
+		gang_end_others(run, NULL);
 		note_end(worker, run, how);
 		g_hash_table_remove(worker->stats->running, task);
 	}
@@ -224,15 +225,19 @@
 on_lease_expired(gw_timer_t *timer, void *arg)
 {
 	worker_t *worker = arg;
-	GList *tasks = g_hash_table_get_keys(worker->runs);
+	g_autoptr(GPtrArray) tasks = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer task;
 
 	(void)timer;
 	forget_done(worker);
-	for (GList *link = tasks; link != NULL; link = link->next) {
+	g_hash_table_iter_init(&iter, worker->runs);
+	while (g_hash_table_iter_next(&iter, &task, NULL))
+		g_ptr_array_add(tasks, g_strdup(task));
+	for (guint i = 0; i < tasks->len; i++) {
 		worker->stats->lapses++;
-		worker_end_run(worker, link->data, "lapsed");
+		worker_end_run(worker, tasks->pdata[i], "lapsed");
 	}
-	g_list_free(tasks);
 }
 
 /*
@@ -348,7 +353,9 @@
 	g_hash_table_replace(stats->running, g_strdup(task), worker);
 	note_start(worker, run);
 	stats->over += is_over_capacity(worker);
-	if (!run->spec.lasting || run->spec.failing)
+	if (run->spec.gang > 0)
+		gang_member_started(run, on_work_done, work_ms);
+	else if (!run->spec.lasting || run->spec.failing)
 		gw_timer_start(worker->rt, &run->timer, work_ms * GW_US_PER_MS,
 		    on_work_done, run);
 }
@@ -364,6 +371,7 @@
 
 	if (run == NULL)
 		return;
+	gang_end_others(run, kind);
 	worker->stats->ends++;
 	note_end(worker, run, kind);
 	g_hash_table_remove(worker->stats->running, task);
--- a/tools/gwworkerd/worker.h
+++ b/tools/gwworkerd/worker.h
@@ -55,6 +55,7 @@
 	bool deadly;	     /* crashes each worker that starts it */
 	uint32_t cpu_millis; /* 0: unknown */
 	uint32_t work_ms;    /* 0: as the worker's other runs */
+	uint32_t gang;	     /* members of its gang; 0: none */
 } run_spec_t;
 
 typedef struct {
@@ -62,6 +63,7 @@
 	uint32_t number;
 	run_spec_t spec;
 	bool stopping;
+	bool ending;	  /* with its gang */
 	uint64_t ends_us; /* end of the work */
 	gw_timer_t timer;
 	worker_t *worker;
@@ -117,6 +119,10 @@
 void worker_ack_ends(worker_t *, uint64_t number);
 uint64_t worker_highest_ended_run(const worker_t *, const char *task);
 
+/* gang.c */
+void gang_member_started(run_t *, gw_timer_cb_t on_work_done, uint32_t work_ms);
+void gang_end_others(run_t *, const char *how);
+
 /* worker_api.c */
 int worker_handle_request(h2o_req_t *, void *arg);
 bool worker_path_is(const h2o_req_t *, const char *path);
--- a/tools/gwworkerd/worker_api.c
+++ b/tools/gwworkerd/worker_api.c
@@ -57,8 +57,8 @@
 }
 
 /*
- * Reads the words of a specification: "lasting", "failing", "deadly", "cpu=N"
- * and "ms=N". Others have no meaning.
+ * Reads the words of a specification: "lasting", "failing", "deadly", "cpu=N",
+ * "ms=N" and "gang=N". Others have no meaning.
  */
 static run_spec_t
 parse_spec(const char *text)
@@ -75,6 +75,8 @@
 			spec.deadly = true;
 		else if (g_str_has_prefix(*word, "cpu="))
 			spec.cpu_millis = (uint32_t)atoi(*word + 4);
+		else if (g_str_has_prefix(*word, "gang="))
+			spec.gang = (uint32_t)atoi(*word + 5);
 		else if (g_str_has_prefix(*word, "ms="))
 			spec.work_ms = (uint32_t)atoi(*word + 3);
 	}
