--- a/soak/main.c
+++ b/soak/main.c
@@ -264,8 +264,8 @@
 	static const char standby[] = "--standby-pool=" STANDBY_POOL;
 	const char *const workers[] = {"gwworkerd", control, store, listen,
 	    "--workers=0", "--stop-ms=200",
-	    soak.has_machines ? "--machine-ms=1500" : "--machine-ms=0",
-	    standby, NULL};
+	    soak.has_machines ? "--machine-ms=1500" : "--machine-ms=0", standby,
+	    NULL};
 
 	(void)arg;
 	switch (setup_steps++) {
