--- a/soak/traffic.c
+++ b/soak/traffic.c
@@ -242,20 +242,41 @@
 	on_tick(&timer, soak);
 }
 
-static void
-on_ask(gw_timer_t *tick, void *arg)
+static bool
+has_no_state(const job_t *job)
 {
-	soak_t *soak = arg;
+	return job->accepted && !job->asked;
+}
 
+static bool
+is_open(const job_t *job)
+{
+	return job->accepted && !job->ended && job->kind != JOB_LASTING &&
+	    job->kind != JOB_CANCELLED;
+}
+
+/*
+ * Asks for the state of the jobs for which should_ask() is true, as long as
+ * there is an idle client.
+ */
+static void
+ask_those(soak_t *soak, bool (*should_ask)(const job_t *))
+{
 	for (guint i = 0; i < soak->jobs->len; i++) {
 		job_t *job = soak->jobs->pdata[i];
-		bool lasts =
-		    job->kind == JOB_LASTING || job->kind == JOB_CANCELLED;
 
-		if (job->accepted && (!job->asked || (!job->ended && !lasts)) &&
-		    !call(soak, job, "GET", NULL, on_state))
-			break;
+		if (should_ask(job) && !call(soak, job, "GET", NULL, on_state))
+			return;
 	}
+}
+
+static void
+on_ask(gw_timer_t *tick, void *arg)
+{
+	soak_t *soak = arg;
+
+	ask_those(soak, has_no_state);
+	ask_those(soak, is_open);
 	gw_timer_start(
 	    soak->rt, tick, ASK_AGAIN_MS * GW_US_PER_MS, on_ask, soak);
 }
