soak: a job that lasts is never shown as failed

 had made this check weaker than before: a job that lasts counted as failed with cause once one of its tasks had failed three times, but tasks that last have no limit of attempts. It is a violation again, whatever failed.

--- a/soak/traffic.c
+++ b/soak/traffic.c
@@ -115,7 +115,10 @@
 			soak_violation(soak, job->id,
 			    "MIXED job=%s lasts and is completed", job->id);
 	} else if (strstr(body, "failed") != NULL) {
-		if (!job->ended && job->kind != JOB_FAILING)
+		if (lasts)
+			soak_violation(soak, job->id,
+			    "LOST job=%s lasts and is failed", job->id);
+		else if (!job->ended && job->kind != JOB_FAILING)
 			check_failed(soak, job);
 	} else if (strstr(body, "cancelled") != NULL) {
 		if (!job->cancel_sent)
