--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of review/6 to review/9 into target/review-2: those of this
+# Builds the stand-ins of review/6 to review/10 into target/review-2: those of this
 # folder, and the project's own store and instances. Needs the packages of the
 # deploy file and its build, no network.
 set -eu
--- a/review/standin-2/cloud.c
+++ b/review/standin-2/cloud.c
@@ -3,9 +3,10 @@
  *
  *	cloud listen-port workers-control-port answer-ms
  *
- * The machines are those of gwworkerd, which carries the orders out at once. The
- * response to an order follows answer-ms later. An upkeep that is already done in
- * its wave is answered with 200 and has no effect. Prints a line for each order.
+ * The machines are those of gwworkerd, which carries the orders out at once.
+ *The response to an order follows answer-ms later. An upkeep that is already
+ *done in its wave is answered with 200 and has no effect. Prints a line for
+ *each order.
  */
 #include <sys/socket.h>
 
@@ -57,8 +58,9 @@
 
 			at = strcasestr(buf, "\r\ncontent-length:");
 			if (at != NULL && at < end)
-				length += strtoul(
-				    at + strlen("\r\ncontent-length:"), NULL, 10);
+				length +=
+				    strtoul(at + strlen("\r\ncontent-length:"),
+					NULL, 10);
 			if (*got >= length)
 				return length;
 		}
@@ -92,7 +94,8 @@
 	if (length > 0) {
 		buf[length] = '\0';
 		status = atoi(buf + strlen("HTTP/1.1 "));
-		strcpy(out, strstr(buf, "\r\n\r\n") + 4);
+		(void)snprintf(
+		    out, BUF_BYTES, "%s", strstr(buf, "\r\n\r\n") + 4);
 	}
 	(void)close(fd);
 	free(buf);
@@ -136,11 +139,11 @@
 	(void)pthread_mutex_lock(&lock);
 	for (int i = 0; i < done_count; i++)
 		is_done |= strcmp(done[i], key) == 0;
-	strcpy(out, "{}");
+	(void)snprintf(out, BUF_BYTES, "{}");
 	if (!is_done)
 		status = ask_workers("POST", "/machine-upkeep", body, out);
 	if (!is_done && status == 200 && done_count < DONE_MAX)
-		strcpy(done[done_count++], key);
+		(void)snprintf(done[done_count++], sizeof(done[0]), "%s", key);
 	printf("upkeep machine=%s wave=%s status=%d%s\n", machine, wave, status,
 	    is_done ? " already-done" : "");
 	(void)fflush(stdout);
@@ -165,7 +168,8 @@
 			status = handle_upkeep(body, out);
 			(void)usleep((useconds_t)answer_ms * 1000);
 		} else if (strncmp(buf, "POST /machine-move ", 19) == 0) {
-			status = ask_workers("POST", "/machine-move", body, out);
+			status =
+			    ask_workers("POST", "/machine-move", body, out);
 		} else {
 			status = ask_workers("GET", "/machines", "", out);
 		}
--- a/review/standin-2/hc.c
+++ b/review/standin-2/hc.c
@@ -99,8 +99,7 @@
 connect_to(const char *address, int64_t end_ms)
 {
 	struct sockaddr_in sa = {.sin_family = AF_INET};
-	struct timeval limit = {
-	    .tv_sec = (end_ms - now_ms()) / MS_PER_S + 1};
+	struct timeval limit = {.tv_sec = (end_ms - now_ms()) / MS_PER_S + 1};
 	char ip[64];
 	const char *colon = strchr(address, ':');
 	int fd, on = 1;
@@ -139,8 +138,7 @@
 	    "content-length: %zu\r\n\r\n%s",
 	    method, path,
 	    strncasecmp(header, "host:", 5) != 0 ? "Host: standin\r\n" : "",
-	    header,
-	    body == NULL ? 0 : strlen(body), body == NULL ? "" : body);
+	    header, body == NULL ? 0 : strlen(body), body == NULL ? "" : body);
 	if (length < 0 || write(fd, request, (size_t)length) != length)
 		goto none;
 	while (size == 0 && got < BUF_BYTES - 1) {
@@ -186,9 +184,9 @@
 	argc -= optind;
 	argv += optind;
 	if (argc < 3)
-		errx(64, "usage: hc [-t ms] [-H header] METHOD ip:port /path "
-			 "[body]");
-	return call(
-	    header, argv[0], argv[1], argv[2], argc > 3 ? argv[3] : NULL,
-	    timeout_ms);
+		errx(64,
+		    "usage: hc [-t ms] [-H header] METHOD ip:port /path "
+		    "[body]");
+	return call(header, argv[0], argv[1], argv[2],
+	    argc > 3 ? argv[3] : NULL, timeout_ms);
 }
--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -1,4 +1,4 @@
-# Shared by review/6 to review/9: starts a store, instances and entry processes on
+# Shared by review/6 to review/10: starts a store, instances and entry processes on
 # free ports of 127.0.0.1, in a temporary folder. The script that reads this file
 # has set case_dir to its folder. All waits have a limit.
 top=$(cd "$case_dir/../.." && pwd)
