Ask a listed instance until it responds

What callers saw: LOST. Jobs that were accepted stay queued beside idle instances, which were cut off for 5.3 s while a start was on its way, and are in touch and registered again.

Cause: renewals were begun anew by each event that had ended them. The return of a registry entry did so only for an instance that had never responded to this owner; one with a start that has no response is kept with its state when its entry goes, so it had.

Evidence: 7022 INSTANCE_UNLISTED, 7025 INSTANCE_LOST reason=lapsed, 7021 INSTANCE_LISTED and no 7024 INSTANCE_BACK; JOB_WAITS counts the instance as unreachable, not as one with strays.

Change: each round asks a listed instance without contact that is neither being asked nor about to be. The return of an entry leads to a renewal at once. Found on the search for related paths: a change of the address cancels a renewal in flight without a result, and no other was sent until the lease had ended.

Tests: two plays of sched/starts.sh. On the first sends no renewal after the entry is back, the second none to the new address.

--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -309,6 +309,7 @@
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 	bool is_new_incarnation = instance->info.born_ms != info->born_ms;
 	bool was_listed = instance->listed;
+	bool has_moved;
 
 	if (is_new_incarnation && instance->info.born_ms > info->born_ms)
 		return; /* an entry of an earlier incarnation */
@@ -325,8 +326,10 @@
 		    info->id, pool->name, info->machine, info->address,
 		    info->born_ms, info->leaving, info->leaves_in_ms,
 		    info->capacity.cpu_millis, info->capacity.memory_mib);
+	has_moved = strcmp(info->address, instance->info.address) != 0;
 	/* Calls to the previous address are cancelled without a result. */
-	if (strcmp(info->address, instance->info.address) != 0) {
+	if (has_moved) {
+		instance->renewing = false;
 		instance->requests_in_flight = 0;
 		for (guint i = 0; i < instance->tasks->len; i++)
 			((sched_task_t *)instance->tasks->pdata[i])
@@ -337,7 +340,8 @@
 	instance->info.labels = g_strdupv(info->labels);
 	instance->rack = find_rack(instance->info.labels);
 	instance->listed = true;
-	if (!instance->contacted)
+	if (has_moved ||
+	    (!was_listed && sched_instance_has_no_contact(instance)))
 		sched_instance_schedule_renewal(instance, now_us);
 }
 
@@ -409,6 +413,17 @@
 	    now_us < pool->ops->lease_until_us(pool->arg);
 }
 
+/*
+ * Returns whether the instance is to be used again once it responds, and has
+ * not been asked whether it does.
+ */
+static bool
+must_be_asked(const sched_instance_t *instance)
+{
+	return instance->listed && sched_instance_has_no_contact(instance) &&
+	    !instance->renewing && instance->renew_due_us == 0;
+}
+
 /*
  * Sends the renewal that is due, and ends the runs of an instance whose lease
  * expired while it could not be reached.
@@ -416,13 +431,11 @@
 void
 sched_instance_tick(sched_instance_t *instance, uint64_t now_us)
 {
-	if (instance->tasks->len > 0 && has_lapsed(instance, now_us)) {
+	if (instance->tasks->len > 0 && has_lapsed(instance, now_us))
 		sched_instance_end_runs(instance, "lapsed", SCHED_LOSS_LAPSED);
-		/* It may respond again. */
-		if (instance->listed)
-			sched_instance_schedule_renewal(
-			    instance, now_us + SCHED_RENEW_RETRY_US);
-	}
+	if (must_be_asked(instance))
+		sched_instance_schedule_renewal(
+		    instance, now_us + SCHED_RENEW_RETRY_US);
 	if (!instance->renewing && instance->renew_due_us != 0 &&
 	    now_us >= instance->renew_due_us &&
 	    instance->info.address[0] != '\0')
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -287,7 +287,8 @@
 
 	g_strlcpy(info.id, id, sizeof(info.id));
 	g_strlcpy(info.pool, "p", sizeof(info.pool));
-	g_strlcpy(info.address, "10.0.0.1:80", sizeof(info.address));
+	g_strlcpy(info.address, lookup_value("address", "10.0.0.1:80"),
+	    sizeof(info.address));
 	g_strlcpy(info.data_centre, lookup_value("dc", "dc-a"),
 	    sizeof(info.data_centre));
 	g_strlcpy(
@@ -372,7 +373,10 @@
 	}
 }
 
-/* instance ID [machine=] [born=] [cpu=] [mem=] [labels=] [leaving=MS] */
+/*
+ * instance ID [machine=] [born=] [address=] [cpu=] [mem=] [labels=]
+ * [leaving=MS]
+ */
 static void
 do_instance(void)
 {
--- a/regress/sched/starts.sh
+++ b/regress/sched/starts.sh
@@ -166,6 +166,31 @@
 commit
 EOT
 
+# Guards against an instance that is never used again since its registry entry and
+# the lease of its tasks lapsed in a cut while a start had no response.
+play "an instance is asked again when its entry is back after a cut" one <<'EOT'
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 none
+renew-failed i1 none
+gone i1
+advance 4200
+renew-failed i1 none
+instance i1
+tick
+EOT
+
+# Guards against the same when the answer to a renewal can no longer come, since
+# the instance has another address.
+play "an instance is asked again at its new address" one <<'EOT'
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 none
+tick
+instance i1 address=10.0.0.2:80
+tick
+EOT
+
 # Guards against a task that runs twice since the next incarnation has its first run.
 play "a start that the next incarnation has carried out" two <<'EOT'
 submit j1 1:1000:500
