--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -17,6 +17,7 @@
 #include "roles.h"
 #include "sched/shard.h"
 #include "stats.h"
+#include "transfer.h"
 #include "view.h"
 
 /* The store usually responds within a few ms, but at times after hundreds. */
@@ -52,6 +53,7 @@
 	front_t *front;
 	homes_t *homes;
 	layout_t *layout;
+	transfer_t transfer;
 	stats_t *stats;
 	gw_timer_t drain_timer;
 	gw_drain_plan_t drain_plan;
@@ -179,9 +181,32 @@
 	return roles_lapsing_seen_us(entry->roles, key, revision);
 }
 
+static bool
+on_find_shard(const char *shard, const sched_misfit_t *misfit,
+    char to[SCHED_NAME_BYTES], void *arg)
+{
+	return transfer_find_shard(
+	    &((entry_t *)arg)->transfer, shard, misfit, to);
+}
+
+static void
+on_tell_adopt(const char *shard, const char *to, const char *id, void *arg)
+{
+	transfer_tell_adopt(&((entry_t *)arg)->transfer, shard, to, id);
+}
+
+static void
+on_find_records(const char *shard, const char *id, void *arg)
+{
+	transfer_find_records(&((entry_t *)arg)->transfer, shard, id);
+}
+
 static const owner_ops_t owner_ops = {.on_ownership_lost = on_ownership_lost,
     .lease_until_us = lease_until_us,
-    .lapsing_seen_us = lapsing_seen_us};
+    .lapsing_seen_us = lapsing_seen_us,
+    .find_shard = on_find_shard,
+    .tell_adopt = on_tell_adopt,
+    .find_records = on_find_records};
 
 /* Callbacks of the view and the layout. */
 
@@ -225,6 +250,7 @@
 {
 	entry_t *entry = arg;
 
+	entry->transfer.shard_count = shard_count;
 	owners_set_shard_count(entry->owners, shard_count);
 	front_set_shard_count(entry->front, shard_count);
 	enable_claims(entry);
@@ -317,8 +343,11 @@
 {
 	entry_t *entry = arg;
 
-	owners_handle_call(entry->owners, call, roles_lease_valid(entry->roles),
-	    cb, response_arg);
+	if (call->kind == GW__CALL_KIND__CALL_ADOPT)
+		transfer_handle_call(&entry->transfer, call, cb, response_arg);
+	else
+		owners_handle_call(entry->owners, call,
+		    roles_lease_valid(entry->roles), cb, response_arg);
 }
 
 static probe_state_t
@@ -375,6 +404,11 @@
 	if (entry->front == NULL)
 		goto fail;
 	entry->view = view_new(rt, entry->store, &view_ops, entry);
+	entry->transfer = (transfer_t){.rt = rt,
+	    .store = entry->store,
+	    .dispatch = entry->dispatch,
+	    .owners = entry->owners,
+	    .view = entry->view};
 	entry->layout = layout_new(rt, entry->store, &layout_ops, entry);
 	if (probe_new(rt, settings, entry->stats, read_probe_state, entry,
 		err) == NULL)
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -1,7 +1,6 @@
 #include <stdio.h>
 
 #include "gw/log.h"
-#include "homes.h"
 #include "owner_impl.h"
 
 /* Delay after a change, so that one tick handles several changes. */
@@ -81,13 +80,41 @@
 	agents_disconnect(owner->agents, instance);
 }
 
+static bool
+on_find_shard(
+    const sched_misfit_t *misfit, char to[SCHED_NAME_BYTES], void *arg)
+{
+	owner_t *owner = arg;
+
+	return owner->ops->find_shard(owner->shard, misfit, to, owner->arg);
+}
+
+static void
+on_tell_adopt(const char *to, const char *id, void *arg)
+{
+	owner_t *owner = arg;
+
+	owner->ops->tell_adopt(owner->shard, to, id, owner->arg);
+}
+
+static void
+on_find_records(const char *id, void *arg)
+{
+	owner_t *owner = arg;
+
+	owner->ops->find_records(owner->shard, id, owner->arg);
+}
+
 static const sched_ops_t pool_ops = {.start = on_start,
     .stop = on_stop,
     .renew = on_renew,
     .advise = on_advise,
     .lease_until_us = lease_until_us,
     .fenced = on_fenced,
-    .instance_removed = on_instance_removed};
+    .instance_removed = on_instance_removed,
+    .find_shard = on_find_shard,
+    .tell_adopt = on_tell_adopt,
+    .find_records = on_find_records};
 
 /* Callbacks of the agents: results of requests to instances. */
 
@@ -133,9 +160,7 @@
 static bool
 may_start(void *arg)
 {
-	owner_t *owner = arg;
-
-	return gw_rt_now_us(owner->rt) < lease_until_us(owner);
+	return owner_lease_is_valid(arg);
 }
 
 static const agents_ops_t agent_ops = {.may_start = may_start,
@@ -170,12 +195,6 @@
 	owner->store = store;
 	g_strlcpy(owner->shard, role->shard, sizeof(owner->shard));
 	roles_key(role->shard, owner->role_key, sizeof(owner->role_key));
-	(void)snprintf(
-	    owner->spec_prefix, ROLE_KEY_BYTES, "gw/job/%s/", role->shard);
-	(void)snprintf(
-	    owner->record_prefix, ROLE_KEY_BYTES, "gw/run/%s/", role->shard);
-	(void)snprintf(owner->queue_prefix, ROLE_KEY_BYTES,
-	    HOMES_KEY_PREFIX "%s/", role->shard);
 	(void)snprintf(
 	    owner->sequence_key, ROLE_KEY_BYTES, "gw/seq/%s/n", role->shard);
 	roles_lapsing_key(
@@ -255,6 +274,12 @@
 	return owner->fence;
 }
 
+bool
+owner_lease_is_valid(const owner_t *owner)
+{
+	return gw_rt_now_us(owner->rt) < owner->ops->lease_until_us(owner->arg);
+}
+
 bool
 owner_is_flushed(const owner_t *owner)
 {
--- a/gwentryd/owner.h
+++ b/gwentryd/owner.h
@@ -2,6 +2,7 @@
 #define GWENTRYD_OWNER_H
 
 #include "gw/runtime.h"
+#include "roles.h"
 #include "sched/sched.h"
 #include "store/store.h"
 
@@ -28,8 +29,20 @@
 	 */
 	uint64_t (*lapsing_seen_us)(
 	    const char *key, uint64_t revision, void *arg);
+	/* See sched_ops_t; shard is the one that is owned. */
+	bool (*find_shard)(const char *shard, const sched_misfit_t *,
+	    char to[SCHED_NAME_BYTES], void *arg);
+	void (*tell_adopt)(
+	    const char *shard, const char *to, const char *id, void *arg);
+	void (*find_records)(const char *shard, const char *id, void *arg);
 } owner_ops_t;
 
+/* Size of the key of a record in the store. */
+#define OWNER_KEY_BYTES (ROLE_KEY_BYTES + SCHED_JOB_ID_BYTES)
+/* Formats the key of a record of a shard. */
+void owner_record_key(char out[OWNER_KEY_BYTES], const char *shard,
+    sched_write_kind_t, const char *id);
+
 typedef struct {
 	const char *shard; /* name of the shard, which is also its role */
 	const char *data_centre;
@@ -53,6 +66,8 @@
 sched_pool_t *owner_pool(owner_t *);
 uint64_t owner_fence(const owner_t *);
 void owner_schedule_tick(owner_t *);
+/* True while no other process can own the shard. */
+bool owner_lease_is_valid(const owner_t *);
 /* False while writes to the store fail, so that no job can be recorded. */
 bool owner_can_write(const owner_t *);
 /* True when every decision has been written to the store. */
--- a/gwentryd/owner_commit.c
+++ b/gwentryd/owner_commit.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "gw/log.h"
+#include "homes.h"
 #include "owner_impl.h"
 
 /* Pause after a commit, so that the next one has several changes. */
@@ -138,19 +139,22 @@
 		retry_commit(owner, err);
 }
 
-static const char *
-record_prefix(const owner_t *owner, sched_write_kind_t kind)
+void
+owner_record_key(char out[OWNER_KEY_BYTES], const char *shard,
+    sched_write_kind_t kind, const char *id)
 {
-	switch (kind) {
-	case SCHED_WRITE_SPEC:
-		return owner->spec_prefix;
-	case SCHED_WRITE_QUEUE:
-		return owner->queue_prefix;
-	case SCHED_WRITE_LAPSING:
-		return owner->lapsing_key;
-	default:
-		return owner->record_prefix;
-	}
+	static const char *const prefixes[] = {
+	    [SCHED_WRITE_SPEC] = "gw/job/",
+	    [SCHED_WRITE_RECORD] = "gw/run/",
+	    [SCHED_WRITE_QUEUE] = HOMES_KEY_PREFIX,
+	    [SCHED_WRITE_TRANSFER] = "gw/transfer/",
+	};
+
+	if (kind == SCHED_WRITE_LAPSING)
+		roles_lapsing_key(shard, out, OWNER_KEY_BYTES);
+	else
+		(void)snprintf(
+		    out, OWNER_KEY_BYTES, "%s%s/%s", prefixes[kind], shard, id);
 }
 
 /*
@@ -167,7 +171,7 @@
 	    {owner->sequence_key, owner->sequence_revision}};
 	store_write_t write[STORE_TXN_ENTRIES_MAX];
 	const char *remove[STORE_TXN_ENTRIES_MAX];
-	char keys[STORE_TXN_ENTRIES_MAX][RECORD_KEY_BYTES];
+	char keys[STORE_TXN_ENTRIES_MAX][OWNER_KEY_BYTES];
 	char sequence[ROLE_KEY_BYTES];
 	store_txn_t txn = {.preconditions = preconditions,
 	    .precondition_count = G_N_ELEMENTS(preconditions),
@@ -181,8 +185,9 @@
 		const sched_write_t *from = sched_batch_write(owner->batch, i);
 		gsize size_bytes = 0;
 
-		(void)snprintf(keys[i], RECORD_KEY_BYTES, "%s%s",
-		    record_prefix(owner, from->kind), from->id);
+		owner_record_key(keys[i],
+		    from->shard[0] == '\0' ? owner->shard : from->shard,
+		    from->kind, from->id);
 		if (from->value == NULL) {
 			remove[removes++] = keys[i];
 			continue;
--- a/gwentryd/owner_impl.h
+++ b/gwentryd/owner_impl.h
@@ -6,19 +6,18 @@
 #include "owner.h"
 #include "roles.h"
 
-/* A key prefix and a job id. */
-#define RECORD_KEY_BYTES (ROLE_KEY_BYTES + SCHED_JOB_ID_BYTES)
 /* Delay before a failed store call is retried; for commits it doubles. */
 #define RETRY_MIN_MS 40
 #define RETRY_MAX_MS 400
 
 /* What is read from the store, in this order. */
 typedef enum {
-	LOAD_SPECS,    /* jobs as submitted */
-	LOAD_RECORDS,  /* progress of the jobs */
-	LOAD_QUEUES,   /* queues that have jobs */
-	LOAD_SEQUENCE, /* revision of the sequence key */
-	LOAD_LAPSING,  /* instances whose leases lapse */
+	LOAD_SPECS,	/* jobs as submitted */
+	LOAD_RECORDS,	/* progress of the jobs */
+	LOAD_TRANSFERS, /* jobs that other shards have */
+	LOAD_QUEUES,	/* queues that have jobs */
+	LOAD_SEQUENCE,	/* revision of the sequence key */
+	LOAD_LAPSING,	/* instances whose leases lapse */
 	LOADED
 } load_step_t;
 
@@ -27,9 +26,6 @@
 	store_t *store;
 	char shard[SCHED_NAME_BYTES];
 	char role_key[ROLE_KEY_BYTES];
-	char spec_prefix[ROLE_KEY_BYTES];
-	char record_prefix[ROLE_KEY_BYTES];
-	char queue_prefix[ROLE_KEY_BYTES];
 	char sequence_key[ROLE_KEY_BYTES];
 	char lapsing_key[ROLE_KEY_BYTES];
 	char boot_id[GW_ID_TEXT_BYTES]; /* random, to recognize own writes */
--- a/gwentryd/owner_load.c
+++ b/gwentryd/owner_load.c
@@ -10,21 +10,25 @@
 	owner_load_next_page(arg);
 }
 
-static const char *
-load_prefix(const owner_t *owner)
+/*
+ * Formats the prefix of the keys that the present step reads.
+ */
+static void
+format_prefix(const owner_t *owner, char out[OWNER_KEY_BYTES])
 {
-	switch (owner->load_step) {
-	case LOAD_SPECS:
-		return owner->spec_prefix;
-	case LOAD_RECORDS:
-		return owner->record_prefix;
-	case LOAD_QUEUES:
-		return owner->queue_prefix;
-	case LOAD_LAPSING:
-		return owner->lapsing_key;
-	default:
-		return owner->sequence_key;
-	}
+	static const sched_write_kind_t kinds[] = {
+	    [LOAD_SPECS] = SCHED_WRITE_SPEC,
+	    [LOAD_RECORDS] = SCHED_WRITE_RECORD,
+	    [LOAD_TRANSFERS] = SCHED_WRITE_TRANSFER,
+	    [LOAD_QUEUES] = SCHED_WRITE_QUEUE,
+	    [LOAD_LAPSING] = SCHED_WRITE_LAPSING,
+	};
+
+	if (owner->load_step == LOAD_SEQUENCE)
+		(void)g_strlcpy(out, owner->sequence_key, OWNER_KEY_BYTES);
+	else
+		owner_record_key(
+		    out, owner->shard, kinds[owner->load_step], "");
 }
 
 static void
@@ -46,9 +50,9 @@
 }
 
 static void
-load_item(owner_t *owner, const store_item_t *item)
+load_item(owner_t *owner, const char *prefix, const store_item_t *item)
 {
-	const char *job = item->key + strlen(load_prefix(owner));
+	const char *job = item->key + strlen(prefix);
 	int rc = 0;
 
 	if (strlen(job) >= SCHED_JOB_ID_BYTES)
@@ -57,6 +61,8 @@
 		load_sequence(owner, item);
 	else if (owner->load_step == LOAD_LAPSING)
 		rc = load_lapsing(owner, item);
+	else if (owner->load_step == LOAD_TRANSFERS)
+		rc = sched_pool_load_transfer(owner->pool, job, item->value);
 	else if (owner->load_step == LOAD_QUEUES)
 		sched_pool_load_queue(owner->pool, job);
 	else if (owner->load_step == LOAD_SPECS)
@@ -83,6 +89,7 @@
 {
 	owner_t *owner = arg;
 	const store_item_t *item = NULL;
+	char prefix[OWNER_KEY_BYTES];
 
 	if (!owner_end_call(owner))
 		return;
@@ -94,9 +101,10 @@
 		    RETRY_MIN_MS * GW_US_PER_MS, on_load_due, owner);
 		return;
 	}
+	format_prefix(owner, prefix);
 	for (guint i = 0; i < page->items->len; i++) {
 		item = page->items->pdata[i];
-		load_item(owner, item);
+		load_item(owner, prefix, item);
 	}
 	g_clear_pointer(&owner->load_after_key, g_free);
 	if (page->truncated && item != NULL)
@@ -115,9 +123,12 @@
 void
 owner_load_next_page(owner_t *owner)
 {
+	char prefix[OWNER_KEY_BYTES];
+
 	if (owner->closing || owner->call_in_progress)
 		return;
 	owner->call_in_progress = true;
-	store_range(owner->store, load_prefix(owner), owner->load_after_key,
-	    on_page, owner);
+	format_prefix(owner, prefix);
+	store_range(
+	    owner->store, prefix, owner->load_after_key, on_page, owner);
 }
--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -80,8 +80,11 @@
 	    g_hash_table_lookup(owners->handovers, shard);
 	owner_t *owner = owner_new(
 	    owners->rt, owners->store, &role, owners->ops, owners->arg);
+	char pool[SCHED_NAME_BYTES];
 
 	g_hash_table_replace(owners->by_shard, g_strdup(shard), owner);
+	sched_pool_set_shard(owner_pool(owner), shard_parse_name(shard, pool),
+	    owners->shard_count);
 	sched_pool_set_vacancy(owner_pool(owner), vacancy);
 	if (handover != NULL)
 		sched_pool_runs_ended(owner_pool(owner),
@@ -160,6 +163,8 @@
 	response.retry_after_ms = from->retry_after_ms;
 	if (from->reason != NULL)
 		response.reason = (char *)from->reason;
+	if (from->moved_to != NULL)
+		response.moved_to = (char *)from->moved_to;
 	pending->cb(&response, pending->arg);
 	g_free(pending);
 }
@@ -212,8 +217,11 @@
 	}
 	response.outcome = from.outcome;
 	response.state = from.state;
+	response.retry_after_ms = from.retry_after_ms;
 	if (from.reason != NULL)
 		response.reason = (char *)from.reason;
+	if (from.moved_to != NULL)
+		response.moved_to = (char *)from.moved_to;
 	cb(&response, arg);
 }
 
--- a/lib/sched/aside.c
+++ b/lib/sched/aside.c
@@ -82,6 +82,7 @@
 	}
 	notify_waiters(job, &unknown);
 	undo_mark_dirty(pool, job);
+	job->move_to[0] = '\0';
 	job->aside_until_us = gw_clock_now_us(pool->clock) + ASIDE_US;
 	g_ptr_array_add(pool->aside, job);
 }
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -4,9 +4,12 @@
 #include "sched/impl.h"
 
 /*
- * Most writes that one job adds to a batch: specification, progress and queue.
+ * Most writes that one job adds to a batch: specification, progress and queue;
+ * or, if it is transferred, two records that are removed, two that are written,
+ * a note and the queue.
  */
 #define JOB_WRITES_MAX 3
+#define TRANSFER_WRITES_MAX 6
 /* No job is added to a batch whose values have this size. */
 #define BATCH_FULL_BYTES (256 * 1024)
 /* A wait of records that is logged. */
@@ -66,16 +69,24 @@
 }
 
 static void
-add_write(sched_batch_t *batch, sched_write_kind_t kind, const char *id,
-    GBytes *value)
+add_write_to(sched_batch_t *batch, const char *shard, sched_write_kind_t kind,
+    const char *id, GBytes *value)
 {
 	sched_write_t write = {.kind = kind, .value = value};
 
 	batch->size_bytes += value == NULL ? 0 : g_bytes_get_size(value);
 	g_strlcpy(write.id, id, sizeof(write.id));
+	g_strlcpy(write.shard, shard, sizeof(write.shard));
 	g_array_append_val(batch->writes, write);
 }
 
+static void
+add_write(sched_batch_t *batch, sched_write_kind_t kind, const char *id,
+    GBytes *value)
+{
+	add_write_to(batch, "", kind, id, value);
+}
+
 /*
  * Returns the specification in the encoding of the store.
  */
@@ -105,6 +116,48 @@
 	}
 }
 
+/*
+ * Adds the row of the job's queue, unless the store has it.
+ */
+static void
+add_queue(sched_pool_t *pool, sched_batch_t *batch, sched_job_t *job)
+{
+	if (sched_queue_take_row(pool, job))
+		add_write(batch, SCHED_WRITE_QUEUE, job->queue_key,
+		    g_bytes_new(job->queue, strlen(job->queue)));
+}
+
+/*
+ * Moves the records of a job, of which nothing is placed, to another shard.
+ */
+static void
+add_transfer(sched_pool_t *pool, sched_batch_t *batch, sched_job_t *job)
+{
+	sched_transfer_keep_row(pool, job->id);
+	add_queue(pool, batch, job);
+	add_write(batch, SCHED_WRITE_SPEC, job->id, NULL);
+	add_write(batch, SCHED_WRITE_RECORD, job->id, NULL);
+	add_write(
+	    batch, SCHED_WRITE_TRANSFER, job->id, sched_transfer_encode(job));
+	add_write_to(batch, job->move_to, SCHED_WRITE_SPEC, job->id,
+	    sched_spec_encode(job->spec));
+	add_write_to(batch, job->move_to, SCHED_WRITE_RECORD, job->id,
+	    sched_record_encode(job, pool->bounds.value_max_bytes));
+}
+
+/*
+ * Adds the acknowledgements and callers that wait for the job's writes.
+ */
+static void
+add_waiting(sched_batch_t *batch, sched_job_t *job)
+{
+	g_array_append_vals(batch->acks, job->acks->data, job->acks->len);
+	g_array_set_size(job->acks, 0);
+	g_array_append_vals(
+	    batch->waiters, job->waiters->data, job->waiters->len);
+	g_array_set_size(job->waiters, 0);
+}
+
 /*
  * Adds the writes of one job, and the starts, acknowledgements and waiters that
  * wait for them.
@@ -126,23 +179,22 @@
 		sched_queue_job_removed(pool, job);
 		return;
 	}
+	if (job->move_to[0] != '\0') {
+		add_transfer(pool, batch, job);
+		add_waiting(batch, job);
+		return;
+	}
 	if (!job->spec_recorded && !sched_job_has_ended(job))
 		add_write(batch, SCHED_WRITE_SPEC, job->id,
 		    sched_spec_encode(job->spec));
 	else if (sched_job_has_ended(job) &&
 	    job->recorded < GW__JOB_STATE__JOB_COMPLETED && job->spec_recorded)
 		add_write(batch, SCHED_WRITE_SPEC, job->id, NULL);
-	if (!job->spec_recorded && sched_queue_take_row(pool, job))
-		add_write(batch, SCHED_WRITE_QUEUE, job->queue_key,
-		    g_bytes_new(job->queue, strlen(job->queue)));
+	add_queue(pool, batch, job);
 	add_write(batch, SCHED_WRITE_RECORD, job->id,
 	    sched_record_encode(job, pool->bounds.value_max_bytes));
 	collect_starts(batch, job);
-	g_array_append_vals(batch->acks, job->acks->data, job->acks->len);
-	g_array_set_size(job->acks, 0);
-	g_array_append_vals(
-	    batch->waiters, job->waiters->data, job->waiters->len);
-	g_array_set_size(job->waiters, 0);
+	add_waiting(batch, job);
 }
 
 /*
@@ -161,6 +213,22 @@
 	}
 }
 
+/*
+ * Removes the notes on transferred jobs that are not needed any more.
+ */
+static void
+remove_old_transfers(
+    sched_pool_t *pool, sched_batch_t *batch, uint32_t writes_max)
+{
+	while (batch->writes->len < writes_max) {
+		g_autofree char *id = sched_transfer_take_old(pool);
+
+		if (id == NULL)
+			return;
+		add_write(batch, SCHED_WRITE_TRANSFER, id, NULL);
+	}
+}
+
 /*
  * Returns whether the next job goes into the batch.
  */
@@ -170,10 +238,12 @@
 {
 	const sched_batch_job_t *first =
 	    &g_array_index(batch->jobs, sched_batch_job_t, 0);
+	uint32_t needed =
+	    next->move_to[0] == '\0' ? JOB_WRITES_MAX : TRANSFER_WRITES_MAX;
 
 	if (batch->jobs->len == 0)
 		return true;
-	return batch->writes->len + JOB_WRITES_MAX <= writes_max &&
+	return batch->writes->len + needed <= writes_max &&
 	    batch->size_bytes < BATCH_FULL_BYTES && !next->write_alone &&
 	    !first->job->write_alone;
 }
@@ -201,6 +271,7 @@
 	    has_room(batch, g_queue_peek_head(pool->dirty), writes_max))
 		add_job(pool, batch, g_queue_pop_head(pool->dirty));
 	remove_unused_queues(pool, batch, writes_max);
+	remove_old_transfers(pool, batch, writes_max);
 	return batch;
 }
 
@@ -210,7 +281,8 @@
 bool
 sched_pool_is_dirty(const sched_pool_t *pool)
 {
-	return pool->dirty->length > 0 || pool->lapsing_is_stale;
+	return pool->dirty->length > 0 || pool->lapsing_is_stale ||
+	    pool->old_transfers->length > 0;
 }
 
 /*
@@ -231,8 +303,11 @@
 	return &g_array_index(batch->writes, sched_write_t, i);
 }
 
-static void
-acknowledge(sched_pool_t *pool, const sched_ack_t *ack)
+/*
+ * Lets the end be acknowledged, which needs no write to the store any more.
+ */
+void
+sched_acknowledge(sched_pool_t *pool, const sched_ack_t *ack)
 {
 	sched_instance_t *instance =
 	    g_hash_table_lookup(pool->instances, ack->instance);
@@ -320,9 +395,12 @@
 		job->spec_recorded = true;
 		if (job->expired)
 			g_hash_table_remove(pool->jobs, job->id);
+		else if (job->move_to[0] != '\0')
+			sched_transfer_done(pool, job);
 	}
 	for (guint i = 0; i < batch->acks->len; i++)
-		acknowledge(pool, &g_array_index(batch->acks, sched_ack_t, i));
+		sched_acknowledge(
+		    pool, &g_array_index(batch->acks, sched_ack_t, i));
 	sched_notify_waiters(batch->waiters, &ok);
 	batch_free(batch);
 }
@@ -366,6 +444,8 @@
 
 		if (write->kind == SCHED_WRITE_QUEUE)
 			sched_queue_undo_write(pool, write);
+		if (write->kind == SCHED_WRITE_TRANSFER)
+			sched_transfer_undo_write(pool, write);
 	}
 	for (guint i = 0; i < batch->jobs->len; i++) {
 		sched_job_t *job =
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -3,8 +3,11 @@
 #include "gw/log.h"
 #include "sched/impl.h"
 
-static void
-wait_for_record(
+/*
+ * Replies to the caller once the job's record has been written.
+ */
+void
+sched_job_wait_for_record(
     sched_pool_t *pool, sched_job_t *job, sched_response_cb_t cb, void *arg)
 {
 	sched_waiter_t waiter = {.cb = cb, .arg = arg};
@@ -38,7 +41,8 @@
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, spec->id);
 	uint64_t since_us;
 
-	if (job != NULL && job->spec_recorded) {
+	if (job != NULL ? job->spec_recorded
+			: sched_pool_has_job(pool, spec->id)) {
 		cb(&ok, arg);
 		return;
 	}
@@ -72,16 +76,18 @@
 		    job->critical_path_ms, job->spec->objective_ms,
 		    job->spec->priority, pool->open->len);
 	}
-	wait_for_record(pool, job, cb, arg);
+	sched_job_wait_for_record(pool, job, cb, arg);
 }
 
 /*
- * Returns whether the pool has the job, in whatever state.
+ * Returns whether the pool has accepted the job, in whatever state it is, and
+ * even if another shard has it now.
  */
 bool
 sched_pool_has_job(const sched_pool_t *pool, const char *id)
 {
-	return g_hash_table_contains(pool->jobs, id);
+	return g_hash_table_contains(pool->jobs, id) ||
+	    g_hash_table_contains(pool->transfers, id);
 }
 
 /*
@@ -98,12 +104,12 @@
 	    .outcome = GW__CALL_OUTCOME__CALL_ABSENT, .reason = "no-such-job"};
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
 
-	if (job == NULL)
+	if (!sched_pool_has_job(pool, id))
 		cb(&absent, arg);
-	else if (job->spec_recorded)
+	else if (job == NULL || job->spec_recorded)
 		cb(&ok, arg);
 	else
-		wait_for_record(pool, job, cb, arg);
+		sched_job_wait_for_record(pool, job, cb, arg);
 }
 
 static bool
@@ -134,19 +140,30 @@
 	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 	const sched_response_t absent = {
 	    .outcome = GW__CALL_OUTCOME__CALL_ABSENT, .reason = "no-such-job"};
+	const sched_response_t moving = {
+	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED, .reason = "job-moving"};
 	sched_job_t *job = find_job(pool, queue, id);
+	sched_response_t elsewhere;
 
+	if (sched_transfer_find(pool, id, &elsewhere)) {
+		cb(&elsewhere, arg);
+		return;
+	}
 	if (job == NULL) {
 		cb(&absent, arg);
 		return;
 	}
+	if (job->move_to[0] != '\0') {
+		cb(&moving, arg);
+		return;
+	}
 	if (job->recorded >= GW__JOB_STATE__JOB_COMPLETED) {
 		cb(&ok, arg);
 		return;
 	}
 	if (!sched_job_has_ended(job))
 		sched_job_end(pool, job, GW__JOB_STATE__JOB_CANCELLED);
-	wait_for_record(pool, job, cb, arg);
+	sched_job_wait_for_record(pool, job, cb, arg);
 }
 
 /*
@@ -160,6 +177,8 @@
 	sched_response_t response = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 	const sched_job_t *job = find_job(pool, queue, id);
 
+	if (sched_transfer_find(pool, id, &response))
+		return response;
 	if (job == NULL || !job->spec_recorded) {
 		response.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
 		response.reason = "no-such-job";
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -210,6 +210,11 @@
 	uint32_t placed;  /* number of tasks that are placed on an instance */
 	/* Since when a ready task fits on no instance; 0: none. */
 	uint64_t blocked_since_us;
+	/* Since when the shard has been unable to run it; 0: it can. */
+	uint64_t misfit_since_us;
+	uint64_t fit_check_us; /* not checked before */
+	/* The shard that it is being transferred to; empty: none. */
+	char move_to[SCHED_NAME_BYTES];
 	uint64_t ran_us;	   /* as that of a task, of all its tasks */
 	GArray *acks;		   /* sched_ack_t */
 	GArray *waiters;	   /* sched_waiter_t */
@@ -316,10 +321,16 @@
 	sched_bounds_t bounds;
 	const sched_ops_t *ops;
 	void *arg;
-	GHashTable *jobs;	/* id -> sched_job_t */
-	GPtrArray *open;	/* jobs that have not ended (sched_job_t) */
-	GHashTable *instances;	/* id -> sched_instance_t */
-	GHashTable *queues;	/* key -> sched_queue_use_t; see queue.c */
+	GHashTable *jobs;      /* id -> sched_job_t */
+	GPtrArray *open;       /* jobs that have not ended (sched_job_t) */
+	GHashTable *instances; /* id -> sched_instance_t */
+	GHashTable *queues;    /* key -> sched_queue_use_t; see queue.c */
+	uint32_t shard_number;
+	uint32_t shard_count;
+	/* Jobs that other shards have; see transfer.c. */
+	GHashTable *transfers; /* id -> note_t */
+	uint64_t transfer_count;
+	GQueue *old_transfers;	/* ids whose rows are to be removed (char *) */
 	bool has_unused_queues; /* one of them may be without jobs */
 	GQueue *dirty;	  /* jobs whose record must be written (sched_job_t) */
 	GPtrArray *aside; /* jobs set aside (sched_job_t); see aside.c */
@@ -400,6 +411,8 @@
 /* queue.c */
 void sched_job_set_queue_key(sched_pool_t *, sched_job_t *, const char *key);
 void sched_queue_job_removed(sched_pool_t *, sched_job_t *);
+void sched_queue_use(sched_pool_t *, const char *key);
+void sched_queue_unuse(sched_pool_t *, const char *key);
 bool sched_queue_take_row(sched_pool_t *, const sched_job_t *);
 void sched_queue_undo_write(sched_pool_t *, const sched_write_t *);
 char *sched_queue_take_unused(sched_pool_t *);
@@ -457,6 +470,21 @@
 extern const sched_response_t sched_response_owner_gone;
 void sched_notify_waiters(const GArray *waiters, const sched_response_t *);
 GBytes *sched_spec_encode(const Gw__JobSpec *);
+void sched_acknowledge(sched_pool_t *, const sched_ack_t *);
+
+/* caller.c */
+void sched_job_wait_for_record(
+    sched_pool_t *, sched_job_t *, sched_response_cb_t, void *arg);
+
+/* transfer.c */
+GBytes *sched_transfer_encode(const sched_job_t *);
+bool sched_transfer_find(
+    const sched_pool_t *, const char *id, sched_response_t *);
+void sched_transfer_done(sched_pool_t *, sched_job_t *);
+char *sched_transfer_take_old(sched_pool_t *);
+void sched_transfer_keep_row(sched_pool_t *, const char *id);
+void sched_transfer_undo_write(sched_pool_t *, const sched_write_t *);
+void sched_transfer_tick(sched_pool_t *, uint64_t now_us);
 
 /* handover.c */
 uint64_t sched_pool_previous_expiry_us(
--- a/lib/sched/lookup.c
+++ b/lib/sched/lookup.c
@@ -12,6 +12,7 @@
 	GArray *calls;	   /* sched_lookup_call_t */
 	guint next;	   /* the next one to make */
 	guint ended;	   /* calls that have ended */
+	bool has_followed; /* a call went to where the job was moved */
 	Gw__Reply result;
 	char *reason; /* of the result */
 };
@@ -193,6 +194,25 @@
 	return true;
 }
 
+/*
+ * Returns whether the response names another shard of the pool that has the
+ * job, and makes that the next one to be called.
+ */
+static bool
+follow_transfer(sched_lookup_t *lookup, const sched_lookup_call_t *from,
+    const Gw__Reply *response)
+{
+	sched_lookup_call_t call = {.kind = from->kind};
+
+	if (response->moved_to == NULL || response->moved_to[0] == '\0' ||
+	    lookup->has_followed)
+		return false;
+	lookup->has_followed = true;
+	g_strlcpy(call.shard, response->moved_to, sizeof(call.shard));
+	g_array_insert_val(lookup->calls, lookup->next, call);
+	return true;
+}
+
 /*
  * A job that one shard has is found. Otherwise the outcome that says least
  * decides: a job is known to be absent only if no shard has it. A submission
@@ -208,6 +228,10 @@
 	lookup->ended++;
 	if (sched_lookup_is_parallel(lookup))
 		return add_count(lookup, response);
+	if (follow_transfer(lookup, call, response)) {
+		set_result(lookup, response);
+		return false;
+	}
 	if (response->outcome == GW__CALL_OUTCOME__CALL_OK ||
 	    response->outcome >= lookup->result.outcome)
 		set_result(lookup, response);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -383,7 +383,8 @@
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
 
-		if (job->aside_until_us == 0 && has_waiting(job))
+		if (job->aside_until_us == 0 && job->move_to[0] == '\0' &&
+		    has_waiting(job))
 			g_ptr_array_add(jobs, job);
 	}
 	sched_sort_jobs(jobs, now_us);
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -33,6 +33,9 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->previous_leases =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->transfers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	pool->old_transfers = g_queue_new();
 	pool->handed_ends = sched_ended_runs_new();
 	pool->lapsing =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -52,6 +55,13 @@
 	return pool;
 }
 
+void
+sched_pool_set_shard(sched_pool_t *pool, uint32_t number, uint32_t count)
+{
+	pool->shard_number = number;
+	pool->shard_count = count;
+}
+
 /*
  * Frees the pool. Waiting callers are told that the outcome is unknown.
  */
@@ -75,6 +85,8 @@
 	g_hash_table_destroy(pool->lapsing);
 	g_hash_table_destroy(pool->may_lapse);
 	g_hash_table_destroy(pool->queues);
+	g_hash_table_destroy(pool->transfers);
+	g_queue_free_full(pool->old_transfers, g_free);
 	sched_refusals_free(pool->refusals);
 	g_ptr_array_free(pool->open, TRUE);
 	g_ptr_array_free(pool->cleanup, TRUE);
@@ -284,6 +296,7 @@
 	due_us = tick_instances(pool, now_us);
 	sched_lapse_tick(pool, now_us);
 	sched_send_starts(pool, now_us);
+	sched_transfer_tick(pool, now_us);
 	sched_place_round(pool, now_us);
 	sched_wait_tick(pool, now_us);
 	clean_up_ended(pool);
--- a/lib/sched/queue.c
+++ b/lib/sched/queue.c
@@ -36,13 +36,22 @@
 }
 
 /*
- * Handles that the job is removed from the pool, or is about to be.
+ * Counts a job of the queue that is in another shard, but is found by this one.
  */
 void
-sched_queue_job_removed(sched_pool_t *pool, sched_job_t *job)
+sched_queue_use(sched_pool_t *pool, const char *key)
 {
-	sched_queue_use_t *use =
-	    g_hash_table_lookup(pool->queues, job->queue_key);
+	if (key[0] != '\0')
+		get_use(pool, key)->jobs++;
+}
+
+/*
+ * Handles that the queue has one job less.
+ */
+void
+sched_queue_unuse(sched_pool_t *pool, const char *key)
+{
+	sched_queue_use_t *use = g_hash_table_lookup(pool->queues, key);
 
 	if (use == NULL)
 		return;
@@ -50,7 +59,16 @@
 	if (use->jobs == 0 && use->is_recorded)
 		pool->has_unused_queues = true;
 	else if (use->jobs == 0)
-		(void)g_hash_table_remove(pool->queues, job->queue_key);
+		(void)g_hash_table_remove(pool->queues, key);
+}
+
+/*
+ * Handles that the job is removed from the pool, or is about to be.
+ */
+void
+sched_queue_job_removed(sched_pool_t *pool, sched_job_t *job)
+{
+	sched_queue_unuse(pool, job->queue_key);
 	job->queue_key[0] = '\0';
 }
 
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -159,15 +159,18 @@
 	uint32_t pending;	 /* jobs of the queue that have not started */
 	uint32_t retry_after_ms; /* of a refusal */
 	const char *reason;
+	/* Of a refusal: the shard that has the job; NULL: none, or not yet. */
+	const char *moved_to;
 } sched_response_t;
 
 typedef void (*sched_response_cb_t)(const sched_response_t *, void *arg);
 
 typedef enum {
-	SCHED_WRITE_SPEC,   /* a job as submitted */
-	SCHED_WRITE_RECORD, /* its progress */
-	SCHED_WRITE_QUEUE,  /* that the pool has jobs of a queue */
-	SCHED_WRITE_LAPSING /* the instances whose leases lapse; one value */
+	SCHED_WRITE_SPEC,    /* a job as submitted */
+	SCHED_WRITE_RECORD,  /* its progress */
+	SCHED_WRITE_QUEUE,   /* that the pool has jobs of a queue */
+	SCHED_WRITE_LAPSING, /* the instances whose leases lapse; one value */
+	SCHED_WRITE_TRANSFER /* which shard has a job; see transfer.c */
 } sched_write_kind_t;
 
 /* A record to write to the store or to remove from it. */
@@ -175,7 +178,8 @@
 	sched_write_kind_t kind;
 	/* Of the job, or the queue's key; empty: not needed. */
 	char id[SCHED_JOB_ID_BYTES];
-	GBytes *value; /* NULL: remove the record */
+	GBytes *value;		      /* NULL: remove the record */
+	char shard[SCHED_NAME_BYTES]; /* of the record; empty: this one */
 } sched_write_t;
 
 /*
@@ -184,6 +188,13 @@
  */
 typedef struct sched_batch sched_batch_t;
 
+/* A job that no instance of its shard can run. */
+typedef struct {
+	const char *id;
+	const Gw__JobSpec *spec;
+	const bool *is_open; /* for each step: it has tasks that are not done */
+} sched_misfit_t;
+
 typedef struct {
 	void (*start)(const sched_start_t *, void *arg);
 	void (*stop)(const char *instance, const char *address,
@@ -204,6 +215,22 @@
 	void (*fenced)(const char *instance, void *arg);
 	/* The instance was removed from the pool; no more requests go to it. */
 	void (*instance_removed)(const char *instance, void *arg);
+	/*
+	 * Finds a shard of the pool to which the job is transferred. Returns
+	 * false if there is none.
+	 */
+	bool (*find_shard)(
+	    const sched_misfit_t *, char shard[SCHED_NAME_BYTES], void *arg);
+	/*
+	 * Tells the shard's owner that the store has the job there.
+	 * sched_pool_apply_adopt_result() follows.
+	 */
+	void (*tell_adopt)(const char *shard, const char *id, void *arg);
+	/*
+	 * Reads a job's records in this shard. sched_pool_adopt() follows, or
+	 * sched_pool_forget_transfer() if there are none.
+	 */
+	void (*find_records)(const char *id, void *arg);
 } sched_ops_t;
 
 /*
@@ -258,17 +285,22 @@
  */
 void sched_pool_set_window(sched_pool_t *, sched_window_t *);
 
+/* Sets the number of this shard and of all; without it there is only one. */
+void sched_pool_set_shard(sched_pool_t *, uint32_t number, uint32_t count);
+
 bool sched_spec_is_valid(const Gw__JobSpec *);
 bool sched_spec_fits(const Gw__JobSpec *, uint64_t value_max_bytes);
 
 /*
- * Takeover: load every specification, then every record, every queue and the
- * list of lapsing leases of the store, then call sched_pool_finish_load().
+ * Takeover: load every specification, then every record, every note on a
+ * transferred job, every queue and the list of lapsing leases of the store,
+ * then call sched_pool_finish_load().
  */
 int sched_pool_load_spec(
     sched_pool_t *, const char *id, const void *, size_t size_bytes);
 int sched_pool_load_record(
     sched_pool_t *, const char *id, const void *, size_t size_bytes);
+int sched_pool_load_transfer(sched_pool_t *, const char *id, const char *value);
 void sched_pool_load_queue(sched_pool_t *, const char *key);
 /*
  * Loads the list of instances whose leases lapse. It was in the store at
@@ -374,6 +406,27 @@
 uint32_t sched_pool_count_pending(
     const sched_pool_t *, const sched_queue_ref_t *);
 
+/* The records of a job in the store. */
+typedef struct {
+	const void *spec;
+	size_t spec_bytes;
+	const void *record;
+	size_t record_bytes;
+} sched_job_rows_t;
+/* Jobs that change their shard; see transfer.c. */
+/* Returns whether this shard has the job, and not only a note on it. */
+bool sched_pool_holds_job(const sched_pool_t *, const char *id);
+/*
+ * Returns how many jobs this owner has transferred. Records that were read
+ * before the last transfer may be those of a job that has gone.
+ */
+uint64_t sched_pool_transfer_count(const sched_pool_t *);
+int sched_pool_adopt(sched_pool_t *, const char *id, const sched_job_rows_t *,
+    sched_response_cb_t, void *arg);
+void sched_pool_apply_adopt_result(
+    sched_pool_t *, const char *id, Gw__CallOutcome);
+void sched_pool_forget_transfer(sched_pool_t *, const char *id);
+
 /*
  * Writes to the store, one batch at a time. sched_pool_take_batch() returns
  * NULL when there is nothing to write.
--- a/lib/sched/shard.h
+++ b/lib/sched/shard.h
@@ -9,9 +9,10 @@
 /*
  * A pool is divided into shards with one owner each, so that no single process
  * schedules the whole pool. A job belongs to a shard by the hash of its id, an
- * instance by the hash of its machine. Machines are lent only between shards
- * with the same number. The number of shards is decided once for a system and
- * kept in the store.
+ * instance by the hash of its machine; a job that its shard cannot run is
+ * transferred to another one (transfer.c). Machines are lent only between
+ * shards with the same number. The number of shards is decided once for a
+ * system and kept in the store.
  */
 #define SHARDS_MAX 16
 
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -4332,7 +4332,7 @@
   (ProtobufCMessageInit) gw__ended_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__reply__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gw__reply__field_descriptors[12] =
 {
   {
     "number",
@@ -4466,6 +4466,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "moved_to",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Reply, moved_to),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__reply__field_indices_by_name[] = {
   6,   /* field[6] = drained */
@@ -4473,6 +4485,7 @@
   8,   /* field[8] = has_leases */
   9,   /* field[9] = leases */
   7,   /* field[7] = load */
+  11,   /* field[11] = moved_to */
   0,   /* field[0] = number */
   1,   /* field[1] = outcome */
   3,   /* field[3] = pending */
@@ -4483,7 +4496,7 @@
 static const ProtobufCIntRange gw__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gw__reply__descriptor =
 {
@@ -4493,7 +4506,7 @@
   "Gw__Reply",
   "gw",
   sizeof(Gw__Reply),
-  11,
+  12,
   gw__reply__field_descriptors,
   gw__reply__field_indices_by_name,
   1,  gw__reply__number_ranges,
@@ -4830,7 +4843,7 @@
   gw__job_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[8] =
+static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[9] =
 {
   { "CALL_SUBMIT", "GW__CALL_KIND__CALL_SUBMIT", 0 },
   { "CALL_STATE", "GW__CALL_KIND__CALL_STATE", 1 },
@@ -4840,12 +4853,14 @@
   { "CALL_LOAD", "GW__CALL_KIND__CALL_LOAD", 5 },
   { "CALL_OWNS", "GW__CALL_KIND__CALL_OWNS", 6 },
   { "CALL_RESUBMIT", "GW__CALL_KIND__CALL_RESUBMIT", 7 },
+  { "CALL_ADOPT", "GW__CALL_KIND__CALL_ADOPT", 8 },
 };
 static const ProtobufCIntRange gw__call_kind__value_ranges[] = {
-{0, 0},{0, 8}
+{0, 0},{0, 9}
 };
-static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[8] =
+static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[9] =
 {
+  { "CALL_ADOPT", 8 },
   { "CALL_CANCEL", 2 },
   { "CALL_DRAIN", 4 },
   { "CALL_LOAD", 5 },
@@ -4862,9 +4877,9 @@
   "CallKind",
   "Gw__CallKind",
   "gw",
-  8,
+  9,
   gw__call_kind__enum_values_by_number,
-  8,
+  9,
   gw__call_kind__enum_values_by_name,
   1,
   gw__call_kind__value_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -102,7 +102,12 @@
    * if the pool does not have the job. It then accepts no job from a process
    * whose configuration is older than config_version.
    */
-  GW__CALL_KIND__CALL_RESUBMIT = 7
+  GW__CALL_KIND__CALL_RESUBMIT = 7,
+  /*
+   * The store has the job's records in the pool, from another one. The reply is
+   * CALL_OK once the pool has the job, CALL_ABSENT if the store has none.
+   */
+  GW__CALL_KIND__CALL_ADOPT = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__CALL_KIND)
 } Gw__CallKind;
 typedef enum _Gw__CallOutcome {
@@ -757,10 +762,14 @@
    */
   size_t n_ended;
   Gw__EndedRun **ended;
+  /*
+   * Of a call that is refused: the pool that has the job.
+   */
+  char *moved_to;
 };
 #define GW__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__reply__descriptor) \
-    , 0, GW__CALL_OUTCOME__CALL_OK, GW__JOB_STATE__JOB_QUEUED, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, 0, 0,NULL, 0,NULL }
+    , 0, GW__CALL_OUTCOME__CALL_OK, GW__JOB_STATE__JOB_QUEUED, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 typedef enum {
--- a/regress/sched/lookup_test.c
+++ b/regress/sched/lookup_test.c
@@ -13,6 +13,20 @@
 #define OTHER_KEY "00000000000000bb"
 #define ID "0123456789abcdef"
 
+/*
+ * Sets the outcome, or a refusal that names the shard where the job is.
+ */
+static void
+set_outcome(Gw__Reply *response, const char *outcome)
+{
+	if (g_ascii_isdigit(outcome[0])) {
+		response->outcome = (Gw__CallOutcome)atoi(outcome);
+		return;
+	}
+	response->outcome = GW__CALL_OUTCOME__CALL_REFUSED;
+	response->moved_to = (char *)outcome;
+}
+
 /*
  * Makes all calls of a request, and responds to each as row says: the shard and
  * the first letter of the outcome. Returns "SHARD:KIND ..." and the result.
@@ -39,8 +53,7 @@
 		response.pending = 3;
 		for (int i = 0; outcomes[i] != NULL; i += 2)
 			if (strcmp(outcomes[i], call->shard) == 0)
-				response.outcome =
-				    (Gw__CallOutcome)atoi(outcomes[i + 1]);
+				set_outcome(&response, outcomes[i + 1]);
 		is_decided = sched_lookup_add(lookup, &response);
 	}
 	g_assert_true(is_decided);
@@ -123,6 +136,38 @@
 	sched_homes_free(homes);
 }
 
+/*
+ * A job that its shard has transferred is asked for where it is; it is not said
+ * to be absent because that one has just given it away again.
+ */
+static void
+test_transferred(void)
+{
+	static const char *const rows_of_two[][3] = {
+	    {"p2~9", OK, "p2~%u:cancel p2~9:cancel ok"},
+	    {"p2~9", ABSENT, "p2~%u:cancel p2~9:cancel refused"},
+	    {"p2~9", UNKNOWN, "p2~%u:cancel p2~9:cancel unknown"},
+	    {"p2~9", "p2~0", "p2~%u:cancel p2~9:cancel refused"},
+	};
+	uint32_t number = shard_of_id(ID, 2);
+	sched_homes_t *homes = sched_homes_new();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows_of_two); i++) {
+		const char *const *row = rows_of_two[i];
+		g_autofree char *home = g_strdup_printf("p2~%u", number);
+		const char *const outcomes[] = {
+		    home, row[0], "p2~9", row[1], NULL};
+		g_auto(GStrv) parts = g_strsplit(row[2], "%u", 2);
+		g_autofree char *expected =
+		    g_strdup_printf("%s%u%s", parts[0], number, parts[1]);
+		g_autofree char *got =
+		    play(homes, GW__CALL_KIND__CALL_CANCEL, 2, outcomes);
+
+		g_assert_cmpstr(got, ==, expected);
+	}
+	sched_homes_free(homes);
+}
+
 /* Without a former pool nothing else is asked. */
 static void
 test_not_moved(void)
@@ -184,6 +229,7 @@
 	g_test_add_func("/lookup/moved", test_moved);
 	g_test_add_func("/lookup/shards", test_shards);
 	g_test_add_func("/lookup/not-moved", test_not_moved);
+	g_test_add_func("/lookup/transferred", test_transferred);
 	g_test_add_func("/lookup/older-copy", test_older_copy);
 	g_test_add_func("/lookup/key", test_key);
 	return g_test_run();
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -26,8 +26,10 @@
 static sched_batch_t *batch;
 static sched_handover_t *handover; /* see do_keep_ends() */
 static sched_window_t *window;
-static uint32_t request_bytes;	 /* counted in the window for each start */
-static fake_instances_t *fake;	 /* respond by themselves; NULL: none */
+static uint32_t request_bytes;	     /* counted in the window for each start */
+static fake_instances_t *fake;	     /* respond by themselves; NULL: none */
+static const char *other_shard = ""; /* can run what this one cannot */
+static uint32_t shard_number, shard_count;
 static const char *watched = ""; /* prefix of the jobs that are printed */
 static char *words[WORDS_MAX];
 static int word_count;
@@ -178,13 +180,40 @@
 	printf("%6" PRIu64 " removed %s\n", now_ms(), instance);
 }
 
+static bool
+on_find_shard(
+    const sched_misfit_t *misfit, char shard[SCHED_NAME_BYTES], void *arg)
+{
+	(void)misfit;
+	(void)arg;
+	g_strlcpy(shard, other_shard, SCHED_NAME_BYTES);
+	return other_shard[0] != '\0';
+}
+
+static void
+on_tell_adopt(const char *shard, const char *id, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " tell %s of %s\n", now_ms(), shard, id);
+}
+
+static void
+on_find_records(const char *id, void *arg)
+{
+	(void)arg;
+	printf("%6" PRIu64 " find %s\n", now_ms(), id);
+}
+
 static const sched_ops_t ops = {.start = on_start,
     .stop = on_stop,
     .renew = on_renew,
     .advise = on_advise,
     .lease_until_us = lease_until_us,
     .fenced = on_fenced,
-    .instance_removed = on_instance_removed};
+    .instance_removed = on_instance_removed,
+    .find_shard = on_find_shard,
+    .tell_adopt = on_tell_adopt,
+    .find_records = on_find_records};
 
 static void
 on_response(const sched_response_t *response, void *arg)
@@ -193,8 +222,10 @@
 	    "ok", "absent", "refused", "unknown"};
 
 	if (g_str_has_prefix(arg, watched))
-		printf("%6" PRIu64 " reply %s %s\n", now_ms(), (char *)arg,
-		    names[response->outcome]);
+		printf("%6" PRIu64 " reply %s %s%s%s\n", now_ms(), (char *)arg,
+		    names[response->outcome],
+		    response->moved_to == NULL ? "" : " moved to ",
+		    response->moved_to == NULL ? "" : response->moved_to);
 	g_free(arg);
 }
 
@@ -299,6 +330,14 @@
 	sched_pool_end_superseded(pool, &info);
 }
 
+static int
+load_transfer(sched_pool_t *to, const char *id, const void *data, size_t size)
+{
+	g_autofree char *value = g_strndup(data, size);
+
+	return sched_pool_load_transfer(to, id, value);
+}
+
 static int
 load_lapsing(
     sched_pool_t *to, const char *key, const void *data, size_t size_bytes)
@@ -347,6 +386,7 @@
 	batch = NULL;
 	sched_pool_free(pool);
 	pool = sched_pool_new("p", "dc-a", &clock_state, &bounds, &ops, NULL);
+	sched_pool_set_shard(pool, shard_number, shard_count);
 	if (vacant_ms != 0)
 		vacancy.vacant_since_us =
 		    gw_clock_now_us(&clock_state) - vacant_ms * GW_US_PER_MS;
@@ -359,6 +399,7 @@
 		return;
 	load("spec/", sched_pool_load_spec);
 	load("record/", sched_pool_load_record);
+	load("transfer/", load_transfer);
 	load("queue/", load_queue);
 	load("lapsing/", load_lapsing);
 	sched_pool_finish_load(pool);
@@ -383,6 +424,61 @@
 	set_instance(words[1]);
 }
 
+/*
+ * shard NUMBER COUNT [other=SHARD]: the pool is this one of COUNT shards, and
+ * SHARD can run its jobs
+ */
+static void
+do_shard(void)
+{
+	shard_number = (uint32_t)atoi(words[1]);
+	shard_count = (uint32_t)atoi(words[2]);
+	other_shard = g_intern_string(lookup_value("other", ""));
+	sched_pool_set_shard(pool, shard_number, shard_count);
+}
+
+/*
+ * adopt ID from=SHARD: the pool takes over the job whose records SHARD has;
+ * here these are the records that it has transferred to SHARD itself
+ */
+static void
+do_adopt(void)
+{
+	const char *from = lookup_value("from", "");
+	g_autofree char *spec_key =
+	    g_strdup_printf("%s:spec/%s", from, words[1]);
+	g_autofree char *key = g_strdup_printf("%s:record/%s", from, words[1]);
+	GBytes *spec = g_hash_table_lookup(store, spec_key);
+	GBytes *record = g_hash_table_lookup(store, key);
+	sched_job_rows_t rows;
+
+	if (spec == NULL || record == NULL)
+		errx(1, "%s has no job '%s'", from, words[1]);
+	rows.spec = g_bytes_get_data(spec, &rows.spec_bytes);
+	rows.record = g_bytes_get_data(record, &rows.record_bytes);
+	if (sched_pool_adopt(
+		pool, words[1], &rows, on_response, g_strdup(words[1])) != 0)
+		printf("%6" PRIu64 " bad records of %s\n", now_ms(), words[1]);
+}
+
+/* adopted ID ok|absent|refused: what the other owner says; forget ID */
+static void
+do_adopted(void)
+{
+	static const char *const names[] = {"ok", "absent", "refused"};
+
+	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++)
+		if (strcmp(names[i], words[2]) == 0)
+			sched_pool_apply_adopt_result(
+			    pool, words[1], (Gw__CallOutcome)i);
+}
+
+static void
+do_forget(void)
+{
+	sched_pool_forget_transfer(pool, words[1]);
+}
+
 /* gone ID: the registry entry is removed. */
 static void
 do_gone(void)
@@ -522,10 +618,13 @@
 	sched_queue_ref_t queue = parse_queue();
 	sched_response_t response = sched_pool_state(pool, &queue, words[1]);
 
-	printf("%6" PRIu64 " state %s %s\n", now_ms(), words[1],
-	    response.outcome == GW__CALL_OUTCOME__CALL_ABSENT
-		? "absent"
-		: names[response.state]);
+	printf("%6" PRIu64 " state %s %s%s%s\n", now_ms(), words[1],
+	    response.outcome == GW__CALL_OUTCOME__CALL_ABSENT ? "absent"
+		: response.outcome == GW__CALL_OUTCOME__CALL_OK
+		? names[response.state]
+		: "refused",
+	    response.moved_to == NULL ? "" : " moved to ",
+	    response.moved_to == NULL ? "" : response.moved_to);
 }
 
 /* load: what the owner reports to the planner */
@@ -670,7 +769,7 @@
 send_batch(bool is_refused)
 {
 	static const char *const kinds[] = {
-	    "spec", "record", "queue", "lapsing"};
+	    "spec", "record", "queue", "lapsing", "transfer"};
 
 	batch = sched_pool_take_batch(pool, 28);
 	if (batch == NULL) {
@@ -679,8 +778,9 @@
 	}
 	for (uint32_t i = 0; i < sched_batch_write_count(batch); i++) {
 		const sched_write_t *write = sched_batch_write(batch, i);
-		char *key =
-		    g_strdup_printf("%s/%s", kinds[write->kind], write->id);
+		char *key = g_strdup_printf("%s%s%s/%s", write->shard,
+		    write->shard[0] == '\0' ? "" : ":", kinds[write->kind],
+		    write->id);
 
 		printf("%6" PRIu64 " %s %s\n", now_ms(),
 		    write->value == NULL ? "remove" : "write", key);
@@ -869,6 +969,10 @@
     {"keep-ends", 1, do_keep_ends},
     {"tell-ends", 1, do_tell_ends},
     {"instance", 2, do_instance},
+    {"shard", 3, do_shard},
+    {"adopt", 2, do_adopt},
+    {"adopted", 3, do_adopted},
+    {"forget", 2, do_forget},
     {"gone", 2, do_gone},
     {"ended", 2, do_ended},
     {"submit", 3, do_submit},
