Accept jobs only by the newest configuration

A queue that has had no job goes to another service while the old owner's connections to the store are silent; both accept the same job, and all tasks run in both. A cancel at the other process is answered 410 while the old one's tasks run on.

Cause: an acceptance was written on condition of the role and the sequence, not of the configuration it was based on, so the row by which other processes find the job could be written after they had read the rows.

Change: a batch that accepts jobs names the revision of the configuration as a condition. On a conflict the owner takes the newer one from the response, and refuses new jobs whose queue has left the pool: nothing of them was written. Rows read after a version was seen are complete, and are read for all queues where a version may have been missed.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -181,6 +181,24 @@
 	return roles_lapsing_seen_us(entry->roles, key, revision);
 }
 
+static uint64_t
+config_revision(void *arg)
+{
+	return view_config_revision(((entry_t *)arg)->view);
+}
+
+static void
+on_config_item(const store_item_t *item, void *arg)
+{
+	view_take_config(((entry_t *)arg)->view, item);
+}
+
+static bool
+has_queue(const char *shard, const char *key, void *arg)
+{
+	return owners_have_queue(((entry_t *)arg)->owners, shard, key);
+}
+
 static bool
 on_find_shard(const char *shard, const sched_misfit_t *misfit,
     char to[SCHED_NAME_BYTES], void *arg)
@@ -204,6 +222,9 @@
 static const owner_ops_t owner_ops = {.on_ownership_lost = on_ownership_lost,
     .lease_until_us = lease_until_us,
     .lapsing_seen_us = lapsing_seen_us,
+    .config_revision = config_revision,
+    .on_config_item = on_config_item,
+    .has_queue = has_queue,
     .find_shard = on_find_shard,
     .tell_adopt = on_tell_adopt,
     .find_records = on_find_records};
@@ -261,11 +282,11 @@
     .on_shards_known = on_layout};
 
 static void
-on_config(const sched_config_t *config, void *arg)
+on_config(const sched_config_t *config, bool is_next, void *arg)
 {
 	entry_t *entry = arg;
 
-	homes_set_config(entry->homes, config);
+	homes_set_config(entry->homes, config, is_next);
 	front_set_config(entry->front, config);
 	owners_set_config(entry->owners, config);
 	if (entry->planner != NULL)
--- a/gwentryd/homes.c
+++ b/gwentryd/homes.c
@@ -74,9 +74,9 @@
 }
 
 /*
- * Schedules the next read. A process that does not have the configuration yet
- * may accept the first job of a queue in its former pool for config_apply_ms,
- * so the rows are read once more then.
+ * Schedules the next read. A process of an earlier version, which does not
+ * name the configuration as a condition, may accept the first job of a queue in
+ * its former pool for config_apply_ms, so the rows are read once more then.
  */
 static void
 schedule_next(homes_t *homes)
@@ -182,7 +182,7 @@
 }
 
 void
-homes_set_config(homes_t *homes, const sched_config_t *config)
+homes_set_config(homes_t *homes, const sched_config_t *config, bool is_next)
 {
 	uint64_t now_us = gw_rt_now_us(homes->rt);
 	GHashTable *queues =
@@ -197,7 +197,8 @@
 
 		g_strlcpy(state->pool, queue->pool, sizeof(state->pool));
 		state->since_us = now_us;
-		if (before != NULL && strcmp(before->pool, queue->pool) == 0)
+		if (is_next && before != NULL &&
+		    strcmp(before->pool, queue->pool) == 0)
 			state->since_us = before->since_us;
 		else
 			homes->changed_us = now_us;
--- a/gwentryd/homes.h
+++ b/gwentryd/homes.h
@@ -9,7 +9,9 @@
 /*
  * Which shards have accepted jobs of the queues in force, read from the rows
  * that the owners of the shards write: HOMES_KEY_PREFIX, the name of the shard,
- * a slash and the key of the queue.
+ * a slash and the key of the queue. No shard gets its first job of a queue by a
+ * configuration that has been replaced (owner_commit.c), so rows that are read
+ * after a configuration was seen are those of all earlier ones.
  */
 #define HOMES_KEY_PREFIX "gw/queue/"
 
@@ -25,8 +27,11 @@
 /* config_apply_ms: time after which each process has a new configuration. */
 homes_t *homes_new(gw_rt_t *, store_t *, uint32_t config_apply_ms,
     const homes_ops_t *, void *arg);
-/* Reads the rows again if a queue is new or has another pool than before. */
-void homes_set_config(homes_t *, const sched_config_t *);
+/*
+ * Reads the rows again if a queue is new or has another pool than before, or
+ * may have had one: unless is_next, configurations in between are not known.
+ */
+void homes_set_config(homes_t *, const sched_config_t *, bool is_next);
 /*
  * Returns whether the rows have been read since the queue was seen in its
  * present pool. Before, another pool may have jobs of it that are not known.
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -262,6 +262,21 @@
 	owner_schedule_tick(owner);
 }
 
+static bool
+has_queue(const char *key, void *arg)
+{
+	const owner_t *owner = arg;
+
+	return owner->ops->has_queue(owner->shard, key, owner->arg);
+}
+
+void
+owner_config_changed(owner_t *owner)
+{
+	sched_pool_refuse_moved(owner->pool, has_queue, owner);
+	owner_schedule_tick(owner);
+}
+
 sched_pool_t *
 owner_pool(owner_t *owner)
 {
--- a/gwentryd/owner.h
+++ b/gwentryd/owner.h
@@ -29,6 +29,18 @@
 	 */
 	uint64_t (*lapsing_seen_us)(
 	    const char *key, uint64_t revision, void *arg);
+	/*
+	 * Returns the revision of the newest configuration that this process
+	 * has read; 0: none.
+	 */
+	uint64_t (*config_revision)(void *arg);
+	/* A newer one has been read; the item is valid during the call. */
+	void (*on_config_item)(const store_item_t *, void *arg);
+	/*
+	 * Returns whether the configuration in force sends the queue with the
+	 * key to the shard's pool.
+	 */
+	bool (*has_queue)(const char *shard, const char *key, void *arg);
 	/* See sched_ops_t; shard is the one that is owned. */
 	bool (*find_shard)(const char *shard, const sched_misfit_t *,
 	    char to[SCHED_NAME_BYTES], void *arg);
@@ -59,6 +71,8 @@
 bool owner_is_loaded(const owner_t *);
 void owner_set_instance(owner_t *, const sched_instance_info_t *);
 void owner_remove_instance(owner_t *, const char *id);
+/* Handles that there is a newer configuration, which is in force by now. */
+void owner_config_changed(owner_t *);
 /*
  * Returns the shard's scheduling state, which belongs to the owner, for
  * callers' requests. Call owner_schedule_tick() after a change.
--- a/gwentryd/owner_commit.c
+++ b/gwentryd/owner_commit.c
@@ -4,16 +4,17 @@
 #include "gw/log.h"
 #include "homes.h"
 #include "owner_impl.h"
+#include "platform/registry.h"
 
 /* Pause after a commit, so that the next one has several changes. */
 #define COMMIT_PAUSE_MS 20
 /* The store counts as not writable after a commit has failed for this long. */
 #define STORE_UNWRITABLE_MS 300
 /*
- * Entries of each transaction besides the records: two preconditions, and the
+ * Entries of each transaction besides the records: three preconditions, and the
  * write of the sequence key.
  */
-#define COMMIT_FIXED_ENTRIES 3
+#define COMMIT_FIXED_ENTRIES 4
 /* Most records in a commit; others wait for the next one. */
 #define COMMIT_RECORDS_MAX (STORE_TXN_ENTRIES_MAX - COMMIT_FIXED_ENTRIES)
 
@@ -63,16 +64,41 @@
 	return NULL;
 }
 
+/*
+ * Handles a commit of new jobs that has failed since there is a newer
+ * configuration. It can no longer take effect.
+ */
+static void
+handle_newer_config(owner_t *owner, const store_item_t *config)
+{
+	sched_batch_t *batch = owner->batch;
+
+	gw_log(GW_EV_COMMIT_OUTDATED,
+	    "pool=%s sequence=%" PRIu64 " writes=%u config_revision=%" PRIu64
+	    " newest=%" PRIu64,
+	    owner->shard, owner->sequence, sched_batch_write_count(batch),
+	    owner->batch_config_revision, config->mod_revision);
+	owner->batch = NULL;
+	owner->retry_ms = RETRY_MIN_MS;
+	owner->commit_started_us = 0;
+	owner->ops->on_config_item(config, owner->arg);
+	sched_pool_batch_outdated(owner->pool, batch);
+	owner_config_changed(owner);
+}
+
 /*
  * Finds the cause of a conflict. Either an earlier attempt of this commit took
  * effect and the store's response was lost, or another process has written the
- * role key or the sequence key, so that this process no longer owns the shard.
+ * role key or the sequence key, so that this process no longer owns the shard,
+ * or there is a newer configuration.
  */
 static void
 resolve_conflict(owner_t *owner, const store_page_t *current)
 {
 	const store_item_t *role = find_item(current, owner->role_key);
 	const store_item_t *sequence = find_item(current, owner->sequence_key);
+	const store_item_t *config = find_item(current, PLAT_CONFIG_KEY);
+	uint64_t revision = sequence == NULL ? 0 : sequence->mod_revision;
 	char expected[ROLE_KEY_BYTES];
 
 	format_sequence_value(owner, expected, sizeof(expected));
@@ -81,6 +107,9 @@
 	else if (sequence != NULL && sequence->value != NULL &&
 	    strcmp(sequence->value, expected) == 0)
 		finish_commit(owner, sequence->mod_revision);
+	else if (revision == owner->sequence_revision && config != NULL &&
+	    config->mod_revision != owner->batch_config_revision)
+		handle_newer_config(owner, config);
 	else
 		owner_report_lost(owner, "sequence-changed");
 }
@@ -160,7 +189,8 @@
 /*
  * Sends the current batch, on condition that the role key and the sequence key
  * are unchanged. A duplicate of the request that reaches the store late fails
- * this condition, so it changes nothing.
+ * this condition, so it changes nothing. New jobs are written on condition that
+ * no newer configuration has sent their queue to another pool.
  */
 static void
 send_batch(owner_t *owner)
@@ -168,13 +198,15 @@
 	uint32_t count = sched_batch_write_count(owner->batch), writes = 0;
 	uint32_t removes = 0;
 	store_precondition_t preconditions[] = {{owner->role_key, owner->fence},
-	    {owner->sequence_key, owner->sequence_revision}};
+	    {owner->sequence_key, owner->sequence_revision},
+	    {PLAT_CONFIG_KEY, owner->batch_config_revision}};
 	store_write_t write[STORE_TXN_ENTRIES_MAX];
 	const char *remove[STORE_TXN_ENTRIES_MAX];
 	char keys[STORE_TXN_ENTRIES_MAX][OWNER_KEY_BYTES];
 	char sequence[ROLE_KEY_BYTES];
 	store_txn_t txn = {.preconditions = preconditions,
-	    .precondition_count = G_N_ELEMENTS(preconditions),
+	    .precondition_count =
+		sched_batch_accepts_jobs(owner->batch) ? 3 : 2,
 	    .writes = write,
 	    .removes = remove};
 
@@ -228,6 +260,8 @@
 		}
 		owner->batch =
 		    sched_pool_take_batch(owner->pool, COMMIT_RECORDS_MAX);
+		owner->batch_config_revision =
+		    owner->ops->config_revision(owner->arg);
 		owner->sequence++;
 		owner->commit_started_us = now_us;
 	}
--- a/gwentryd/owner_impl.h
+++ b/gwentryd/owner_impl.h
@@ -44,6 +44,8 @@
 	 * unchanged until its outcome is known.
 	 */
 	sched_batch_t *batch;
+	/* Of the configuration, a condition of a batch that accepts jobs. */
+	uint64_t batch_config_revision;
 	uint64_t sequence_revision; /* of the sequence key; 0: absent */
 	/* The last commit was by an owner that knows the list. */
 	bool lapsing_is_current;
--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -289,6 +289,7 @@
 	    .seen_version = owners->seen_version,
 	    .version = call->config_version,
 	    .queue = call->queue,
+	    .queue_key = call->queue_key,
 	    .pool = name};
 
 	(void)shard_parse_name(call->pool, name);
@@ -296,6 +297,16 @@
 	    sched_config_allows(&claim);
 }
 
+bool
+owners_have_queue(const owners_t *owners, const char *shard, const char *key)
+{
+	char pool[SCHED_NAME_BYTES];
+
+	(void)shard_parse_name(shard, pool);
+	return owners->config != NULL &&
+	    sched_config_has_queue(owners->config, key, pool);
+}
+
 /*
  * Handles a submission to a queue that has another pool now. If this one does
  * not have the job, the caller submits it there: a copy that another process
@@ -458,7 +469,13 @@
 void
 owners_set_config(owners_t *owners, const sched_config_t *config)
 {
+	GHashTableIter iter;
+	owner_t *owner;
+
 	owners->config = config;
+	g_hash_table_iter_init(&iter, owners->by_shard);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&owner))
+		owner_config_changed(owner);
 }
 
 void
--- a/gwentryd/owners.h
+++ b/gwentryd/owners.h
@@ -38,6 +38,11 @@
 void owners_refuse_changes(owners_t *);
 bool owners_are_flushed(const owners_t *);
 uint32_t owners_count(const owners_t *);
+/*
+ * Returns whether the configuration in force sends the queue with the key to
+ * the shard's pool.
+ */
+bool owners_have_queue(const owners_t *, const char *shard, const char *key);
 /* Returns what waits in all shards that this process owns. */
 sched_waits_t owners_waits(const owners_t *);
 
--- a/gwentryd/view.c
+++ b/gwentryd/view.c
@@ -23,6 +23,7 @@
 	store_follow_t *registry;   /* NULL until instances are followed */
 	sched_config_t *config;	    /* in force; NULL before the first */
 	uint64_t config_current_us; /* see view_config_current_us() */
+	uint64_t config_revision;   /* see view_config_revision() */
 	GHashTable *instances;	    /* id -> sched_instance_info_t */
 	GPtrArray *waves;	    /* plat_wave_t */
 };
@@ -39,7 +40,7 @@
  * than the one in force is logged and ignored.
  */
 static void
-apply_config(view_t *view, const store_item_t *item)
+apply_config(view_t *view, const store_item_t *item, bool is_next)
 {
 	sched_config_t *config;
 	gw_err_t err;
@@ -63,7 +64,32 @@
 	    "version=%" PRIu64 " revision=%" PRIu64 " queues=%u pools=%u",
 	    config->version, item->mod_revision, config->queues->len,
 	    config->pools->len);
-	view->ops->on_config(config, view->arg);
+	view->ops->on_config(config, is_next, view->arg);
+}
+
+static void
+take_config(view_t *view, const store_item_t *item, bool is_next)
+{
+	if (item->removed || item->mod_revision <= view->config_revision)
+		return;
+	view->config_revision = item->mod_revision;
+	apply_config(view, item, is_next);
+}
+
+/*
+ * Takes the configuration from an item of which the follower has not reported
+ * all earlier changes yet.
+ */
+void
+view_take_config(view_t *view, const store_item_t *item)
+{
+	take_config(view, item, false);
+}
+
+uint64_t
+view_config_revision(const view_t *view)
+{
+	return view->config_revision;
 }
 
 static void
@@ -90,7 +116,8 @@
 	if (item->removed)
 		return;
 	if (plat_is_config_key(item->key))
-		apply_config(view, item);
+		take_config(
+		    view, item, !store_follow_is_listing(view->operators));
 	else if (g_str_has_prefix(item->key, PLAT_WAVE_KEY_PREFIX))
 		add_wave(view, item);
 }
--- a/gwentryd/view.h
+++ b/gwentryd/view.h
@@ -14,7 +14,11 @@
 typedef struct view view_t;
 
 typedef struct {
-	void (*on_config)(const sched_config_t *, void *arg);
+	/*
+	 * A configuration is in force. is_next: there was no other one since
+	 * the last report.
+	 */
+	void (*on_config)(const sched_config_t *, bool is_next, void *arg);
 	/* The configuration in force was the newest one at at_us. */
 	void (*on_config_current)(uint64_t at_us, void *arg);
 	void (*on_instance)(const sched_instance_info_t *, void *arg);
@@ -30,6 +34,13 @@
 /* Returns the configuration in force; NULL before the first one was read. */
 const sched_config_t *view_config(const view_t *);
 uint64_t view_config_current_us(const view_t *);
+/*
+ * Returns the revision of the newest configuration that was read, in force or
+ * not; 0: none.
+ */
+uint64_t view_config_revision(const view_t *);
+/* Takes the configuration from an item that was read elsewhere. */
+void view_take_config(view_t *, const store_item_t *);
 /* Call the function for each known instance or wave, for a new owner. */
 void view_replay_instances(
     const view_t *, void (*)(const sched_instance_info_t *, void *), void *arg);
--- a/lib/sched/aside.c
+++ b/lib/sched/aside.c
@@ -46,17 +46,16 @@
 /*
  * Removes a job of which nothing is in the store, and refuses it.
  */
-static void
-refuse_new(sched_pool_t *pool, sched_job_t *job)
+void
+sched_job_refuse_new(
+    sched_pool_t *pool, sched_job_t *job, const sched_response_t *refused)
 {
-	const sched_response_t refused = {
-	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED,
-	    .retry_after_ms = SCHED_REFUSED_RETRY_AFTER_MS,
-	    .reason = "record-refused"};
-
-	notify_waiters(job, &refused);
+	release_reserved(job);
+	notify_waiters(job, refused);
 	undo_mark_dirty(pool, job);
 	g_ptr_array_remove_fast(pool->open, job);
+	g_ptr_array_remove_fast(pool->cleanup, job);
+	(void)g_queue_remove(pool->ended, job);
 	sched_queue_job_removed(pool, job);
 	g_hash_table_remove(pool->jobs, job->id);
 }
@@ -70,16 +69,20 @@
 	const sched_response_t unknown = {
 	    .outcome = GW__CALL_OUTCOME__CALL_UNKNOWN,
 	    .reason = "record-refused"};
+	const sched_response_t refused = {
+	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED,
+	    .retry_after_ms = SCHED_REFUSED_RETRY_AFTER_MS,
+	    .reason = "record-refused"};
 
 	gw_log(GW_EV_RECORD_REFUSED,
 	    "job=%s pool=%s recorded=%d occurrences=%u retry_ms=%" PRIu64,
 	    job->id, pool->name, job->spec_recorded, job->occurrences->len,
 	    job->spec_recorded ? ASIDE_US / GW_US_PER_MS : 0);
-	release_reserved(job);
 	if (!job->spec_recorded && !sched_job_has_ended(job)) {
-		refuse_new(pool, job);
+		sched_job_refuse_new(pool, job, &refused);
 		return;
 	}
+	release_reserved(job);
 	notify_waiters(job, &unknown);
 	undo_mark_dirty(pool, job);
 	job->move_to[0] = '\0';
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -179,6 +179,7 @@
 		sched_queue_job_removed(pool, job);
 		return;
 	}
+	batch->has_new_jobs |= !job->spec_recorded;
 	if (job->move_to[0] != '\0') {
 		add_transfer(pool, batch, job);
 		add_waiting(batch, job);
@@ -429,15 +430,11 @@
 }
 
 /*
- * Handles a batch that the store refuses as it is. Its jobs are written again
- * one by one, so that only those whose own records are refused are set aside.
- * Frees the batch.
+ * Takes back what was to be written besides the jobs.
  */
-void
-sched_pool_batch_refused(sched_pool_t *pool, sched_batch_t *batch)
+static void
+undo_writes(sched_pool_t *pool, const sched_batch_t *batch)
 {
-	bool is_alone = batch->jobs->len == 1;
-
 	pool->lapsing_is_stale |= batch->has_lapsing;
 	for (guint i = 0; i < batch->writes->len; i++) {
 		const sched_write_t *write = sched_batch_write(batch, i);
@@ -447,6 +444,37 @@
 		if (write->kind == SCHED_WRITE_TRANSFER)
 			sched_transfer_undo_write(pool, write);
 	}
+}
+
+bool
+sched_batch_accepts_jobs(const sched_batch_t *batch)
+{
+	return batch->has_new_jobs;
+}
+
+void
+sched_pool_batch_outdated(sched_pool_t *pool, sched_batch_t *batch)
+{
+	undo_writes(pool, batch);
+	for (guint i = 0; i < batch->jobs->len; i++) {
+		return_job(batch, i);
+		sched_job_mark_dirty(
+		    pool, g_array_index(batch->jobs, sched_batch_job_t, i).job);
+	}
+	batch_free(batch);
+}
+
+/*
+ * Handles a batch that the store refuses as it is. Its jobs are written again
+ * one by one, so that only those whose own records are refused are set aside.
+ * Frees the batch.
+ */
+void
+sched_pool_batch_refused(sched_pool_t *pool, sched_batch_t *batch)
+{
+	bool is_alone = batch->jobs->len == 1;
+
+	undo_writes(pool, batch);
 	for (guint i = 0; i < batch->jobs->len; i++) {
 		sched_job_t *job =
 		    g_array_index(batch->jobs, sched_batch_job_t, i).job;
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -3,6 +3,9 @@
 #include "gw/log.h"
 #include "sched/impl.h"
 
+/* Retry-After of a job whose queue was given to another pool meanwhile. */
+#define QUEUE_MOVED_RETRY_AFTER_MS 1000
+
 /*
  * Replies to the caller once the job's record has been written.
  */
@@ -90,6 +93,28 @@
 	    g_hash_table_contains(pool->transfers, id);
 }
 
+void
+sched_pool_refuse_moved(sched_pool_t *pool,
+    bool (*has_queue)(const char *key, void *arg), void *arg)
+{
+	const sched_response_t refused = {
+	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED,
+	    .retry_after_ms = QUEUE_MOVED_RETRY_AFTER_MS,
+	    .reason = "queue-moved"};
+	g_autoptr(GPtrArray) moved = g_ptr_array_new();
+	GHashTableIter iter;
+	sched_job_t *job;
+
+	g_hash_table_iter_init(&iter, pool->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job))
+		if (!job->spec_recorded && !job->in_batch &&
+		    job->queue_key[0] != '\0' &&
+		    !has_queue(job->queue_key, arg))
+			g_ptr_array_add(moved, job);
+	for (guint i = 0; i < moved->len; i++)
+		sched_job_refuse_new(pool, moved->pdata[i], &refused);
+}
+
 /*
  * Handles a submission that may have been accepted before. Replies
  * GW__CALL_OUTCOME__CALL_ABSENT if the pool does not have the job, else once it
--- a/lib/sched/config.c
+++ b/lib/sched/config.c
@@ -84,6 +84,20 @@
 	return best;
 }
 
+bool
+sched_config_has_queue(
+    const sched_config_t *config, const char *key, const char *pool)
+{
+	for (guint i = 0; i < config->queues->len; i++) {
+		const sched_queue_t *queue =
+		    &g_array_index(config->queues, sched_queue_t, i);
+
+		if (strcmp(queue->key, key) == 0)
+			return strcmp(queue->pool, pool) == 0;
+	}
+	return false;
+}
+
 bool
 sched_config_is_current(uint64_t current_us, uint64_t now_us, uint32_t apply_ms)
 {
@@ -102,6 +116,9 @@
 		return false;
 	if (known_version <= claim->version)
 		return true;
+	if (claim->queue_key != NULL && claim->queue_key[0] != '\0')
+		return sched_config_has_queue(
+		    config, claim->queue_key, claim->pool);
 	for (guint i = 0; i < config->queues->len; i++) {
 		const sched_queue_t *row =
 		    &g_array_index(config->queues, sched_queue_t, i);
--- a/lib/sched/config.h
+++ b/lib/sched/config.h
@@ -62,6 +62,9 @@
 void sched_config_free(sched_config_t *);
 const sched_queue_t *sched_config_find_queue(const sched_config_t *,
     const char *host, size_t host_bytes, const char *path, size_t path_bytes);
+/* Returns whether the queue with this key is in the pool. */
+bool sched_config_has_queue(
+    const sched_config_t *, const char *key, const char *pool);
 /*
  * Returns whether a queue that the configuration lacks can be said not to
  * exist. The configuration was the newest one at current_us (0: never known);
@@ -80,6 +83,8 @@
 	uint64_t seen_version;
 	uint64_t version;  /* by which the submission was sent here */
 	const char *queue; /* in that version */
+	/* See sched_queue_t; NULL or empty: not known. */
+	const char *queue_key;
 	const char *pool;
 } sched_config_claim_t;
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -287,6 +287,7 @@
 } sched_pending_start_t;
 
 struct sched_batch {
+	bool has_new_jobs;	 /* it accepts jobs */
 	bool has_lapsing;	 /* the list of lapse.c is one of the writes */
 	uint64_t dirty_since_us; /* of the job that has waited longest */
 	uint64_t taken_us;
@@ -406,6 +407,8 @@
 /* aside.c */
 void sched_aside_add(sched_pool_t *, sched_job_t *);
 void sched_aside_end(sched_pool_t *, sched_job_t *);
+void sched_job_refuse_new(
+    sched_pool_t *, sched_job_t *, const sched_response_t *);
 void sched_aside_tick(sched_pool_t *, uint64_t now_us);
 
 /* queue.c */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -434,7 +434,23 @@
 sched_batch_t *sched_pool_take_batch(sched_pool_t *, uint32_t writes_max);
 uint32_t sched_batch_write_count(const sched_batch_t *);
 const sched_write_t *sched_batch_write(const sched_batch_t *, uint32_t i);
+/*
+ * Returns whether the batch accepts jobs. It may then be written only while the
+ * configuration by which they were submitted is the newest one.
+ */
+bool sched_batch_accepts_jobs(const sched_batch_t *);
 void sched_pool_batch_done(sched_pool_t *, sched_batch_t *);
+/*
+ * Nothing of the batch was written, since there is a newer configuration. Its
+ * jobs are kept for the next batch.
+ */
+void sched_pool_batch_outdated(sched_pool_t *, sched_batch_t *);
+/*
+ * Refuses the jobs that no batch has accepted yet and whose queue is no longer
+ * in the pool. Called when there is a newer configuration.
+ */
+void sched_pool_refuse_moved(
+    sched_pool_t *, bool (*has_queue)(const char *key, void *arg), void *arg);
 /* The store has refused the batch as it is, and has written nothing of it. */
 void sched_pool_batch_refused(sched_pool_t *, sched_batch_t *);
 /* Frees a batch whose outcome is not known, when the pool is released. */
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -286,6 +286,12 @@
 	return follow;
 }
 
+bool
+store_follow_is_listing(const store_follow_t *follow)
+{
+	return follow->listed != NULL;
+}
+
 /*
  * Stops without further callbacks. Must be called before the store is freed.
  */
--- a/lib/store/follow.h
+++ b/lib/store/follow.h
@@ -33,6 +33,11 @@
  */
 store_follow_t *store_follow(store_t *, const char *prefix,
     uint32_t batch_delay_ms, const store_follow_ops_t *, void *arg);
+/*
+ * Returns whether the items that are reported now are from a list, so that
+ * earlier changes of a key may not have been reported.
+ */
+bool store_follow_is_listing(const store_follow_t *);
 void store_follow_free(store_follow_t *);
 
 #endif
--- a/regress/sched/queues.sh
+++ b/regress/sched/queues.sh
@@ -77,3 +77,35 @@
 commit
 resubmit j1
 EOF
+
+# Guards against a job that is accepted by a configuration that has been replaced,
+# and that no other process finds in this pool.
+play "a new job of a queue that has moved is refused, and takes no room" one <<'EOT'
+submit j1 key=00000000000000aa 1:3000:500
+tick
+outdated
+moved 00000000000000aa
+submit j2 key=00000000000000bb 1:3000:500
+commit
+state j1
+EOT
+
+play "so is one that no batch has taken yet, and one that was cancelled" one <<'EOT'
+submit j1 key=00000000000000aa 1:3000:500
+submit j2 key=00000000000000aa 1:1000:500
+cancel j2
+moved 00000000000000aa
+tick
+take
+EOT
+
+play "one that was accepted before stays, and another queue's is written again" one <<'EOT'
+submit j1 key=00000000000000aa 1:1000:500
+commit
+submit j2 key=00000000000000bb 1:1000:500
+tick
+outdated
+moved 00000000000000aa
+commit
+state j1
+EOT
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -820,6 +820,33 @@
 		sched_pool_batch_refused(pool, refused);
 }
 
+/* outdated: the store refuses the batch, since there is a newer configuration
+ */
+static void
+do_outdated(void)
+{
+	sched_batch_t *refused;
+
+	send_batch(true);
+	refused = batch;
+	batch = NULL;
+	if (refused != NULL)
+		sched_pool_batch_outdated(pool, refused);
+}
+
+static bool
+is_other_queue(const char *key, void *arg)
+{
+	return strcmp(key, arg) != 0;
+}
+
+/* moved KEY: by a newer configuration the queue is in another pool */
+static void
+do_moved(void)
+{
+	sched_pool_refuse_moved(pool, is_other_queue, words[1]);
+}
+
 /* stored ID: prints the size of the job's record */
 static void
 do_stored(void)
@@ -995,6 +1022,8 @@
     {"take", 1, do_take},
     {"done", 1, do_done},
     {"refuse", 1, do_refuse},
+    {"outdated", 1, do_outdated},
+    {"moved", 2, do_moved},
     {"stored", 2, do_stored},
     {"commit", 1, do_commit},
     {"report", 2, do_report},
