Record a cancel that comes before its job

The owner is frozen, callers leave without a response and cancel at another process, which answers 410; their jobs run afterwards, 12 of 12.

Cause: a process repeated a submission until its deadline whether or not its caller was still there, and a cancel for an unknown job was answered 410 without a trace.

Change: the owner records the cancel and then replies 410. A submission that comes within status_s is accepted, shown as cancelled and not run, by later owners too. Submissions and queries are not repeated once the caller has left.

--- a/gwentryd/dispatch.c
+++ b/gwentryd/dispatch.c
@@ -33,7 +33,8 @@
 	uint64_t started_us;
 	uint64_t deadline_us;
 	gw_timer_t timer;
-	bool may_be_accepted; /* the outcome of an attempt is unknown */
+	bool may_be_accepted;	      /* the outcome of an attempt is unknown */
+	bool (*is_wanted)(void *arg); /* NULL: always */
 	dispatch_response_cb_t cb;
 	void *arg;
 } forward_t;
@@ -142,6 +143,10 @@
 		forward_fail(forward, "deadline");
 		return;
 	}
+	if (forward->is_wanted != NULL && !forward->is_wanted(forward->arg)) {
+		forward_fail(forward, "caller-left");
+		return;
+	}
 	if (roles_is_owner(dispatch->roles, forward->call->pool)) {
 		dispatch->handler(
 		    forward->call, on_response, forward, dispatch->arg);
@@ -173,6 +178,14 @@
 void
 dispatch_call(dispatch_t *dispatch, const Gw__Call *call, uint64_t timeout_ms,
     dispatch_response_cb_t cb, void *arg)
+{
+	dispatch_call_while(dispatch, call, timeout_ms, NULL, cb, arg);
+}
+
+void
+dispatch_call_while(dispatch_t *dispatch, const Gw__Call *call,
+    uint64_t timeout_ms, bool (*is_wanted)(void *arg),
+    dispatch_response_cb_t cb, void *arg)
 {
 	forward_t *forward = g_new0(forward_t, 1);
 
@@ -180,6 +193,7 @@
 	forward->call = copy_call(call);
 	forward->started_us = gw_rt_now_us(dispatch->rt);
 	forward->deadline_us = forward->started_us + timeout_ms * GW_US_PER_MS;
+	forward->is_wanted = is_wanted;
 	forward->cb = cb;
 	forward->arg = arg;
 	forward_attempt(forward);
--- a/gwentryd/dispatch.h
+++ b/gwentryd/dispatch.h
@@ -28,5 +28,11 @@
  */
 void dispatch_call(dispatch_t *, const Gw__Call *, uint64_t timeout_ms,
     dispatch_response_cb_t, void *arg);
+/*
+ * The same for a call that is not repeated once is_wanted(arg) returns false:
+ * its caller has left, and may have cancelled it.
+ */
+void dispatch_call_while(dispatch_t *, const Gw__Call *, uint64_t timeout_ms,
+    bool (*is_wanted)(void *arg), dispatch_response_cb_t, void *arg);
 
 #endif
--- a/gwentryd/forward.c
+++ b/gwentryd/forward.c
@@ -85,6 +85,19 @@
 		forward_free(forward);
 }
 
+/*
+ * Returns whether the call may be repeated. A cancel is, even if its caller has
+ * left, since it may already have been carried out.
+ */
+static bool
+is_wanted(void *arg)
+{
+	const forward_t *forward = arg;
+
+	return forward->request->req != NULL ||
+	    forward->request->kind == GW__CALL_KIND__CALL_CANCEL;
+}
+
 /*
  * Makes the next call. Returns false if there is none, or the caller has
  * disconnected.
@@ -105,8 +118,9 @@
 	if (next->kind != GW__CALL_KIND__CALL_SUBMIT)
 		call.spec = NULL;
 	forward->calls++;
-	dispatch_call(forward->dispatch, &call,
-	    request_time_left_ms(forward->request), on_response, forward);
+	dispatch_call_while(forward->dispatch, &call,
+	    request_time_left_ms(forward->request), is_wanted, on_response,
+	    forward);
 	return true;
 }
 
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -19,6 +19,24 @@
 	sched_job_mark_dirty(pool, job);
 }
 
+/*
+ * Replies to a submission of a job that the pool has in whatever state. One
+ * that was cancelled before it was submitted is shown from now on.
+ */
+static void
+accept_again(
+    sched_pool_t *pool, sched_job_t *job, sched_response_cb_t cb, void *arg)
+{
+	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
+	bool is_recorded = job->spec_recorded && !job->cancelled_first;
+
+	job->cancelled_first = false;
+	if (is_recorded)
+		cb(&ok, arg);
+	else
+		sched_job_wait_for_record(pool, job, cb, arg);
+}
+
 static Gw__JobSpec *
 copy_spec(const Gw__JobSpec *spec)
 {
@@ -44,41 +62,39 @@
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, spec->id);
 	uint64_t since_us;
 
-	if (job != NULL ? job->spec_recorded
-			: sched_pool_has_job(pool, spec->id)) {
+	if (job != NULL) {
+		accept_again(pool, job, cb, arg);
+		return;
+	}
+	if (sched_pool_has_job(pool, spec->id)) {
 		cb(&ok, arg);
 		return;
 	}
-	if (job == NULL &&
-	    !sched_admit(pool, spec, &since_us, &refused.retry_after_ms)) {
+	if (!sched_admit(pool, spec, &since_us, &refused.retry_after_ms)) {
 		cb(&refused, arg);
 		return;
 	}
-	if (job == NULL) {
-		job = sched_job_new(pool, spec->id);
-		job->accepted_us = since_us;
-		sched_job_set_spec(job, copy_spec(spec));
-		sched_job_set_queue_key(pool, job, spec->queue_key);
-		/*
-		 * Opened now, so that admission of the next job counts this
-		 * one's work as waiting.
-		 */
-		sched_job_open_occurrences(pool, job, pool->wall_ms);
-		g_ptr_array_add(pool->open, job);
-		gw_log(GW_EV_SCHED_ACCEPTED,
-		    "job=%s pool=%s queue=%s steps=%zu tasks=%u cpu_millis=%u "
-		    "lasting=%d target_ms=%u fills=%d max_unavailable=%u "
-		    "per_instance=%u chain_ms=%u objective_ms=%u priority=%u "
-		    "open_jobs=%u",
-		    job->id, pool->name, job->queue, job->spec->n_steps,
-		    job->spec->steps[0]->count, job->spec->steps[0]->cpu_millis,
-		    job->long_running, job->spec->steps[0]->target_ms,
-		    job->spec->steps[0]->fills,
-		    job->spec->steps[0]->max_unavailable,
-		    job->spec->steps[0]->max_per_instance,
-		    job->critical_path_ms, job->spec->objective_ms,
-		    job->spec->priority, pool->open->len);
-	}
+	job = sched_job_new(pool, spec->id);
+	job->accepted_us = since_us;
+	sched_job_set_spec(job, copy_spec(spec));
+	sched_job_set_queue_key(pool, job, spec->queue_key);
+	/*
+	 * Opened now, so that admission of the next job counts this one's work
+	 * as waiting.
+	 */
+	sched_job_open_occurrences(pool, job, pool->wall_ms);
+	g_ptr_array_add(pool->open, job);
+	gw_log(GW_EV_SCHED_ACCEPTED,
+	    "job=%s pool=%s queue=%s steps=%zu tasks=%u cpu_millis=%u "
+	    "lasting=%d target_ms=%u fills=%d max_unavailable=%u "
+	    "per_instance=%u chain_ms=%u objective_ms=%u priority=%u "
+	    "open_jobs=%u",
+	    job->id, pool->name, job->queue, job->spec->n_steps,
+	    job->spec->steps[0]->count, job->spec->steps[0]->cpu_millis,
+	    job->long_running, job->spec->steps[0]->target_ms,
+	    job->spec->steps[0]->fills, job->spec->steps[0]->max_unavailable,
+	    job->spec->steps[0]->max_per_instance, job->critical_path_ms,
+	    job->spec->objective_ms, job->spec->priority, pool->open->len);
 	sched_job_wait_for_record(pool, job, cb, arg);
 }
 
@@ -129,12 +145,10 @@
 	    .outcome = GW__CALL_OUTCOME__CALL_ABSENT, .reason = "no-such-job"};
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
 
-	if (!sched_pool_has_job(pool, id))
-		cb(&absent, arg);
-	else if (job == NULL || job->spec_recorded)
-		cb(&ok, arg);
+	if (job != NULL)
+		accept_again(pool, job, cb, arg);
 	else
-		sched_job_wait_for_record(pool, job, cb, arg);
+		cb(sched_pool_has_job(pool, id) ? &ok : &absent, arg);
 }
 
 static bool
@@ -155,6 +169,54 @@
 	return job != NULL && is_of_queue(job, queue) ? job : NULL;
 }
 
+/* A caller whose cancel came before the job. */
+typedef struct {
+	sched_response_cb_t cb;
+	void *arg;
+} early_cancel_t;
+
+static void
+on_cancel_recorded(const sched_response_t *response, void *arg)
+{
+	early_cancel_t *cancel = arg;
+	sched_response_t absent = *response;
+
+	if (response->outcome == GW__CALL_OUTCOME__CALL_OK) {
+		absent.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
+		absent.reason = "no-such-job";
+	}
+	cancel->cb(&absent, cancel->arg);
+	g_free(cancel);
+}
+
+/*
+ * Records the cancel of a job that the pool does not have. Its submission may
+ * still be on its way, for instance from another process that repeats it, and
+ * must not be started once the cancel has been acknowledged.
+ */
+static void
+cancel_first(sched_pool_t *pool, const sched_queue_ref_t *queue,
+    sched_job_t *job, sched_response_cb_t cb, void *arg)
+{
+	early_cancel_t *cancel = g_new(early_cancel_t, 1);
+
+	cancel->cb = cb;
+	cancel->arg = arg;
+	if (job->queue == NULL) {
+		job->queue = g_strdup(queue->name);
+		sched_job_set_queue_key(
+		    pool, job, queue->key == NULL ? "" : queue->key);
+		job->cancelled_first = true;
+		job->state = GW__JOB_STATE__JOB_CANCELLED;
+		job->finished_wall_ms = pool->wall_ms;
+		job->ended_us = gw_clock_now_us(pool->clock);
+		g_queue_push_tail(pool->ended, job);
+		gw_log(GW_EV_CANCELLED_FIRST, "job=%s pool=%s queue=%s",
+		    job->id, pool->name, job->queue);
+	}
+	sched_job_wait_for_record(pool, job, on_cancel_recorded, cancel);
+}
+
 /*
  * Cancels a job. Replies to the caller once that is in the store.
  */
@@ -174,10 +236,16 @@
 		cb(&elsewhere, arg);
 		return;
 	}
-	if (job == NULL) {
+	if (job == NULL && sched_pool_holds_job(pool, id)) {
 		cb(&absent, arg);
 		return;
 	}
+	if (job == NULL)
+		job = sched_job_new(pool, id);
+	if (job->queue == NULL || job->cancelled_first) {
+		cancel_first(pool, queue, job, cb, arg);
+		return;
+	}
 	if (job->move_to[0] != '\0') {
 		cb(&moving, arg);
 		return;
@@ -204,7 +272,7 @@
 
 	if (sched_transfer_find(pool, id, &response))
 		return response;
-	if (job == NULL || !job->spec_recorded) {
+	if (job == NULL || !job->spec_recorded || job->cancelled_first) {
 		response.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
 		response.reason = "no-such-job";
 		return response;
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -202,6 +202,8 @@
 	 */
 	bool write_alone;
 	uint64_t aside_until_us; /* set aside; see aside.c; 0: not */
+	/* It was cancelled, and has not been submitted so far. */
+	bool cancelled_first;
 	bool expired; /* the record is to be removed from the store */
 	bool started; /* a task has started */
 	bool long_running;
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -124,6 +124,7 @@
 {
 	job->ended_us = gw_clock_now_us(pool->clock);
 	job->finished_wall_ms = record->finished_wall_ms;
+	job->cancelled_first = record->cancelled_first;
 	g_queue_push_tail(pool->ended, job);
 }
 
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -93,6 +93,7 @@
 	record.queue = job->queue;
 	record.queue_key = (char *)job->queue_key;
 	record.finished_wall_ms = job->finished_wall_ms;
+	record.cancelled_first = job->cancelled_first;
 	record.first_open = job->next_occurrence;
 	for (guint i = 0;
 	     !sched_job_has_ended(job) && i < job->occurrences->len; i++)
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3571,7 +3571,7 @@
   (ProtobufCMessageInit) gw__occurrence_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[8] =
 {
   {
     "state",
@@ -3657,8 +3657,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancelled_first",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobRecord, cancelled_first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__job_record__field_indices_by_name[] = {
+  7,   /* field[7] = cancelled_first */
   4,   /* field[4] = finished_wall_ms */
   5,   /* field[5] = first_open */
   3,   /* field[3] = hosts */
@@ -3670,7 +3683,7 @@
 static const ProtobufCIntRange gw__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gw__job_record__descriptor =
 {
@@ -3680,7 +3693,7 @@
   "Gw__JobRecord",
   "gw",
   sizeof(Gw__JobRecord),
-  7,
+  8,
   gw__job_record__field_descriptors,
   gw__job_record__field_indices_by_name,
   1,  gw__job_record__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -572,10 +572,15 @@
    * JobSpec.queue_key.
    */
   char *queue_key;
+  /*
+   * The job was cancelled before it was submitted; it counts as absent until it
+   * is, and never runs.
+   */
+  protobuf_c_boolean cancelled_first;
 };
 #define GW__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__job_record__descriptor) \
-    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string }
+    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Gw__Call
