Give each life of an instance a fence of its own

Instances start again under their ids, take calls that were meant for their former lives, and are cut off soon after; the owner starts their tasks elsewhere while they run.

Cause: a request names its instance by the id. Its deadline is on the clock of the former life, and the next one shortens it to the longest lease from the request's arrival, even if it starts nothing. The owner counted the lease that it had granted itself, from the first report on.

Change: the owner's requests to the next life carry a higher fence, the revision of its last write, so that the instance refuses all earlier ones once it has answered one; a response to an earlier fence is no contact. The longest lease counts from that first response, also for a young life that a new owner finds. An instance whose renewal had no response stays known for a minute.

In sched/strays.sh one play has a commit more, since the third life waits for a write; it still shows the stop.

--- a/gwentryd/agents.c
+++ b/gwentryd/agents.c
@@ -45,7 +45,6 @@
 
 struct agents {
 	gw_rt_t *rt;
-	uint64_t fence;
 	sched_window_t *window;
 	const agents_ops_t *ops;
 	void *arg;
@@ -82,16 +81,15 @@
 }
 
 /*
- * Returns agents without connections. All requests carry the owner's fence.
+ * Returns agents without connections.
  */
 agents_t *
-agents_new(gw_rt_t *rt, uint64_t fence, sched_window_t *window,
-    const agents_ops_t *ops, void *arg)
+agents_new(
+    gw_rt_t *rt, sched_window_t *window, const agents_ops_t *ops, void *arg)
 {
 	agents_t *agents = g_new0(agents_t, 1);
 
 	agents->rt = rt;
-	agents->fence = fence;
 	agents->window = window;
 	agents->ops = ops;
 	agents->arg = arg;
@@ -338,8 +336,7 @@
 agents_start(agents_t *agents, const sched_start_t *start)
 {
 	enqueue_request(agents, start->instance, start->address,
-	    RUN_REQUEST_START, &start->ref, start->run,
-	    plat_start_body(start, agents->fence));
+	    RUN_REQUEST_START, &start->ref, start->run, plat_start_body(start));
 }
 
 /*
@@ -347,10 +344,10 @@
  */
 void
 agents_stop(agents_t *agents, const char *instance, const char *address,
-    const sched_task_ref_t *ref, uint32_t run)
+    const sched_task_ref_t *ref, uint32_t run, uint64_t fence)
 {
 	enqueue_request(agents, instance, address, RUN_REQUEST_STOP, ref, run,
-	    plat_stop_body(ref, run, agents->fence));
+	    plat_stop_body(ref, run, fence));
 }
 
 static void
@@ -399,7 +396,7 @@
 
 	if (agent == NULL || agent->renewal != NULL)
 		return;
-	body = plat_renewal_body(renewal, agents->fence);
+	body = plat_renewal_body(renewal);
 	agent->renewal_sent_us = gw_rt_now_us(agents->rt);
 	agent->renewal = gw_httpc_call_with_headers(agent->http, "POST",
 	    PLAT_RENEWAL_PATH, agent->headers, body,
--- a/gwentryd/agents.h
+++ b/gwentryd/agents.h
@@ -31,13 +31,13 @@
  * The window counts starts and stops that are queued or in flight; it outlives
  * the agents.
  */
-agents_t *agents_new(gw_rt_t *, uint64_t fence, sched_window_t *,
-    const agents_ops_t *, void *arg);
+agents_t *agents_new(
+    gw_rt_t *, sched_window_t *, const agents_ops_t *, void *arg);
 /* Cancels calls in progress without a callback. */
 void agents_free(agents_t *);
 void agents_start(agents_t *, const sched_start_t *);
 void agents_stop(agents_t *, const char *instance, const char *address,
-    const sched_task_ref_t *, uint32_t run);
+    const sched_task_ref_t *, uint32_t run, uint64_t fence);
 void agents_renew(agents_t *, const sched_renewal_t *);
 /*
  * Closes the connections to an instance; calls in progress are cancelled
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -27,11 +27,11 @@
 
 static void
 on_stop(const char *instance, const char *address, const sched_task_ref_t *ref,
-    uint32_t run, void *arg)
+    uint32_t run, uint64_t fence, void *arg)
 {
 	owner_t *owner = arg;
 
-	agents_stop(owner->agents, instance, address, ref, run);
+	agents_stop(owner->agents, instance, address, ref, run, fence);
 }
 
 static void
@@ -63,6 +63,12 @@
 	return owner->ops->lease_until_us(owner->arg);
 }
 
+static uint64_t
+written_revision(void *arg)
+{
+	return ((owner_t *)arg)->written_revision;
+}
+
 static void
 on_fenced(const char *instance, void *arg)
 {
@@ -110,6 +116,7 @@
     .renew = on_renew,
     .advise = on_advise,
     .lease_until_us = lease_until_us,
+    .written_revision = written_revision,
     .fenced = on_fenced,
     .instance_removed = on_instance_removed,
     .find_shard = on_find_shard,
@@ -207,8 +214,8 @@
 	owner->retry_ms = RETRY_MIN_MS;
 	owner->pool = sched_pool_new(role->shard, role->data_centre,
 	    gw_rt_clock(rt), &role->bounds, &pool_ops, owner);
-	owner->agents =
-	    agents_new(rt, role->fence, role->window, &agent_ops, owner);
+	owner->agents = agents_new(rt, role->window, &agent_ops, owner);
+	sched_pool_set_fence(owner->pool, role->fence);
 	sched_pool_set_window(owner->pool, role->window);
 	owner_load_next_page(owner);
 	return owner;
--- a/gwentryd/owner_commit.c
+++ b/gwentryd/owner_commit.c
@@ -45,6 +45,7 @@
 
 	owner->batch = NULL;
 	owner->sequence_revision = revision;
+	owner->written_revision = revision;
 	owner->retry_ms = RETRY_MIN_MS;
 	owner->commit_started_us = 0;
 	owner->last_commit_us = gw_rt_now_us(owner->rt);
--- a/gwentryd/owner_impl.h
+++ b/gwentryd/owner_impl.h
@@ -47,6 +47,7 @@
 	/* Of the configuration, a condition of a batch that accepts jobs. */
 	uint64_t batch_config_revision;
 	uint64_t sequence_revision; /* of the sequence key; 0: absent */
+	uint64_t written_revision;  /* of this owner's last commit; 0: none */
 	/* The last commit was by an owner that knows the list. */
 	bool lapsing_is_current;
 	uint64_t sequence; /* number of the last commit; 0: none yet */
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -283,7 +283,7 @@
 sched_pool_is_dirty(const sched_pool_t *pool)
 {
 	return pool->dirty->length > 0 || pool->lapsing_is_stale ||
-	    pool->old_transfers->length > 0;
+	    pool->awaits_fence || pool->old_transfers->length > 0;
 }
 
 /*
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -38,6 +38,11 @@
 #define SCHED_RENEW_RETRY_US (150 * GW_US_PER_MS)
 /* Ends are acknowledged only while the last report is newer than this. */
 #define SCHED_ACK_REPORT_AGE_MAX_US (2 * GW_US_PER_S)
+/*
+ * How long a request without a response may be carried out after it was sent;
+ * the platform says seconds.
+ */
+#define SCHED_LATE_REQUEST_MAX_MS 60000
 /* How long an instance that refused a start gets no starts. */
 #define SCHED_AVOID_REFUSED_US (500 * GW_US_PER_MS)
 /*
@@ -236,6 +241,15 @@
 	bool contacted;	  /* has answered a request with this owner's fence */
 	bool unreachable; /* the last renewal failed */
 	bool renewing;	  /* a renewal is in flight */
+	uint64_t fence;	  /* of the requests to this incarnation */
+	uint64_t fence_since_us; /* 0: from the beginning */
+	bool has_had_fence;	 /* a request with it was sent */
+	bool awaits_fence;    /* it needs a higher one, after the next write */
+	bool has_begun_again; /* this owner knew an earlier incarnation */
+	/* The renewal in flight has a deadline, or acknowledges ends. */
+	bool renewal_has_effect;
+	/* Until then one without a response may still be carried out. */
+	uint64_t late_renewal_until_us;
 	uint64_t renew_due_us; /* when the next renewal is due; 0: none */
 	uint64_t renew_sent_us;
 	/* Last reading of the instance's clock, and when it was received. */
@@ -328,6 +342,7 @@
 	GPtrArray *open;       /* jobs that have not ended (sched_job_t) */
 	GHashTable *instances; /* id -> sched_instance_t */
 	GHashTable *queues;    /* key -> sched_queue_use_t; see queue.c */
+	uint64_t fence;	       /* of instances that have not begun again */
 	uint32_t shard_number;
 	uint32_t shard_count;
 	/* Jobs that other shards have; see transfer.c. */
@@ -341,6 +356,7 @@
 	/* Ended jobs that still have tasks or a specification (sched_job_t). */
 	GPtrArray *cleanup;
 	bool loaded;
+	uint64_t created_us;
 	uint64_t loaded_us; /* when the records had been loaded */
 	uint64_t round;	    /* number of placement rounds */
 	/* So many instances fail runs that the jobs are at fault. */
@@ -366,6 +382,7 @@
 	GHashTable *lapsing;	/* in the last list taken: id -> lapsing_t */
 	GHashTable *may_lapse;	/* ids that the store's list may have */
 	bool lapsing_is_stale;	/* the list must be written */
+	bool awaits_fence;	/* so that a write is needed */
 	uint64_t wall_ms;	/* time of day at the last tick */
 	sched_window_t *window; /* of the process, or own_window */
 	sched_window_t *own_window; /* without a bound */
@@ -448,6 +465,12 @@
 
 uint64_t sched_drift_bound_us(uint64_t ms);
 
+/* fence.c */
+void sched_fence_raise(sched_instance_t *);
+uint64_t sched_fence_use(sched_instance_t *);
+void sched_fence_tick(sched_pool_t *);
+void sched_fence_seen(sched_instance_t *, uint64_t now_us);
+
 /* lapse.c */
 bool sched_lapse_may_be_listed(const sched_instance_t *);
 void sched_lapse_tick(sched_pool_t *, uint64_t now_us);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -23,6 +23,7 @@
 	g_strlcpy(instance->info.id, id, sizeof(instance->info.id));
 	instance->tasks = g_ptr_array_new();
 	instance->strays = sched_strays_new();
+	instance->fence = pool->fence;
 	instance->recorded_ends =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	instance->expiry_us = sched_pool_previous_expiry_us(
@@ -377,8 +378,9 @@
 	bool is_fresh = instance->contacted && !instance->unreachable &&
 	    gw_elapsed_us(now_us, instance->report_us) <
 		SCHED_ACK_REPORT_AGE_MAX_US;
-	sched_renewal_t renewal = {
-	    .instance = instance->info.id, .address = instance->info.address};
+	sched_renewal_t renewal = {.instance = instance->info.id,
+	    .address = instance->info.address,
+	    .fence = sched_fence_use(instance)};
 
 	if (is_busy && instance->clock_ms != 0 && !instance->unreachable &&
 	    !sched_lapse_may_be_listed(instance) &&
@@ -393,6 +395,8 @@
 		    ? SCHED_RENEW_WATCH_MS
 		    : SCHED_RENEW_WAIT_MS;
 	instance->renewing = true;
+	instance->renewal_has_effect =
+	    renewal.deadline_ms != 0 || renewal.ack_number != 0;
 	instance->renew_due_us = 0;
 	instance->renew_sent_us = now_us;
 	pool->ops->renew(&renewal, pool->arg);
@@ -436,8 +440,8 @@
 	if (must_be_asked(instance))
 		sched_instance_schedule_renewal(
 		    instance, now_us + SCHED_RENEW_RETRY_US);
-	if (!instance->renewing && instance->renew_due_us != 0 &&
-	    now_us >= instance->renew_due_us &&
+	if (!instance->renewing && !instance->awaits_fence &&
+	    instance->renew_due_us != 0 && now_us >= instance->renew_due_us &&
 	    instance->info.address[0] != '\0')
 		send_renewal(instance, now_us);
 }
@@ -472,6 +476,9 @@
 		    pool->name, instance->tasks->len,
 		    ((int64_t)instance->expiry_us - (int64_t)now_us) / 1000);
 	instance->unreachable = true;
+	if (instance->renewal_has_effect)
+		instance->late_renewal_until_us =
+		    now_us + SCHED_LATE_REQUEST_MAX_MS * GW_US_PER_MS;
 	sched_crash_note_silence(instance, now_us);
 	if (instance->listed || instance->tasks->len > 0)
 		sched_instance_schedule_renewal(
--- a/lib/sched/loss.c
+++ b/lib/sched/loss.c
@@ -45,6 +45,7 @@
 static void
 begin_incarnation(sched_instance_t *instance, uint64_t born_ms)
 {
+	instance->has_begun_again = instance->info.born_ms != 0;
 	instance->info.born_ms = born_ms;
 	instance->renewing = false;
 	instance->contacted = false;
@@ -113,6 +114,8 @@
 
 	log_lost(instance, "restarted");
 	begin_incarnation(instance, born_ms);
+	if (instance->has_begun_again)
+		sched_fence_raise(instance);
 	for (guint i = tasks->len; i-- > 0;) {
 		sched_task_t *task = tasks->pdata[i];
 
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -22,6 +22,7 @@
 	g_strlcpy(pool->name, name, sizeof(pool->name));
 	g_strlcpy(pool->data_centre, data_centre, sizeof(pool->data_centre));
 	pool->clock = clock;
+	pool->created_us = gw_clock_now_us(clock);
 	pool->bounds = *bounds;
 	pool->ops = ops;
 	pool->arg = arg;
@@ -215,13 +216,15 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
 		tick_instance(instance, now_us);
 		if (!instance->listed && instance->tasks->len == 0 &&
-		    instance->strays->len == 0 && !instance->renewing) {
+		    instance->strays->len == 0 && !instance->renewing &&
+		    now_us >= instance->late_renewal_until_us) {
 			pool->ops->instance_removed(
 			    instance->info.id, pool->arg);
 			g_hash_table_iter_remove(&iter);
 			continue;
 		}
-		if (instance->renew_due_us != 0 && !instance->renewing)
+		if (instance->renew_due_us != 0 && !instance->renewing &&
+		    !instance->awaits_fence)
 			due_us = MIN(due_us, instance->renew_due_us);
 	}
 	return due_us;
@@ -294,6 +297,7 @@
 		return TICK_BUSY_US;
 	sched_aside_tick(pool, now_us);
 	update_occurrences(pool);
+	sched_fence_tick(pool);
 	due_us = tick_instances(pool, now_us);
 	sched_lapse_tick(pool, now_us);
 	sched_send_starts(pool, now_us);
--- a/lib/sched/report.c
+++ b/lib/sched/report.c
@@ -68,7 +68,7 @@
 		instance->runs_unknown++;
 		instance->requests_in_flight++;
 		pool->ops->stop(instance->info.id, instance->info.address,
-		    &row->ref, row->run, pool->arg);
+		    &row->ref, row->run, sched_fence_use(instance), pool->arg);
 		return;
 	}
 	if (task->state == SCHED_TASK_STARTING ||
@@ -168,17 +168,17 @@
 		sched_instance_restarted(instance, report->born_ms);
 		return;
 	}
+	/* This incarnation has not seen its fence yet. */
+	if (sent_us < instance->fence_since_us || instance->awaits_fence) {
+		sched_instance_schedule_renewal(instance, now_us);
+		return;
+	}
 	if (!instance->contacted || instance->unreachable)
 		gw_log(GW_EV_INSTANCE_BACK,
 		    "instance=%s pool=%s running=%u ends=%u", id, pool->name,
 		    report->running_count, report->end_count);
-	/*
-	 * From now on the instance refuses renewals of a previous owner, so its
-	 * lease ends at the latest one lease length from now.
-	 */
 	if (!instance->contacted)
-		instance->expiry_us =
-		    now_us + sched_drift_bound_us(SCHED_LEASE_MS);
+		sched_fence_seen(instance, now_us);
 	instance->contacted = true;
 	instance->unreachable = false;
 	instance->clock_ms = report->clock_ms;
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -73,7 +73,8 @@
 	    .run = task->run,
 	    .payload = task->job->spec->payload,
 	    .checkpoint = task->checkpoint == NULL ? "" : task->checkpoint,
-	    .ticket = task->ticket};
+	    .ticket = task->ticket,
+	    .fence = sched_fence_use(instance)};
 
 	sched_send_unreserved(pool, task);
 	task->state = SCHED_TASK_STARTING;
@@ -123,6 +124,8 @@
 	ref = sched_task_ref(task);
 	task->state = SCHED_TASK_STOPPING;
 	task->sent_us = gw_clock_now_us(pool->clock);
+	if (instance->awaits_fence)
+		return; /* sent by sched_send_repeat() */
 	gw_log(GW_EV_RUN_STOP,
 	    "job=%s task=%u.%u.%u run=%u instance=%s reason=%s", ref.job,
 	    ref.occurrence, ref.step, ref.index, task->run, instance->info.id,
@@ -131,7 +134,7 @@
 	task->requests_in_flight++;
 	instance->requests_in_flight++;
 	pool->ops->stop(instance->info.id, instance->info.address, &ref,
-	    task->run, pool->arg);
+	    task->run, sched_fence_use(instance), pool->arg);
 	sched_instance_schedule_renewal(
 	    instance, task->sent_us + SCHED_RENEW_DELAY_US);
 }
@@ -359,10 +362,8 @@
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 
 	sched_instance_request_ended(pool, id);
-	if (result == SCHED_RESULT_FENCED) {
+	if (result == SCHED_RESULT_FENCED)
 		pool->ops->fenced(id, pool->arg);
-		return;
-	}
 	if (task == NULL || task->instance == NULL || task->run != run ||
 	    strcmp(task->instance->info.id, id) != 0) {
 		if (instance != NULL)
@@ -376,7 +377,7 @@
 	    result != SCHED_RESULT_REPLACED && task->starts_sent == 1 &&
 	    task->stops_sent == 0)
 		instance->alive_us = MAX(instance->alive_us, task->sent_us);
-	if (task->state != SCHED_TASK_STARTING)
+	if (task->state != SCHED_TASK_STARTING || result == SCHED_RESULT_FENCED)
 		return;
 	if (result == SCHED_RESULT_OK) {
 		task->state = SCHED_TASK_RUNNING;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -137,6 +137,7 @@
 	const char *checkpoint; /* empty: none */
 	const char *ticket;	/* NULL: none */
 	uint64_t deadline_ms;	/* end of the lease, on the instance's clock */
+	uint64_t fence;		/* see sched_pool_set_fence() */
 } sched_start_t;
 
 /*
@@ -150,6 +151,7 @@
 	uint64_t deadline_ms;
 	uint64_t ack_number; /* ends up to this number are in the store */
 	uint32_t wait_ms;    /* longest wait for a change to report */
+	uint64_t fence;	     /* see sched_pool_set_fence() */
 } sched_renewal_t;
 
 /* The response to a caller's request. */
@@ -198,7 +200,7 @@
 typedef struct {
 	void (*start)(const sched_start_t *, void *arg);
 	void (*stop)(const char *instance, const char *address,
-	    const sched_task_ref_t *, uint32_t run, void *arg);
+	    const sched_task_ref_t *, uint32_t run, uint64_t fence, void *arg);
 	/* Sends a renewal; at most one per instance is in flight. */
 	void (*renew)(const sched_renewal_t *, void *arg);
 	/* Requests advice on which of the instances may run the step. */
@@ -210,7 +212,13 @@
 	 */
 	uint64_t (*lease_until_us)(void *arg);
 	/*
-	 * An instance has seen a higher fence: another process owns the pool.
+	 * Returns the store's revision after the last write of this owner; 0:
+	 * none yet.
+	 */
+	uint64_t (*written_revision)(void *arg);
+	/*
+	 * An instance has seen a higher fence. Another process owns the pool,
+	 * unless the request was meant for an earlier incarnation.
 	 */
 	void (*fenced)(const char *instance, void *arg);
 	/* The instance was removed from the pool; no more requests go to it. */
@@ -285,6 +293,14 @@
  */
 void sched_pool_set_window(sched_pool_t *, sched_window_t *);
 
+/*
+ * Sets the fence of the owner's requests: the revision of its role, which is
+ * higher than all writes of earlier owners. An instance that has begun again
+ * under its id gets requests with a higher one, the revision of a later write
+ * of this owner, so that it refuses those that were meant for its earlier
+ * incarnations.
+ */
+void sched_pool_set_fence(sched_pool_t *, uint64_t fence);
 /* Sets the number of this shard and of all; without it there is only one. */
 void sched_pool_set_shard(sched_pool_t *, uint32_t number, uint32_t count);
 
--- a/lib/sched/stray.c
+++ b/lib/sched/stray.c
@@ -14,11 +14,6 @@
  * it has had a request of this one.
  */
 
-/*
- * How long a request without a response may be carried out after its run is
- * over; the platform says seconds.
- */
-#define STRAY_KEPT_US (60 * GW_US_PER_S)
 /* A stop without a response is repeated after this time. */
 #define STOP_RETRY_US (400 * GW_US_PER_MS)
 
@@ -61,7 +56,7 @@
 	    .run = task->run,
 	    .starts = starts_outstanding(task),
 	    .born_ms = instance->info.born_ms,
-	    .forget_us = now_us + STRAY_KEPT_US};
+	    .forget_us = now_us + SCHED_LATE_REQUEST_MAX_MS * GW_US_PER_MS};
 
 	if (stray.starts > 0)
 		g_array_append_val(instance->strays, stray);
@@ -144,7 +139,7 @@
 	    stray->ref.index, stray->run, instance->info.id);
 	instance->requests_in_flight++;
 	pool->ops->stop(instance->info.id, instance->info.address, &stray->ref,
-	    stray->run, pool->arg);
+	    stray->run, sched_fence_use(instance), pool->arg);
 }
 
 /*
@@ -167,6 +162,7 @@
 		}
 		if (stray->born_ms == instance->info.born_ms ||
 		    !instance->listed || instance->unreachable ||
+		    instance->awaits_fence ||
 		    (is_sent &&
 			gw_elapsed_us(now_us, stray->stop_sent_us) <
 			    STOP_RETRY_US) ||
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -21,6 +21,7 @@
 static gw_clock_t clock_state;
 static sched_pool_t *pool;
 static uint64_t lease_us = UINT64_MAX / 2; /* end of the owner's lease */
+static uint64_t batches_written;	   /* by this owner */
 static GHashTable *store;	 /* "spec/ID", "record/ID"... -> GBytes */
 static uint64_t lapsing_seen_us; /* when lapsing/ was written */
 static sched_batch_t *batch;
@@ -100,6 +101,16 @@
 	    " %s.%u.%u.%u", ref->job, ref->occurrence, ref->step, ref->index);
 }
 
+/* Ends the line of a request, with its fence if it is not that of the role. */
+static void
+end_line(uint64_t fence)
+{
+	if (fence == 0)
+		printf("\n");
+	else
+		printf(" fence=%" PRIu64 "\n", fence);
+}
+
 static void
 on_start(const sched_start_t *start, void *arg)
 {
@@ -112,16 +123,17 @@
 		return;
 	printf("%6" PRIu64 " start %s", now_ms(), start->instance);
 	print_ref(&start->ref);
-	printf(" run=%u deadline=%" PRIu64 "%s%s%s%s\n", start->run,
+	printf(" run=%u deadline=%" PRIu64 "%s%s%s%s", start->run,
 	    start->deadline_ms,
 	    start->checkpoint[0] == '\0' ? "" : " from=", start->checkpoint,
 	    start->ticket == NULL ? "" : " ticket=",
 	    start->ticket == NULL ? "" : start->ticket);
+	end_line(start->fence);
 }
 
 static void
 on_stop(const char *instance, const char *address, const sched_task_ref_t *ref,
-    uint32_t run, void *arg)
+    uint32_t run, uint64_t fence, void *arg)
 {
 	(void)address;
 	(void)arg;
@@ -133,7 +145,8 @@
 		return;
 	printf("%6" PRIu64 " stop %s", now_ms(), instance);
 	print_ref(ref);
-	printf(" run=%u\n", run);
+	printf(" run=%u", run);
+	end_line(fence);
 }
 
 static void
@@ -145,9 +158,10 @@
 		return;
 	}
 	printf("%6" PRIu64 " renew %s deadline=%" PRIu64 " ack=%" PRIu64
-	       " wait=%u\n",
+	       " wait=%u",
 	    now_ms(), renewal->instance, renewal->deadline_ms,
 	    renewal->ack_number, renewal->wait_ms);
+	end_line(renewal->fence);
 }
 
 static void
@@ -166,6 +180,13 @@
 	return lease_us;
 }
 
+static uint64_t
+written_revision(void *arg)
+{
+	(void)arg;
+	return batches_written;
+}
+
 static void
 on_fenced(const char *instance, void *arg)
 {
@@ -209,6 +230,7 @@
     .renew = on_renew,
     .advise = on_advise,
     .lease_until_us = lease_until_us,
+    .written_revision = written_revision,
     .fenced = on_fenced,
     .instance_removed = on_instance_removed,
     .find_shard = on_find_shard,
@@ -384,6 +406,7 @@
 	if (batch != NULL)
 		sched_batch_drop(batch);
 	batch = NULL;
+	batches_written = 0;
 	sched_pool_free(pool);
 	pool = sched_pool_new("p", "dc-a", &clock_state, &bounds, &ops, NULL);
 	sched_pool_set_shard(pool, shard_number, shard_count);
@@ -694,8 +717,10 @@
 	for (uint32_t n = fake_instances_respond(fake, pool); n > 0; n--)
 		leave_window(SCHED_RESULT_OK);
 	written = sched_pool_take_batch(pool, 28);
-	if (written != NULL)
-		sched_pool_batch_done(pool, written);
+	if (written == NULL)
+		return;
+	batches_written++;
+	sched_pool_batch_done(pool, written);
 }
 
 /*
@@ -864,8 +889,10 @@
 	sched_batch_t *written = batch;
 
 	batch = NULL;
-	if (written != NULL)
-		sched_pool_batch_done(pool, written);
+	if (written == NULL)
+		return;
+	batches_written++;
+	sched_pool_batch_done(pool, written);
 }
 
 static void
--- a/regress/sched/strays.sh
+++ b/regress/sched/strays.sh
@@ -120,6 +120,8 @@
 instance i1 born=3
 stopped i1 j1.0.0.0 1 ok
 tick
+commit
+tick
 EOF
 
 # two_records OLD NEW: the first job has run on an incarnation that has ended, and
--- a/soak/event_worker.c
+++ b/soak/event_worker.c
@@ -169,6 +169,53 @@
 	(void)events_disrupt_for(soak, late_ms, run_nothing);
 }
 
+static void
+run_cut(follow_up_t *follow_up)
+{
+	soak_t *soak = follow_up->soak;
+	uint32_t for_ms = events_draw(soak, 4000, 10000);
+
+	soak_print(soak, "worker %u is back, and silent for %u ms",
+	    follow_up->number, for_ms);
+	events_control(soak, soak->control, "{\"worker\":%u,\"muted\":true}",
+	    follow_up->number);
+	events_disrupt_for(soak, for_ms, run_sound)->number = follow_up->number;
+}
+
+static void
+run_crash(follow_up_t *follow_up)
+{
+	soak_t *soak = follow_up->soak;
+	uint32_t cut_ms = CRASH_RESTART_MS + events_draw(soak, 0, 2500);
+
+	soak_print(soak, "worker %u crashes", follow_up->number);
+	events_control(soak, soak->control, "{\"worker\":%u,\"crash\":true}",
+	    follow_up->number);
+	events_disrupt_for(soak, cut_ms, run_cut)->number = follow_up->number;
+	if (events_draw(soak, 0, 3) == 0)
+		event_kill(soak);
+}
+
+/*
+ * A worker crashes with starts on their way, which reach its next life, and is
+ * cut off soon after it is back.
+ */
+void
+event_back_and_cut(soak_t *soak)
+{
+	int worker = draw_worker(soak);
+	uint32_t late_ms = events_draw(soak, 900, 3000);
+
+	if (worker < 0)
+		return;
+	soak_print(soak, "worker %d is %u ms late", worker, late_ms);
+	events_control(soak, soak->control,
+	    "{\"worker\":%d,\"late_starts\":9,\"late_ms\":%u}", worker,
+	    late_ms);
+	events_disrupt_for(soak, events_draw(soak, 100, 800), run_crash)
+	    ->number = (uint32_t)worker;
+}
+
 /*
  * The operators ask for the upkeep of two machines, one after the other.
  */
--- a/soak/events.c
+++ b/soak/events.c
@@ -14,6 +14,7 @@
     {event_fail, 2, 0},
     {event_silent, 1, 0},
     {event_late_starts, 1, 0},
+    {event_back_and_cut, 3, 0},
     {event_wave, 2, 2},
     {event_store_refuses, 3, 0},
     {event_store_dark, 1, 0},
--- a/soak/events.h
+++ b/soak/events.h
@@ -29,6 +29,7 @@
 void event_fail(soak_t *);
 void event_silent(soak_t *);
 void event_late_starts(soak_t *);
+void event_back_and_cut(soak_t *);
 void event_wave(soak_t *);
 void worker_add(soak_t *, const char *pool);
 
--- a/tools/gwworkerd/worker.c
+++ b/tools/gwworkerd/worker.c
@@ -249,6 +249,7 @@
 {
 	uint64_t now_ms = worker_clock_ms(worker);
 
+	deadline_ms = MIN(deadline_ms, now_ms + WORKER_LEASE_MAX_MS);
 	worker->lease_end_ms = MAX(worker->lease_end_ms, deadline_ms);
 	if (worker->lease_end_ms > now_ms)
 		gw_timer_start(worker->rt, &worker->lease_timer,
--- a/tools/gwworkerd/worker.h
+++ b/tools/gwworkerd/worker.h
@@ -9,6 +9,8 @@
 #include "gw/runtime.h"
 #include "http/httpd.h"
 
+/* A longer lease is shortened to this. */
+#define WORKER_LEASE_MAX_MS 6000
 /* Delay of a late start, whose request gets no response. */
 #define WORKER_LATE_MS 1500
 
