--- a/gwentryd/transfer.c
+++ b/gwentryd/transfer.c
@@ -60,17 +60,17 @@
 	bool is_call; /* from another owner */
 	dispatch_response_cb_t cb;
 	void *arg;
-} request_t;
+} job_call_t;
 
-static request_t *
+static job_call_t *
 request_new(const transfer_t *transfer, const char *shard, const char *id)
 {
 	owner_t *owner = owners_find(transfer->owners, shard);
-	request_t *request;
+	job_call_t *request;
 
 	if (owner == NULL)
 		return NULL;
-	request = g_new0(request_t, 1);
+	request = g_new0(job_call_t, 1);
 	request->transfer = transfer;
 	g_strlcpy(request->shard, shard, sizeof(request->shard));
 	g_strlcpy(request->id, id, sizeof(request->id));
@@ -80,7 +80,7 @@
 }
 
 static void
-request_free(request_t *request)
+request_free(job_call_t *request)
 {
 	if (request->spec != NULL)
 		g_bytes_unref(request->spec);
@@ -92,7 +92,7 @@
  * the shard since.
  */
 static owner_t *
-request_owner(const request_t *request)
+request_owner(const job_call_t *request)
 {
 	owner_t *owner = owners_find(request->transfer->owners, request->shard);
 
@@ -106,7 +106,7 @@
 static void
 on_told(const Gw__Reply *response, void *arg)
 {
-	request_t *request = arg;
+	job_call_t *request = arg;
 	owner_t *owner = request_owner(request);
 
 	if (owner != NULL) {
@@ -121,7 +121,7 @@
 transfer_tell_adopt(const transfer_t *transfer, const char *shard,
     const char *to, const char *id)
 {
-	request_t *request = request_new(transfer, shard, id);
+	job_call_t *request = request_new(transfer, shard, id);
 	Gw__Call call = GW__CALL__INIT;
 
 	if (request == NULL)
@@ -136,7 +136,7 @@
 /* Adoption of a job from its records. */
 
 static void
-end_read(request_t *request, Gw__CallOutcome outcome, const char *reason)
+end_read(job_call_t *request, Gw__CallOutcome outcome, const char *reason)
 {
 	Gw__Reply response = GW__REPLY__INIT;
 
@@ -149,7 +149,7 @@
 static void
 on_adopted(const sched_response_t *response, void *arg)
 {
-	request_t *request = arg;
+	job_call_t *request = arg;
 
 	end_read(request, response->outcome,
 	    response->reason == NULL ? "" : response->reason);
@@ -159,7 +159,7 @@
  * Replies about a job that the shard has.
  */
 static void
-reply_held(request_t *request, owner_t *owner)
+reply_held(job_call_t *request, owner_t *owner)
 {
 	sched_pool_resubmit(
 	    owner_pool(owner), request->id, on_adopted, request);
@@ -171,7 +171,7 @@
  * that for certain. One that has transferred the job knows where it is.
  */
 static void
-end_absent(request_t *request, owner_t *owner)
+end_absent(job_call_t *request, owner_t *owner)
 {
 	if (!owner_lease_is_valid(owner))
 		end_read(request, GW__CALL_OUTCOME__CALL_REFUSED,
@@ -196,7 +196,7 @@
 }
 
 static void
-adopt(request_t *request, owner_t *owner, const store_item_t *record)
+adopt(job_call_t *request, owner_t *owner, const store_item_t *record)
 {
 	gsize spec_bytes = 0;
 	const void *spec = g_bytes_get_data(request->spec, &spec_bytes);
@@ -216,12 +216,12 @@
 	end_read(request, GW__CALL_OUTCOME__CALL_REFUSED, "malformed-record");
 }
 
-static void read_records(request_t *);
+static void read_records(job_call_t *);
 
 static void
 on_read(const store_page_t *page, const gw_err_t *err, void *arg)
 {
-	request_t *request = arg;
+	job_call_t *request = arg;
 	owner_t *owner = request_owner(request);
 	const store_item_t *item;
 
@@ -256,7 +256,7 @@
  * Reads the job's specification, and then its progress.
  */
 static void
-read_records(request_t *request)
+read_records(job_call_t *request)
 {
 	char key[OWNER_KEY_BYTES];
 
@@ -270,7 +270,7 @@
 transfer_handle_call(const transfer_t *transfer, const Gw__Call *call,
     dispatch_response_cb_t cb, void *arg)
 {
-	request_t *request = request_new(transfer, call->pool, call->id);
+	job_call_t *request = request_new(transfer, call->pool, call->id);
 	Gw__Reply response = GW__REPLY__INIT;
 	owner_t *owner;
 
@@ -296,7 +296,7 @@
 static void
 on_found(const Gw__Reply *response, void *arg)
 {
-	request_t *request = arg;
+	job_call_t *request = arg;
 	owner_t *owner = request_owner(request);
 
 	if (owner != NULL &&
@@ -311,7 +311,7 @@
 transfer_find_records(
     const transfer_t *transfer, const char *shard, const char *id)
 {
-	request_t *request = request_new(transfer, shard, id);
+	job_call_t *request = request_new(transfer, shard, id);
 
 	if (request == NULL)
 		return;
