--- a/regress/entry/restarted_cut.sh
+++ b/regress/entry/restarted_cut.sh
@@ -34,15 +34,16 @@
 	each "$first" '"crash":true'
 }
 
-# cut ID: the workers are cut off, and two others come.
+# cut ID: the workers are cut off, and two others come, each with room for a task.
+# A start that was on its way to the former ones may be counted, too.
 cut()
 {
 	starts=$(stat starts) doubles=$(stat doubles)
 	each "$first" '"muted":true'
 	each "4 5" '"muted":false'
 	sleep 9
-	echo "started elsewhere: $(($(stat starts) - starts)), doubles:" \
-	    "$(($(stat doubles) - doubles))"
+	[ $(($(stat starts) - starts)) -ge 2 ] && echo "started elsewhere"
+	echo "doubles: $(($(stat doubles) - doubles))"
 	each "$first" '"muted":false'
 	curl -s -m 3 -o /dev/null -H "Host: $host" -X DELETE \
 	    "http://127.0.0.1:28511/q/$1"
