--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -193,10 +193,10 @@
 	view_take_config(((entry_t *)arg)->view, item);
 }
 
-static bool
-has_queue(const char *shard, const char *key, void *arg)
+static const char *
+get_refusal(const char *shard, const sched_submitter_t *submitter, void *arg)
 {
-	return owners_have_queue(((entry_t *)arg)->owners, shard, key);
+	return owners_refusal(((entry_t *)arg)->owners, shard, submitter);
 }
 
 static bool
@@ -224,7 +224,7 @@
     .lapsing_seen_us = lapsing_seen_us,
     .config_revision = config_revision,
     .on_config_item = on_config_item,
-    .has_queue = has_queue,
+    .get_refusal = get_refusal,
     .find_shard = on_find_shard,
     .tell_adopt = on_tell_adopt,
     .find_records = on_find_records};
--- a/gwentryd/forward.c
+++ b/gwentryd/forward.c
@@ -21,6 +21,7 @@
 	sched_lookup_free(forward->lookup);
 	g_free(forward->call.queue);
 	g_free(forward->call.queue_key);
+	g_free(forward->call.team);
 	if (forward->call.spec != NULL)
 		gw__job_spec__free_unpacked(forward->call.spec, NULL);
 	request_unref(forward->request);
@@ -142,6 +143,10 @@
 	gw__call__init(&forward->call);
 	forward->call.queue = g_strdup(target->queue->name);
 	forward->call.queue_key = g_strdup(target->queue->key);
+	forward->call.team = g_strdup(request->team);
+	if (request->has_key)
+		forward->call.key_digest = (ProtobufCBinaryData){
+		    sizeof(request->key.bytes), request->key.bytes};
 	forward->call.id = request->id;
 	forward->call.spec = spec;
 	forward->call.config_version = target->config_version;
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -69,6 +69,7 @@
 			    request, STATUS_BAD_REQUEST, "malformed-job");
 			return;
 		}
+		spec->team = strdup(request->team); /* of a job just decoded */
 		if (!sched_spec_fits(spec, front->value_max_bytes)) {
 			gw__job_spec__free_unpacked(spec, NULL);
 			reply_error(
@@ -102,22 +103,47 @@
 }
 
 /*
- * Replies that there is no such queue, or with 503 while a configuration that
- * has it may be in force elsewhere.
+ * Replies with an error that the configuration is the cause of, or with 503
+ * while a newer one, by which there is none, may be in force elsewhere.
  */
 static void
-reply_no_queue(request_t *request)
+reply_by_config(request_t *request, int status, const char *reason)
 {
 	const front_t *front = request->requests->front;
 
 	if (sched_config_is_current(request->requests->config_current_us,
 		gw_rt_now_us(request->requests->rt), front->config_apply_ms))
-		reply_error(request, STATUS_NOT_FOUND, "no-such-queue");
+		reply_error(request, status, reason);
 	else
 		reply_error(
 		    request, STATUS_UNAVAILABLE, "configuration-not-current");
 }
 
+/*
+ * Finds the caller's team by its key. Replies to the request and returns false
+ * if the queue needs a key and the configuration has no such one. A request
+ * that was held is checked again, by the configuration that is then in force.
+ */
+static bool
+check_key(request_t *request, const sched_queue_t *queue)
+{
+	const front_t *front = request->requests->front;
+	const sched_team_config_t *team;
+	sched_key_verdict_t verdict = sched_config_check_key(front->config,
+	    queue, request->has_key ? &request->key : NULL, &team);
+
+	request->team[0] = '\0';
+	if (team != NULL)
+		g_strlcpy(request->team, team->name, sizeof(request->team));
+	if (verdict == SCHED_KEY_MISSING)
+		reply_by_config(request, STATUS_UNAUTHORIZED, "no-key");
+	else if (verdict == SCHED_KEY_UNKNOWN)
+		reply_by_config(request, STATUS_UNAUTHORIZED, "unknown-key");
+	else
+		return true;
+	return false;
+}
+
 /*
  * Holds a request whose queue is new or has another pool than before, until the
  * pools that have jobs of it are known.
@@ -155,10 +181,12 @@
 	queue = sched_config_find_queue(front->config, req->authority.base,
 	    req->authority.len, req->path.base, path_bytes);
 	if (queue == NULL) {
-		reply_no_queue(request);
+		reply_by_config(request, STATUS_NOT_FOUND, "no-such-queue");
 		return;
 	}
 	g_strlcpy(request->queue, queue->name, sizeof(request->queue));
+	if (!check_key(request, queue))
+		return;
 	prefix_bytes = strlen(queue->path_prefix);
 	has_id = plat_job_id_parse(request->id, req->path.base + prefix_bytes,
 	    path_bytes - prefix_bytes);
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -269,18 +269,18 @@
 	owner_schedule_tick(owner);
 }
 
-static bool
-has_queue(const char *key, void *arg)
+static const char *
+get_refusal(const sched_submitter_t *submitter, void *arg)
 {
 	const owner_t *owner = arg;
 
-	return owner->ops->has_queue(owner->shard, key, owner->arg);
+	return owner->ops->get_refusal(owner->shard, submitter, owner->arg);
 }
 
 void
 owner_config_changed(owner_t *owner)
 {
-	sched_pool_refuse_moved(owner->pool, has_queue, owner);
+	sched_pool_refuse_outdated(owner->pool, get_refusal, owner);
 	owner_schedule_tick(owner);
 }
 
--- a/gwentryd/owner.h
+++ b/gwentryd/owner.h
@@ -37,10 +37,11 @@
 	/* A newer one has been read; the item is valid during the call. */
 	void (*on_config_item)(const store_item_t *, void *arg);
 	/*
-	 * Returns whether the configuration in force sends the queue with the
-	 * key to the shard's pool.
+	 * Returns why the configuration in force does not allow a submission to
+	 * the shard's pool; NULL: it does.
 	 */
-	bool (*has_queue)(const char *shard, const char *key, void *arg);
+	const char *(*get_refusal)(
+	    const char *shard, const sched_submitter_t *, void *arg);
 	/* See sched_ops_t; shard is the one that is owned. */
 	bool (*find_shard)(const char *shard, const sched_misfit_t *,
 	    char to[SCHED_NAME_BYTES], void *arg);
--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -63,6 +63,18 @@
 	return owners;
 }
 
+static void
+set_teams(const owners_t *owners, owner_t *owner)
+{
+	const GArray *teams;
+
+	if (owners->config == NULL)
+		return;
+	teams = owners->config->teams;
+	sched_pool_set_teams(owner_pool(owner),
+	    (const sched_team_config_t *)teams->data, teams->len);
+}
+
 /*
  * Adds the owner of a shard, which then loads the shard's records. If this
  * process has owned the shard before, it still knows the ends that it saw.
@@ -86,6 +98,7 @@
 	sched_pool_set_shard(owner_pool(owner), shard_parse_name(shard, pool),
 	    owners->shard_count);
 	sched_pool_set_vacancy(owner_pool(owner), vacancy);
+	set_teams(owners, owner);
 	if (handover != NULL)
 		sched_pool_runs_ended(owner_pool(owner),
 		    (Gw__EndedRun **)handover->ended->pdata,
@@ -198,7 +211,20 @@
 static sched_queue_ref_t
 queue_of(const Gw__Call *call)
 {
-	return (sched_queue_ref_t){.name = call->queue, .key = call->queue_key};
+	return (sched_queue_ref_t){
+	    .name = call->queue, .key = call->queue_key, .team = call->team};
+}
+
+/*
+ * Copies the digest of the caller's key. Returns NULL if the call has none.
+ */
+static const sched_key_digest_t *
+key_of(const Gw__Call *call, sched_key_digest_t *key)
+{
+	if (call->key_digest.len != sizeof(key->bytes))
+		return NULL;
+	memcpy(key->bytes, call->key_digest.data, sizeof(key->bytes));
+	return key;
 }
 
 static void
@@ -277,34 +303,46 @@
 }
 
 /*
- * Returns whether the queue of a submission is still there. A job that was
- * accepted before counts as accepted.
+ * Returns whether the queue of a submission is still there, and its key still
+ * the team's. A job that was accepted before counts as accepted.
  */
 static bool
-is_queue_in_force(
+is_in_force(
     const owners_t *owners, const sched_pool_t *pool, const Gw__Call *call)
 {
+	sched_key_digest_t key;
 	char name[SCHED_NAME_BYTES];
 	const sched_config_claim_t claim = {.config = owners->config,
 	    .seen_version = owners->seen_version,
 	    .version = call->config_version,
 	    .queue = call->queue,
 	    .queue_key = call->queue_key,
-	    .pool = name};
+	    .pool = name,
+	    .team = call->team,
+	    .key = key_of(call, &key)};
 
 	(void)shard_parse_name(call->pool, name);
 	return sched_pool_has_job(pool, call->spec->id) ||
 	    sched_config_allows(&claim);
 }
 
-bool
-owners_have_queue(const owners_t *owners, const char *shard, const char *key)
+const char *
+owners_refusal(const owners_t *owners, const char *shard,
+    const sched_submitter_t *submitter)
 {
+	const sched_queue_t *queue;
 	char pool[SCHED_NAME_BYTES];
 
+	if (owners->config == NULL)
+		return "no-configuration";
 	(void)shard_parse_name(shard, pool);
-	return owners->config != NULL &&
-	    sched_config_has_queue(owners->config, key, pool);
+	queue = sched_config_queue_by_key(owners->config, submitter->queue_key);
+	if (queue == NULL || strcmp(queue->pool, pool) != 0)
+		return "queue-moved";
+	if (!sched_config_allows_key(
+		owners->config, queue, submitter->team, submitter->key))
+		return "key-withdrawn";
+	return NULL;
 }
 
 /*
@@ -336,6 +374,7 @@
 {
 	sched_queue_ref_t queue = queue_of(call);
 	sched_pool_t *pool = owner_pool(owner);
+	sched_key_digest_t key;
 	bool is_submit = call->kind == GW__CALL_KIND__CALL_SUBMIT &&
 	    call->spec != NULL && sched_spec_is_valid(call->spec);
 
@@ -343,11 +382,11 @@
 		refuse(STORE_RETRY_AFTER_MS, "store-not-writable", cb, arg);
 		return;
 	}
-	if (is_submit && !is_queue_in_force(owners, pool, call))
+	if (is_submit && !is_in_force(owners, pool, call))
 		refuse(CONFIG_RETRY_AFTER_MS, "queue-dropped", cb, arg);
 	else if (is_submit)
-		sched_pool_submit(pool, call->spec, on_recorded,
-		    pending_response_new(cb, arg));
+		sched_pool_submit(pool, call->spec, key_of(call, &key),
+		    on_recorded, pending_response_new(cb, arg));
 	else if (call->kind == GW__CALL_KIND__CALL_CANCEL)
 		sched_pool_cancel(pool, &queue, call->id, on_recorded,
 		    pending_response_new(cb, arg));
@@ -474,8 +513,10 @@
 
 	owners->config = config;
 	g_hash_table_iter_init(&iter, owners->by_shard);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&owner))
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&owner)) {
+		set_teams(owners, owner);
 		owner_config_changed(owner);
+	}
 }
 
 void
--- a/gwentryd/owners.h
+++ b/gwentryd/owners.h
@@ -39,10 +39,11 @@
 bool owners_are_flushed(const owners_t *);
 uint32_t owners_count(const owners_t *);
 /*
- * Returns whether the configuration in force sends the queue with the key to
- * the shard's pool.
+ * Returns why the configuration in force does not allow a submission to the
+ * shard's pool; NULL: it does.
  */
-bool owners_have_queue(const owners_t *, const char *shard, const char *key);
+const char *owners_refusal(
+    const owners_t *, const char *shard, const sched_submitter_t *);
 /* Returns what waits in all shards that this process owns. */
 sched_waits_t owners_waits(const owners_t *);
 
--- a/gwentryd/request.c
+++ b/gwentryd/request.c
@@ -2,8 +2,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <openssl/crypto.h>
+
 #include "gw/log.h"
 #include "request.h"
+#include "sched/config.h"
 
 /* Used when a request has no x-deadline-ms header. */
 #define CALLER_TIMEOUT_DEFAULT_MS 3000
@@ -48,8 +51,10 @@
 void
 request_unref(request_t *request)
 {
-	if (--request->refs == 0)
-		g_free(request);
+	if (--request->refs > 0)
+		return;
+	OPENSSL_cleanse(&request->key, sizeof(request->key));
+	g_free(request);
 }
 
 /*
@@ -92,6 +97,26 @@
 						: wait_ms / 2;
 }
 
+/*
+ * Decodes the caller's key. A request with several counts as without one.
+ */
+static void
+parse_key(request_t *request)
+{
+	static const char name[] = "x-api-key";
+	const h2o_headers_t *headers = &request->req->headers;
+	ssize_t at =
+	    h2o_find_header_by_str(headers, name, sizeof(name) - 1, -1);
+	const h2o_iovec_t *value;
+
+	if (at < 0 ||
+	    h2o_find_header_by_str(headers, name, sizeof(name) - 1, at) >= 0)
+		return;
+	value = &headers->entries[at].value;
+	sched_key_digest(&request->key, value->base, value->len);
+	request->has_key = true;
+}
+
 /*
  * Adds a request that has just arrived.
  */
@@ -112,6 +137,7 @@
 	requests->in_memory++;
 	hook = h2o_mem_alloc_shared(&req->pool, sizeof(*hook), on_disposed);
 	hook->request = request;
+	parse_key(request);
 	return request;
 }
 
@@ -149,11 +175,12 @@
 	if (status == STATUS_OK && request_is_read_only(request))
 		return;
 	gw_log(GW_EV_REQUEST,
-	    "job=%s queue=%s kind=%s status=%d reason=%s took_us=%" PRIu64
-	    " retry_after_ms=%u config=%" PRIu64 " config_age_ms=%" PRIu64
-	    "%s%.*s",
-	    request->id, request->queue, stats_kind_name(request->kind), status,
-	    reason, took_us, retry_after_ms, requests->config_version,
+	    "job=%s queue=%s team=%s kind=%s status=%d reason=%s "
+	    "took_us=%" PRIu64 " retry_after_ms=%u config=%" PRIu64
+	    " config_age_ms=%" PRIu64 "%s%.*s",
+	    request->id, request->queue, request->team,
+	    stats_kind_name(request->kind), status, reason, took_us,
+	    retry_after_ms, requests->config_version,
 	    gw_elapsed_us(
 		gw_rt_now_us(requests->rt), requests->config_current_us) /
 		GW_US_PER_MS,
@@ -179,6 +206,10 @@
 	request_close(request);
 	if (status == STATUS_UNAVAILABLE)
 		add_retry_after(req, retry_after_ms);
+	if (status == STATUS_UNAUTHORIZED)
+		h2o_add_header_by_str(&req->pool, &req->res.headers,
+		    H2O_STRLIT("www-authenticate"), 1, NULL,
+		    H2O_STRLIT("X-Api-Key"));
 	gw_http_reply(req, status, "application/json", body, strlen(body));
 }
 
--- a/gwentryd/request.h
+++ b/gwentryd/request.h
@@ -8,6 +8,7 @@
 
 #define STATUS_OK 200
 #define STATUS_BAD_REQUEST 400
+#define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND 404
 #define STATUS_BAD_METHOD 405
 #define STATUS_GONE 410
@@ -36,6 +37,9 @@
 	Gw__CallKind kind;
 	char id[SCHED_JOB_ID_BYTES]; /* of the job; empty to count a queue */
 	char queue[SCHED_NAME_BYTES];
+	char team[SCHED_NAME_BYTES]; /* of the caller's key; empty: none */
+	bool has_key;
+	sched_key_digest_t key; /* if has_key */
 	uint64_t arrived_us;
 	/* From arrival; shorter than the caller's timeout. */
 	uint64_t response_timeout_ms;
--- a/gwentryd/view.c
+++ b/gwentryd/view.c
@@ -61,9 +61,10 @@
 	sched_config_free(view->config);
 	view->config = config;
 	gw_log(GW_EV_CONFIG,
-	    "version=%" PRIu64 " revision=%" PRIu64 " queues=%u pools=%u",
+	    "version=%" PRIu64 " revision=%" PRIu64
+	    " queues=%u pools=%u teams=%u keys=%u",
 	    config->version, item->mod_revision, config->queues->len,
-	    config->pools->len);
+	    config->pools->len, config->teams->len, config->keys->len);
 	view->ops->on_config(config, is_next, view->arg);
 }
 
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -3,8 +3,8 @@
 #include "gw/log.h"
 #include "sched/impl.h"
 
-/* Retry-After of a job whose queue was given to another pool meanwhile. */
-#define QUEUE_MOVED_RETRY_AFTER_MS 1000
+/* Retry-After of a job that a newer configuration does not allow. */
+#define OUTDATED_RETRY_AFTER_MS 1000
 
 /*
  * Replies to the caller once the job's record has been written.
@@ -47,6 +47,12 @@
 	return gw__job_spec__unpack(NULL, size_bytes, data);
 }
 
+/* The reply to a submission whose id another team's job has. */
+static const sched_response_t id_in_use = {
+    .outcome = GW__CALL_OUTCOME__CALL_REFUSED,
+    .retry_after_ms = SCHED_REFUSED_RETRY_AFTER_MS,
+    .reason = "job-id-in-use"};
+
 /*
  * Accepts or refuses a job. A job that the pool already has is accepted again,
  * whatever its state, and is not run twice. Replies to the caller once the job
@@ -54,7 +60,7 @@
  */
 void
 sched_pool_submit(sched_pool_t *pool, const Gw__JobSpec *spec,
-    sched_response_cb_t cb, void *arg)
+    const sched_key_digest_t *key, sched_response_cb_t cb, void *arg)
 {
 	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 	sched_response_t refused = {
@@ -62,6 +68,10 @@
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, spec->id);
 	uint64_t since_us;
 
+	if (job != NULL && !sched_team_may_see(job, spec->team)) {
+		cb(&id_in_use, arg);
+		return;
+	}
 	if (job != NULL) {
 		accept_again(pool, job, cb, arg);
 		return;
@@ -78,6 +88,9 @@
 	job->accepted_us = since_us;
 	sched_job_set_spec(job, copy_spec(spec));
 	sched_job_set_queue_key(pool, job, spec->queue_key);
+	sched_job_set_team(pool, job, spec->team);
+	if (key != NULL)
+		job->key = g_memdup2(key, sizeof(*key));
 	/*
 	 * Opened now, so that admission of the next job counts this one's work
 	 * as waiting.
@@ -88,13 +101,14 @@
 	    "job=%s pool=%s queue=%s steps=%zu tasks=%u cpu_millis=%u "
 	    "lasting=%d target_ms=%u fills=%d max_unavailable=%u "
 	    "per_instance=%u chain_ms=%u objective_ms=%u priority=%u "
-	    "open_jobs=%u",
+	    "open_jobs=%u team=%s",
 	    job->id, pool->name, job->queue, job->spec->n_steps,
 	    job->spec->steps[0]->count, job->spec->steps[0]->cpu_millis,
 	    job->long_running, job->spec->steps[0]->target_ms,
 	    job->spec->steps[0]->fills, job->spec->steps[0]->max_unavailable,
 	    job->spec->steps[0]->max_per_instance, job->critical_path_ms,
-	    job->spec->objective_ms, job->spec->priority, pool->open->len);
+	    job->spec->objective_ms, job->spec->priority, pool->open->len,
+	    job->spec->team);
 	sched_job_wait_for_record(pool, job, cb, arg);
 }
 
@@ -110,25 +124,31 @@
 }
 
 void
-sched_pool_refuse_moved(sched_pool_t *pool,
-    bool (*has_queue)(const char *key, void *arg), void *arg)
+sched_pool_refuse_outdated(sched_pool_t *pool,
+    const char *(*get_reason)(const sched_submitter_t *, void *arg), void *arg)
 {
-	const sched_response_t refused = {
-	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED,
-	    .retry_after_ms = QUEUE_MOVED_RETRY_AFTER_MS,
-	    .reason = "queue-moved"};
-	g_autoptr(GPtrArray) moved = g_ptr_array_new();
+	sched_response_t refused = {.outcome = GW__CALL_OUTCOME__CALL_REFUSED,
+	    .retry_after_ms = OUTDATED_RETRY_AFTER_MS};
+	g_autoptr(GPtrArray) pending = g_ptr_array_new();
 	GHashTableIter iter;
 	sched_job_t *job;
 
 	g_hash_table_iter_init(&iter, pool->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&job))
 		if (!job->spec_recorded && !job->in_batch &&
-		    job->queue_key[0] != '\0' &&
-		    !has_queue(job->queue_key, arg))
-			g_ptr_array_add(moved, job);
-	for (guint i = 0; i < moved->len; i++)
-		sched_job_refuse_new(pool, moved->pdata[i], &refused);
+		    job->queue_key[0] != '\0')
+			g_ptr_array_add(pending, job);
+	for (guint i = 0; i < pending->len; i++) {
+		sched_submitter_t submitter;
+
+		job = pending->pdata[i];
+		submitter = (sched_submitter_t){.queue_key = job->queue_key,
+		    .team = job->team == NULL ? "" : job->team->config.name,
+		    .key = job->key};
+		refused.reason = get_reason(&submitter, arg);
+		if (refused.reason != NULL)
+			sched_job_refuse_new(pool, job, &refused);
+	}
 }
 
 /*
@@ -166,7 +186,10 @@
 {
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
 
-	return job != NULL && is_of_queue(job, queue) ? job : NULL;
+	return job != NULL && is_of_queue(job, queue) &&
+		sched_team_may_see(job, queue->team)
+	    ? job
+	    : NULL;
 }
 
 /* A caller whose cancel came before the job. */
@@ -206,6 +229,8 @@
 		job->queue = g_strdup(queue->name);
 		sched_job_set_queue_key(
 		    pool, job, queue->key == NULL ? "" : queue->key);
+		sched_job_set_team(
+		    pool, job, queue->team == NULL ? "" : queue->team);
 		job->cancelled_first = true;
 		job->state = GW__JOB_STATE__JOB_CANCELLED;
 		job->finished_wall_ms = pool->wall_ms;
--- a/lib/sched/config.c
+++ b/lib/sched/config.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "sched/config.h"
+#include "sched/key.h"
 
 static void
 queue_clear(gpointer data)
@@ -38,6 +39,8 @@
 	config->queues = g_array_new(FALSE, TRUE, sizeof(sched_queue_t));
 	g_array_set_clear_func(config->queues, queue_clear);
 	config->pools = g_array_new(FALSE, TRUE, sizeof(sched_pool_config_t));
+	config->teams = g_array_new(FALSE, TRUE, sizeof(sched_team_config_t));
+	config->keys = sched_keys_new();
 	return config;
 }
 
@@ -51,6 +54,8 @@
 		return;
 	g_array_free(config->queues, TRUE);
 	g_array_free(config->pools, TRUE);
+	g_array_free(config->teams, TRUE);
+	sched_keys_free(config->keys);
 	g_free(config);
 }
 
@@ -84,18 +89,26 @@
 	return best;
 }
 
-bool
-sched_config_has_queue(
-    const sched_config_t *config, const char *key, const char *pool)
+const sched_queue_t *
+sched_config_queue_by_key(const sched_config_t *config, const char *key)
 {
 	for (guint i = 0; i < config->queues->len; i++) {
 		const sched_queue_t *queue =
 		    &g_array_index(config->queues, sched_queue_t, i);
 
 		if (strcmp(queue->key, key) == 0)
-			return strcmp(queue->pool, pool) == 0;
+			return queue;
 	}
-	return false;
+	return NULL;
+}
+
+bool
+sched_config_has_queue(
+    const sched_config_t *config, const char *key, const char *pool)
+{
+	const sched_queue_t *queue = sched_config_queue_by_key(config, key);
+
+	return queue != NULL && strcmp(queue->pool, pool) == 0;
 }
 
 bool
@@ -105,26 +118,58 @@
 	    gw_elapsed_us(now_us, current_us) <= apply_ms * GW_US_PER_MS;
 }
 
+/*
+ * Returns the queue of a submission by the configuration, which the claim's
+ * process may not have had; NULL: there is none.
+ */
+static const sched_queue_t *
+find_queue(const sched_config_claim_t *claim)
+{
+	const sched_config_t *config = claim->config;
+
+	if (claim->queue_key != NULL && claim->queue_key[0] != '\0')
+		return sched_config_queue_by_key(config, claim->queue_key);
+	for (guint i = 0; i < config->queues->len; i++) {
+		const sched_queue_t *row =
+		    &g_array_index(config->queues, sched_queue_t, i);
+
+		if (strcmp(row->name, claim->queue) == 0)
+			return row;
+	}
+	return NULL;
+}
+
 bool
 sched_config_allows(const sched_config_claim_t *claim)
 {
 	const sched_config_t *config = claim->config;
 	uint64_t known_version = config == NULL ? 0 : config->version;
+	const sched_queue_t *queue;
 
 	if (claim->version < claim->seen_version &&
 	    known_version < claim->seen_version)
 		return false;
 	if (known_version <= claim->version)
 		return true;
-	if (claim->queue_key != NULL && claim->queue_key[0] != '\0')
-		return sched_config_has_queue(
-		    config, claim->queue_key, claim->pool);
-	for (guint i = 0; i < config->queues->len; i++) {
-		const sched_queue_t *row =
-		    &g_array_index(config->queues, sched_queue_t, i);
+	queue = find_queue(claim);
+	return queue != NULL && strcmp(queue->pool, claim->pool) == 0 &&
+	    sched_config_allows_key(config, queue, claim->team, claim->key);
+}
 
-		if (strcmp(row->name, claim->queue) == 0)
-			return strcmp(row->pool, claim->pool) == 0;
+bool
+sched_config_allows_key(const sched_config_t *config,
+    const sched_queue_t *queue, const char *team, const sched_key_digest_t *key)
+{
+	const sched_team_config_t *found;
+
+	if (key == NULL)
+		return true;
+	switch (sched_config_check_key(config, queue, key, &found)) {
+	case SCHED_KEY_NOT_NEEDED:
+		return true;
+	case SCHED_KEY_OF_TEAM:
+		return strcmp(found->name, team) == 0;
+	default:
+		return false;
 	}
-	return false;
 }
--- a/lib/sched/config.h
+++ b/lib/sched/config.h
@@ -38,6 +38,7 @@
 	uint32_t advice_decide_ms;
 	uint32_t advice_per_item_ms;
 	uint32_t advice_valid_ms;
+	bool is_public; /* callers need no key, and its jobs have no team */
 } sched_queue_t;
 
 typedef struct {
@@ -46,11 +47,20 @@
 	bool standby;		/* its machines are switched off */
 } sched_pool_config_t;
 
+/* A key of a team, and the index of the team. */
+typedef struct {
+	sched_key_digest_t digest;
+	guint team;
+} sched_team_key_t;
+
 /* One version of the operators' configuration. */
 typedef struct {
 	uint64_t version;
 	GArray *queues; /* sched_queue_t */
 	GArray *pools;	/* sched_pool_config_t */
+	bool has_teams; /* it has a list of teams, so that callers need keys */
+	GArray *teams;	/* sched_team_config_t */
+	GArray *keys;	/* sched_team_key_t */
 	uint32_t body_max_bytes;
 	uint32_t idle_timeout_ms;
 } sched_config_t;
@@ -65,6 +75,32 @@
 /* Returns whether the queue with this key is in the pool. */
 bool sched_config_has_queue(
     const sched_config_t *, const char *key, const char *pool);
+/* Returns the queue with this key, or NULL. */
+const sched_queue_t *sched_config_queue_by_key(
+    const sched_config_t *, const char *key);
+
+/* Sets the digest of a caller's key. */
+void sched_key_digest(sched_key_digest_t *, const void *key, size_t size_bytes);
+/*
+ * Adds a key of the last team. Returns false if the configuration has it
+ * already.
+ */
+bool sched_config_add_key(sched_config_t *, const sched_key_digest_t *);
+/* What a caller's key is worth at a queue. */
+typedef enum {
+	SCHED_KEY_NOT_NEEDED,
+	SCHED_KEY_OF_TEAM,
+	SCHED_KEY_MISSING,
+	SCHED_KEY_UNKNOWN
+} sched_key_verdict_t;
+/*
+ * Checks the key of a caller, NULL if it sent none. Sets *team, which belongs
+ * to the configuration, to NULL unless the verdict is SCHED_KEY_OF_TEAM.
+ */
+sched_key_verdict_t sched_config_check_key(const sched_config_t *,
+    const sched_queue_t *, const sched_key_digest_t *,
+    const sched_team_config_t **team);
+
 /*
  * Returns whether a queue that the configuration lacks can be said not to
  * exist. The configuration was the newest one at current_us (0: never known);
@@ -86,12 +122,20 @@
 	/* See sched_queue_t; NULL or empty: not known. */
 	const char *queue_key;
 	const char *pool;
+	const char *team;	       /* of the caller; empty: none */
+	const sched_key_digest_t *key; /* NULL: not known */
 } sched_config_claim_t;
 
 /*
- * Returns whether the submission may be accepted: the queue is still there, or
- * no newer configuration is known here.
+ * Returns whether the submission may be accepted: the queue is still there and
+ * the key still the team's, or no newer configuration is known here.
  */
 bool sched_config_allows(const sched_config_claim_t *);
+/*
+ * Returns whether the key of a submission is the team's at the queue. One that
+ * came without a key from a process that sends none is allowed.
+ */
+bool sched_config_allows_key(const sched_config_t *, const sched_queue_t *,
+    const char *team, const sched_key_digest_t *key);
 
 #endif
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -68,6 +68,16 @@
 typedef struct sched_instance sched_instance_t;
 typedef struct sched_queue_use sched_queue_use_t;
 
+/* A team's jobs in this shard; see team.c. */
+typedef struct {
+	sched_team_config_t config; /* the name only, unless is_configured */
+	bool is_configured;	    /* by the configuration in force */
+	uint32_t jobs;		    /* in the pool, ended ones too */
+	sched_resources_t used;	    /* by its tasks that are placed */
+	uint64_t submitted; /* jobs; a repeated submission counts once */
+	uint64_t refused;   /* submissions, repeated ones too */
+} sched_team_t;
+
 /* Why the runs on an instance have ended. */
 typedef enum {
 	SCHED_LOSS_PLANNED, /* its machine was ordered to move or stop */
@@ -188,6 +198,9 @@
 	char id[SCHED_JOB_ID_BYTES];
 	char *queue; /* its name when the job was submitted */
 	char queue_key[SCHED_QUEUE_KEY_BYTES];
+	sched_team_t *team; /* NULL: submitted without a key */
+	/* With which it was submitted; NULL once it is recorded, or none. */
+	sched_key_digest_t *key;
 	Gw__JobState state;
 	Gw__JobState recorded;	  /* the state in the store */
 	GPtrArray *occurrences;	  /* those that are open (sched_occurrence_t) */
@@ -342,6 +355,7 @@
 	GPtrArray *open;       /* jobs that have not ended (sched_job_t) */
 	GHashTable *instances; /* id -> sched_instance_t */
 	GHashTable *queues;    /* key -> sched_queue_use_t; see queue.c */
+	GHashTable *teams;     /* name -> sched_team_t; see team.c */
 	uint64_t fence;	       /* of instances that have not begun again */
 	uint32_t shard_number;
 	uint32_t shard_count;
@@ -439,6 +453,14 @@
 void sched_queue_undo_write(sched_pool_t *, const sched_write_t *);
 char *sched_queue_take_unused(sched_pool_t *);
 
+/* team.c */
+void sched_job_set_team(sched_pool_t *, sched_job_t *, const char *name);
+void sched_team_job_removed(sched_job_t *);
+sched_team_t *sched_team_get(sched_pool_t *, const char *name);
+void sched_team_note_placed(const sched_task_t *);
+void sched_team_note_released(const sched_task_t *);
+bool sched_team_may_see(const sched_job_t *, const char *team);
+
 /* record.c */
 GBytes *sched_record_encode(const sched_job_t *, uint64_t max_bytes);
 int sched_record_apply(sched_pool_t *, sched_job_t *, const Gw__JobRecord *);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -175,6 +175,7 @@
 	instance->used.cpu_millis += sched_step_cpu_millis(step);
 	instance->used.memory_mib += step->memory_mib;
 	instance->used.accelerators += step->accelerators;
+	sched_team_note_placed(task);
 }
 
 /*
@@ -193,6 +194,7 @@
 	instance->used.cpu_millis -= sched_step_cpu_millis(step);
 	instance->used.memory_mib -= step->memory_mib;
 	instance->used.accelerators -= step->accelerators;
+	sched_team_note_released(task);
 	g_ptr_array_remove_fast(instance->tasks, task);
 	task->instance = NULL;
 	task->job->placed--;
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -72,6 +72,8 @@
 		gw__job_spec__free_unpacked(job->spec, NULL);
 	g_array_free(job->acks, TRUE);
 	g_array_free(job->waiters, TRUE);
+	sched_team_job_removed(job);
+	g_free(job->key);
 	g_free(job->queue);
 	g_free(job);
 }
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -32,6 +32,8 @@
 	    g_str_hash, g_str_equal, NULL, sched_instance_free);
 	pool->queues =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->teams =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	pool->previous_leases =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->transfers =
@@ -86,6 +88,7 @@
 	g_hash_table_destroy(pool->lapsing);
 	g_hash_table_destroy(pool->may_lapse);
 	g_hash_table_destroy(pool->queues);
+	g_hash_table_destroy(pool->teams);
 	g_hash_table_destroy(pool->transfers);
 	g_queue_free_full(pool->old_transfers, g_free);
 	sched_refusals_free(pool->refusals);
@@ -117,6 +120,7 @@
 	job->spec_recorded = true;
 	sched_job_set_spec(job, spec);
 	sched_job_set_queue_key(pool, job, spec->queue_key);
+	sched_job_set_team(pool, job, spec->team);
 	return 0;
 }
 
@@ -152,6 +156,7 @@
 		job->queue = g_strdup(record->queue);
 		job->spec_recorded = true;
 		sched_job_set_queue_key(pool, job, record->queue_key);
+		sched_job_set_team(pool, job, record->team);
 	}
 	job->state = job->recorded = record->state;
 	if (sched_job_has_ended(job))
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -94,6 +94,8 @@
 	record.queue_key = (char *)job->queue_key;
 	record.finished_wall_ms = job->finished_wall_ms;
 	record.cancelled_first = job->cancelled_first;
+	if (job->team != NULL)
+		record.team = job->team->config.name;
 	record.first_open = job->next_occurrence;
 	for (guint i = 0;
 	     !sched_job_has_ended(job) && i < job->occurrences->len; i++)
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -46,6 +46,8 @@
 typedef struct {
 	const char *name;
 	const char *key; /* empty: not known */
+	/* Of the caller, who sees its jobs only; NULL or empty: all jobs. */
+	const char *team;
 } sched_queue_ref_t;
 
 /* Capacity of an instance, or a part of it. */
@@ -55,6 +57,32 @@
 	uint64_t accelerators;
 } sched_resources_t;
 
+/* A team, by the operators' configuration. */
+typedef struct {
+	char name[SCHED_NAME_BYTES];
+	uint32_t priority;
+	/*
+	 * Its share of a pool that is full. Also the jobs that it may submit a
+	 * second, in thousandths, before others come first.
+	 */
+	uint32_t weight_permille;
+	/* What it may run over all pools; a member that is 0 has no limit. */
+	sched_resources_t quota;
+} sched_team_config_t;
+
+#define SCHED_KEY_DIGEST_BYTES 32
+/* SHA-256 of a caller's key; the key itself is kept nowhere. */
+typedef struct {
+	uint8_t bytes[SCHED_KEY_DIGEST_BYTES];
+} sched_key_digest_t;
+
+/* By what a job was submitted that no batch has accepted yet. */
+typedef struct {
+	const char *queue_key;
+	const char *team;	       /* empty: none */
+	const sched_key_digest_t *key; /* NULL: none */
+} sched_submitter_t;
+
 /* An instance's entry in the platform's registry. */
 typedef struct {
 	char id[SCHED_NAME_BYTES];
@@ -406,12 +434,17 @@
 void sched_pool_set_incoming(
     sched_pool_t *, uint32_t machines, uint32_t standby);
 
+/* Sets the teams of the configuration in force. */
+void sched_pool_set_teams(
+    sched_pool_t *, const sched_team_config_t *, uint32_t count);
+
 /*
  * Callers' requests. The callback is called once, possibly before the function
  * returns.
  */
-void sched_pool_submit(
-    sched_pool_t *, const Gw__JobSpec *, sched_response_cb_t, void *arg);
+/* key: with which the job was submitted; NULL: none, or not known. */
+void sched_pool_submit(sched_pool_t *, const Gw__JobSpec *,
+    const sched_key_digest_t *key, sched_response_cb_t, void *arg);
 void sched_pool_resubmit(
     sched_pool_t *, const char *id, sched_response_cb_t, void *arg);
 void sched_pool_cancel(sched_pool_t *, const sched_queue_ref_t *,
@@ -462,11 +495,11 @@
  */
 void sched_pool_batch_outdated(sched_pool_t *, sched_batch_t *);
 /*
- * Refuses the jobs that no batch has accepted yet and whose queue is no longer
- * in the pool. Called when there is a newer configuration.
+ * Refuses the jobs that no batch has accepted yet and that the newer
+ * configuration does not allow. get_reason() returns why, or NULL.
  */
-void sched_pool_refuse_moved(
-    sched_pool_t *, bool (*has_queue)(const char *key, void *arg), void *arg);
+void sched_pool_refuse_outdated(sched_pool_t *,
+    const char *(*get_reason)(const sched_submitter_t *, void *arg), void *arg);
 /* The store has refused the batch as it is, and has written nothing of it. */
 void sched_pool_batch_refused(sched_pool_t *, sched_batch_t *);
 /* Frees a batch whose outcome is not known, when the pool is released. */
--- /dev/null
+++ b/lib/sched/team.c
@@ -0,0 +1,129 @@
+#include <string.h>
+
+#include "sched/impl.h"
+
+/*
+ * The teams whose jobs the pool has, and those of the configuration. A team
+ * that a version removes stays here while it has jobs: they run on, as they
+ * were accepted.
+ */
+
+/*
+ * Returns the team with this name; adds it, as not configured, if it is
+ * unknown. Returns NULL for an empty name.
+ */
+sched_team_t *
+sched_team_get(sched_pool_t *pool, const char *name)
+{
+	sched_team_t *team;
+
+	if (name[0] == '\0')
+		return NULL;
+	team = g_hash_table_lookup(pool->teams, name);
+	if (team != NULL)
+		return team;
+	team = g_new0(sched_team_t, 1);
+	g_strlcpy(team->config.name, name, sizeof(team->config.name));
+	g_hash_table_insert(pool->teams, team->config.name, team);
+	return team;
+}
+
+/*
+ * Sets the team of a job, by the key that it was submitted with. A name that is
+ * too long, from a record of another version, counts as none.
+ */
+void
+sched_job_set_team(sched_pool_t *pool, sched_job_t *job, const char *name)
+{
+	if (job->team != NULL || strlen(name) >= SCHED_NAME_BYTES)
+		return;
+	job->team = sched_team_get(pool, name);
+	if (job->team != NULL)
+		job->team->jobs++;
+}
+
+/*
+ * Handles that the job is about to be freed.
+ */
+void
+sched_team_job_removed(sched_job_t *job)
+{
+	if (job->team != NULL)
+		job->team->jobs--;
+	job->team = NULL;
+}
+
+/*
+ * Returns whether a caller of this team (NULL or empty: of none) sees the job.
+ * A job without a team is seen by all.
+ */
+bool
+sched_team_may_see(const sched_job_t *job, const char *team)
+{
+	return job->team == NULL || team == NULL || team[0] == '\0' ||
+	    strcmp(job->team->config.name, team) == 0;
+}
+
+/*
+ * Counts a task that has been placed.
+ */
+void
+sched_team_note_placed(const sched_task_t *task)
+{
+	const Gw__JobStep *step = sched_task_step_spec(task);
+	sched_team_t *team = task->job->team;
+
+	if (team == NULL)
+		return;
+	team->used.cpu_millis += sched_step_cpu_millis(step);
+	team->used.memory_mib += step->memory_mib;
+	team->used.accelerators += step->accelerators;
+}
+
+/*
+ * Counts a task that leaves its instance.
+ */
+void
+sched_team_note_released(const sched_task_t *task)
+{
+	const Gw__JobStep *step = sched_task_step_spec(task);
+	sched_team_t *team = task->job->team;
+
+	if (team == NULL)
+		return;
+	team->used.cpu_millis -= sched_step_cpu_millis(step);
+	team->used.memory_mib -= step->memory_mib;
+	team->used.accelerators -= step->accelerators;
+}
+
+static gboolean
+is_unused(gpointer name, gpointer data, gpointer arg)
+{
+	const sched_team_t *team = data;
+
+	(void)name;
+	(void)arg;
+	return !team->is_configured && team->jobs == 0;
+}
+
+/*
+ * Sets the teams of the configuration in force, and forgets those that are
+ * neither in it nor have jobs.
+ */
+void
+sched_pool_set_teams(
+    sched_pool_t *pool, const sched_team_config_t *configs, uint32_t count)
+{
+	GHashTableIter iter;
+	sched_team_t *team;
+
+	g_hash_table_iter_init(&iter, pool->teams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team))
+		team->is_configured = false;
+	for (uint32_t i = 0; i < count; i++) {
+		team = sched_team_get(pool, configs[i].name);
+		team->config = configs[i];
+		team->is_configured = true;
+	}
+	(void)g_hash_table_foreach_remove(pool->teams, is_unused, NULL);
+}
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -1042,6 +1042,96 @@
   assert(message->base.descriptor == &gw__job_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__quota_part__init
+                     (Gw__QuotaPart         *message)
+{
+  static const Gw__QuotaPart init_value = GW__QUOTA_PART__INIT;
+  *message = init_value;
+}
+size_t gw__quota_part__get_packed_size
+                     (const Gw__QuotaPart *message)
+{
+  assert(message->base.descriptor == &gw__quota_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__quota_part__pack
+                     (const Gw__QuotaPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__quota_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__quota_part__pack_to_buffer
+                     (const Gw__QuotaPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__quota_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__QuotaPart *
+       gw__quota_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__QuotaPart *)
+     protobuf_c_message_unpack (&gw__quota_part__descriptor,
+                                allocator, len, data);
+}
+void   gw__quota_part__free_unpacked
+                     (Gw__QuotaPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__quota_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__quota_record__init
+                     (Gw__QuotaRecord         *message)
+{
+  static const Gw__QuotaRecord init_value = GW__QUOTA_RECORD__INIT;
+  *message = init_value;
+}
+size_t gw__quota_record__get_packed_size
+                     (const Gw__QuotaRecord *message)
+{
+  assert(message->base.descriptor == &gw__quota_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__quota_record__pack
+                     (const Gw__QuotaRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__quota_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__quota_record__pack_to_buffer
+                     (const Gw__QuotaRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__quota_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__QuotaRecord *
+       gw__quota_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__QuotaRecord *)
+     protobuf_c_message_unpack (&gw__quota_record__descriptor,
+                                allocator, len, data);
+}
+void   gw__quota_record__free_unpacked
+                     (Gw__QuotaRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__quota_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__call__init
                      (Gw__Call         *message)
 {
@@ -1087,6 +1177,96 @@
   assert(message->base.descriptor == &gw__call__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__team_rate__init
+                     (Gw__TeamRate         *message)
+{
+  static const Gw__TeamRate init_value = GW__TEAM_RATE__INIT;
+  *message = init_value;
+}
+size_t gw__team_rate__get_packed_size
+                     (const Gw__TeamRate *message)
+{
+  assert(message->base.descriptor == &gw__team_rate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__team_rate__pack
+                     (const Gw__TeamRate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__team_rate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__team_rate__pack_to_buffer
+                     (const Gw__TeamRate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__team_rate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__TeamRate *
+       gw__team_rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__TeamRate *)
+     protobuf_c_message_unpack (&gw__team_rate__descriptor,
+                                allocator, len, data);
+}
+void   gw__team_rate__free_unpacked
+                     (Gw__TeamRate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__team_rate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__team_load__init
+                     (Gw__TeamLoad         *message)
+{
+  static const Gw__TeamLoad init_value = GW__TEAM_LOAD__INIT;
+  *message = init_value;
+}
+size_t gw__team_load__get_packed_size
+                     (const Gw__TeamLoad *message)
+{
+  assert(message->base.descriptor == &gw__team_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__team_load__pack
+                     (const Gw__TeamLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__team_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__team_load__pack_to_buffer
+                     (const Gw__TeamLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__team_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__TeamLoad *
+       gw__team_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__TeamLoad *)
+     protobuf_c_message_unpack (&gw__team_load__descriptor,
+                                allocator, len, data);
+}
+void   gw__team_load__free_unpacked
+                     (Gw__TeamLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__team_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__pool_load__init
                      (Gw__PoolLoad         *message)
 {
@@ -3133,7 +3313,7 @@
   (ProtobufCMessageInit) gw__job_advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__job_spec__field_descriptors[14] =
+static const ProtobufCFieldDescriptor gw__job_spec__field_descriptors[15] =
 {
   {
     "id",
@@ -3303,6 +3483,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "team",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__job_spec__field_indices_by_name[] = {
   12,   /* field[12] = advice */
@@ -3319,11 +3511,12 @@
   3,   /* field[3] = steps */
   10,   /* field[10] = stretch_permille */
   11,   /* field[11] = submitted_wall_ms */
+  14,   /* field[14] = team */
 };
 static const ProtobufCIntRange gw__job_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor gw__job_spec__descriptor =
 {
@@ -3333,7 +3526,7 @@
   "Gw__JobSpec",
   "gw",
   sizeof(Gw__JobSpec),
-  14,
+  15,
   gw__job_spec__field_descriptors,
   gw__job_spec__field_indices_by_name,
   1,  gw__job_spec__number_ranges,
@@ -3571,7 +3764,7 @@
   (ProtobufCMessageInit) gw__occurrence_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[10] =
 {
   {
     "state",
@@ -3669,6 +3862,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "team",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobRecord, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "preemptions",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobRecord, preemptions),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__job_record__field_indices_by_name[] = {
   7,   /* field[7] = cancelled_first */
@@ -3676,14 +3893,16 @@
   5,   /* field[5] = first_open */
   3,   /* field[3] = hosts */
   2,   /* field[2] = occurrences */
+  9,   /* field[9] = preemptions */
   1,   /* field[1] = queue */
   6,   /* field[6] = queue_key */
   0,   /* field[0] = state */
+  8,   /* field[8] = team */
 };
 static const ProtobufCIntRange gw__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gw__job_record__descriptor =
 {
@@ -3693,14 +3912,129 @@
   "Gw__JobRecord",
   "gw",
   sizeof(Gw__JobRecord),
-  8,
+  10,
   gw__job_record__field_descriptors,
   gw__job_record__field_indices_by_name,
   1,  gw__job_record__number_ranges,
   (ProtobufCMessageInit) gw__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__call__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gw__quota_part__field_descriptors[4] =
+{
+  {
+    "shard",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__QuotaPart, shard),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millis",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__QuotaPart, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mib",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__QuotaPart, memory_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__QuotaPart, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__quota_part__field_indices_by_name[] = {
+  3,   /* field[3] = accelerators */
+  1,   /* field[1] = cpu_millis */
+  2,   /* field[2] = memory_mib */
+  0,   /* field[0] = shard */
+};
+static const ProtobufCIntRange gw__quota_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gw__quota_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.QuotaPart",
+  "QuotaPart",
+  "Gw__QuotaPart",
+  "gw",
+  sizeof(Gw__QuotaPart),
+  4,
+  gw__quota_part__field_descriptors,
+  gw__quota_part__field_indices_by_name,
+  1,  gw__quota_part__number_ranges,
+  (ProtobufCMessageInit) gw__quota_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__quota_record__field_descriptors[1] =
+{
+  {
+    "parts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__QuotaRecord, n_parts),
+    offsetof(Gw__QuotaRecord, parts),
+    &gw__quota_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__quota_record__field_indices_by_name[] = {
+  0,   /* field[0] = parts */
+};
+static const ProtobufCIntRange gw__quota_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gw__quota_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.QuotaRecord",
+  "QuotaRecord",
+  "Gw__QuotaRecord",
+  "gw",
+  sizeof(Gw__QuotaRecord),
+  1,
+  gw__quota_record__field_descriptors,
+  gw__quota_record__field_indices_by_name,
+  1,  gw__quota_record__number_ranges,
+  (ProtobufCMessageInit) gw__quota_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__call__field_descriptors[15] =
 {
   {
     "number",
@@ -3846,6 +4180,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "team",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Call, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key_digest",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Call, key_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team_rates",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Call, n_team_rates),
+    offsetof(Gw__Call, team_rates),
+    &gw__team_rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__call__field_indices_by_name[] = {
   8,   /* field[8] = coming */
@@ -3853,6 +4223,7 @@
   7,   /* field[7] = ended */
   4,   /* field[4] = id */
   6,   /* field[6] = instance */
+  13,   /* field[13] = key_digest */
   1,   /* field[1] = kind */
   0,   /* field[0] = number */
   2,   /* field[2] = pool */
@@ -3860,11 +4231,13 @@
   11,   /* field[11] = queue_key */
   5,   /* field[5] = spec */
   9,   /* field[9] = standby */
+  12,   /* field[12] = team */
+  14,   /* field[14] = team_rates */
 };
 static const ProtobufCIntRange gw__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor gw__call__descriptor =
 {
@@ -3874,14 +4247,168 @@
   "Gw__Call",
   "gw",
   sizeof(Gw__Call),
-  12,
+  15,
   gw__call__field_descriptors,
   gw__call__field_indices_by_name,
   1,  gw__call__number_ranges,
   (ProtobufCMessageInit) gw__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[19] =
+static const ProtobufCFieldDescriptor gw__team_rate__field_descriptors[2] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TeamRate, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "jobs_per_1000s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TeamRate, jobs_per_1000s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__team_rate__field_indices_by_name[] = {
+  1,   /* field[1] = jobs_per_1000s */
+  0,   /* field[0] = team */
+};
+static const ProtobufCIntRange gw__team_rate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__team_rate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.TeamRate",
+  "TeamRate",
+  "Gw__TeamRate",
+  "gw",
+  sizeof(Gw__TeamRate),
+  2,
+  gw__team_rate__field_descriptors,
+  gw__team_rate__field_indices_by_name,
+  1,  gw__team_rate__number_ranges,
+  (ProtobufCMessageInit) gw__team_rate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__team_load__field_descriptors[6] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TeamLoad, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submitted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TeamLoad, submitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TeamLoad, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open_jobs",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TeamLoad, open_jobs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used_cpu_millis",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TeamLoad, used_cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting_cpu_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TeamLoad, waiting_cpu_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__team_load__field_indices_by_name[] = {
+  3,   /* field[3] = open_jobs */
+  2,   /* field[2] = refused */
+  1,   /* field[1] = submitted */
+  0,   /* field[0] = team */
+  4,   /* field[4] = used_cpu_millis */
+  5,   /* field[5] = waiting_cpu_ms */
+};
+static const ProtobufCIntRange gw__team_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor gw__team_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.TeamLoad",
+  "TeamLoad",
+  "Gw__TeamLoad",
+  "gw",
+  sizeof(Gw__TeamLoad),
+  6,
+  gw__team_load__field_descriptors,
+  gw__team_load__field_indices_by_name,
+  1,  gw__team_load__number_ranges,
+  (ProtobufCMessageInit) gw__team_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__pool_load__field_descriptors[20] =
 {
   {
     "instances",
@@ -4111,6 +4638,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "teams",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__PoolLoad, n_teams),
+    offsetof(Gw__PoolLoad, teams),
+    &gw__team_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__pool_load__field_indices_by_name[] = {
   15,   /* field[15] = blocked_jobs */
@@ -4127,6 +4666,7 @@
   18,   /* field[18] = late_instances */
   16,   /* field[16] = late_used_cpu_millis */
   17,   /* field[17] = late_waiting_cpu_ms */
+  19,   /* field[19] = teams */
   2,   /* field[2] = used_cpu_millis */
   6,   /* field[6] = used_memory_mib */
   10,   /* field[10] = waiting_cpu_millis */
@@ -4136,7 +4676,7 @@
 static const ProtobufCIntRange gw__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor gw__pool_load__descriptor =
 {
@@ -4146,7 +4686,7 @@
   "Gw__PoolLoad",
   "gw",
   sizeof(Gw__PoolLoad),
-  19,
+  20,
   gw__pool_load__field_descriptors,
   gw__pool_load__field_indices_by_name,
   1,  gw__pool_load__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -38,7 +38,11 @@
 typedef struct Gw__HostRecord Gw__HostRecord;
 typedef struct Gw__OccurrenceRecord Gw__OccurrenceRecord;
 typedef struct Gw__JobRecord Gw__JobRecord;
+typedef struct Gw__QuotaPart Gw__QuotaPart;
+typedef struct Gw__QuotaRecord Gw__QuotaRecord;
 typedef struct Gw__Call Gw__Call;
+typedef struct Gw__TeamRate Gw__TeamRate;
+typedef struct Gw__TeamLoad Gw__TeamLoad;
 typedef struct Gw__PoolLoad Gw__PoolLoad;
 typedef struct Gw__LeaseLeft Gw__LeaseLeft;
 typedef struct Gw__LapsingRecord Gw__LapsingRecord;
@@ -490,10 +494,14 @@
    * Identifies the host and path at which the job was submitted.
    */
   char *queue_key;
+  /*
+   * Of the key that the job was submitted with; empty: it came without one.
+   */
+  char *team;
 };
 #define GW__JOB_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__job_spec__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Gw__TaskRecord
@@ -577,10 +585,46 @@
    * is, and never runs.
    */
   protobuf_c_boolean cancelled_first;
+  /*
+   * JobSpec.team.
+   */
+  char *team;
+  /*
+   * How often tasks of the job were stopped for more urgent ones.
+   */
+  uint32_t preemptions;
 };
 #define GW__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__job_record__descriptor) \
-    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * What the shards of all pools may run of a team's jobs. The parts of one record
+ * add up to no more than the team's quota, unless the quota was lowered.
+ */
+struct  Gw__QuotaPart
+{
+  ProtobufCMessage base;
+  char *shard;
+  uint64_t cpu_millis;
+  uint64_t memory_mib;
+  uint64_t accelerators;
+};
+#define GW__QUOTA_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__quota_part__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Gw__QuotaRecord
+{
+  ProtobufCMessage base;
+  size_t n_parts;
+  Gw__QuotaPart **parts;
+};
+#define GW__QUOTA_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__quota_record__descriptor) \
+    , 0,NULL }
 
 
 struct  Gw__Call
@@ -614,10 +658,62 @@
    * Identifies the host and path of the queue, whatever its name.
    */
   char *queue_key;
+  /*
+   * The caller's team; empty: it sent no key, or needs none.
+   */
+  char *team;
+  /*
+   * SHA-256 of the caller's key, so that an owner with a newer configuration can
+   * check the key again.
+   */
+  ProtobufCBinaryData key_digest;
+  /*
+   * For CALL_LOAD: what all pools together were sent.
+   */
+  size_t n_team_rates;
+  Gw__TeamRate **team_rates;
 };
 #define GW__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__call__descriptor) \
-    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL }
+
+
+/*
+ * What a team submits, over all pools.
+ */
+struct  Gw__TeamRate
+{
+  ProtobufCMessage base;
+  char *team;
+  uint64_t jobs_per_1000s;
+};
+#define GW__TEAM_RATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__team_rate__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * A team's jobs in a pool, as the pool's owner counts them.
+ */
+struct  Gw__TeamLoad
+{
+  ProtobufCMessage base;
+  char *team;
+  /*
+   * Submissions since the owner loaded the pool; a repeated one counts once.
+   */
+  uint64_t submitted;
+  uint64_t refused;
+  uint32_t open_jobs;
+  /*
+   * Processors of the tasks that are placed.
+   */
+  uint64_t used_cpu_millis;
+  uint64_t waiting_cpu_ms;
+};
+#define GW__TEAM_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__team_load__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -682,10 +778,12 @@
    * Number of instances that run nothing else than tasks of such jobs.
    */
   uint32_t late_instances;
+  size_t n_teams;
+  Gw__TeamLoad **teams;
 };
 #define GW__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__pool_load__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -1257,6 +1355,44 @@
 void   gw__job_record__free_unpacked
                      (Gw__JobRecord *message,
                       ProtobufCAllocator *allocator);
+/* Gw__QuotaPart methods */
+void   gw__quota_part__init
+                     (Gw__QuotaPart         *message);
+size_t gw__quota_part__get_packed_size
+                     (const Gw__QuotaPart   *message);
+size_t gw__quota_part__pack
+                     (const Gw__QuotaPart   *message,
+                      uint8_t             *out);
+size_t gw__quota_part__pack_to_buffer
+                     (const Gw__QuotaPart   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__QuotaPart *
+       gw__quota_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__quota_part__free_unpacked
+                     (Gw__QuotaPart *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__QuotaRecord methods */
+void   gw__quota_record__init
+                     (Gw__QuotaRecord         *message);
+size_t gw__quota_record__get_packed_size
+                     (const Gw__QuotaRecord   *message);
+size_t gw__quota_record__pack
+                     (const Gw__QuotaRecord   *message,
+                      uint8_t             *out);
+size_t gw__quota_record__pack_to_buffer
+                     (const Gw__QuotaRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__QuotaRecord *
+       gw__quota_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__quota_record__free_unpacked
+                     (Gw__QuotaRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Call methods */
 void   gw__call__init
                      (Gw__Call         *message);
@@ -1276,6 +1412,44 @@
 void   gw__call__free_unpacked
                      (Gw__Call *message,
                       ProtobufCAllocator *allocator);
+/* Gw__TeamRate methods */
+void   gw__team_rate__init
+                     (Gw__TeamRate         *message);
+size_t gw__team_rate__get_packed_size
+                     (const Gw__TeamRate   *message);
+size_t gw__team_rate__pack
+                     (const Gw__TeamRate   *message,
+                      uint8_t             *out);
+size_t gw__team_rate__pack_to_buffer
+                     (const Gw__TeamRate   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__TeamRate *
+       gw__team_rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__team_rate__free_unpacked
+                     (Gw__TeamRate *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__TeamLoad methods */
+void   gw__team_load__init
+                     (Gw__TeamLoad         *message);
+size_t gw__team_load__get_packed_size
+                     (const Gw__TeamLoad   *message);
+size_t gw__team_load__pack
+                     (const Gw__TeamLoad   *message,
+                      uint8_t             *out);
+size_t gw__team_load__pack_to_buffer
+                     (const Gw__TeamLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__TeamLoad *
+       gw__team_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__team_load__free_unpacked
+                     (Gw__TeamLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__PoolLoad methods */
 void   gw__pool_load__init
                      (Gw__PoolLoad         *message);
@@ -1461,9 +1635,21 @@
 typedef void (*Gw__JobRecord_Closure)
                  (const Gw__JobRecord *message,
                   void *closure_data);
+typedef void (*Gw__QuotaPart_Closure)
+                 (const Gw__QuotaPart *message,
+                  void *closure_data);
+typedef void (*Gw__QuotaRecord_Closure)
+                 (const Gw__QuotaRecord *message,
+                  void *closure_data);
 typedef void (*Gw__Call_Closure)
                  (const Gw__Call *message,
                   void *closure_data);
+typedef void (*Gw__TeamRate_Closure)
+                 (const Gw__TeamRate *message,
+                  void *closure_data);
+typedef void (*Gw__TeamLoad_Closure)
+                 (const Gw__TeamLoad *message,
+                  void *closure_data);
 typedef void (*Gw__PoolLoad_Closure)
                  (const Gw__PoolLoad *message,
                   void *closure_data);
@@ -1517,7 +1703,11 @@
 extern const ProtobufCMessageDescriptor gw__host_record__descriptor;
 extern const ProtobufCMessageDescriptor gw__occurrence_record__descriptor;
 extern const ProtobufCMessageDescriptor gw__job_record__descriptor;
+extern const ProtobufCMessageDescriptor gw__quota_part__descriptor;
+extern const ProtobufCMessageDescriptor gw__quota_record__descriptor;
 extern const ProtobufCMessageDescriptor gw__call__descriptor;
+extern const ProtobufCMessageDescriptor gw__team_rate__descriptor;
+extern const ProtobufCMessageDescriptor gw__team_load__descriptor;
 extern const ProtobufCMessageDescriptor gw__pool_load__descriptor;
 extern const ProtobufCMessageDescriptor gw__lease_left__descriptor;
 extern const ProtobufCMessageDescriptor gw__lapsing_record__descriptor;
--- a/regress/platform/decode.sh
+++ b/regress/platform/decode.sh
@@ -30,6 +30,14 @@
 config {"version":9,"routes":[],"services":[]}
 EOT
 
+# Guards against one malformed team that ends the service of all, and against a
+# key that two teams have.
+decode "teams" <<'EOT'
+config {"version":7,"routes":[{"name":"r1","host":"a.example","prefix":"/x/","service":"p1","public":true}],"services":[],"tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"weight":2.5,"max_count":{"cpu":8000,"mem_mb":100,"gpu":0}},{"name":"t2","api_keys":["k2","k3",7,""]},{"name":"t1","api_keys":["k4"]},{"name":"t3","weight":-1,"api_keys":["k5"]},{"name":"t4","max_count":{"cpu":-5}},7,{"api_keys":["k6"]},{"name":"t5","weight":0}]}
+config {"version":8,"routes":[],"services":[],"tenants":[]}
+config {"version":9,"routes":[],"services":[],"tenants":{}}
+EOT
+
 # Guards against a job being accepted although a member has the wrong type or an
 # impossible value, so that it would run otherwise than submitted.
 decode "jobs" <<'EOT'
--- a/regress/platform/platplay.c
+++ b/regress/platform/platplay.c
@@ -71,6 +71,19 @@
 		printf("  pool %s guards=%d standby=%d\n", pool->name,
 		    pool->enforces_capacity, pool->standby);
 	}
+	for (guint i = 0; i < config->teams->len; i++) {
+		const sched_team_config_t *team =
+		    &g_array_index(config->teams, sched_team_config_t, i);
+		uint32_t keys = 0;
+
+		for (guint k = 0; k < config->keys->len; k++)
+			keys += g_array_index(config->keys, sched_team_key_t, k)
+				    .team == i;
+		printf("  team %s weight=%u keys=%u cpu=%" PRIu64
+		       " memory=%" PRIu64 "\n",
+		    team->name, team->weight_permille, keys,
+		    team->quota.cpu_millis, team->quota.memory_mib);
+	}
 	sched_config_free(config);
 }
 
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -11,6 +11,7 @@
 
 #include "fake_instances.h"
 #include "gw/log.h"
+#include "sched/config.h"
 #include "sched/sched.h"
 
 #define WORDS_MAX 40
@@ -519,8 +520,9 @@
 }
 
 /*
- * submit ID [queue=NAME] [key=KEY] [advice] [KEY=NUMBER...] STEP...: STEP is
- * COUNT:CPU_MILLIS:ESTIMATE_MS[:FLAG...] and depends on the step before
+ * submit ID [queue=NAME] [key=KEY] [team=NAME] [advice] [KEY=NUMBER...]
+ * STEP...: STEP is COUNT:CPU_MILLIS:ESTIMATE_MS[:FLAG...] and depends on the
+ * step before
  */
 static void
 do_submit(void)
@@ -529,11 +531,14 @@
 	uint32_t after[WORDS_MAX];
 	Gw__JobSpec spec = GW__JOB_SPEC__INIT;
 	Gw__JobAdvice advice = GW__JOB_ADVICE__INIT;
+	sched_key_digest_t digest;
 
 	spec.advice = has_word("advice") ? &advice : NULL;
 	spec.id = words[1];
 	spec.queue = (char *)lookup_value("queue", "q");
 	spec.queue_key = (char *)lookup_value("key", "");
+	spec.team = (char *)lookup_value("team", "");
+	spec.priority = (uint32_t)lookup_number("priority", 0);
 	spec.payload = "x";
 	spec.max_attempts = (uint32_t)lookup_number("attempts", 3);
 	spec.objective_ms = (uint32_t)lookup_number("objective", 600);
@@ -559,6 +564,7 @@
 			step->lasting |= strcmp(*flag, "lasting") == 0;
 			step->gang |= strcmp(*flag, "gang") == 0;
 			step->checkpoints |= strcmp(*flag, "saves") == 0;
+			step->concurrent |= strcmp(*flag, "copies") == 0;
 			step->fills |= strcmp(*flag, "fills") == 0;
 			step->same_rack |= strcmp(*flag, "rack") == 0;
 			if (strcmp(*flag, "keep") == 0) {
@@ -586,7 +592,9 @@
 		}
 		list[spec.n_steps++] = step;
 	}
-	sched_pool_submit(pool, &spec, on_response, g_strdup(words[1]));
+	sched_key_digest(&digest, spec.team, strlen(spec.team));
+	sched_pool_submit(pool, &spec, spec.team[0] == '\0' ? NULL : &digest,
+	    on_response, g_strdup(words[1]));
 }
 
 /* admission all|in-time */
@@ -609,12 +617,13 @@
 	    word_count > 2 ? (uint32_t)atoi(words[2]) : 0);
 }
 
-/* [queue=NAME] [key=KEY] of a caller's request */
+/* [queue=NAME] [key=KEY] [team=NAME] of a caller's request */
 static sched_queue_ref_t
 parse_queue(void)
 {
-	return (sched_queue_ref_t){
-	    .name = lookup_value("queue", "q"), .key = lookup_value("key", "")};
+	return (sched_queue_ref_t){.name = lookup_value("queue", "q"),
+	    .key = lookup_value("key", ""),
+	    .team = lookup_value("team", "")};
 }
 
 static void
@@ -859,17 +868,53 @@
 		sched_pool_batch_outdated(pool, refused);
 }
 
-static bool
-is_other_queue(const char *key, void *arg)
+static const char *
+refuse_queue(const sched_submitter_t *submitter, void *arg)
 {
-	return strcmp(key, arg) != 0;
+	return strcmp(submitter->queue_key, arg) == 0 ? "queue-moved" : NULL;
+}
+
+static const char *
+refuse_key(const sched_submitter_t *submitter, void *arg)
+{
+	return submitter->key != NULL && strcmp(submitter->team, arg) == 0
+	    ? "key-withdrawn"
+	    : NULL;
 }
 
 /* moved KEY: by a newer configuration the queue is in another pool */
 static void
 do_moved(void)
 {
-	sched_pool_refuse_moved(pool, is_other_queue, words[1]);
+	sched_pool_refuse_outdated(pool, refuse_queue, words[1]);
+}
+
+/* withdrawn TEAM: by a newer configuration the team's key is gone */
+static void
+do_withdrawn(void)
+{
+	sched_pool_refuse_outdated(pool, refuse_key, words[1]);
+}
+
+/* teams NAME:WEIGHT[:CPU_MILLIS[:MEMORY_MIB]]...: the configuration's teams */
+static void
+do_teams(void)
+{
+	sched_team_config_t teams[WORDS_MAX] = {0};
+
+	for (int i = 1; i < word_count; i++) {
+		g_auto(GStrv) parts = g_strsplit(words[i], ":", -1);
+		sched_team_config_t *team = &teams[i - 1];
+		guint count = g_strv_length(parts);
+
+		g_strlcpy(team->name, parts[0], sizeof(team->name));
+		team->weight_permille = (uint32_t)(atof(parts[1]) * 1000);
+		if (count > 2)
+			team->quota.cpu_millis = strtoull(parts[2], NULL, 10);
+		if (count > 3)
+			team->quota.memory_mib = strtoull(parts[3], NULL, 10);
+	}
+	sched_pool_set_teams(pool, teams, (uint32_t)word_count - 1);
 }
 
 /* stored ID: prints the size of the job's record */
@@ -1030,6 +1075,8 @@
     {"gone", 2, do_gone},
     {"ended", 2, do_ended},
     {"submit", 3, do_submit},
+    {"teams", 1, do_teams},
+    {"withdrawn", 2, do_withdrawn},
     {"admission", 2, do_admission},
     {"coming", 2, do_coming},
     {"cancel", 2, do_cancel},
