Bound what a team runs by its quota, over all shards

Cause: max_count was not decoded into anything.

Starts whose end is not known count until the instance refuses them. A task that lacks quota waits with the reason "quota".

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -39,6 +39,8 @@
  */
 #define DRAIN_REPLY_ALL_MS 250
 #define MS_PER_S 1000
+/* The owner that asks repeats the call after this time. */
+#define YIELD_TIMEOUT_MS 200
 
 struct entry {
 	gw_rt_t *rt;
@@ -219,6 +221,30 @@
 	transfer_find_records(&((entry_t *)arg)->transfer, shard, id);
 }
 
+static void
+on_yielded(const Gw__Reply *response, void *arg)
+{
+	(void)response;
+	(void)arg;
+}
+
+/*
+ * Asks the owner of a shard to give back a team's quota. A lost call needs no
+ * repeat: the owner that lacks quota asks again.
+ */
+static void
+ask_to_yield(const char *shard, const char *team, void *arg)
+{
+	entry_t *entry = arg;
+	Gw__Call call = GW__CALL__INIT;
+
+	call.kind = GW__CALL_KIND__CALL_YIELD_QUOTA;
+	call.pool = (char *)shard;
+	call.team = (char *)team;
+	dispatch_call(
+	    entry->dispatch, &call, YIELD_TIMEOUT_MS, on_yielded, NULL);
+}
+
 static const owner_ops_t owner_ops = {.on_ownership_lost = on_ownership_lost,
     .lease_until_us = lease_until_us,
     .lapsing_seen_us = lapsing_seen_us,
@@ -227,7 +253,8 @@
     .get_refusal = get_refusal,
     .find_shard = on_find_shard,
     .tell_adopt = on_tell_adopt,
-    .find_records = on_find_records};
+    .find_records = on_find_records,
+    .ask_to_yield = ask_to_yield};
 
 /* Callbacks of the view and the layout. */
 
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -176,6 +176,60 @@
     .on_report = on_report,
     .on_renew_failed = on_renew_failed};
 
+/* Callbacks of the quotas. */
+
+static bool
+may_write_quota(void *arg)
+{
+	const owner_t *owner = arg;
+
+	return owner->load_step == LOADED && !owner->closing &&
+	    owner_lease_is_valid(owner);
+}
+
+static uint64_t
+config_revision(void *arg)
+{
+	owner_t *owner = arg;
+
+	return owner->ops->config_revision(owner->arg);
+}
+
+static void
+on_config_item(const store_item_t *item, void *arg)
+{
+	owner_t *owner = arg;
+
+	owner->ops->on_config_item(item, owner->arg);
+}
+
+static void
+on_role_changed(void *arg)
+{
+	owner_report_lost(arg, "role-key-changed");
+}
+
+static void
+ask_to_yield(const char *shard, const char *team, void *arg)
+{
+	owner_t *owner = arg;
+
+	owner->ops->ask_to_yield(shard, team, owner->arg);
+}
+
+static void
+on_quota_changed(void *arg)
+{
+	owner_schedule_tick(arg);
+}
+
+static const quota_ops_t quota_ops = {.may_write = may_write_quota,
+    .config_revision = config_revision,
+    .on_config_item = on_config_item,
+    .on_role_changed = on_role_changed,
+    .ask_to_yield = ask_to_yield,
+    .on_changed = on_quota_changed};
+
 static void
 on_tick(gw_timer_t *timer, void *arg)
 {
@@ -184,6 +238,7 @@
 
 	(void)timer;
 	delay_us = sched_pool_tick(owner->pool, gw_clock_wall_ms());
+	quota_update(owner->quota);
 	owner_schedule_commit(owner);
 	owner_schedule_tick_in(owner, delay_us);
 }
@@ -197,6 +252,9 @@
     const owner_ops_t *ops, void *arg)
 {
 	owner_t *owner = g_new0(owner_t, 1);
+	const quota_role_t quota_role = {.shard = owner->shard,
+	    .role_key = owner->role_key,
+	    .fence = role->fence};
 
 	owner->rt = rt;
 	owner->store = store;
@@ -215,6 +273,8 @@
 	owner->pool = sched_pool_new(role->shard, role->data_centre,
 	    gw_rt_clock(rt), &role->bounds, &pool_ops, owner);
 	owner->agents = agents_new(rt, role->window, &agent_ops, owner);
+	owner->quota =
+	    quota_new(rt, store, owner->pool, &quota_role, &quota_ops, owner);
 	sched_pool_set_fence(owner->pool, role->fence);
 	sched_pool_set_window(owner->pool, role->window);
 	owner_load_next_page(owner);
@@ -235,6 +295,7 @@
 	gw_timer_stop(&owner->tick_timer);
 	gw_timer_stop(&owner->commit_timer);
 	agents_free(owner->agents);
+	quota_free(owner->quota);
 	if (owner->batch != NULL)
 		sched_batch_drop(owner->batch);
 	owner->batch = NULL;
--- a/gwentryd/owner.h
+++ b/gwentryd/owner.h
@@ -48,6 +48,8 @@
 	void (*tell_adopt)(
 	    const char *shard, const char *to, const char *id, void *arg);
 	void (*find_records)(const char *shard, const char *id, void *arg);
+	/* Asks the owner of another shard, see quota_ops_t. */
+	void (*ask_to_yield)(const char *shard, const char *team, void *arg);
 } owner_ops_t;
 
 /* Size of the key of a record in the store. */
--- a/gwentryd/owner_impl.h
+++ b/gwentryd/owner_impl.h
@@ -4,6 +4,7 @@
 #include "agents.h"
 #include "gw/id.h"
 #include "owner.h"
+#include "quota.h"
 #include "roles.h"
 
 /* Delay before a failed store call is retried; for commits it doubles. */
@@ -34,6 +35,7 @@
 	void *arg;
 	sched_pool_t *pool;
 	agents_t *agents;
+	quota_t *quota;
 	load_step_t load_step;
 	char *load_after_key; /* last key of a truncated page, or NULL */
 	gw_timer_t load_timer;
--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -5,6 +5,7 @@
 #include "gw/log.h"
 #include "owners.h"
 #include "roles.h"
+#include "sched/quota.h"
 #include "sched/shard.h"
 
 /* Retry-After while the store is not writable, since outages last seconds. */
@@ -71,6 +72,8 @@
 	if (owners->config == NULL)
 		return;
 	teams = owners->config->teams;
+	sched_pool_set_quota_parts(owner_pool(owner),
+	    owners->shard_count * owners->config->pools->len);
 	sched_pool_set_teams(owner_pool(owner),
 	    (const sched_team_config_t *)teams->data, teams->len);
 }
@@ -283,6 +286,18 @@
 	cb(&response, arg);
 }
 
+static void
+reply_yield(
+    owner_t *owner, const Gw__Call *call, dispatch_response_cb_t cb, void *arg)
+{
+	Gw__Reply response = GW__REPLY__INIT;
+
+	response.outcome = GW__CALL_OUTCOME__CALL_OK;
+	sched_pool_yield_quota(owner_pool(owner), call->team);
+	owner_schedule_tick(owner);
+	cb(&response, arg);
+}
+
 /*
  * Reports the shard's load to the planner, whose call gives the numbers of
  * machines that are moving to the pool or on standby for it.
@@ -486,6 +501,9 @@
 	case GW__CALL_KIND__CALL_LOAD:
 		reply_load(owner, call, cb, arg);
 		return;
+	case GW__CALL_KIND__CALL_YIELD_QUOTA:
+		reply_yield(owner, call, cb, arg);
+		return;
 	default:
 		if (owners->closing)
 			refuse(0, "handing-over", cb, arg);
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -1,6 +1,7 @@
 #ifndef SCHED_IMPL_H
 #define SCHED_IMPL_H
 
+#include "sched/quota.h"
 #include "sched/sched.h"
 #include "sched/wait.h"
 #include "sched/window.h"
@@ -76,6 +77,14 @@
 	sched_resources_t used;	    /* by its tasks that are placed */
 	uint64_t submitted; /* jobs; a repeated submission counts once */
 	uint64_t refused;   /* submissions, repeated ones too */
+	/* Its part of the quota, in the store; see quota.c. */
+	sched_resources_t held;
+	bool is_held_known; /* the store was asked */
+	/* What tasks lacked in the last round that had room but no quota. */
+	sched_resources_t lacking;
+	uint64_t short_since_us; /* since when tasks lack quota; 0: none */
+	uint64_t spare_since_us; /* since when too much is held; 0: not */
+	uint64_t yield_until_us; /* another shard lacks quota */
 } sched_team_t;
 
 /* Why the runs on an instance have ended. */
@@ -356,7 +365,9 @@
 	GHashTable *instances; /* id -> sched_instance_t */
 	GHashTable *queues;    /* key -> sched_queue_use_t; see queue.c */
 	GHashTable *teams;     /* name -> sched_team_t; see team.c */
-	uint64_t fence;	       /* of instances that have not begun again */
+	uint32_t quota_parts;  /* shards among which a quota is divided */
+	const sched_quota_policy_t *quota_policy;
+	uint64_t fence; /* of instances that have not begun again */
 	uint32_t shard_number;
 	uint32_t shard_count;
 	/* Jobs that other shards have; see transfer.c. */
@@ -457,9 +468,16 @@
 void sched_job_set_team(sched_pool_t *, sched_job_t *, const char *name);
 void sched_team_job_removed(sched_job_t *);
 sched_team_t *sched_team_get(sched_pool_t *, const char *name);
-void sched_team_note_placed(const sched_task_t *);
-void sched_team_note_released(const sched_task_t *);
 bool sched_team_may_see(const sched_job_t *, const char *team);
+sched_resources_t sched_step_resources(const Gw__JobStep *);
+void sched_team_add_used(sched_team_t *, const sched_resources_t *);
+void sched_team_subtract_used(sched_team_t *, const sched_resources_t *);
+
+/* quota.c */
+bool sched_quota_allows(const sched_task_t *);
+void sched_quota_note_lacking(const sched_task_t *, uint32_t tasks);
+void sched_quota_begin_round(sched_pool_t *);
+void sched_quota_end_round(sched_pool_t *, uint64_t now_us);
 
 /* record.c */
 GBytes *sched_record_encode(const sched_job_t *, uint64_t max_bytes);
@@ -508,6 +526,7 @@
 
 /* stray.c */
 GArray *sched_strays_new(void);
+void sched_strays_free(GArray *);
 void sched_stray_add(const sched_task_t *, uint64_t now_us);
 void sched_stray_start_answered(
     sched_instance_t *, const sched_task_ref_t *, uint32_t run, sched_result_t);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -41,7 +41,7 @@
 	sched_instance_t *instance = data;
 
 	g_ptr_array_free(instance->tasks, TRUE);
-	g_array_free(instance->strays, TRUE);
+	sched_strays_free(instance->strays);
 	g_hash_table_destroy(instance->recorded_ends);
 	g_strfreev(instance->info.labels);
 	g_free(instance);
@@ -165,17 +165,18 @@
 void
 sched_instance_assign(sched_instance_t *instance, sched_task_t *task)
 {
-	const Gw__JobStep *step = sched_task_step_spec(task);
+	sched_resources_t takes =
+	    sched_step_resources(sched_task_step_spec(task));
 
 	task->instance = instance;
 	task->job->placed++;
 	g_ptr_array_add(instance->tasks, task);
 	task->has_lasted = false;
 	sched_crash_run_placed(task);
-	instance->used.cpu_millis += sched_step_cpu_millis(step);
-	instance->used.memory_mib += step->memory_mib;
-	instance->used.accelerators += step->accelerators;
-	sched_team_note_placed(task);
+	instance->used.cpu_millis += takes.cpu_millis;
+	instance->used.memory_mib += takes.memory_mib;
+	instance->used.accelerators += takes.accelerators;
+	sched_team_add_used(task->job->team, &takes);
 }
 
 /*
@@ -184,17 +185,18 @@
 void
 sched_instance_release(sched_task_t *task)
 {
-	const Gw__JobStep *step = sched_task_step_spec(task);
+	sched_resources_t takes =
+	    sched_step_resources(sched_task_step_spec(task));
 	sched_instance_t *instance = task->instance;
 
 	sched_wait_note_ran(task);
 	sched_send_unreserved(instance->pool, task);
 	sched_stray_add(task, gw_clock_now_us(instance->pool->clock));
 	sched_crash_run_settled(task);
-	instance->used.cpu_millis -= sched_step_cpu_millis(step);
-	instance->used.memory_mib -= step->memory_mib;
-	instance->used.accelerators -= step->accelerators;
-	sched_team_note_released(task);
+	instance->used.cpu_millis -= takes.cpu_millis;
+	instance->used.memory_mib -= takes.memory_mib;
+	instance->used.accelerators -= takes.accelerators;
+	sched_team_subtract_used(task->job->team, &takes);
 	g_ptr_array_remove_fast(instance->tasks, task);
 	task->instance = NULL;
 	task->job->placed--;
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -125,6 +125,10 @@
 				return; /* nor does the next one */
 			continue;
 		}
+		if (!sched_quota_allows(task)) {
+			sched_quota_note_lacking(task, step->waiting);
+			return;
+		}
 		sched_place_reserve(pool, task, instance, task->run + 1);
 	}
 }
@@ -152,6 +156,10 @@
 
 		if (instance == NULL)
 			break;
+		if (!sched_quota_allows(task)) {
+			sched_quota_note_lacking(task, count);
+			break;
+		}
 		take_room(pool, task, instance, run + 1);
 	}
 	is_placed = placed == count;
@@ -304,6 +312,8 @@
 		    now_us < task->not_before_us ||
 		    sched_crash_is_suspect(task))
 			continue;
+		if (!sched_quota_allows(task))
+			return;
 		if (!sched_place_withhold(pool, task, now_us))
 			return;
 	}
@@ -366,17 +376,36 @@
 	return failing >= FAILING_MIN && failing > count / 2;
 }
 
+/*
+ * Places waiting tasks of the sorted jobs. Instances are withheld for
+ * long-running tasks once all of these have been tried, so that none keeps
+ * another from room that is free, and before the trials of other jobs, which
+ * may be many.
+ */
+static void
+place_all(sched_pool_t *pool, const GPtrArray *jobs, uint64_t now_us)
+{
+	guint long_running = count_long_running(jobs);
+
+	sched_trial_begin_round(pool);
+	sched_trial_place_jobs(pool, jobs, 0, long_running, now_us);
+	place_jobs(pool, jobs, 0, long_running, now_us);
+	if (!sched_window_may_place(pool->window, pool->unsent_bytes))
+		return;
+	for (guint i = 0; i < long_running; i++)
+		withhold_for_job(pool, jobs->pdata[i], now_us);
+	sched_trial_place_jobs(pool, jobs, long_running, jobs->len, now_us);
+	place_jobs(pool, jobs, long_running, jobs->len, now_us);
+}
+
 /*
  * Places the waiting tasks for which there is room, in the order of
- * sched_sort_jobs(). Instances are withheld for long-running tasks once all of
- * these have been tried, so that none keeps another from room that is free, and
- * before the trials of other jobs, which may be many.
+ * sched_sort_jobs().
  */
 void
 sched_place_round(sched_pool_t *pool, uint64_t now_us)
 {
 	g_autoptr(GPtrArray) jobs = g_ptr_array_new();
-	guint long_running;
 
 	pool->round++;
 	pool->jobs_at_fault = are_jobs_at_fault(pool, now_us);
@@ -388,14 +417,7 @@
 			g_ptr_array_add(jobs, job);
 	}
 	sched_sort_jobs(jobs, now_us);
-	long_running = count_long_running(jobs);
-	sched_trial_begin_round(pool);
-	sched_trial_place_jobs(pool, jobs, 0, long_running, now_us);
-	place_jobs(pool, jobs, 0, long_running, now_us);
-	if (!sched_window_may_place(pool->window, pool->unsent_bytes))
-		return;
-	for (guint i = 0; i < long_running; i++)
-		withhold_for_job(pool, jobs->pdata[i], now_us);
-	sched_trial_place_jobs(pool, jobs, long_running, jobs->len, now_us);
-	place_jobs(pool, jobs, long_running, jobs->len, now_us);
+	sched_quota_begin_round(pool);
+	place_all(pool, jobs, now_us);
+	sched_quota_end_round(pool, now_us);
 }
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -46,6 +46,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	pool->previous_renewals_end_us = gw_clock_now_us(clock) +
 	    sched_drift_bound_us(bounds->previous_renew_max_ms);
+	pool->quota_policy = &sched_quota_spare;
+	pool->quota_parts = 1;
 	pool->admission = &sched_admission_in_time;
 	pool->refusals = sched_refusals_new();
 	pool->window = pool->own_window = sched_window_new(&sched_window_fixed);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -434,7 +434,7 @@
 void sched_pool_set_incoming(
     sched_pool_t *, uint32_t machines, uint32_t standby);
 
-/* Sets the teams of the configuration in force. */
+/* Sets the teams of the configuration in force; see also quota.h. */
 void sched_pool_set_teams(
     sched_pool_t *, const sched_team_config_t *, uint32_t count);
 
--- a/lib/sched/stray.c
+++ b/lib/sched/stray.c
@@ -25,6 +25,13 @@
 	uint64_t forget_us;
 	uint64_t stop_sent_us;	    /* 0: no stop without a response */
 	uint64_t stop_sent_born_ms; /* to this incarnation */
+	/*
+	 * The team for whose quota the start counts, which may run until the
+	 * incarnation that it was sent to refuses it; NULL: none.
+	 */
+	sched_team_t *team;
+	sched_resources_t takes;
+	uint64_t refused_from_us;
 } stray_t;
 
 GArray *
@@ -58,8 +65,37 @@
 	    .born_ms = instance->info.born_ms,
 	    .forget_us = now_us + SCHED_LATE_REQUEST_MAX_MS * GW_US_PER_MS};
 
-	if (stray.starts > 0)
-		g_array_append_val(instance->strays, stray);
+	if (stray.starts == 0)
+		return;
+	stray.team = task->job->team;
+	if (stray.team != NULL) {
+		stray.takes = sched_step_resources(sched_task_step_spec(task));
+		stray.refused_from_us = instance->expiry_us;
+		stray.team->jobs++;
+		sched_team_add_used(stray.team, &stray.takes);
+	}
+	g_array_append_val(instance->strays, stray);
+}
+
+/*
+ * Handles that the start cannot be carried out any more.
+ */
+static void
+leave_team(stray_t *stray)
+{
+	if (stray->team == NULL)
+		return;
+	sched_team_subtract_used(stray->team, &stray->takes);
+	stray->team->jobs--;
+	stray->team = NULL;
+}
+
+void
+sched_strays_free(GArray *strays)
+{
+	for (guint i = 0; i < strays->len; i++)
+		leave_team(&g_array_index(strays, stray_t, i));
+	g_array_free(strays, TRUE);
 }
 
 static stray_t *
@@ -156,7 +192,11 @@
 		bool is_sent = stray->stop_sent_us != 0 &&
 		    stray->stop_sent_born_ms == instance->info.born_ms;
 
+		if (stray->born_ms == instance->info.born_ms &&
+		    now_us >= stray->refused_from_us)
+			leave_team(stray);
 		if (stray->starts == 0 || now_us >= stray->forget_us) {
+			leave_team(stray);
 			g_array_remove_index_fast(instance->strays, i);
 			continue;
 		}
--- a/lib/sched/team.c
+++ b/lib/sched/team.c
@@ -65,35 +65,40 @@
 }
 
 /*
- * Counts a task that has been placed.
+ * Returns what a task of the step takes.
  */
-void
-sched_team_note_placed(const sched_task_t *task)
+sched_resources_t
+sched_step_resources(const Gw__JobStep *step)
 {
-	const Gw__JobStep *step = sched_task_step_spec(task);
-	sched_team_t *team = task->job->team;
+	return (sched_resources_t){.cpu_millis = sched_step_cpu_millis(step),
+	    .memory_mib = step->memory_mib,
+	    .accelerators = step->accelerators};
+}
 
+/*
+ * Counts what a task of the team takes. team may be NULL.
+ */
+void
+sched_team_add_used(sched_team_t *team, const sched_resources_t *used)
+{
 	if (team == NULL)
 		return;
-	team->used.cpu_millis += sched_step_cpu_millis(step);
-	team->used.memory_mib += step->memory_mib;
-	team->used.accelerators += step->accelerators;
+	team->used.cpu_millis += used->cpu_millis;
+	team->used.memory_mib += used->memory_mib;
+	team->used.accelerators += used->accelerators;
 }
 
 /*
- * Counts a task that leaves its instance.
+ * Counts that it is free again.
  */
 void
-sched_team_note_released(const sched_task_t *task)
+sched_team_subtract_used(sched_team_t *team, const sched_resources_t *used)
 {
-	const Gw__JobStep *step = sched_task_step_spec(task);
-	sched_team_t *team = task->job->team;
-
 	if (team == NULL)
 		return;
-	team->used.cpu_millis -= sched_step_cpu_millis(step);
-	team->used.memory_mib -= step->memory_mib;
-	team->used.accelerators -= step->accelerators;
+	team->used.cpu_millis -= used->cpu_millis;
+	team->used.memory_mib -= used->memory_mib;
+	team->used.accelerators -= used->accelerators;
 }
 
 static gboolean
--- a/lib/sched/trial.c
+++ b/lib/sched/trial.c
@@ -188,6 +188,10 @@
 		withhold_for_trial(pool, task, now_us);
 		return;
 	}
+	if (!sched_quota_allows(task)) {
+		sched_quota_note_lacking(task, 1);
+		return;
+	}
 	if (is_new)
 		add_trial(pool, task);
 	sched_place_reserve(pool, task, instance, task->run + 1);
--- a/lib/sched/wait.c
+++ b/lib/sched/wait.c
@@ -46,6 +46,7 @@
     [SCHED_WAIT_ADVICE] = "advice",
     [SCHED_WAIT_MEMBERS] = "members",
     [SCHED_WAIT_NO_INSTANCE] = "no-instance",
+    [SCHED_WAIT_QUOTA] = "quota",
     [SCHED_WAIT_TRIAL] = "trial",
     [SCHED_WAIT_GANG] = "gang",
     [SCHED_WAIT_ROUND] = "round",
@@ -159,6 +160,8 @@
 	count_excluded(pool, task, finding, now_us);
 	if (finding->excluded[SCHED_EXCLUDED_NOT] == 0)
 		return SCHED_WAIT_NO_INSTANCE;
+	if (!sched_quota_allows(task))
+		return SCHED_WAIT_QUOTA;
 	if (!sched_window_may_place(pool->window, pool->unsent_bytes))
 		return SCHED_WAIT_ROUND;
 	if (spec->gang)
--- a/lib/sched/wait.h
+++ b/lib/sched/wait.h
@@ -47,6 +47,7 @@
 	SCHED_WAIT_ADVICE,     /* no valid tickets */
 	SCHED_WAIT_MEMBERS,    /* other members of its gang are placed */
 	SCHED_WAIT_NO_INSTANCE,
+	SCHED_WAIT_QUOTA, /* the shard holds too little of its team's quota */
 	SCHED_WAIT_TRIAL, /* a suspect: other trials come first */
 	SCHED_WAIT_GANG,  /* not enough room for all members */
 	SCHED_WAIT_ROUND, /* too many starts wait; the round has ended */
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -5396,7 +5396,7 @@
   gw__job_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[9] =
+static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[10] =
 {
   { "CALL_SUBMIT", "GW__CALL_KIND__CALL_SUBMIT", 0 },
   { "CALL_STATE", "GW__CALL_KIND__CALL_STATE", 1 },
@@ -5407,11 +5407,12 @@
   { "CALL_OWNS", "GW__CALL_KIND__CALL_OWNS", 6 },
   { "CALL_RESUBMIT", "GW__CALL_KIND__CALL_RESUBMIT", 7 },
   { "CALL_ADOPT", "GW__CALL_KIND__CALL_ADOPT", 8 },
+  { "CALL_YIELD_QUOTA", "GW__CALL_KIND__CALL_YIELD_QUOTA", 9 },
 };
 static const ProtobufCIntRange gw__call_kind__value_ranges[] = {
-{0, 0},{0, 9}
+{0, 0},{0, 10}
 };
-static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[9] =
+static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[10] =
 {
   { "CALL_ADOPT", 8 },
   { "CALL_CANCEL", 2 },
@@ -5422,6 +5423,7 @@
   { "CALL_RESUBMIT", 7 },
   { "CALL_STATE", 1 },
   { "CALL_SUBMIT", 0 },
+  { "CALL_YIELD_QUOTA", 9 },
 };
 const ProtobufCEnumDescriptor gw__call_kind__descriptor =
 {
@@ -5430,9 +5432,9 @@
   "CallKind",
   "Gw__CallKind",
   "gw",
-  9,
+  10,
   gw__call_kind__enum_values_by_number,
-  9,
+  10,
   gw__call_kind__enum_values_by_name,
   1,
   gw__call_kind__value_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -111,7 +111,11 @@
    * The store has the job's records in the pool, from another one. The reply is
    * CALL_OK once the pool has the job, CALL_ABSENT if the store has none.
    */
-  GW__CALL_KIND__CALL_ADOPT = 8
+  GW__CALL_KIND__CALL_ADOPT = 8,
+  /*
+   * The pool gives back what it holds of the team's quota and does not use.
+   */
+  GW__CALL_KIND__CALL_YIELD_QUOTA = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__CALL_KIND)
 } Gw__CallKind;
 typedef enum _Gw__CallOutcome {
--- /dev/null
+++ b/regress/sched/quota.sh
@@ -0,0 +1,93 @@
+#!/bin/sh
+# Guards against a shard that runs more of a team's jobs than the part of the
+# team's quota that it holds, and against one that keeps what it does not use.
+. ./lib.subr
+
+play "nothing starts before the store shows a part, and no more than it" one <<'EOF'
+teams a:1:4000
+parts 2
+submit j1 team=a 4:1000:500
+commit
+quota
+held a 2000
+commit
+quota
+held a 5000
+commit
+quota
+EOF
+
+play "jobs without a team, of a team without a quota, or removed, are not held" one <<'EOF'
+teams a:1 b:1:4000
+submit j1 1:1000:500
+submit j2 team=a 1:1000:500
+submit j3 team=b 1:1000:500
+commit
+teams a:1
+commit
+quota
+EOF
+
+play "what has become free is given back after a second, and at once when asked" one <<'EOF'
+teams a:1:4000
+parts 2
+held a 4000
+submit j1 team=a 3:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j1.0.0.1 1 ok
+started i1 j1.0.0.2 1 ok
+quota
+report i1 end:1:j1.0.0.0:1:done end:2:j1.0.0.1:1:done run:j1.0.0.2:1
+commit
+quota
+advance 900
+quota
+advance 200
+quota
+yield a
+quota
+EOF
+
+play "a lower quota stops nothing, and the next owner counts what runs" one <<'EOF'
+teams a:1:4000
+held a 4000
+submit j1 team=a 3:1000:500
+commit
+teams a:1:1000
+tick
+takeover previous-gone
+teams a:1:1000
+quota
+submit j2 team=a 1:1000:500
+commit
+quota
+EOF
+
+play "a gang starts once the part has room for all its members" one <<'EOF'
+teams a:1:4000
+held a 1000
+submit j1 team=a 3:1000:500:gang
+commit
+quota
+held a 3000
+commit
+EOF
+
+play "a start without a response counts until its lease has ended" one <<'EOF'
+teams a:1:4000
+parts 100
+held a 1000
+submit j1 team=a 1:1000:500
+commit
+started i1 j1.0.0.0 1 none
+advance 410
+started i1 j1.0.0.0 1 ok
+report i1 clock=500 end:1:j1.0.0.0:1:done
+submit j2 team=a 1:1000:500
+commit
+quota
+advance 5500
+report i1 clock=6000
+commit
+EOF
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -12,6 +12,7 @@
 #include "fake_instances.h"
 #include "gw/log.h"
 #include "sched/config.h"
+#include "sched/quota.h"
 #include "sched/sched.h"
 
 #define WORDS_MAX 40
@@ -889,6 +890,49 @@
 	sched_pool_refuse_outdated(pool, refuse_queue, words[1]);
 }
 
+/* quota: the changes that the shard wants to its parts */
+static void
+do_quota(void)
+{
+	g_autoptr(GArray) changes = sched_pool_quota_changes(pool);
+
+	for (guint i = 0; i < changes->len; i++) {
+		const sched_quota_change_t *change =
+		    &g_array_index(changes, sched_quota_change_t, i);
+
+		printf("%6" PRIu64 " quota %s used=%" PRIu64 " held=%" PRIu64
+		       " wanted=%" PRIu64 "%s\n",
+		    now_ms(), change->team, change->used.cpu_millis,
+		    change->held.cpu_millis, change->wanted.cpu_millis,
+		    change->is_lacking ? " lacking" : "");
+	}
+	if (changes->len == 0)
+		printf("%6" PRIu64 " quota as wanted\n", now_ms());
+}
+
+/* held TEAM CPU_MILLIS: the store shows this part; yield TEAM */
+static void
+do_held(void)
+{
+	const sched_resources_t part = {
+	    .cpu_millis = strtoull(words[2], NULL, 10)};
+
+	sched_pool_set_quota_held(pool, words[1], &part);
+}
+
+static void
+do_yield(void)
+{
+	sched_pool_yield_quota(pool, words[1]);
+}
+
+/* parts COUNT: shards among which quotas are divided */
+static void
+do_parts(void)
+{
+	sched_pool_set_quota_parts(pool, (uint32_t)atoi(words[1]));
+}
+
 /* withdrawn TEAM: by a newer configuration the team's key is gone */
 static void
 do_withdrawn(void)
@@ -1077,6 +1121,10 @@
     {"submit", 3, do_submit},
     {"teams", 1, do_teams},
     {"withdrawn", 2, do_withdrawn},
+    {"quota", 1, do_quota},
+    {"held", 3, do_held},
+    {"yield", 2, do_yield},
+    {"parts", 2, do_parts},
     {"admission", 2, do_admission},
     {"coming", 2, do_coming},
     {"cancel", 2, do_cancel},
