Share full pools among teams by weight, and hold less quota to spare

Cause: a team that sends several times its usual took the room of all others; no decision knew teams.

Owners report what teams submit, the planner adds it up and sends the rates back; jobs beyond a team's weight are placed and admitted after the others of their class, and teams take turns by the work placed for them. The accounting of fairq_fair is lib/policy/share.c now, which both use. A shard asks for quota only when tasks with room lack it, and no more than there is room.

--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -73,7 +73,7 @@
 		return;
 	teams = owners->config->teams;
 	sched_pool_set_quota_parts(owner_pool(owner),
-	    owners->shard_count * owners->config->pools->len);
+	    owners->shard_count * sched_config_pool_count(owners->config));
 	sched_pool_set_teams(owner_pool(owner),
 	    (const sched_team_config_t *)teams->data, teams->len);
 }
@@ -300,7 +300,8 @@
 
 /*
  * Reports the shard's load to the planner, whose call gives the numbers of
- * machines that are moving to the pool or on standby for it.
+ * machines that are moving to the pool or on standby for it, and what teams
+ * submit to all pools.
  */
 static void
 reply_load(
@@ -311,6 +312,10 @@
 
 	response.outcome = GW__CALL_OUTCOME__CALL_OK;
 	sched_pool_set_incoming(owner_pool(owner), call->coming, call->standby);
+	for (size_t i = 0; i < call->n_team_rates; i++)
+		sched_pool_set_team_rate(owner_pool(owner),
+		    call->team_rates[i]->team,
+		    call->team_rates[i]->jobs_per_1000s);
 	sched_pool_get_load(owner_pool(owner), &load);
 	response.load = &load;
 	cb(&response, arg);
--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -72,9 +72,44 @@
 	g_free(call);
 }
 
+/* The rates of all teams, in the form of a call. */
+typedef struct {
+	GArray *rates; /* fleet_team_rate_t */
+	Gw__TeamRate *rows;
+	Gw__TeamRate **list;
+} call_rates_t;
+
+static call_rates_t
+call_rates_new(const fleet_t *fleet)
+{
+	call_rates_t rates = {.rates = fleet_team_rates(fleet)};
+
+	rates.rows = g_new(Gw__TeamRate, rates.rates->len + 1);
+	rates.list = g_new(Gw__TeamRate *, rates.rates->len + 1);
+	for (guint i = 0; i < rates.rates->len; i++) {
+		fleet_team_rate_t *from =
+		    &g_array_index(rates.rates, fleet_team_rate_t, i);
+
+		gw__team_rate__init(&rates.rows[i]);
+		rates.rows[i].team = from->team;
+		rates.rows[i].jobs_per_1000s = from->jobs_per_1000s;
+		rates.list[i] = &rates.rows[i];
+	}
+	return rates;
+}
+
+static void
+call_rates_clear(call_rates_t *rates)
+{
+	g_array_free(rates->rates, TRUE);
+	g_free(rates->rows);
+	g_free(rates->list);
+}
+
 static void
 request_loads(planner_t *planner)
 {
+	call_rates_t rates = call_rates_new(planner->fleet);
 	GHashTableIter iter;
 	gpointer pool;
 
@@ -86,9 +121,12 @@
 		call.pool = pool;
 		call.coming = fleet_count_incoming(planner->fleet, pool);
 		call.standby = fleet_count_standby(planner->fleet, pool);
+		call.n_team_rates = rates.rates->len;
+		call.team_rates = rates.list;
 		dispatch_call(planner->dispatch, &call, CALL_TIMEOUT_MS,
 		    on_load_response, planner_call_new(planner, pool));
 	}
+	call_rates_clear(&rates);
 }
 
 /*
--- a/gwentryd/quota.c
+++ b/gwentryd/quota.c
@@ -14,6 +14,8 @@
 /* Pause between writes, for tasks that wait and for what is given back. */
 #define LACKING_PAUSE_MS 20
 #define SPARE_PAUSE_MS 250
+/* The same after a conflict, which has shown the keys as they are. */
+#define CONFLICT_PAUSE_MS 5
 /* Keys that were read longer ago are read again before others are asked. */
 #define READ_AGE_MAX_MS 100
 /* Another shard is asked for a team's quota this often. */
@@ -50,6 +52,7 @@
 	uint32_t retry_ms;
 	uint64_t retry_at_us; /* no call before */
 	gw_timer_t timer;
+	bool has_conflicted; /* the last write */
 	bool call_in_progress;
 	bool closing;
 };
@@ -358,6 +361,7 @@
 
 	if (!end_call(quota))
 		return;
+	quota->has_conflicted = err != NULL && err->code == GW_ERR_CONFLICT;
 	if (err == NULL)
 		finish_write(quota, revision);
 	else if (err->code == GW_ERR_CONFLICT)
@@ -485,7 +489,11 @@
 {
 	uint32_t pause_ms =
 	    has_lacking(wanted) ? LACKING_PAUSE_MS : SPARE_PAUSE_MS;
-	uint64_t at_us = quota->ended_us == 0
+	uint64_t at_us;
+
+	if (quota->has_conflicted)
+		pause_ms = CONFLICT_PAUSE_MS;
+	at_us = quota->ended_us == 0
 	    ? 0
 	    : quota->ended_us + pause_ms * GW_US_PER_MS;
 
--- a/lib/policy/fairq_fair.c
+++ b/lib/policy/fairq_fair.c
@@ -1,7 +1,5 @@
 #include "policy/fairq_impl.h"
 
-/* Virtual time units per microsecond of slot time at weight 1. */
-#define TAG_SCALE 1000
 /* Running work that exceeds its charge is charged more at this interval. */
 #define OVERRUN_INTERVAL_US 10000
 /* Window over which the load of quick work is measured. */
@@ -24,12 +22,6 @@
     [CLASS_ARCHIVE] = 1,
 };
 
-static uint64_t
-tag_increment(uint64_t cost_us, uint64_t weight)
-{
-	return cost_us * TAG_SCALE / MAX(weight, 1);
-}
-
 static uint64_t
 class_service_us(
     const fairq_t *q, const fairq_team_t *team, request_class_t request_class)
@@ -210,10 +202,11 @@
 		extra_us = 2 * used_us - item->cost_us;
 		item->cost_us += extra_us;
 		q->running_cost_us += extra_us;
-		entry->team->tag +=
-		    tag_increment(extra_us, entry->team->weight);
-		entry->team->classes[item->request_class].tag +=
-		    tag_increment(extra_us, class_weight[item->request_class]);
+		share_charge_more(
+		    &entry->team->account, extra_us, entry->team->weight);
+		share_charge_more(
+		    &entry->team->classes[item->request_class].account,
+		    extra_us, class_weight[item->request_class]);
 	}
 }
 
@@ -267,7 +260,9 @@
 		    (i != CLASS_QUICK && !may_run_long(q)) ||
 		    (i == CLASS_ARCHIVE && !may_run_archive(q)))
 			continue;
-		if (best < 0 || team->classes[i].tag < team->classes[best].tag)
+		if (best < 0 ||
+		    team->classes[i].account.tag <
+			team->classes[best].account.tag)
 			best = i;
 	}
 	return best;
@@ -288,7 +283,7 @@
 	g_hash_table_iter_init(&iter, q->teams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
 		if (team->queued == 0 ||
-		    (best != NULL && team->tag >= best->tag))
+		    (best != NULL && team->account.tag >= best->account.tag))
 			continue;
 		class_index = pick_class(q, team);
 		if (class_index < 0)
@@ -313,10 +308,9 @@
 	    &team->classes[entry->item->request_class];
 
 	if (team->queued == 1)
-		team->tag = MAX(team->tag, q->virtual_time);
+		share_activate(&q->share, &team->account);
 	if (class_queue->items.length == 0)
-		class_queue->tag =
-		    MAX(class_queue->tag, team->class_virtual_time);
+		share_activate(&team->class_share, &class_queue->account);
 	g_queue_push_tail_link(&class_queue->items, &entry->link);
 }
 
@@ -335,22 +329,10 @@
 	request_class_t class_index = entry->item->request_class;
 	fairq_class_queue_t *class_queue = &team->classes[class_index];
 
-	q->virtual_time = MAX(q->virtual_time, team->tag);
-	team->class_virtual_time =
-	    MAX(team->class_virtual_time, class_queue->tag);
-	team->tag += tag_increment(entry->item->cost_us, team->weight);
-	class_queue->tag +=
-	    tag_increment(entry->item->cost_us, class_weight[class_index]);
-}
-
-/* Replaces an amount that was charged to the tag by the amount used. */
-static void
-adjust_tag(uint64_t *tag, uint64_t charged, uint64_t used)
-{
-	if (used >= charged)
-		*tag += used - charged;
-	else
-		*tag -= MIN(*tag, charged - used);
+	share_charge(
+	    &q->share, &team->account, entry->item->cost_us, team->weight);
+	share_charge(&team->class_share, &class_queue->account,
+	    entry->item->cost_us, class_weight[class_index]);
 }
 
 /*
@@ -364,11 +346,9 @@
 	fairq_team_t *team = entry->team;
 	uint64_t weight = class_weight[item->request_class];
 
-	adjust_tag(&team->tag, tag_increment(item->cost_us, team->weight),
-	    tag_increment(service_us, team->weight));
-	adjust_tag(&team->classes[item->request_class].tag,
-	    tag_increment(item->cost_us, weight),
-	    tag_increment(service_us, weight));
+	share_correct(&team->account, item->cost_us, service_us, team->weight);
+	share_correct(&team->classes[item->request_class].account,
+	    item->cost_us, service_us, weight);
 	if (item->request_class == CLASS_QUICK)
 		q->quick_work_us += service_us;
 }
--- a/lib/policy/fairq_impl.h
+++ b/lib/policy/fairq_impl.h
@@ -3,6 +3,7 @@
 
 #include "policy/cost.h"
 #include "policy/fairq.h"
+#include "policy/share.h"
 
 /* The queue's record of an item; link is in one list at a time. */
 typedef struct fairq_entry fairq_entry_t;
@@ -19,14 +20,14 @@
  * served next.
  */
 typedef struct {
-	GQueue items;	  /* fairq_entry_t */
-	uint64_t tag;	  /* virtual start time among the team's classes */
+	GQueue items;		 /* fairq_entry_t */
+	share_account_t account; /* among the team's classes */
 	cost_mean_t mean; /* slot time of the team's requests of the class */
 } fairq_class_queue_t;
 
 /*
- * A team. The team with the lowest tag is served next. Tags and virtual times
- * are microseconds of slot time divided by weight, times TAG_SCALE.
+ * A team. The team with the lowest tag is served next. Costs are microseconds
+ * of slot time.
  */
 struct fairq_team {
 	char name[MANIFEST_NAME_BYTES];
@@ -34,8 +35,8 @@
 	uint32_t queued;
 	uint32_t queued_of[CLASS_COUNT];
 	uint32_t running;
-	uint64_t tag;		     /* virtual start time among the teams */
-	uint64_t class_virtual_time; /* tag last served among the classes */
+	share_account_t account; /* among the teams */
+	share_t class_share;	 /* of the team's slot time */
 	fairq_class_queue_t classes[CLASS_COUNT];
 };
 
@@ -54,7 +55,7 @@
 	uint32_t running_long; /* running settlement and archive requests */
 	uint32_t running_archive;
 	uint64_t running_cost_us; /* sum of the charges of running requests */
-	uint64_t virtual_time;	  /* highest tag of a team served so far */
+	share_t share;		  /* of the slot time, among the teams */
 	uint64_t overruns_charged_us;	/* when charge_overruns() last ran */
 	uint64_t quick_window_start_us; /* start of the present window */
 	uint64_t quick_work_us; /* slot time of quick work in the window */
--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -149,12 +149,16 @@
 
 /* Work that waits only for room on an instance, in core milliseconds. */
 typedef struct {
-	uint64_t in_time_cpu_ms;
+	uint64_t in_time_cpu_ms; /* placed before a job that is in time */
 	uint64_t late_cpu_ms;
 } backlog_t;
 
+/*
+ * Sums up the waiting work, for a job that is beyond its team's share or not:
+ * jobs beyond a share are placed after the others.
+ */
 static backlog_t
-sum_backlog(const sched_pool_t *pool, uint64_t now_us)
+sum_backlog(const sched_pool_t *pool, bool is_beyond_share, uint64_t now_us)
 {
 	backlog_t backlog = {0, 0};
 
@@ -165,7 +169,8 @@
 		sched_job_add_ready(job, &ready);
 		if (ready.cpu_ms == 0 || job->long_running)
 			continue;
-		if (sched_job_update_rank(job, now_us) <= SCHED_RANK_IN_TIME)
+		if (sched_job_update_rank(job, now_us) <= SCHED_RANK_IN_TIME &&
+		    job->is_beyond_share <= is_beyond_share)
 			backlog.in_time_cpu_ms += ready.cpu_ms;
 		else
 			backlog.late_cpu_ms += ready.cpu_ms;
@@ -177,11 +182,13 @@
  * Accepts every job: the baseline.
  */
 static bool
-admit_all(const sched_pool_t *pool, const Gw__JobSpec *spec, uint64_t age_ms,
-    uint64_t now_us, uint32_t *retry_after_ms)
+admit_all(const sched_pool_t *pool, const Gw__JobSpec *spec,
+    bool is_beyond_share, uint64_t age_ms, uint64_t now_us,
+    uint32_t *retry_after_ms)
 {
 	(void)pool;
 	(void)spec;
+	(void)is_beyond_share;
 	(void)age_ms;
 	(void)now_us;
 	(void)retry_after_ms;
@@ -202,7 +209,8 @@
  */
 static bool
 admit_in_time(const sched_pool_t *pool, const Gw__JobSpec *spec,
-    uint64_t age_ms, uint64_t now_us, uint32_t *retry_after_ms)
+    bool is_beyond_share, uint64_t age_ms, uint64_t now_us,
+    uint32_t *retry_after_ms)
 {
 	uint64_t critical_path_ms = sched_critical_path_ms(spec, NULL);
 	uint64_t objective_ms = sched_objective_ms(spec, critical_path_ms);
@@ -215,7 +223,7 @@
 	serving = sum_serving_cpu(pool, now_us);
 	if (serving.cpu_millis == 0)
 		return true;
-	backlog = sum_backlog(pool, now_us);
+	backlog = sum_backlog(pool, is_beyond_share, now_us);
 	wait_ms = backlog.in_time_cpu_ms * 1000 / serving.cpu_millis;
 	if (age_ms + wait_ms + critical_path_ms <= objective_ms)
 		return true;
@@ -229,11 +237,12 @@
 		return true;
 	*retry_after_ms = (uint32_t)CLAMP(wait_ms, RETRY_MIN_MS, RETRY_MAX_MS);
 	gw_log(GW_EV_SCHED_REFUSED,
-	    "job=%s pool=%s queue=%s reason=overload age_ms=%" PRIu64
+	    "job=%s pool=%s queue=%s team=%s reason=%s age_ms=%" PRIu64
 	    " wait_ms=%" PRIu64 " chain_ms=%" PRIu64 " objective_ms=%" PRIu64
 	    " waiting_cpu_ms=%" PRIu64 " late_cpu_ms=%" PRIu64
 	    " serving_cpu=%" PRIu64 " coming=%u standby=%u retry_after_ms=%u",
-	    spec->id, pool->name, spec->queue, age_ms, wait_ms,
+	    spec->id, pool->name, spec->queue, spec->team,
+	    is_beyond_share ? "share" : "overload", age_ms, wait_ms,
 	    critical_path_ms, objective_ms, backlog.in_time_cpu_ms,
 	    backlog.late_cpu_ms, serving.cpu_millis, pool->incoming_machines,
 	    pool->standby, *retry_after_ms);
@@ -248,16 +257,22 @@
  * *since_us to its first submission. If it is refused, sets *retry_after_ms.
  */
 bool
-sched_admit(sched_pool_t *pool, const Gw__JobSpec *spec, uint64_t *since_us,
-    uint32_t *retry_after_ms)
+sched_admit(sched_pool_t *pool, const Gw__JobSpec *spec, bool is_beyond_share,
+    uint64_t *since_us, uint32_t *retry_after_ms)
 {
+	sched_team_t *team = sched_team_get(pool, spec->team);
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 	uint64_t age_ms;
 
 	*since_us = first_attempt_us(pool, spec->id, now_us);
 	age_ms = gw_elapsed_us(now_us, *since_us) / GW_US_PER_MS;
-	if (pool->admission->admit(pool, spec, age_ms, now_us, retry_after_ms))
+	if (team != NULL && *since_us == now_us)
+		team->submitted++;
+	if (pool->admission->admit(
+		pool, spec, is_beyond_share, age_ms, now_us, retry_after_ms))
 		return true;
+	if (team != NULL)
+		team->refused++;
 	record_refusal(pool, spec, now_us);
 	return false;
 }
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -66,6 +66,7 @@
 	sched_response_t refused = {
 	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED, .reason = "overload"};
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, spec->id);
+	bool is_beyond_share;
 	uint64_t since_us;
 
 	if (job != NULL && !sched_team_may_see(job, spec->team)) {
@@ -80,12 +81,16 @@
 		cb(&ok, arg);
 		return;
 	}
-	if (!sched_admit(pool, spec, &since_us, &refused.retry_after_ms)) {
+	is_beyond_share = sched_share_is_beyond(
+	    pool, spec->team, spec->id, gw_clock_now_us(pool->clock));
+	if (!sched_admit(pool, spec, is_beyond_share, &since_us,
+		&refused.retry_after_ms)) {
 		cb(&refused, arg);
 		return;
 	}
 	job = sched_job_new(pool, spec->id);
 	job->accepted_us = since_us;
+	job->is_beyond_share = is_beyond_share;
 	sched_job_set_spec(job, copy_spec(spec));
 	sched_job_set_queue_key(pool, job, spec->queue_key);
 	sched_job_set_team(pool, job, spec->team);
--- a/lib/sched/config.c
+++ b/lib/sched/config.c
@@ -89,6 +89,17 @@
 	return best;
 }
 
+uint32_t
+sched_config_pool_count(const sched_config_t *config)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < config->pools->len; i++)
+		count += !g_array_index(config->pools, sched_pool_config_t, i)
+			      .standby;
+	return count;
+}
+
 const sched_queue_t *
 sched_config_queue_by_key(const sched_config_t *config, const char *key)
 {
--- a/lib/sched/config.h
+++ b/lib/sched/config.h
@@ -75,6 +75,8 @@
 /* Returns whether the queue with this key is in the pool. */
 bool sched_config_has_queue(
     const sched_config_t *, const char *key, const char *pool);
+/* Returns how many pools run tasks: all but those on standby. */
+uint32_t sched_config_pool_count(const sched_config_t *);
 /* Returns the queue with this key, or NULL. */
 const sched_queue_t *sched_config_queue_by_key(
     const sched_config_t *, const char *key);
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -29,6 +29,7 @@
 
 	g_hash_table_destroy(pool->idle);
 	g_hash_table_destroy(pool->long_running_hosts);
+	g_hash_table_destroy(pool->team_counts);
 	g_free(pool);
 }
 
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -79,6 +79,13 @@
 uint32_t fleet_count_incoming(const fleet_t *, const char *pool);
 /* Returns the number of machines on standby that could move to the pool. */
 uint32_t fleet_count_standby(fleet_t *, const char *pool);
+/* What a team submits, over all pools that report. */
+typedef struct {
+	char team[SCHED_NAME_BYTES];
+	uint64_t jobs_per_1000s;
+} fleet_team_rate_t;
+/* Returns the rates of all teams (fleet_team_rate_t); the caller frees them. */
+GArray *fleet_team_rates(const fleet_t *);
 /*
  * Replace the known machines by a complete list from the platform: begin, add
  * each machine, end. Machines that were not added are removed at the end.
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -62,6 +62,7 @@
 	uint64_t long_running_used_cpu_millis;
 	uint32_t blocked_jobs;	 /* with a task that fits on no instance */
 	uint32_t late_instances; /* that run only late tasks */
+	GHashTable *team_counts; /* see fleet_team.c */
 	GHashTable *idle;	 /* instance -> NULL */
 	/* Instances with long-running tasks, which never become idle. */
 	GHashTable *long_running_hosts; /* instance -> NULL */
@@ -114,6 +115,10 @@
 void fleet_start_goal(fleet_t *, machine_t *, goal_t);
 void fleet_set_phase(fleet_t *, machine_t *, phase_t);
 
+/* fleet_team.c */
+GHashTable *fleet_team_counts_new(void);
+void fleet_set_team_loads(pool_t *, const Gw__PoolLoad *, uint64_t age_us);
+
 /* fleet_load.c */
 uint64_t fleet_forecast_rate(const pool_t *, uint64_t lead_us);
 
--- a/lib/sched/fleet_load.c
+++ b/lib/sched/fleet_load.c
@@ -78,6 +78,8 @@
 	uint64_t now_us = gw_clock_now_us(fleet->clock);
 
 	update_demand_rate(pool, load, now_us);
+	fleet_set_team_loads(
+	    pool, load, gw_elapsed_us(now_us, pool->load_received_us));
 	pool->load_received_us = now_us;
 	pool->instances = load->instances;
 	pool->capacity_cpu_millis = load->capacity_cpu_millis;
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -1,6 +1,7 @@
 #ifndef SCHED_IMPL_H
 #define SCHED_IMPL_H
 
+#include "policy/share.h"
 #include "sched/quota.h"
 #include "sched/sched.h"
 #include "sched/wait.h"
@@ -85,6 +86,10 @@
 	uint64_t short_since_us; /* since when tasks lack quota; 0: none */
 	uint64_t spare_since_us; /* since when too much is held; 0: not */
 	uint64_t yield_until_us; /* another shard lacks quota */
+	/* Of the work placed here; see share.c. */
+	share_account_t account;
+	uint64_t jobs_per_1000s; /* submitted to all pools */
+	uint64_t rate_us;	 /* when that was reported; 0: not yet */
 } sched_team_t;
 
 /* Why the runs on an instance have ended. */
@@ -253,6 +258,7 @@
 	 * placed first.
 	 */
 	sched_rank_t rank_class;
+	bool is_beyond_share; /* of its team, when it was submitted */
 	uint64_t rank;
 };
 
@@ -344,7 +350,8 @@
 struct sched_admission {
 	const char *name;
 	bool (*admit)(const sched_pool_t *, const Gw__JobSpec *,
-	    uint64_t age_ms, uint64_t now_us, uint32_t *retry_after_ms);
+	    bool is_beyond_share, uint64_t age_ms, uint64_t now_us,
+	    uint32_t *retry_after_ms);
 };
 
 /* Trials in a pool, with the instances that are withheld for one. */
@@ -367,6 +374,9 @@
 	GHashTable *teams;     /* name -> sched_team_t; see team.c */
 	uint32_t quota_parts;  /* shards among which a quota is divided */
 	const sched_quota_policy_t *quota_policy;
+	const sched_sharing_t *sharing;
+	share_t share; /* of the work placed, among the teams */
+	share_account_t no_team_account; /* of jobs without a team */
 	uint64_t fence; /* of instances that have not begun again */
 	uint32_t shard_number;
 	uint32_t shard_count;
@@ -473,6 +483,12 @@
 void sched_team_add_used(sched_team_t *, const sched_resources_t *);
 void sched_team_subtract_used(sched_team_t *, const sched_resources_t *);
 
+/* share.c */
+bool sched_share_is_beyond(
+    const sched_pool_t *, const char *team, const char *id, uint64_t now_us);
+void sched_share_order(const sched_pool_t *, GPtrArray *jobs);
+void sched_share_note_placed(sched_pool_t *, const sched_task_t *);
+
 /* quota.c */
 bool sched_quota_allows(const sched_task_t *);
 void sched_quota_note_lacking(const sched_task_t *, uint32_t tasks);
@@ -636,8 +652,8 @@
 /* admit.c */
 sched_refusals_t *sched_refusals_new(void);
 void sched_refusals_free(sched_refusals_t *);
-bool sched_admit(sched_pool_t *, const Gw__JobSpec *, uint64_t *since_us,
-    uint32_t *retry_after_ms);
+bool sched_admit(sched_pool_t *, const Gw__JobSpec *, bool is_beyond_share,
+    uint64_t *since_us, uint32_t *retry_after_ms);
 
 /* rank.c */
 sched_rank_t sched_job_update_rank(sched_job_t *, uint64_t now_us);
--- a/lib/sched/load.c
+++ b/lib/sched/load.c
@@ -79,6 +79,33 @@
 	load->lasting_waiting_memory_mib = ready.long_running_memory_mib;
 }
 
+/*
+ * Adds what the pool has of each team's jobs.
+ */
+static void
+set_teams(Gw__PoolLoad *load, const sched_pool_t *pool)
+{
+	GHashTableIter iter;
+	sched_team_t *team;
+
+	load->teams =
+	    g_new0(Gw__TeamLoad *, g_hash_table_size(pool->teams) + 1);
+	g_hash_table_iter_init(&iter, pool->teams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
+		Gw__TeamLoad *row;
+
+		if (team->submitted == 0 && team->used.cpu_millis == 0)
+			continue;
+		row = g_new(Gw__TeamLoad, 1);
+		gw__team_load__init(row);
+		row->team = team->config.name;
+		row->submitted = team->submitted;
+		row->refused = team->refused;
+		row->used_cpu_millis = team->used.cpu_millis;
+		load->teams[load->n_teams++] = row;
+	}
+}
+
 /*
  * Fills in the pool's load for the planner. The strings belong to the pool; the
  * caller frees the lists of instances with sched_load_clear().
@@ -100,6 +127,7 @@
 		if (sched_instance_is_usable(instance, now_us))
 			add_instance(load, instance);
 	set_waiting(load, pool, now_us);
+	set_teams(load, pool);
 }
 
 /*
@@ -110,4 +138,7 @@
 {
 	g_free(load->idle_instances);
 	g_free(load->lasting_instances);
+	for (size_t i = 0; i < load->n_teams; i++)
+		g_free(load->teams[i]);
+	g_free(load->teams);
 }
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -34,6 +34,7 @@
 {
 	pool->demand_cpu_ms +=
 	    sched_step_work_cpu_ms(sched_task_step_spec(task), 1);
+	sched_share_note_placed(pool, task);
 	task->job->blocked_since_us = 0;
 	sched_job_mark_dirty(pool, task->job);
 }
@@ -400,7 +401,7 @@
 
 /*
  * Places the waiting tasks for which there is room, in the order of
- * sched_sort_jobs().
+ * sched_sort_jobs() and of the teams' shares.
  */
 void
 sched_place_round(sched_pool_t *pool, uint64_t now_us)
@@ -417,6 +418,7 @@
 			g_ptr_array_add(jobs, job);
 	}
 	sched_sort_jobs(jobs, now_us);
+	sched_share_order(pool, jobs);
 	sched_quota_begin_round(pool);
 	place_all(pool, jobs, now_us);
 	sched_quota_end_round(pool, now_us);
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -48,6 +48,7 @@
 	    sched_drift_bound_us(bounds->previous_renew_max_ms);
 	pool->quota_policy = &sched_quota_spare;
 	pool->quota_parts = 1;
+	pool->sharing = &sched_sharing_weighted;
 	pool->admission = &sched_admission_in_time;
 	pool->refusals = sched_refusals_new();
 	pool->window = pool->own_window = sched_window_new(&sched_window_fixed);
--- a/lib/sched/quota.c
+++ b/lib/sched/quota.c
@@ -129,6 +129,55 @@
 		team->lacking = (sched_resources_t){0};
 }
 
+static uint64_t
+room_left(uint64_t capacity, uint64_t used)
+{
+	return capacity - MIN(capacity, used);
+}
+
+/*
+ * Returns the room on the instances that get starts.
+ */
+static sched_resources_t
+sum_room(const sched_pool_t *pool, uint64_t now_us)
+{
+	sched_resources_t room = {0};
+	sched_instance_t *instance;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
+		const sched_resources_t *capacity = &instance->info.capacity;
+
+		if (!sched_instance_is_usable(instance, now_us))
+			continue;
+		room.cpu_millis +=
+		    room_left(capacity->cpu_millis, instance->used.cpu_millis);
+		room.memory_mib +=
+		    room_left(capacity->memory_mib, instance->used.memory_mib);
+		room.accelerators += room_left(
+		    capacity->accelerators, instance->used.accelerators);
+	}
+	return room;
+}
+
+/*
+ * Leaves out what the tasks that lack quota have no room for: other shards may
+ * have.
+ */
+static void
+limit_lacking(const sched_pool_t *pool, sched_team_t *team, uint64_t now_us)
+{
+	sched_resources_t room = sum_room(pool, now_us);
+
+	team->lacking.cpu_millis =
+	    MIN(team->lacking.cpu_millis, room.cpu_millis);
+	team->lacking.memory_mib =
+	    MIN(team->lacking.memory_mib, room.memory_mib);
+	team->lacking.accelerators =
+	    MIN(team->lacking.accelerators, room.accelerators);
+}
+
 /*
  * Logs when a team begins to lack quota in this shard, and when that ends.
  */
@@ -142,6 +191,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
 		bool is_lacking = is_any(&team->lacking);
 
+		if (is_lacking)
+			limit_lacking(pool, team, now_us);
+
 		if (is_lacking == (team->short_since_us != 0))
 			continue;
 		gw_log(GW_EV_QUOTA_SHORT,
@@ -190,10 +242,9 @@
 	}
 	if (member->held > *wanted)
 		return SHRINK_LATER;
-	if (member->lacking > 0 ||
-	    member->held < member->used + spare / SPARE_DIVISOR)
-		return *wanted > member->held ? GROW : KEEP;
-	*wanted = member->held;
+	if (member->lacking > 0 && *wanted > member->held)
+		return GROW;
+	/* What it uses, if it holds less, and some to spare can wait. */
 	return KEEP;
 }
 
--- a/lib/sched/rank.c
+++ b/lib/sched/rank.c
@@ -56,10 +56,10 @@
 /*
  * Ranks a job. The order matters when a queue submits more than its pool can
  * do. After the long-running jobs come those that can still end in time, then
- * those that are late. In these two classes the job with the least work left
- * comes first, so that as many jobs as possible end in time. Overdue jobs come
- * last. Long-running and overdue jobs are placed in the order of their first
- * submission.
+ * those that are late. In these two classes jobs beyond their team's share come
+ * last, and of the others the job with the least work left comes first, so that
+ * as many jobs as possible end in time. Overdue jobs come last. Long-running
+ * and overdue jobs are placed in the order of their first submission.
  */
 sched_rank_t
 sched_job_update_rank(sched_job_t *job, uint64_t now_us)
@@ -107,6 +107,8 @@
 {
 	if (x->rank_class != y->rank_class)
 		return x->rank_class < y->rank_class ? -1 : 1;
+	if (x->is_beyond_share != y->is_beyond_share)
+		return x->is_beyond_share ? 1 : -1;
 	if (x->rank != y->rank)
 		return x->rank < y->rank ? -1 : 1;
 	return 0;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -438,6 +438,18 @@
 void sched_pool_set_teams(
     sched_pool_t *, const sched_team_config_t *, uint32_t count);
 
+/*
+ * How a full pool is shared among teams. There are several, so that a policy
+ * can be compared with the baseline.
+ */
+typedef struct sched_sharing sched_sharing_t;
+extern const sched_sharing_t sched_sharing_none; /* baseline */
+extern const sched_sharing_t sched_sharing_weighted;
+void sched_pool_set_sharing(sched_pool_t *, const sched_sharing_t *);
+/* Sets what a team submits to all pools, as the planner has just reported. */
+void sched_pool_set_team_rate(
+    sched_pool_t *, const char *team, uint64_t jobs_per_1000s);
+
 /*
  * Callers' requests. The callback is called once, possibly before the function
  * returns.
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -933,6 +933,23 @@
 	sched_pool_set_quota_parts(pool, (uint32_t)atoi(words[1]));
 }
 
+/* rate TEAM JOBS: submitted a second to all pools, as the planner reports */
+static void
+do_rate(void)
+{
+	sched_pool_set_team_rate(
+	    pool, words[1], (uint64_t)(atof(words[2]) * 1000));
+}
+
+/* sharing none|weighted */
+static void
+do_sharing(void)
+{
+	sched_pool_set_sharing(pool,
+	    strcmp(words[1], "none") == 0 ? &sched_sharing_none
+					  : &sched_sharing_weighted);
+}
+
 /* withdrawn TEAM: by a newer configuration the team's key is gone */
 static void
 do_withdrawn(void)
@@ -1121,6 +1138,8 @@
     {"submit", 3, do_submit},
     {"teams", 1, do_teams},
     {"withdrawn", 2, do_withdrawn},
+    {"rate", 3, do_rate},
+    {"sharing", 2, do_sharing},
     {"quota", 1, do_quota},
     {"held", 3, do_held},
     {"yield", 2, do_yield},
