Start no more of a team's jobs than a lowered quota allows

A shard looked at its part only: once max_count was lowered, or set where there was none, each run that ended was replaced at once, so that the sum never fell while tasks waited. Now a shard also knows the sum of the other parts, starts only within what they leave of the quota in force, and writes a smaller part as its runs end. Since the last shard that wrote has seen all others, what they start together stays within the quota.

regress/sched/quota.sh: started a second task above the quota before.

--- a/gwentryd/quota.c
+++ b/gwentryd/quota.c
@@ -173,6 +173,7 @@
 {
 	row_t *row = get_row(quota, team);
 	sched_resources_t part = sched_quota_part(record, quota->shard);
+	sched_resources_t others = sched_quota_others(record, quota->shard);
 
 	if (row->record != NULL)
 		gw__quota_record__free_unpacked(row->record, NULL);
@@ -181,7 +182,7 @@
 		row->is_uncertain = false;
 	row->revision = revision;
 	if (!row->is_uncertain)
-		sched_pool_set_quota_held(quota->pool, team, &part);
+		sched_pool_set_quota_held(quota->pool, team, &part, &others);
 }
 
 /*
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -80,7 +80,8 @@
 	uint64_t refused;   /* submissions, repeated ones too */
 	/* Its part of the quota, in the store; see quota.c. */
 	sched_resources_t held;
-	bool is_held_known; /* the store was asked */
+	sched_resources_t others; /* the sum of the other shards' parts */
+	bool is_held_known;	  /* the store was asked */
 	/* What tasks lacked in the last round that had room but no quota. */
 	sched_resources_t lacking;
 	uint64_t short_since_us; /* since when tasks lack quota; 0: none */
@@ -490,6 +491,7 @@
 void sched_share_note_placed(sched_pool_t *, const sched_task_t *);
 
 /* quota.c */
+uint64_t sched_quota_available(uint64_t limit, uint64_t others);
 bool sched_quota_allows(const sched_task_t *);
 void sched_quota_note_lacking(const sched_task_t *, uint32_t tasks);
 void sched_quota_begin_round(sched_pool_t *);
--- a/lib/sched/quota.c
+++ b/lib/sched/quota.c
@@ -75,10 +75,61 @@
 	return team->is_configured && is_any(&team->config.quota);
 }
 
+/* One member of the team's resources. */
+typedef struct {
+	uint64_t limit;
+	uint64_t used;
+	uint64_t held;
+	uint64_t others; /* held by the other shards */
+	uint64_t lacking;
+} member_t;
+
+/*
+ * Returns what the other shards leave of the limit.
+ */
+uint64_t
+sched_quota_available(uint64_t limit, uint64_t others)
+{
+	return limit - MIN(limit, others);
+}
+
+/* All of them. */
+typedef struct {
+	member_t cpu;
+	member_t memory;
+	member_t accelerators;
+} members_t;
+
+static members_t
+members_of(const sched_team_t *team, const sched_resources_t *limit)
+{
+	const sched_resources_t *used = &team->used, *held = &team->held;
+	const sched_resources_t *others = &team->others;
+	const sched_resources_t *lacking = &team->lacking;
+
+	return (members_t){
+	    .cpu = {limit->cpu_millis, used->cpu_millis, held->cpu_millis,
+		others->cpu_millis, lacking->cpu_millis},
+	    .memory = {limit->memory_mib, used->memory_mib, held->memory_mib,
+		others->memory_mib, lacking->memory_mib},
+	    .accelerators = {limit->accelerators, used->accelerators,
+		held->accelerators, others->accelerators,
+		lacking->accelerators}};
+}
+
+/*
+ * Returns whether the part covers more than what is used. Where the quota was
+ * lowered below the sum of the parts, what the other shards leave of it counts:
+ * the shards that last wrote their parts know of all others, so that they do
+ * not start more than the quota together.
+ */
 static bool
-is_within(uint64_t limit, uint64_t held, uint64_t used, uint64_t more)
+is_within(const member_t *member, uint64_t more)
 {
-	return limit == 0 || used + more <= held;
+	uint64_t usable = MIN(
+	    member->held, sched_quota_available(member->limit, member->others));
+
+	return member->limit == 0 || member->used + more <= usable;
 }
 
 /*
@@ -89,18 +140,15 @@
 {
 	const sched_team_t *team = task->job->team;
 	sched_resources_t takes;
-	const sched_resources_t *limit;
+	members_t members;
 
 	if (team == NULL || !has_quota(team))
 		return true;
-	limit = &team->config.quota;
 	takes = sched_step_resources(sched_task_step_spec(task));
-	return is_within(limit->cpu_millis, team->held.cpu_millis,
-		   team->used.cpu_millis, takes.cpu_millis) &&
-	    is_within(limit->memory_mib, team->held.memory_mib,
-		team->used.memory_mib, takes.memory_mib) &&
-	    is_within(limit->accelerators, team->held.accelerators,
-		team->used.accelerators, takes.accelerators);
+	members = members_of(team, &team->config.quota);
+	return is_within(&members.cpu, takes.cpu_millis) &&
+	    is_within(&members.memory, takes.memory_mib) &&
+	    is_within(&members.accelerators, takes.accelerators);
 }
 
 /*
@@ -214,18 +262,10 @@
 	}
 }
 
-/* One member of the team's resources. */
-typedef struct {
-	uint64_t limit;
-	uint64_t used;
-	uint64_t held;
-	uint64_t lacking;
-} member_t;
-
 /* How the part of one member should change. */
 typedef enum {
 	KEEP,
-	GROW,
+	CHANGE,
 	SHRINK_LATER /* unless it is used until SPARE_AGE_MAX_US have passed */
 } trend_t;
 
@@ -240,10 +280,15 @@
 		*wanted = 0;
 		return member->held > 0 ? SHRINK_LATER : KEEP;
 	}
+	/* The parts exceed a quota that was lowered. */
+	if (member->held >
+	    MAX(sched_quota_available(member->limit, member->others),
+		member->used))
+		return CHANGE;
 	if (member->held > *wanted)
 		return SHRINK_LATER;
 	if (member->lacking > 0 && *wanted > member->held)
-		return GROW;
+		return CHANGE;
 	/* What it uses, if it holds less, and some to spare can wait. */
 	return KEEP;
 }
@@ -255,34 +300,29 @@
 set_wanted(const sched_pool_t *pool, sched_team_t *team,
     sched_quota_change_t *change, uint64_t now_us)
 {
-	const sched_resources_t *limit = &change->quota;
+	const members_t values = members_of(team, &change->quota);
 	bool yields = now_us < team->yield_until_us;
 	const sched_quota_policy_t *policy =
 	    yields ? &sched_quota_exact : pool->quota_policy;
 	const member_t members[] = {
-	    {limit->cpu_millis, team->used.cpu_millis, team->held.cpu_millis,
-		team->lacking.cpu_millis},
-	    {limit->memory_mib, team->used.memory_mib, team->held.memory_mib,
-		team->lacking.memory_mib},
-	    {limit->accelerators, team->used.accelerators,
-		team->held.accelerators, team->lacking.accelerators}};
+	    values.cpu, values.memory, values.accelerators};
 	uint64_t *wanted[] = {&change->wanted.cpu_millis,
 	    &change->wanted.memory_mib, &change->wanted.accelerators};
-	bool grows = false, shrinks = false;
+	bool changes = false, shrinks = false;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
 		trend_t trend = want_member(&members[i],
 		    policy->spare(members[i].limit, pool->quota_parts),
 		    wanted[i]);
 
-		grows |= trend == GROW;
+		changes |= trend == CHANGE;
 		shrinks |= trend == SHRINK_LATER;
 	}
 	if (!shrinks)
 		team->spare_since_us = 0;
 	else if (team->spare_since_us == 0)
 		team->spare_since_us = now_us;
-	return grows || !team->is_held_known ||
+	return changes || !team->is_held_known ||
 	    (shrinks &&
 		(yields ||
 		    gw_elapsed_us(now_us, team->spare_since_us) >=
@@ -316,14 +356,15 @@
 }
 
 void
-sched_pool_set_quota_held(
-    sched_pool_t *pool, const char *name, const sched_resources_t *held)
+sched_pool_set_quota_held(sched_pool_t *pool, const char *name,
+    const sched_resources_t *held, const sched_resources_t *others)
 {
 	sched_team_t *team = g_hash_table_lookup(pool->teams, name);
 
 	if (team == NULL)
 		return;
 	team->held = *held;
+	team->others = *others;
 	team->is_held_known = true;
 	team->spare_since_us = 0;
 }
@@ -359,79 +400,3 @@
 	if (team != NULL)
 		team->yield_until_us = gw_clock_now_us(pool->clock) + YIELD_US;
 }
-
-sched_resources_t
-sched_quota_part(const Gw__QuotaRecord *record, const char *shard)
-{
-	sched_resources_t part = {0};
-
-	for (size_t i = 0; record != NULL && i < record->n_parts; i++)
-		if (strcmp(record->parts[i]->shard, shard) == 0)
-			part = (sched_resources_t){record->parts[i]->cpu_millis,
-			    record->parts[i]->memory_mib,
-			    record->parts[i]->accelerators};
-	return part;
-}
-
-/*
- * Returns what the shard can have of one member.
- */
-static uint64_t
-grant_member(uint64_t limit, uint64_t others, uint64_t used, uint64_t wanted)
-{
-	uint64_t available = limit - MIN(limit, others);
-
-	return limit == 0 ? 0 : MAX(MIN(wanted, available), used);
-}
-
-sched_resources_t
-sched_quota_grant(const Gw__QuotaRecord *record, const char *shard,
-    const sched_quota_change_t *change)
-{
-	sched_resources_t others = {0};
-
-	for (size_t i = 0; record != NULL && i < record->n_parts; i++) {
-		const Gw__QuotaPart *part = record->parts[i];
-
-		if (strcmp(part->shard, shard) == 0)
-			continue;
-		others.cpu_millis += part->cpu_millis;
-		others.memory_mib += part->memory_mib;
-		others.accelerators += part->accelerators;
-	}
-	return (sched_resources_t){
-	    grant_member(change->quota.cpu_millis, others.cpu_millis,
-		change->used.cpu_millis, change->wanted.cpu_millis),
-	    grant_member(change->quota.memory_mib, others.memory_mib,
-		change->used.memory_mib, change->wanted.memory_mib),
-	    grant_member(change->quota.accelerators, others.accelerators,
-		change->used.accelerators, change->wanted.accelerators)};
-}
-
-GBytes *
-sched_quota_encode(const Gw__QuotaRecord *from, const char *shard,
-    const sched_resources_t *part)
-{
-	size_t count = from == NULL ? 0 : from->n_parts, size_bytes;
-	g_autofree Gw__QuotaPart **parts = g_new(Gw__QuotaPart *, count + 1);
-	Gw__QuotaRecord record = GW__QUOTA_RECORD__INIT;
-	Gw__QuotaPart own = GW__QUOTA_PART__INIT;
-	uint8_t *data;
-
-	record.parts = parts;
-	for (size_t i = 0; i < count; i++)
-		if (strcmp(from->parts[i]->shard, shard) != 0)
-			parts[record.n_parts++] = from->parts[i];
-	own.shard = (char *)shard;
-	own.cpu_millis = part->cpu_millis;
-	own.memory_mib = part->memory_mib;
-	own.accelerators = part->accelerators;
-	if (is_any(part))
-		parts[record.n_parts++] = &own;
-	if (record.n_parts == 0)
-		return NULL;
-	size_bytes = gw__quota_record__get_packed_size(&record);
-	data = g_malloc(size_bytes);
-	gw__quota_record__pack(&record, data);
-	return g_bytes_new_take(data, size_bytes);
-}
--- a/lib/sched/quota.h
+++ b/lib/sched/quota.h
@@ -39,9 +39,9 @@
  * frees the array.
  */
 GArray *sched_pool_quota_changes(sched_pool_t *);
-/* Handles that the store shows this part. */
-void sched_pool_set_quota_held(
-    sched_pool_t *, const char *team, const sched_resources_t *);
+/* Handles that the store shows this part, and others as the sum of the rest. */
+void sched_pool_set_quota_held(sched_pool_t *, const char *team,
+    const sched_resources_t *part, const sched_resources_t *others);
 /*
  * Handles that a write of this part is about to be sent: what it gives back is
  * not used any more, whatever its outcome.
@@ -60,8 +60,10 @@
  */
 sched_resources_t sched_quota_grant(
     const Gw__QuotaRecord *, const char *shard, const sched_quota_change_t *);
-/* Returns the shard's part by the record. */
+/* Returns the shard's part by the record, and the sum of the others. */
 sched_resources_t sched_quota_part(const Gw__QuotaRecord *, const char *shard);
+sched_resources_t sched_quota_others(
+    const Gw__QuotaRecord *, const char *shard);
 /*
  * Returns the record with this part of the shard, in the encoding of the store;
  * NULL if no shard has a part any more.
--- /dev/null
+++ b/lib/sched/quota_record.c
@@ -0,0 +1,92 @@
+#include <string.h>
+
+#include "sched/impl.h"
+
+/*
+ * The record of a team's quota in the store, which has the parts of all shards.
+ */
+
+sched_resources_t
+sched_quota_part(const Gw__QuotaRecord *record, const char *shard)
+{
+	sched_resources_t part = {0};
+
+	for (size_t i = 0; record != NULL && i < record->n_parts; i++)
+		if (strcmp(record->parts[i]->shard, shard) == 0)
+			part = (sched_resources_t){record->parts[i]->cpu_millis,
+			    record->parts[i]->memory_mib,
+			    record->parts[i]->accelerators};
+	return part;
+}
+
+/*
+ * Returns what the shard can have of one member.
+ */
+static uint64_t
+grant_member(uint64_t limit, uint64_t others, uint64_t used, uint64_t wanted)
+{
+	return limit == 0
+	    ? 0
+	    : MAX(MIN(wanted, sched_quota_available(limit, others)), used);
+}
+
+sched_resources_t
+sched_quota_others(const Gw__QuotaRecord *record, const char *shard)
+{
+	sched_resources_t others = {0};
+
+	for (size_t i = 0; record != NULL && i < record->n_parts; i++) {
+		const Gw__QuotaPart *part = record->parts[i];
+
+		if (strcmp(part->shard, shard) == 0)
+			continue;
+		others.cpu_millis += part->cpu_millis;
+		others.memory_mib += part->memory_mib;
+		others.accelerators += part->accelerators;
+	}
+	return others;
+}
+
+sched_resources_t
+sched_quota_grant(const Gw__QuotaRecord *record, const char *shard,
+    const sched_quota_change_t *change)
+{
+	sched_resources_t others = sched_quota_others(record, shard);
+
+	return (sched_resources_t){
+	    grant_member(change->quota.cpu_millis, others.cpu_millis,
+		change->used.cpu_millis, change->wanted.cpu_millis),
+	    grant_member(change->quota.memory_mib, others.memory_mib,
+		change->used.memory_mib, change->wanted.memory_mib),
+	    grant_member(change->quota.accelerators, others.accelerators,
+		change->used.accelerators, change->wanted.accelerators)};
+}
+
+GBytes *
+sched_quota_encode(const Gw__QuotaRecord *from, const char *shard,
+    const sched_resources_t *part)
+{
+	size_t count = from == NULL ? 0 : from->n_parts, size_bytes;
+	g_autofree Gw__QuotaPart **parts = g_new(Gw__QuotaPart *, count + 1);
+	Gw__QuotaRecord record = GW__QUOTA_RECORD__INIT;
+	Gw__QuotaPart own = GW__QUOTA_PART__INIT;
+	uint8_t *data;
+
+	record.parts = parts;
+	for (size_t i = 0; i < count; i++)
+		if (strcmp(from->parts[i]->shard, shard) != 0)
+			parts[record.n_parts++] = from->parts[i];
+	own.shard = (char *)shard;
+	own.cpu_millis = part->cpu_millis;
+	own.memory_mib = part->memory_mib;
+	own.accelerators = part->accelerators;
+	if (part->cpu_millis > 0 || part->memory_mib > 0 ||
+	    part->accelerators > 0)
+		parts[record.n_parts++] = &own;
+	if (record.n_parts == 0)
+		return NULL;
+	size_bytes = gw__quota_record__get_packed_size(&record);
+	data = g_malloc(size_bytes);
+	gw__quota_record__pack(&record, data);
+	return g_bytes_new_take(data, size_bytes);
+}
--- a/regress/sched/quota.sh
+++ b/regress/sched/quota.sh
@@ -91,3 +91,20 @@
 report i1 clock=6000
 commit
 EOF
+
+play "what ends above a lowered quota is not replaced, and its part given back" one <<'EOF'
+teams a:1:4000
+held a 2000 2000
+submit j1 team=a 4:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j1.0.0.1 1 ok
+teams a:1:1000
+report i1 end:1:j1.0.0.0:1:done run:j1.0.0.1:1
+commit
+quota
+held a 1000 0
+commit
+report i1 end:1:j1.0.0.0:1:done end:2:j1.0.0.1:1:done
+commit
+EOF
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -910,14 +910,19 @@
 		printf("%6" PRIu64 " quota as wanted\n", now_ms());
 }
 
-/* held TEAM CPU_MILLIS: the store shows this part; yield TEAM */
+/*
+ * held TEAM CPU_MILLIS [OTHERS]: the store shows this part, and so much as the
+ * sum of the other shards'; yield TEAM
+ */
 static void
 do_held(void)
 {
 	const sched_resources_t part = {
 	    .cpu_millis = strtoull(words[2], NULL, 10)};
+	const sched_resources_t others = {
+	    .cpu_millis = word_count > 3 ? strtoull(words[3], NULL, 10) : 0};
 
-	sched_pool_set_quota_held(pool, words[1], &part);
+	sched_pool_set_quota_held(pool, words[1], &part, &others);
 }
 
 static void
