Give a free part back also while other teams' rows are read

Each read of the rows, every 100 ms while some team lacks quota, began the second anew after which a shard gives back what it does not use. The time now begins anew only if the part has changed.

regress/sched/quota.sh: nothing was given back after 1.2 s before.

--- a/lib/sched/quota.c
+++ b/lib/sched/quota.c
@@ -363,10 +363,11 @@
 
 	if (team == NULL)
 		return;
+	if (!sched_resources_equal(&team->held, held))
+		team->spare_since_us = 0;
 	team->held = *held;
 	team->others = *others;
 	team->is_held_known = true;
-	team->spare_since_us = 0;
 }
 
 void
--- a/regress/sched/quota.sh
+++ b/regress/sched/quota.sh
@@ -108,3 +108,16 @@
 report i1 end:1:j1.0.0.0:1:done end:2:j1.0.0.1:1:done
 commit
 EOF
+
+play "what is free is given back although the store is read again and again" one <<'EOF'
+teams a:1:4000
+parts 4
+held a 4000
+quota
+advance 600
+held a 4000
+quota
+advance 600
+held a 4000
+quota
+EOF
