Give back the part of a team that a version removes

A team without jobs was forgotten as soon as a version removed it, with the part that the store shows; and after a lost write of the last part nothing wrote it again, since nothing seemed to be held. A team is now kept while the store may show a part of it.

--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -82,6 +82,8 @@
 	sched_resources_t held;
 	sched_resources_t others; /* the sum of the other shards' parts */
 	bool is_held_known;	  /* the store was asked */
+	/* A write that may still take effect must be settled by another. */
+	bool is_held_uncertain;
 	/* What tasks lacked in the last round that had room but no quota. */
 	sched_resources_t lacking;
 	uint64_t short_since_us; /* since when tasks lack quota; 0: none */
@@ -492,6 +494,7 @@
 
 /* quota.c */
 uint64_t sched_quota_available(uint64_t limit, uint64_t others);
+bool sched_quota_has_part(const sched_team_t *);
 bool sched_quota_allows(const sched_task_t *);
 void sched_quota_note_lacking(const sched_task_t *, uint32_t tasks);
 void sched_quota_begin_round(sched_pool_t *);
--- a/lib/sched/quota.c
+++ b/lib/sched/quota.c
@@ -75,6 +75,16 @@
 	return team->is_configured && is_any(&team->config.quota);
 }
 
+/*
+ * Returns whether the store may show a part, which must be given back before
+ * the team is forgotten.
+ */
+bool
+sched_quota_has_part(const sched_team_t *team)
+{
+	return is_any(&team->held) || team->is_held_uncertain;
+}
+
 /* One member of the team's resources. */
 typedef struct {
 	uint64_t limit;
@@ -344,7 +354,7 @@
 		    .held = team->held,
 		    .is_lacking = is_any(&team->lacking)};
 
-		if (!has_quota(team) && !is_any(&team->held))
+		if (!has_quota(team) && !sched_quota_has_part(team))
 			continue;
 		if (has_quota(team))
 			change.quota = team->config.quota;
@@ -368,6 +378,7 @@
 	team->held = *held;
 	team->others = *others;
 	team->is_held_known = true;
+	team->is_held_uncertain = false;
 }
 
 void
@@ -389,8 +400,10 @@
 {
 	sched_team_t *team = g_hash_table_lookup(pool->teams, name);
 
-	if (team != NULL)
-		team->is_held_known = false;
+	if (team == NULL)
+		return;
+	team->is_held_known = false;
+	team->is_held_uncertain = true;
 }
 
 void
--- a/lib/sched/quota.h
+++ b/lib/sched/quota.h
@@ -48,7 +48,10 @@
  */
 void sched_pool_limit_quota_held(
     sched_pool_t *, const char *team, const sched_resources_t *);
-/* Handles that it is not known any more which part the store shows. */
+/*
+ * Handles that it is not known any more which part the store shows, since a
+ * write of this shard may still take effect. It is written again.
+ */
 void sched_pool_forget_quota_held(sched_pool_t *, const char *team);
 /* Another shard lacks the team's quota: gives back what is not used. */
 void sched_pool_yield_quota(sched_pool_t *, const char *team);
--- a/lib/sched/team.c
+++ b/lib/sched/team.c
@@ -108,12 +108,13 @@
 
 	(void)name;
 	(void)arg;
-	return !team->is_configured && team->jobs == 0;
+	return !team->is_configured && team->jobs == 0 &&
+	    !sched_quota_has_part(team);
 }
 
 /*
  * Sets the teams of the configuration in force, and forgets those that are
- * neither in it nor have jobs.
+ * neither in it nor have jobs or a part of a quota.
  */
 void
 sched_pool_set_teams(
--- a/regress/sched/quota.sh
+++ b/regress/sched/quota.sh
@@ -121,3 +121,28 @@
 held a 4000
 quota
 EOF
+
+play "a team that a version removes keeps its part until that is given back" one <<'EOF'
+teams a:1:4000
+parts 4
+held a 4000
+teams b:1
+quota
+advance 1100
+quota
+held a 0
+teams b:1
+quota
+EOF
+
+play "also if the write that gives it back may have been lost" one <<'EOF'
+teams a:1:4000
+parts 4
+held a 4000
+teams b:1
+uncertain a
+teams b:1
+quota
+held a 0
+quota
+EOF
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -925,6 +925,16 @@
 	sched_pool_set_quota_held(pool, words[1], &part, &others);
 }
 
+/* uncertain TEAM: a write of the part may have taken effect, or may yet */
+static void
+do_uncertain(void)
+{
+	const sched_resources_t none = {0};
+
+	sched_pool_limit_quota_held(pool, words[1], &none);
+	sched_pool_forget_quota_held(pool, words[1]);
+}
+
 static void
 do_yield(void)
 {
@@ -1148,6 +1158,7 @@
     {"quota", 1, do_quota},
     {"held", 3, do_held},
     {"yield", 2, do_yield},
+    {"uncertain", 2, do_uncertain},
     {"parts", 2, do_parts},
     {"admission", 2, do_admission},
     {"coming", 2, do_coming},
