Read a team's row again when asked for a part that is not known here

A write on condition that the row is absent may take effect after its response was lost, another write has followed and the row was removed again. Its part then stood in the store, and the shard, which knew of none, gave nothing back when asked. It now reads the row first; so it does for each team whose part it has not read.

regress/sched/quota.sh: 'quota as wanted' before. The command quota prints 'unread' too.

--- a/gwentryd/quota.c
+++ b/gwentryd/quota.c
@@ -473,6 +473,17 @@
 	return is_lacking;
 }
 
+static bool
+must_read(const quota_t *quota, const GArray *wanted)
+{
+	bool is_unknown = quota->read_us == 0;
+
+	for (guint i = 0; i < wanted->len; i++)
+		is_unknown |=
+		    g_array_index(wanted, sched_quota_change_t, i).must_read;
+	return is_unknown;
+}
+
 static bool
 has_lacking(const GArray *wanted)
 {
@@ -518,7 +529,7 @@
 		schedule(quota, next_call_us(quota, wanted));
 		return;
 	}
-	if (quota->read_us == 0) {
+	if (must_read(quota, wanted)) {
 		g_array_set_size(quota->changes, 0);
 		g_array_append_vals(quota->changes, wanted->data, wanted->len);
 		read_rows(quota);
--- a/lib/sched/quota.c
+++ b/lib/sched/quota.c
@@ -352,7 +352,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
 		sched_quota_change_t change = {.used = team->used,
 		    .held = team->held,
-		    .is_lacking = is_any(&team->lacking)};
+		    .is_lacking = is_any(&team->lacking),
+		    .must_read =
+			!team->is_held_known && !team->is_held_uncertain};
 
 		if (!has_quota(team) && !sched_quota_has_part(team))
 			continue;
@@ -411,6 +413,13 @@
 {
 	sched_team_t *team = g_hash_table_lookup(pool->teams, name);
 
-	if (team != NULL)
-		team->yield_until_us = gw_clock_now_us(pool->clock) + YIELD_US;
+	if (team == NULL)
+		return;
+	team->yield_until_us = gw_clock_now_us(pool->clock) + YIELD_US;
+	/*
+	 * The store shows a part that this shard does not know of: a write
+	 * whose response was lost may take effect after the row was removed.
+	 */
+	if (!is_any(&team->held))
+		team->is_held_known = false;
 }
--- a/lib/sched/quota.h
+++ b/lib/sched/quota.h
@@ -32,6 +32,7 @@
 	sched_resources_t held;
 	sched_resources_t wanted;
 	bool is_lacking; /* tasks have room, but wait for it */
+	bool must_read;	 /* held is not known, and no write is uncertain */
 } sched_quota_change_t;
 
 /*
--- a/regress/sched/quota.sh
+++ b/regress/sched/quota.sh
@@ -146,3 +146,12 @@
 held a 0
 quota
 EOF
+
+play "a shard that is asked for a part that it does not know of reads the store" one <<'EOF'
+teams a:1:3
+parts 4
+held a 0
+quota
+yield a
+quota
+EOF
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -901,10 +901,11 @@
 		    &g_array_index(changes, sched_quota_change_t, i);
 
 		printf("%6" PRIu64 " quota %s used=%" PRIu64 " held=%" PRIu64
-		       " wanted=%" PRIu64 "%s\n",
+		       " wanted=%" PRIu64 "%s%s\n",
 		    now_ms(), change->team, change->used.cpu_millis,
 		    change->held.cpu_millis, change->wanted.cpu_millis,
-		    change->is_lacking ? " lacking" : "");
+		    change->is_lacking ? " lacking" : "",
+		    change->must_read ? " unread" : "");
 	}
 	if (changes->len == 0)
 		printf("%6" PRIu64 " quota as wanted\n", now_ms());
