Ignore a team's name that is too long in a call

sched_admit() looked a team up by the name in the caller's specification, which another process sends. A name of 96 bytes or more was truncated when the team was added, so that it was added again by the next such call; the hash table then kept a key in the team that it had freed. Such a name counts as none.

--- a/lib/sched/team.c
+++ b/lib/sched/team.c
@@ -10,14 +10,15 @@
 
 /*
  * Returns the team with this name; adds it, as not configured, if it is
- * unknown. Returns NULL for an empty name.
+ * unknown. Returns NULL for an empty name, and for one that is too long, which
+ * only a malformed record or call has.
  */
 sched_team_t *
 sched_team_get(sched_pool_t *pool, const char *name)
 {
 	sched_team_t *team;
 
-	if (name[0] == '\0')
+	if (name[0] == '\0' || strlen(name) >= SCHED_NAME_BYTES)
 		return NULL;
 	team = g_hash_table_lookup(pool->teams, name);
 	if (team != NULL)
@@ -29,13 +30,12 @@
 }
 
 /*
- * Sets the team of a job, by the key that it was submitted with. A name that is
- * too long, from a record of another version, counts as none.
+ * Sets the team of a job, by the key that it was submitted with.
  */
 void
 sched_job_set_team(sched_pool_t *pool, sched_job_t *job, const char *name)
 {
-	if (job->team != NULL || strlen(name) >= SCHED_NAME_BYTES)
+	if (job->team != NULL)
 		return;
 	job->team = sched_team_get(pool, name);
 	if (job->team != NULL)
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -677,6 +677,20 @@
 	sched_load_clear(&load);
 }
 
+/* team-loads: what the load report shows of teams */
+static void
+do_team_loads(void)
+{
+	Gw__PoolLoad load;
+
+	sched_pool_get_load(pool, &load);
+	printf("%6" PRIu64 " teams %zu\n", now_ms(), load.n_teams);
+	for (size_t i = 0; i < load.n_teams; i++)
+		printf("%6" PRIu64 " team %s submitted=%" PRIu64 "\n",
+		    now_ms(), load.teams[i]->team, load.teams[i]->submitted);
+	sched_load_clear(&load);
+}
+
 /* late: what the load report shows of jobs that can no longer be in time */
 static void
 do_late(void)
@@ -1168,6 +1182,7 @@
     {"state", 2, do_state},
     {"pending", 1, do_pending},
     {"load", 1, do_load},
+    {"team-loads", 1, do_team_loads},
     {"late", 1, do_late},
     {"waits", 1, do_waits},
     {"advance", 2, do_advance},
--- a/regress/sched/teams.sh
+++ b/regress/sched/teams.sh
@@ -50,3 +50,12 @@
 withdrawn a
 state j3 team=a
 EOF
+
+play "a name that is too long, from another process, counts as none" one <<'EOF'
+submit j1 team=aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa 1:1000:500
+submit j2 team=aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa 1:1000:500
+commit
+team-loads
+submit j3 team=b 1:1000:500
+team-loads
+EOF
