Let a shard that is asked to yield read the parts again

Where a version sets a quota that a team had not had, its runs stand in no part yet. A shard that wrote first got the whole quota, and never learned of those that others then registered, since only a shard that lacks quota reads. Now one that is asked reads again if its knowledge is older than a second.

--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -82,6 +82,7 @@
 	sched_resources_t held;
 	sched_resources_t others; /* the sum of the other shards' parts */
 	bool is_held_known;	  /* the store was asked */
+	uint64_t held_read_us;	  /* when it last said */
 	/* A write that may still take effect must be settled by another. */
 	bool is_held_uncertain;
 	/* What tasks lacked in the last round that had room but no quota. */
--- a/lib/sched/quota.c
+++ b/lib/sched/quota.c
@@ -13,6 +13,8 @@
 #define SPARE_AGE_MAX_US GW_US_PER_S
 /* After another shard has asked, nothing is held to spare for this long. */
 #define YIELD_US (1500 * GW_US_PER_MS)
+/* A shard that is asked reads the parts again if it last did so before this. */
+#define OTHERS_AGE_MAX_US GW_US_PER_S
 
 struct sched_quota_policy {
 	const char *name;
@@ -380,6 +382,7 @@
 	team->held = *held;
 	team->others = *others;
 	team->is_held_known = true;
+	team->held_read_us = gw_clock_now_us(pool->clock);
 	team->is_held_uncertain = false;
 }
 
@@ -412,14 +415,18 @@
 sched_pool_yield_quota(sched_pool_t *pool, const char *name)
 {
 	sched_team_t *team = g_hash_table_lookup(pool->teams, name);
+	uint64_t now_us = gw_clock_now_us(pool->clock);
 
 	if (team == NULL)
 		return;
-	team->yield_until_us = gw_clock_now_us(pool->clock) + YIELD_US;
+	team->yield_until_us = now_us + YIELD_US;
 	/*
-	 * The store shows a part that this shard does not know of: a write
-	 * whose response was lost may take effect after the row was removed.
+	 * Without a part here, the store shows one that this shard does not
+	 * know of: a write whose response was lost may take effect after the
+	 * row was removed. The other shards may also hold more than the quota
+	 * leaves, since their runs began before it was set or lowered.
 	 */
-	if (!is_any(&team->held))
+	if (!is_any(&team->held) ||
+	    gw_elapsed_us(now_us, team->held_read_us) >= OTHERS_AGE_MAX_US)
 		team->is_held_known = false;
 }
--- a/regress/sched/quota.sh
+++ b/regress/sched/quota.sh
@@ -155,3 +155,22 @@
 yield a
 quota
 EOF
+
+play "a shard that is asked sees what others have used since a quota was set" one <<'EOF'
+teams a:1:4000
+held a 4000
+submit j1 team=a 4:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j1.0.0.1 1 ok
+started i1 j1.0.0.2 1 ok
+started i1 j1.0.0.3 1 ok
+advance 1100
+yield a
+quota
+held a 4000 3000
+report i1 end:1:j1.0.0.0:1:done run:j1.0.0.1:1 run:j1.0.0.2:1 run:j1.0.0.3:1
+submit j2 team=a 1:1000:500
+commit
+quota
+EOF
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -686,8 +686,8 @@
 	sched_pool_get_load(pool, &load);
 	printf("%6" PRIu64 " teams %zu\n", now_ms(), load.n_teams);
 	for (size_t i = 0; i < load.n_teams; i++)
-		printf("%6" PRIu64 " team %s submitted=%" PRIu64 "\n",
-		    now_ms(), load.teams[i]->team, load.teams[i]->submitted);
+		printf("%6" PRIu64 " team %s submitted=%" PRIu64 "\n", now_ms(),
+		    load.teams[i]->team, load.teams[i]->submitted);
 	sched_load_clear(&load);
 }
 
