Let the rate of a team that is not reported any more fall

An owner leaves a team out of its report until the team has submitted something to it. After a change of owner the planner kept the team's last rate for as long as reports came, and its jobs counted as beyond its share.

--- a/lib/sched/fleet_team.c
+++ b/lib/sched/fleet_team.c
@@ -47,13 +47,29 @@
 	    (RATE_WINDOW_US + age_us);
 }
 
+static bool
+has_team(const Gw__PoolLoad *load, const char *team)
+{
+	for (size_t i = 0; i < load->n_teams; i++)
+		if (strcmp(load->teams[i]->team, team) == 0)
+			return true;
+	return false;
+}
+
 /*
- * Takes the counts of an owner's report, age_us after the one before (0: there
- * was none).
+ * Takes the counts of an owner's report, age_us after the one before. An owner
+ * leaves out a team that has not submitted anything to it.
  */
 void
 fleet_set_team_loads(pool_t *pool, const Gw__PoolLoad *load, uint64_t age_us)
 {
+	Gw__TeamLoad none = GW__TEAM_LOAD__INIT;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, pool->team_counts);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&none.team, NULL))
+		if (!has_team(load, none.team))
+			update_count(pool->team_counts, &none, age_us);
 	for (size_t i = 0; i < load->n_teams; i++)
 		update_count(pool->team_counts, load->teams[i], age_us);
 }
--- a/regress/sched/fleetplay.c
+++ b/regress/sched/fleetplay.c
@@ -153,6 +153,21 @@
 	fleet_instance_up(fleet, &info);
 }
 
+/*
+ * Adds team:NAME:SUBMITTED to a load report.
+ */
+static void
+add_team(Gw__PoolLoad *load, Gw__TeamLoad *row, char *word)
+{
+	char *count = strrchr(word, ':');
+
+	*count = '\0';
+	gw__team_load__init(row);
+	row->team = word + strlen("team:");
+	row->submitted = strtoull(count + 1, NULL, 10);
+	load->teams[load->n_teams++] = row;
+}
+
 /*
  * load POOL instances= used= waiting= waiting_cpu= placed= lasting=
  * lasting_cpu= lasting_used= blocked= IDLE... host:INSTANCE...: the owner's
@@ -167,7 +182,9 @@
 {
 	Gw__PoolLoad load = GW__POOL_LOAD__INIT;
 	char *idle[WORDS_MAX], *hosts[WORDS_MAX];
+	Gw__TeamLoad rows[WORDS_MAX], *teams[WORDS_MAX];
 
+	load.teams = teams;
 	load.instances = (uint32_t)lookup_number("instances", 1);
 	load.capacity_cpu_millis = load.instances * UINT64_C(16000);
 	load.capacity_memory_mib = load.instances * UINT64_C(65536);
@@ -184,6 +201,8 @@
 		if (g_str_has_prefix(words[i], "host:"))
 			hosts[load.n_lasting_instances++] =
 			    words[i] + strlen("host:");
+		else if (g_str_has_prefix(words[i], "team:"))
+			add_team(&load, &rows[load.n_teams], words[i]);
 		else if (strchr(words[i], '=') == NULL)
 			idle[load.n_idle_instances++] = words[i];
 	load.idle_instances = idle;
@@ -191,6 +210,22 @@
 	fleet_set_load(fleet, words[1], &load);
 }
 
+/* rates: what teams submit to all pools, in jobs a second */
+static void
+do_rates(void)
+{
+	g_autoptr(GArray) rates = fleet_team_rates(fleet);
+
+	printf("rates of %u teams\n", rates->len);
+	for (guint i = 0; i < rates->len; i++) {
+		const fleet_team_rate_t *rate =
+		    &g_array_index(rates, fleet_team_rate_t, i);
+
+		printf("rate %s %" PRIu64 "\n", rate->team,
+		    rate->jobs_per_1000s / 1000);
+	}
+}
+
 /* wave NUMBER DURATION_MS AT_ONCE MACHINE... */
 static void
 do_wave(void)
@@ -266,6 +301,7 @@
     {"list", 1, do_list},
     {"up", 4, do_up},
     {"load", 2, do_load},
+    {"rates", 1, do_rates},
     {"wave", 5, do_wave},
     {"mark-done", 3, do_mark_done},
     {"before", 4, do_previous_order},
