Read the parts again before starting within a lowered quota

A shard that had read the others' parts before these grew went on starting within its own part of a lowered quota, beside runs of the others that go on. After a lower quota the sum of the other parts counts as unknown, so that nothing starts until it has been read.

regress/sched/quota.sh: a third task was started at once before.

--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -80,9 +80,10 @@
 	uint64_t refused;   /* submissions, repeated ones too */
 	/* Its part of the quota, in the store; see quota.c. */
 	sched_resources_t held;
-	sched_resources_t others; /* the sum of the other shards' parts */
-	bool is_held_known;	  /* the store was asked */
-	uint64_t held_read_us;	  /* when it last said */
+	sched_resources_t
+	    others;	       /* the sum of the other shards' parts, or more */
+	bool is_held_known;    /* the store was asked */
+	uint64_t held_read_us; /* when it last said */
 	/* A write that may still take effect must be settled by another. */
 	bool is_held_uncertain;
 	/* What tasks lacked in the last round that had room but no quota. */
@@ -495,6 +496,7 @@
 
 /* quota.c */
 uint64_t sched_quota_available(uint64_t limit, uint64_t others);
+void sched_quota_set_limit(sched_team_t *, const sched_resources_t *);
 bool sched_quota_has_part(const sched_team_t *);
 bool sched_quota_allows(const sched_task_t *);
 void sched_quota_note_lacking(const sched_task_t *, uint32_t tasks);
--- a/lib/sched/quota.c
+++ b/lib/sched/quota.c
@@ -77,6 +77,31 @@
 	return team->is_configured && is_any(&team->config.quota);
 }
 
+static bool
+is_lower(uint64_t limit, uint64_t before)
+{
+	return limit != 0 && (before == 0 || limit < before);
+}
+
+/*
+ * Handles that the team's quota is about to change. When it is lowered, what
+ * the other shards hold counts as unknown until the store shows it: a part that
+ * has grown since it was read stands for runs that go on.
+ */
+void
+sched_quota_set_limit(sched_team_t *team, const sched_resources_t *quota)
+{
+	const sched_resources_t *before = &team->config.quota;
+	bool is_any_lower = is_lower(quota->cpu_millis, before->cpu_millis) ||
+	    is_lower(quota->memory_mib, before->memory_mib) ||
+	    is_lower(quota->accelerators, before->accelerators);
+
+	if (!is_any_lower)
+		return;
+	team->others = (sched_resources_t){UINT64_MAX, UINT64_MAX, UINT64_MAX};
+	team->is_held_known = false;
+}
+
 /*
  * Returns whether the store may show a part, which must be given back before
  * the team is forgotten.
--- a/lib/sched/team.c
+++ b/lib/sched/team.c
@@ -128,6 +128,7 @@
 		team->is_configured = false;
 	for (uint32_t i = 0; i < count; i++) {
 		team = sched_team_get(pool, configs[i].name);
+		sched_quota_set_limit(team, &configs[i].quota);
 		team->config = configs[i];
 		team->is_configured = true;
 	}
--- a/regress/sched/quota.sh
+++ b/regress/sched/quota.sh
@@ -174,3 +174,22 @@
 commit
 quota
 EOF
+
+play "after a quota is lowered nothing starts until the other parts are read" one <<'EOF'
+teams a:1:4000
+held a 2000 0
+submit j1 team=a 4:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j1.0.0.1 1 ok
+teams a:1:2000
+report i1 end:1:j1.0.0.0:1:done run:j1.0.0.1:1
+commit
+quota
+held a 2000 1000
+commit
+held a 2000 0
+commit
+teams a:1:3000
+quota
+EOF
