--- a/gwentryd/quota.c
+++ b/gwentryd/quota.c
@@ -173,6 +173,7 @@
 {
 	row_t *row = get_row(quota, team);
 	sched_resources_t part = sched_quota_part(record, quota->shard);
+	sched_resources_t others = sched_quota_others(record, quota->shard);
 
 	if (row->record != NULL)
 		gw__quota_record__free_unpacked(row->record, NULL);
@@ -181,7 +182,7 @@
 		row->is_uncertain = false;
 	row->revision = revision;
 	if (!row->is_uncertain)
-		sched_pool_set_quota_held(quota->pool, team, &part);
+		sched_pool_set_quota_held(quota->pool, team, &part, &others);
 }
 
 /*
@@ -472,6 +473,17 @@
 	return is_lacking;
 }
 
+static bool
+must_read(const quota_t *quota, const GArray *wanted)
+{
+	bool is_unknown = quota->read_us == 0;
+
+	for (guint i = 0; i < wanted->len; i++)
+		is_unknown |=
+		    g_array_index(wanted, sched_quota_change_t, i).must_read;
+	return is_unknown;
+}
+
 static bool
 has_lacking(const GArray *wanted)
 {
@@ -517,7 +529,7 @@
 		schedule(quota, next_call_us(quota, wanted));
 		return;
 	}
-	if (quota->read_us == 0) {
+	if (must_read(quota, wanted)) {
 		g_array_set_size(quota->changes, 0);
 		g_array_append_vals(quota->changes, wanted->data, wanted->len);
 		read_rows(quota);
--- a/lib/sched/quota.h
+++ b/lib/sched/quota.h
@@ -32,6 +32,7 @@
 	sched_resources_t held;
 	sched_resources_t wanted;
 	bool is_lacking; /* tasks have room, but wait for it */
+	bool must_read;	 /* held is not known, and no write is uncertain */
 } sched_quota_change_t;
 
 /*
@@ -39,16 +40,19 @@
  * frees the array.
  */
 GArray *sched_pool_quota_changes(sched_pool_t *);
-/* Handles that the store shows this part. */
-void sched_pool_set_quota_held(
-    sched_pool_t *, const char *team, const sched_resources_t *);
+/* Handles that the store shows this part, and others as the sum of the rest. */
+void sched_pool_set_quota_held(sched_pool_t *, const char *team,
+    const sched_resources_t *part, const sched_resources_t *others);
 /*
  * Handles that a write of this part is about to be sent: what it gives back is
  * not used any more, whatever its outcome.
  */
 void sched_pool_limit_quota_held(
     sched_pool_t *, const char *team, const sched_resources_t *);
-/* Handles that it is not known any more which part the store shows. */
+/*
+ * Handles that it is not known any more which part the store shows, since a
+ * write of this shard may still take effect. It is written again.
+ */
 void sched_pool_forget_quota_held(sched_pool_t *, const char *team);
 /* Another shard lacks the team's quota: gives back what is not used. */
 void sched_pool_yield_quota(sched_pool_t *, const char *team);
@@ -60,8 +64,10 @@
  */
 sched_resources_t sched_quota_grant(
     const Gw__QuotaRecord *, const char *shard, const sched_quota_change_t *);
-/* Returns the shard's part by the record. */
+/* Returns the shard's part by the record, and the sum of the others. */
 sched_resources_t sched_quota_part(const Gw__QuotaRecord *, const char *shard);
+sched_resources_t sched_quota_others(
+    const Gw__QuotaRecord *, const char *shard);
 /*
  * Returns the record with this part of the shard, in the encoding of the store;
  * NULL if no shard has a part any more.
--- a/lib/sched/team.c
+++ b/lib/sched/team.c
@@ -10,14 +10,15 @@
 
 /*
  * Returns the team with this name; adds it, as not configured, if it is
- * unknown. Returns NULL for an empty name.
+ * unknown. Returns NULL for an empty name, and for one that is too long, which
+ * only a malformed record or call has.
  */
 sched_team_t *
 sched_team_get(sched_pool_t *pool, const char *name)
 {
 	sched_team_t *team;
 
-	if (name[0] == '\0')
+	if (name[0] == '\0' || strlen(name) >= SCHED_NAME_BYTES)
 		return NULL;
 	team = g_hash_table_lookup(pool->teams, name);
 	if (team != NULL)
@@ -29,13 +30,12 @@
 }
 
 /*
- * Sets the team of a job, by the key that it was submitted with. A name that is
- * too long, from a record of another version, counts as none.
+ * Sets the team of a job, by the key that it was submitted with.
  */
 void
 sched_job_set_team(sched_pool_t *pool, sched_job_t *job, const char *name)
 {
-	if (job->team != NULL || strlen(name) >= SCHED_NAME_BYTES)
+	if (job->team != NULL)
 		return;
 	job->team = sched_team_get(pool, name);
 	if (job->team != NULL)
@@ -108,12 +108,13 @@
 
 	(void)name;
 	(void)arg;
-	return !team->is_configured && team->jobs == 0;
+	return !team->is_configured && team->jobs == 0 &&
+	    !sched_quota_has_part(team);
 }
 
 /*
  * Sets the teams of the configuration in force, and forgets those that are
- * neither in it nor have jobs.
+ * neither in it nor have jobs or a part of a quota.
  */
 void
 sched_pool_set_teams(
@@ -127,6 +128,7 @@
 		team->is_configured = false;
 	for (uint32_t i = 0; i < count; i++) {
 		team = sched_team_get(pool, configs[i].name);
+		sched_quota_set_limit(team, &configs[i].quota);
 		team->config = configs[i];
 		team->is_configured = true;
 	}
--- a/regress/sched/quota.sh
+++ b/regress/sched/quota.sh
@@ -91,3 +91,105 @@
 report i1 clock=6000
 commit
 EOF
+
+play "what ends above a lowered quota is not replaced, and its part given back" one <<'EOF'
+teams a:1:4000
+held a 2000 2000
+submit j1 team=a 4:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j1.0.0.1 1 ok
+teams a:1:1000
+report i1 end:1:j1.0.0.0:1:done run:j1.0.0.1:1
+commit
+quota
+held a 1000 0
+commit
+report i1 end:1:j1.0.0.0:1:done end:2:j1.0.0.1:1:done
+commit
+EOF
+
+play "what is free is given back although the store is read again and again" one <<'EOF'
+teams a:1:4000
+parts 4
+held a 4000
+quota
+advance 600
+held a 4000
+quota
+advance 600
+held a 4000
+quota
+EOF
+
+play "a team that a version removes keeps its part until that is given back" one <<'EOF'
+teams a:1:4000
+parts 4
+held a 4000
+teams b:1
+quota
+advance 1100
+quota
+held a 0
+teams b:1
+quota
+EOF
+
+play "also if the write that gives it back may have been lost" one <<'EOF'
+teams a:1:4000
+parts 4
+held a 4000
+teams b:1
+uncertain a
+teams b:1
+quota
+held a 0
+quota
+EOF
+
+play "a shard that is asked for a part that it does not know of reads the store" one <<'EOF'
+teams a:1:3
+parts 4
+held a 0
+quota
+yield a
+quota
+EOF
+
+play "a shard that is asked sees what others have used since a quota was set" one <<'EOF'
+teams a:1:4000
+held a 4000
+submit j1 team=a 4:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j1.0.0.1 1 ok
+started i1 j1.0.0.2 1 ok
+started i1 j1.0.0.3 1 ok
+advance 1100
+yield a
+quota
+held a 4000 3000
+report i1 end:1:j1.0.0.0:1:done run:j1.0.0.1:1 run:j1.0.0.2:1 run:j1.0.0.3:1
+submit j2 team=a 1:1000:500
+commit
+quota
+EOF
+
+play "after a quota is lowered nothing starts until the other parts are read" one <<'EOF'
+teams a:1:4000
+held a 2000 0
+submit j1 team=a 4:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j1.0.0.1 1 ok
+teams a:1:2000
+report i1 end:1:j1.0.0.0:1:done run:j1.0.0.1:1
+commit
+quota
+held a 2000 1000
+commit
+held a 2000 0
+commit
+teams a:1:3000
+quota
+EOF
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -677,6 +677,20 @@
 	sched_load_clear(&load);
 }
 
+/* team-loads: what the load report shows of teams */
+static void
+do_team_loads(void)
+{
+	Gw__PoolLoad load;
+
+	sched_pool_get_load(pool, &load);
+	printf("%6" PRIu64 " teams %zu\n", now_ms(), load.n_teams);
+	for (size_t i = 0; i < load.n_teams; i++)
+		printf("%6" PRIu64 " team %s submitted=%" PRIu64 "\n", now_ms(),
+		    load.teams[i]->team, load.teams[i]->submitted);
+	sched_load_clear(&load);
+}
+
 /* late: what the load report shows of jobs that can no longer be in time */
 static void
 do_late(void)
@@ -901,23 +915,39 @@
 		    &g_array_index(changes, sched_quota_change_t, i);
 
 		printf("%6" PRIu64 " quota %s used=%" PRIu64 " held=%" PRIu64
-		       " wanted=%" PRIu64 "%s\n",
+		       " wanted=%" PRIu64 "%s%s\n",
 		    now_ms(), change->team, change->used.cpu_millis,
 		    change->held.cpu_millis, change->wanted.cpu_millis,
-		    change->is_lacking ? " lacking" : "");
+		    change->is_lacking ? " lacking" : "",
+		    change->must_read ? " unread" : "");
 	}
 	if (changes->len == 0)
 		printf("%6" PRIu64 " quota as wanted\n", now_ms());
 }
 
-/* held TEAM CPU_MILLIS: the store shows this part; yield TEAM */
+/*
+ * held TEAM CPU_MILLIS [OTHERS]: the store shows this part, and so much as the
+ * sum of the other shards'; yield TEAM
+ */
 static void
 do_held(void)
 {
 	const sched_resources_t part = {
 	    .cpu_millis = strtoull(words[2], NULL, 10)};
+	const sched_resources_t others = {
+	    .cpu_millis = word_count > 3 ? strtoull(words[3], NULL, 10) : 0};
+
+	sched_pool_set_quota_held(pool, words[1], &part, &others);
+}
+
+/* uncertain TEAM: a write of the part may have taken effect, or may yet */
+static void
+do_uncertain(void)
+{
+	const sched_resources_t none = {0};
 
-	sched_pool_set_quota_held(pool, words[1], &part);
+	sched_pool_limit_quota_held(pool, words[1], &none);
+	sched_pool_forget_quota_held(pool, words[1]);
 }
 
 static void
@@ -1143,6 +1173,7 @@
     {"quota", 1, do_quota},
     {"held", 3, do_held},
     {"yield", 2, do_yield},
+    {"uncertain", 2, do_uncertain},
     {"parts", 2, do_parts},
     {"admission", 2, do_admission},
     {"coming", 2, do_coming},
@@ -1151,6 +1182,7 @@
     {"state", 2, do_state},
     {"pending", 1, do_pending},
     {"load", 1, do_load},
+    {"team-loads", 1, do_team_loads},
     {"late", 1, do_late},
     {"waits", 1, do_waits},
     {"advance", 2, do_advance},
