Bound the calls that tell an owner of a transferred job, and log the figures of a share

The call that tells the owner of another shard of a transferred job was repeated every 200 ms for as long as that owner was away, without a log line. The pause now doubles up to 3 s, and TRANSFER_TOLD (7045) says once for each change what came back. BEYOND_SHARE (7046) gives the rate and the weight by which a job is beyond its team's share, which SCHED_REFUSED does not have.

--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -47,6 +47,26 @@
 	return gw__job_spec__unpack(NULL, size_bytes, data);
 }
 
+/*
+ * Logs the figures by which a job is beyond its team's share.
+ */
+static void
+log_beyond_share(
+    const sched_pool_t *pool, const Gw__JobSpec *spec, bool is_accepted)
+{
+	const sched_team_t *team = g_hash_table_lookup(pool->teams, spec->team);
+
+	if (team == NULL)
+		return;
+	gw_log(GW_EV_BEYOND_SHARE,
+	    "job=%s pool=%s team=%s accepted=%d rate_permille=%" PRIu64
+	    " rate_age_ms=%" PRIu64 " weight_permille=%u",
+	    spec->id, pool->name, spec->team, is_accepted, team->jobs_per_1000s,
+	    gw_elapsed_us(gw_clock_now_us(pool->clock), team->rate_us) /
+		GW_US_PER_MS,
+	    team->config.weight_permille);
+}
+
 /* The reply to a submission whose id another team's job has. */
 static const sched_response_t id_in_use = {
     .outcome = GW__CALL_OUTCOME__CALL_REFUSED,
@@ -67,6 +87,7 @@
 	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED, .reason = "overload"};
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, spec->id);
 	bool is_beyond_share;
+	bool is_accepted;
 	uint64_t since_us;
 
 	if (job != NULL && !sched_team_may_see(job, spec->team)) {
@@ -83,8 +104,11 @@
 	}
 	is_beyond_share = sched_share_is_beyond(
 	    pool, spec->team, spec->id, gw_clock_now_us(pool->clock));
-	if (!sched_admit(pool, spec, is_beyond_share, &since_us,
-		&refused.retry_after_ms)) {
+	is_accepted = sched_admit(
+	    pool, spec, is_beyond_share, &since_us, &refused.retry_after_ms);
+	if (is_beyond_share)
+		log_beyond_share(pool, spec, is_accepted);
+	if (!is_accepted) {
 		cb(&refused, arg);
 		return;
 	}
--- a/lib/sched/transfer.c
+++ b/lib/sched/transfer.c
@@ -23,8 +23,13 @@
 #define MISFIT_MIN_US GW_US_PER_S
 /* How often it is checked whether a job fits. */
 #define CHECK_INTERVAL_US (200 * GW_US_PER_MS)
-/* Pause after a call to the other owner that did not succeed. */
+/*
+ * Pause after a call to the other owner that did not succeed; it doubles. The
+ * longest one bounds how much longer callers wait for the job's new place than
+ * its owner is away.
+ */
 #define RETRY_US (200 * GW_US_PER_MS)
+#define RETRY_MAX_US (3 * GW_US_PER_S)
 /* The home shard asks so often whether the other one still has the job. */
 #define RECHECK_US (30 * GW_US_PER_S)
 
@@ -33,9 +38,12 @@
 	char id[SCHED_JOB_ID_BYTES];
 	char queue_key[SCHED_QUEUE_KEY_BYTES];
 	char shard[SCHED_NAME_BYTES];
-	bool is_adopted; /* its owner has said so */
-	bool in_flight;	 /* a call to its owner */
-	uint64_t due_us; /* of the next call */
+	bool is_adopted;	 /* its owner has said so */
+	bool in_flight;		 /* a call to its owner */
+	uint64_t due_us;	 /* of the next call */
+	uint64_t retry_us;	 /* pause after the next failure */
+	uint32_t failures;	 /* of calls in a row */
+	Gw__CallOutcome outcome; /* of the last one of them */
 } note_t;
 
 static note_t *
@@ -47,6 +55,7 @@
 	g_strlcpy(note->id, id, sizeof(note->id));
 	g_strlcpy(note->shard, shard, sizeof(note->shard));
 	g_strlcpy(note->queue_key, queue_key, sizeof(note->queue_key));
+	note->retry_us = RETRY_US;
 	g_hash_table_replace(pool->transfers, note->id, note);
 	return note;
 }
@@ -226,6 +235,59 @@
 	return 0;
 }
 
+static const char *
+outcome_name(Gw__CallOutcome outcome)
+{
+	static const char *const names[] = {[GW__CALL_OUTCOME__CALL_OK] = "ok",
+	    [GW__CALL_OUTCOME__CALL_ABSENT] = "absent",
+	    [GW__CALL_OUTCOME__CALL_REFUSED] = "refused",
+	    [GW__CALL_OUTCOME__CALL_UNKNOWN] = "unknown"};
+
+	return (size_t)outcome < G_N_ELEMENTS(names) ? names[outcome] : "other";
+}
+
+static void
+log_told(const sched_pool_t *pool, const note_t *note, Gw__CallOutcome outcome)
+{
+	gw_log(GW_EV_TRANSFER_TOLD,
+	    "job=%s pool=%s to=%s outcome=%s failures=%u retry_ms=%" PRIu64,
+	    note->id, pool->name, note->shard, outcome_name(outcome),
+	    note->failures,
+	    outcome == GW__CALL_OUTCOME__CALL_OK
+		? 0
+		: note->retry_us / GW_US_PER_MS);
+}
+
+/*
+ * Notes that the other owner has the job.
+ */
+static void
+call_succeeded(const sched_pool_t *pool, note_t *note)
+{
+	if (note->failures > 0)
+		log_told(pool, note, GW__CALL_OUTCOME__CALL_OK);
+	note->failures = 0;
+	note->retry_us = RETRY_US;
+}
+
+/*
+ * Schedules the next call after one that did not succeed. Failures in a row
+ * with the same outcome are logged once.
+ */
+static void
+call_failed(const sched_pool_t *pool, note_t *note, Gw__CallOutcome outcome,
+    uint64_t now_us)
+{
+	bool is_change = note->failures == 0 || note->outcome != outcome;
+
+	note->failures++;
+	note->outcome = outcome;
+	if (is_change)
+		log_told(pool, note, outcome);
+	note->due_us = now_us + note->retry_us;
+	note->retry_us = MIN(2 * note->retry_us, RETRY_MAX_US);
+}
+
 /*
  * Handles the response of another shard's owner to sched_ops_t.tell_adopt().
  */
@@ -240,7 +302,10 @@
 	if (note == NULL)
 		return;
 	note->in_flight = false;
-	note->due_us = now_us + RETRY_US;
+	if (outcome == GW__CALL_OUTCOME__CALL_OK)
+		call_succeeded(pool, note);
+	else
+		call_failed(pool, note, outcome, now_us);
 	if (outcome == GW__CALL_OUTCOME__CALL_OK && is_home) {
 		note->is_adopted = true;
 		note->due_us = now_us + RECHECK_US;
--- a/regress/sched/transfer.sh
+++ b/regress/sched/transfer.sh
@@ -169,3 +169,40 @@
 advance 5100
 commit
 EOT
+
+# Guards against a call that is repeated five times a second for as long as the
+# other owner is away, and against a failure without a log line.
+away_for_long()
+{
+	home
+	cat <<'EOT'
+submit j1 1:10000:300
+commit
+advance 1100
+commit
+tick
+adopted j1 refused
+advance 200
+adopted j1 refused
+advance 400
+adopted j1 refused
+advance 800
+adopted j1 refused
+advance 1600
+adopted j1 absent
+advance 2900
+advance 100
+adopted j1 refused
+advance 2900
+advance 100
+adopted j1 ok
+advance 30000
+adopted j1 refused
+advance 200
+adopted j1 ok
+EOT
+}
+play "the other owner is away for 10 s" away_for_long </dev/null
+echo "the log of that"
+away_for_long | "$GW_TOP/build/${VARIANT:-release}/regress/sched/schedplay" 2>&1 |
+    sed -n 's/^gw\[[0-9]*\]: [a-z]* \(7045 \)/\1/p'
