Show operators what teams run, hold and wait for, and why a job waits

An operator could not see what a team runs over all shards, nor ask why one job waits: the log has it for jobs that have waited for 2 or 10 s, in the process that owns the shard.

lib/sched/describe.c fills structures from an owner's state by the functions that decide and log (wait.c; names are in wait_name.c now). gwentryd serves them as JSON at the port of the metrics (GET /teams, GET /jobs/ID) and as metrics by team, with counts of requests refused for their key. 'gwctl entry teams' and 'gwctl entry job' ask one process and go on to the owners that it names.

regress/sched/describe.sh plays the shard; regress/entry/operator.sh runs three processes, also with a frozen owner, and searches all that is printed for keys and digests.

--- a/gwctl/admin.c
+++ b/gwctl/admin.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sysexits.h>
 
+#include "admin.h"
 #include "command.h"
 #include "http/httpc.h"
 #include "report.h"
@@ -148,7 +149,7 @@
  * scalars are printed one a line and each array of objects is a table with a
  * title. An empty object acknowledges a request that changes something.
  */
-static void
+void
 print_response(const json_t *response)
 {
 	static const char *const heading[] = {"NAME", "VALUE"};
--- a/gwctl/command.c
+++ b/gwctl/command.c
@@ -20,6 +20,10 @@
     {"jobs", NULL, "", 0, 0, false, command_jobs},
     {"explain", NULL, "instance=ID|pool=NAME|job=ID", 1, 1, false,
 	command_explain},
+    {"entry", "teams", "--address IP:PORT[,IP:PORT...]", 0, 0, false,
+	command_entry_teams},
+    {"entry", "job", "ID --address IP:PORT[,IP:PORT...]", 1, 1, false,
+	command_entry_job},
 };
 
 /*
--- a/gwctl/command.h
+++ b/gwctl/command.h
@@ -35,5 +35,7 @@
 int command_jobs_cancel(ctl_t *, int argc, char **argv);
 int command_jobs_submit(ctl_t *, int argc, char **argv);
 int command_explain(ctl_t *, int argc, char **argv);
+int command_entry_teams(ctl_t *, int argc, char **argv);
+int command_entry_job(ctl_t *, int argc, char **argv);
 
 #endif
--- a/gwctl/ctl.h
+++ b/gwctl/ctl.h
@@ -13,6 +13,8 @@
 
 /* Names for the exit statuses that gwctl.1 gives a special meaning. */
 #define EXIT_DIFFERS 1
+#define EXIT_NOT_ANSWERED 1
+#define EXIT_ENTRY_USAGE 2
 #define EXIT_NOT_IN_FORCE EX_NOHOST
 #define EXIT_OUTCOME_UNKNOWN EX_IOERR
 #define EXIT_CONFLICT EX_TEMPFAIL
@@ -21,7 +23,8 @@
 typedef struct {
 	gw_addr_t store_addr;
 	gw_addr_t admin_addr;
-	uint32_t timeout_ms; /* of one call */
+	const char *entry_addresses; /* separated by commas; NULL: none */
+	uint32_t timeout_ms;	     /* of one call */
 	bool json;
 	bool expect_set;
 	uint64_t expect_generation; /* valid if expect_set; 0: no manifest */
--- a/gwctl/main.c
+++ b/gwctl/main.c
@@ -8,11 +8,11 @@
 #include "options.h"
 
 static void
-usage(void)
+usage(const char *group)
 {
 	(void)fprintf(stderr, "usage: gwctl [OPTION...] COMMAND\n");
 	command_print_usage();
-	exit(EX_USAGE);
+	exit(g_strcmp0(group, "entry") == 0 ? EXIT_ENTRY_USAGE : EX_USAGE);
 }
 
 static int
@@ -44,7 +44,7 @@
 	command = command_lookup(count, args, &words);
 	if (command == NULL || count - words < command->args_min ||
 	    count - words > command->args_max)
-		usage();
+		usage(args[0]);
 	if (options_apply_given(&ctl) && !command->applies)
 		errx(EX_USAGE,
 		    "--expect-generation and --wait go with 'manifest apply'");
--- a/gwctl/options.c
+++ b/gwctl/options.c
@@ -10,6 +10,7 @@
 enum {
 	KEY_STORE = 256,
 	KEY_ADMIN,
+	KEY_ADDRESS,
 	KEY_JSON,
 	KEY_TIMEOUT,
 	KEY_EXPECT,
@@ -37,6 +38,8 @@
     {"store", KEY_STORE, "IP:PORT", 0, "the platform's store (GW_STORE)", 0},
     {"admin", KEY_ADMIN, "IP:PORT", 0, "admin port of a gwfleetd (GW_ADMIN)",
 	0},
+    {"address", KEY_ADDRESS, "IP:PORT[,...]", 0,
+	"metrics ports of gwentryd processes, for 'entry'", 0},
     {"json", KEY_JSON, NULL, 0, "print JSON instead of tables", 0},
     {"timeout-ms", KEY_TIMEOUT, "MS", 0, "for one call (GW_TIMEOUT_MS)", 0},
     {"expect-generation", KEY_EXPECT, "N", 0,
@@ -103,6 +106,9 @@
 	case KEY_ADMIN:
 		set_addr(&ctl->admin_addr, "--admin", arg, state);
 		return true;
+	case KEY_ADDRESS:
+		ctl->entry_addresses = arg;
+		return true;
 	case KEY_JSON:
 		ctl->json = true;
 		return true;
@@ -173,7 +179,8 @@
 	    "COMMAND [ARGUMENT...]",
 	    "Manages godwitline's manifest and shows its state.\v"
 	    "Commands: manifest check|apply|show|diff|history, status, pools, "
-	    "instances, waves [start|halt], jobs [submit], explain. "
+	    "instances, waves [start|halt], jobs [submit], explain, "
+	    "entry teams|job. "
 	    "See gwctl(1).",
 	    NULL, NULL, NULL};
 	parse_state_t parse = {ctl, args, 0};
--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -8,6 +8,7 @@
 #include "gw/log.h"
 #include "homes.h"
 #include "http/drain.h"
+#include "inspect.h"
 #include "layout.h"
 #include "owners.h"
 #include "planner.h"
@@ -56,6 +57,7 @@
 	homes_t *homes;
 	layout_t *layout;
 	transfer_t transfer;
+	inspect_t inspect;
 	stats_t *stats;
 	gw_timer_t drain_timer;
 	gw_drain_plan_t drain_plan;
@@ -458,8 +460,15 @@
 	    .owners = entry->owners,
 	    .view = entry->view};
 	entry->layout = layout_new(rt, entry->store, &layout_ops, entry);
-	if (probe_new(rt, settings, entry->stats, read_probe_state, entry,
-		err) == NULL)
+	entry->inspect = (inspect_t){.owners = entry->owners,
+	    .roles = entry->roles,
+	    .layout = entry->layout,
+	    .view = entry->view,
+	    .stats = entry->stats,
+	    .peer = peer};
+	if (probe_metrics_addr(settings, &entry->inspect.own, err) != 0 ||
+	    probe_new(rt, settings, entry->stats, &entry->inspect,
+		read_probe_state, entry, err) == NULL)
 		goto fail;
 	return entry;
 fail:
--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -570,6 +570,19 @@
 	return g_hash_table_size(owners->by_shard);
 }
 
+GPtrArray *
+owners_shards(const owners_t *owners)
+{
+	GPtrArray *names = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, owners->by_shard);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		g_ptr_array_add(names, name);
+	return names;
+}
+
 sched_waits_t
 owners_waits(const owners_t *owners)
 {
--- a/gwentryd/owners.h
+++ b/gwentryd/owners.h
@@ -38,6 +38,11 @@
 void owners_refuse_changes(owners_t *);
 bool owners_are_flushed(const owners_t *);
 uint32_t owners_count(const owners_t *);
+/*
+ * Returns the names of the shards that this process owns (const char *), valid
+ * until the next change; the caller frees the array.
+ */
+GPtrArray *owners_shards(const owners_t *);
 /*
  * Returns why the configuration in force does not allow a submission to the
  * shard's pool; NULL: it does.
--- a/gwentryd/probe.c
+++ b/gwentryd/probe.c
@@ -13,6 +13,7 @@
 	gw_httpd_t *ready;
 	gw_httpd_t *metrics; /* NULL: no port of its own, served at ready */
 	stats_t *stats;
+	const inspect_t *inspect;
 	probe_read_t read_state;
 	void *arg;
 	bool last_ready;
@@ -32,6 +33,7 @@
 		.config_age_ms = state.config_age_ms,
 		.lease_valid = state.lease_valid});
 	text = stats_text(probe->stats);
+	inspect_append_metrics(probe->inspect, text);
 	gw_http_reply(
 	    req, 200, "text/plain; version=0.0.4", text->str, text->len);
 	g_string_free(text, TRUE);
@@ -57,7 +59,7 @@
 }
 
 static int
-on_request(h2o_req_t *req, void *arg)
+on_ready_request(h2o_req_t *req, void *arg)
 {
 	if (h2o_memis(req->path_normalized.base, req->path_normalized.len,
 		H2O_STRLIT("/metrics")))
@@ -67,8 +69,21 @@
 	return 0;
 }
 
+/*
+ * Handles a request at the address of the metrics, which callers do not reach.
+ */
+static int
+on_metrics_request(h2o_req_t *req, void *arg)
+{
+	const probe_t *probe = arg;
+
+	return inspect_reply(probe->inspect, req) ? 0
+						  : on_ready_request(req, arg);
+}
+
 static gw_httpd_t *
-listen_on(probe_t *probe, gw_rt_t *rt, const gw_addr_t *addr, gw_err_t *err)
+listen_on(probe_t *probe, gw_rt_t *rt, const gw_addr_t *addr,
+    gw_http_handler_t on_request, gw_err_t *err)
 {
 	const gw_httpd_limits_t limits = {
 	    BODY_MAX_BYTES, IDLE_TIMEOUT_MS, CONNECTIONS_MAX};
@@ -80,26 +95,48 @@
 	return NULL;
 }
 
+static bool
+has_metrics_port(const plat_settings_t *settings)
+{
+	return settings->port_last != settings->port_first;
+}
+
+/*
+ * The metrics are served at the last internal port, where the deploy file
+ * expects them; if there is only one, at the address of the readiness check.
+ */
+int
+probe_metrics_addr(
+    const plat_settings_t *settings, gw_addr_t *addr, gw_err_t *err)
+{
+	if (has_metrics_port(settings))
+		return gw_addr_make(
+		    addr, settings->ip, settings->port_last, err);
+	*addr = settings->ready;
+	return 0;
+}
+
 /*
- * Listens at the address of the readiness check and, unless there is only one
- * internal port, at the last internal port, where the deploy file expects the
- * metrics.
+ * Listens at the address of the readiness check and at that of the metrics.
  */
 probe_t *
 probe_new(gw_rt_t *rt, const plat_settings_t *settings, stats_t *stats,
-    probe_read_t read_state, void *arg, gw_err_t *err)
+    const inspect_t *inspect, probe_read_t read_state, void *arg, gw_err_t *err)
 {
-	bool has_port = settings->port_last != settings->port_first;
+	bool has_port = has_metrics_port(settings);
 	probe_t *probe = g_new0(probe_t, 1);
 	gw_addr_t addr;
 
 	probe->stats = stats;
+	probe->inspect = inspect;
 	probe->read_state = read_state;
 	probe->arg = arg;
-	probe->ready = listen_on(probe, rt, &settings->ready, err);
+	probe->ready = listen_on(probe, rt, &settings->ready,
+	    has_port ? on_ready_request : on_metrics_request, err);
 	if (probe->ready != NULL && has_port &&
-	    gw_addr_make(&addr, settings->ip, settings->port_last, err) == 0)
-		probe->metrics = listen_on(probe, rt, &addr, err);
+	    probe_metrics_addr(settings, &addr, err) == 0)
+		probe->metrics =
+		    listen_on(probe, rt, &addr, on_metrics_request, err);
 	if (probe->ready != NULL && (!has_port || probe->metrics != NULL))
 		return probe;
 	/* main() exits, which closes the sockets opened so far. */
--- a/gwentryd/probe.h
+++ b/gwentryd/probe.h
@@ -3,13 +3,15 @@
 
 #include <stdbool.h>
 
+#include "inspect.h"
 #include "platform/settings.h"
 #include "sched/wait.h"
 #include "stats.h"
 
 /*
  * HTTP servers for the load balancer's readiness check and for metrics. Both
- * paths are served at both addresses.
+ * paths are served at both addresses, operators' requests at that of the
+ * metrics only.
  */
 typedef struct probe probe_t;
 
@@ -29,7 +31,9 @@
 typedef probe_state_t (*probe_read_t)(void *arg);
 
 /* Returns NULL and sets err when it cannot listen at an address. */
-probe_t *probe_new(gw_rt_t *, const plat_settings_t *, stats_t *, probe_read_t,
-    void *arg, gw_err_t *);
+probe_t *probe_new(gw_rt_t *, const plat_settings_t *, stats_t *,
+    const inspect_t *, probe_read_t, void *arg, gw_err_t *);
+/* Sets the address at which the metrics are served. */
+int probe_metrics_addr(const plat_settings_t *, gw_addr_t *, gw_err_t *);
 
 #endif
--- a/gwentryd/request.c
+++ b/gwentryd/request.c
@@ -202,6 +202,9 @@
 	if (req == NULL)
 		return;
 	stats_record_request(requests->stats, request->kind, status, took_us);
+	if (status == STATUS_UNAUTHORIZED)
+		stats_record_key_refused(requests->stats,
+		    request->has_key ? SCHED_KEY_UNKNOWN : SCHED_KEY_MISSING);
 	log_response(request, status, reason, took_us, retry_after_ms);
 	request_close(request);
 	if (status == STATUS_UNAVAILABLE)
--- a/gwentryd/stats.c
+++ b/gwentryd/stats.c
@@ -1,7 +1,9 @@
 #include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "gw/log.h"
+#include "sched/describe.h"
 #include "stats.h"
 
 #define REQUEST_KINDS 4
@@ -21,6 +23,8 @@
 	gw_metrics_t *registry;
 	gw_metric_t *requests[REQUEST_KINDS][STATUS_CLASSES];
 	gw_histogram_t *response_us[REQUEST_KINDS];
+	gw_metric_t *keys_missing; /* gw_entry_keys_refused_total */
+	gw_metric_t *keys_unknown;
 	gw_metric_t *shards_owned; /* gw_entry_pools */
 	gw_metric_t *tasks_waiting[SCHED_WAITS];
 	gw_metric_t *lasting_wait_ms;
@@ -63,6 +67,18 @@
 	    "longest time that a long-running task has not run");
 }
 
+static void
+add_keys(stats_t *stats)
+{
+	static const char name[] = "gw_entry_keys_refused_total";
+	static const char help[] = "callers' requests refused for their key";
+
+	stats->keys_missing = gw_metrics_add(stats->registry, GW_METRIC_COUNTER,
+	    name, "reason=\"no-key\"", help);
+	stats->keys_unknown = gw_metrics_add(stats->registry, GW_METRIC_COUNTER,
+	    name, "reason=\"unknown-key\"", help);
+}
+
 stats_t *
 stats_new(void)
 {
@@ -85,6 +101,7 @@
 		    stats->registry, "gw_entry_answer_us", labels,
 		    "time from a request to the response");
 	}
+	add_keys(stats);
 	stats->shards_owned = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
 	    "gw_entry_pools", "", "shards that this process owns");
 	add_waits(stats);
@@ -128,6 +145,25 @@
 	gw_histogram_record(stats->response_us[kind], took_us);
 }
 
+static gw_metric_t *
+key_metric(const stats_t *stats, sched_key_verdict_t verdict)
+{
+	return verdict == SCHED_KEY_MISSING ? stats->keys_missing
+					    : stats->keys_unknown;
+}
+
+void
+stats_record_key_refused(stats_t *stats, sched_key_verdict_t verdict)
+{
+	key_metric(stats, verdict)->value++;
+}
+
+uint64_t
+stats_keys_refused(const stats_t *stats, sched_key_verdict_t verdict)
+{
+	return key_metric(stats, verdict)->value;
+}
+
 /*
  * Sets the values that are read only when the metrics are scraped.
  */
@@ -153,3 +189,100 @@
 {
 	return gw_metrics_text(stats->registry);
 }
+
+/* One metric of each team. */
+typedef struct {
+	const char *name;
+	const char
+	    *labels; /* besides the team's name, with a comma; or empty */
+	const char *type;
+	const char *help;
+	uint64_t (*value)(const sched_team_view_t *);
+} team_metric_t;
+
+#define TEAM_VALUE(member, expression)                        \
+	static uint64_t member(const sched_team_view_t *team) \
+	{                                                     \
+		return team->expression;                      \
+	}
+
+TEAM_VALUE(running_cpu, running.cpu_millis)
+TEAM_VALUE(running_memory, running.memory_mib)
+TEAM_VALUE(held_cpu, held.cpu_millis)
+TEAM_VALUE(held_memory, held.memory_mib)
+TEAM_VALUE(quota_cpu, quota.cpu_millis)
+TEAM_VALUE(quota_memory, quota.memory_mib)
+TEAM_VALUE(jobs_waiting, waiting)
+TEAM_VALUE(jobs_submitted, submitted)
+TEAM_VALUE(refused_by_share, refused_by_share)
+TEAM_VALUE(refused_by_overload, refused_by_overload)
+
+static const team_metric_t team_metrics[] = {
+    {"gw_entry_team_running_cpu_millis", "", "gauge",
+	"CPU of the team's placed tasks in the shards owned", running_cpu},
+    {"gw_entry_team_running_memory_mib", "", "gauge",
+	"memory of the team's placed tasks in the shards owned",
+	running_memory},
+    {"gw_entry_team_held_cpu_millis", "", "gauge",
+	"CPU of the team's quota that the shards owned hold", held_cpu},
+    {"gw_entry_team_held_memory_mib", "", "gauge",
+	"memory of the team's quota that the shards owned hold", held_memory},
+    {"gw_entry_team_quota_cpu_millis", "", "gauge",
+	"the team's quota over all shards; 0: no limit", quota_cpu},
+    {"gw_entry_team_quota_memory_mib", "", "gauge",
+	"the team's quota over all shards; 0: no limit", quota_memory},
+    {"gw_entry_team_jobs_waiting", "", "gauge",
+	"open jobs of the team of which nothing is placed", jobs_waiting},
+    {"gw_entry_team_submitted_total", "", "counter",
+	"jobs that the team has submitted to the shards owned", jobs_submitted},
+    {"gw_entry_team_refused_total", ",reason=\"share\"", "counter",
+	"refused submissions of the team", refused_by_share},
+    {"gw_entry_team_refused_total", ",reason=\"overload\"", "counter",
+	"refused submissions of the team", refused_by_overload},
+};
+
+/*
+ * Appends the value of a label.
+ */
+static void
+append_label(GString *text, const char *value)
+{
+	for (const char *at = value; *at != '\0'; at++) {
+		if (*at == '\n') {
+			g_string_append(text, "\\n");
+			continue;
+		}
+		if (*at == '"' || *at == '\\')
+			g_string_append_c(text, '\\');
+		g_string_append_c(text, *at);
+	}
+}
+
+static void
+append_team(
+    GString *text, const team_metric_t *metric, const sched_team_view_t *team)
+{
+	g_string_append_printf(text, "%s{team=\"", metric->name);
+	append_label(text, team->name);
+	g_string_append_printf(
+	    text, "\"%s} %" PRIu64 "\n", metric->labels, metric->value(team));
+}
+
+void
+stats_append_teams(GString *text, const GPtrArray *teams)
+{
+	const char *last = "";
+
+	for (size_t i = 0; teams->len > 0 && i < G_N_ELEMENTS(team_metrics);
+	     i++) {
+		const team_metric_t *metric = &team_metrics[i];
+
+		if (strcmp(metric->name, last) != 0)
+			g_string_append_printf(text,
+			    "# HELP %s %s\n# TYPE %s %s\n", metric->name,
+			    metric->help, metric->name, metric->type);
+		last = metric->name;
+		for (guint k = 0; k < teams->len; k++)
+			append_team(text, metric, teams->pdata[k]);
+	}
+}
--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -271,8 +271,10 @@
 	if (pool->admission->admit(
 		pool, spec, is_beyond_share, age_ms, now_us, retry_after_ms))
 		return true;
-	if (team != NULL)
+	if (team != NULL) {
 		team->refused++;
+		team->refused_beyond_share += is_beyond_share;
+	}
 	record_refusal(pool, spec, now_us);
 	return false;
 }
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -78,6 +78,7 @@
 	sched_resources_t used;	    /* by its tasks that are placed */
 	uint64_t submitted; /* jobs; a repeated submission counts once */
 	uint64_t refused;   /* submissions, repeated ones too */
+	uint64_t refused_beyond_share; /* of these */
 	/* Its part of the quota, in the store; see quota.c. */
 	sched_resources_t held;
 	bool is_held_known; /* the store was asked */
@@ -565,6 +566,7 @@
 GBytes *sched_transfer_encode(const sched_job_t *);
 bool sched_transfer_find(
     const sched_pool_t *, const char *id, sched_response_t *);
+const char *sched_transfer_place(const sched_pool_t *, const char *id);
 void sched_transfer_done(sched_pool_t *, sched_job_t *);
 char *sched_transfer_take_old(sched_pool_t *);
 void sched_transfer_keep_row(sched_pool_t *, const char *id);
@@ -642,7 +644,12 @@
 void sched_crash_give_up(sched_pool_t *, const GPtrArray *suspects);
 void sched_crash_give_up_loaded(sched_pool_t *);
 
+/* wait_name.c */
+const char *sched_task_state_name(sched_task_state_t);
+
 /* wait.c */
+sched_finding_t sched_wait_find_reason(
+    const sched_pool_t *, const sched_task_t *, uint64_t now_us);
 void sched_wait_note_ran(sched_task_t *);
 void sched_wait_tick(sched_pool_t *, uint64_t now_us);
 
--- a/lib/sched/transfer.c
+++ b/lib/sched/transfer.c
@@ -165,6 +165,14 @@
 	return true;
 }
 
+const char *
+sched_transfer_place(const sched_pool_t *pool, const char *id)
+{
+	const note_t *note = g_hash_table_lookup(pool->transfers, id);
+
+	return note == NULL ? NULL : note->shard;
+}
+
 /*
  * Removes a job that the store now has in another shard.
  */
--- a/lib/sched/wait.c
+++ b/lib/sched/wait.c
@@ -17,79 +17,14 @@
 #define LASTING_LINES_MAX 4
 #define OTHER_LINES_MAX 1
 
-/* Why a task does not run. */
-typedef struct {
-	sched_wait_t reason;
-	/* The pool's instances, by why they get no start of it. */
-	uint32_t excluded[SCHED_EXCLUSIONS];
-} finding_t;
-
 /* The tasks of a job with one reason. */
 typedef struct {
 	const sched_task_t *task; /* that has waited longest; NULL: none */
 	uint32_t count;
 	uint64_t waited_us;
-	finding_t finding;
+	sched_finding_t finding;
 } group_t;
 
-static const char *const wait_names[] = {
-    [SCHED_WAIT_NONE] = "none",
-    [SCHED_WAIT_LEASE] = "lease",
-    [SCHED_WAIT_STOP] = "stop",
-    [SCHED_WAIT_RECORD] = "record",
-    [SCHED_WAIT_START] = "start",
-    [SCHED_WAIT_LINK] = "link",
-    [SCHED_WAIT_OWNER] = "owner",
-    [SCHED_WAIT_ASIDE] = "aside",
-    [SCHED_WAIT_STEP] = "step",
-    [SCHED_WAIT_NOT_BEFORE] = "not-before",
-    [SCHED_WAIT_ADVICE] = "advice",
-    [SCHED_WAIT_MEMBERS] = "members",
-    [SCHED_WAIT_NO_INSTANCE] = "no-instance",
-    [SCHED_WAIT_QUOTA] = "quota",
-    [SCHED_WAIT_TRIAL] = "trial",
-    [SCHED_WAIT_GANG] = "gang",
-    [SCHED_WAIT_ROUND] = "round",
-    [SCHED_WAIT_NEXT_ROUND] = "next-round",
-};
-
-/* Keys in log lines. */
-static const char *const exclusion_names[] = {
-    [SCHED_EXCLUDED_NOT] = "with_room",
-    [SCHED_EXCLUDED_NOT_LISTED] = "not_listed",
-    [SCHED_EXCLUDED_NOT_CONTACTED] = "not_contacted",
-    [SCHED_EXCLUDED_UNREACHABLE] = "unreachable",
-    [SCHED_EXCLUDED_LEAVING] = "leaving",
-    [SCHED_EXCLUDED_RUNS_UNKNOWN] = "runs_unknown",
-    [SCHED_EXCLUDED_AVOIDED] = "avoided",
-    [SCHED_EXCLUDED_DRAINING] = "draining",
-    [SCHED_EXCLUDED_STRAYS] = "strays",
-    [SCHED_EXCLUDED_LAPSING] = "lapsing",
-    [SCHED_EXCLUDED_FAILING] = "failing",
-    [SCHED_EXCLUDED_FULL] = "full",
-    [SCHED_EXCLUDED_LABEL] = "label",
-    [SCHED_EXCLUDED_CRASH] = "crash_apart",
-    [SCHED_EXCLUDED_TICKET] = "ticket",
-    [SCHED_EXCLUDED_APART] = "apart",
-    [SCHED_EXCLUDED_WITHHELD] = "withheld",
-};
-
-static const char *const state_names[] = {[SCHED_TASK_WAITING] = "waiting",
-    [SCHED_TASK_RESERVED] = "reserved",
-    [SCHED_TASK_STARTING] = "starting",
-    [SCHED_TASK_RUNNING] = "running",
-    [SCHED_TASK_STOPPING] = "stopping",
-    [SCHED_TASK_DONE] = "done"};
-
-/*
- * Returns the name of a reason, for logs and labels.
- */
-const char *
-sched_wait_name(sched_wait_t reason)
-{
-	return wait_names[reason];
-}
-
 /*
  * Keeps the time of the task's last run, which is known while it is placed.
  */
@@ -120,7 +55,7 @@
 
 static void
 count_excluded(const sched_pool_t *pool, const sched_task_t *task,
-    finding_t *finding, uint64_t now_us)
+    sched_finding_t *finding, uint64_t now_us)
 {
 	sched_instance_t *instance;
 	GHashTableIter iter;
@@ -138,7 +73,7 @@
  */
 static sched_wait_t
 waiting_reason(const sched_pool_t *pool, const sched_task_t *task,
-    finding_t *finding, uint64_t now_us)
+    sched_finding_t *finding, uint64_t now_us)
 {
 	const sched_occurrence_t *occurrence =
 	    sched_job_find_occurrence(task->job, task->occurrence);
@@ -173,10 +108,11 @@
 /*
  * Returns why the task, which is not done, does not run.
  */
-static finding_t
-find_reason(const sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
+sched_finding_t
+sched_wait_find_reason(
+    const sched_pool_t *pool, const sched_task_t *task, uint64_t now_us)
 {
-	finding_t finding = {0};
+	sched_finding_t finding = {0};
 
 	finding.reason = task->instance != NULL
 	    ? placed_reason(pool, task, now_us)
@@ -203,7 +139,7 @@
 
 static void
 append_excluded(
-    GString *text, const sched_pool_t *pool, const finding_t *finding)
+    GString *text, const sched_pool_t *pool, const sched_finding_t *finding)
 {
 	if (finding->reason < SCHED_WAIT_NO_INSTANCE)
 		return;
@@ -212,7 +148,7 @@
 	for (int i = 0; i < SCHED_EXCLUSIONS; i++)
 		if (finding->excluded[i] > 0)
 			g_string_append_printf(text, " %s=%u",
-			    exclusion_names[i], finding->excluded[i]);
+			    sched_exclusion_name(i), finding->excluded[i]);
 }
 
 /*
@@ -238,8 +174,8 @@
 	    " state=%s reason=%s tasks=%u%s",
 	    task->job->id, task->occurrence, task->step, task->index, task->run,
 	    pool->name, group->waited_us / GW_US_PER_MS,
-	    state_names[task->state], wait_names[reason], group->count,
-	    details->str);
+	    sched_task_state_name(task->state), sched_wait_name(reason),
+	    group->count, details->str);
 }
 
 /*
@@ -277,8 +213,9 @@
 	    now_us >= task->not_before_us &&
 	    !sched_crash_is_suspect(same->task) &&
 	    !sched_crash_is_suspect(task);
-	finding_t finding =
-	    is_same ? same->finding : find_reason(pool, task, now_us);
+	sched_finding_t finding = is_same
+	    ? same->finding
+	    : sched_wait_find_reason(pool, task, now_us);
 	group_t *group = &groups[finding.reason];
 
 	group->count++;
--- a/lib/sched/wait.h
+++ b/lib/sched/wait.h
@@ -55,6 +55,16 @@
 	SCHED_WAITS
 } sched_wait_t;
 
+/* Why a task does not run. */
+typedef struct {
+	sched_wait_t reason;
+	/*
+	 * The pool's instances, by why they get no start of it; all 0 unless
+	 * the reason depends on them.
+	 */
+	uint32_t excluded[SCHED_EXCLUSIONS];
+} sched_finding_t;
+
 /* What waits, by reason, as counted a second ago at most. */
 typedef struct {
 	/*
@@ -67,5 +77,6 @@
 } sched_waits_t;
 
 const char *sched_wait_name(sched_wait_t);
+const char *sched_exclusion_name(sched_exclusion_t);
 
 #endif
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -12,6 +12,7 @@
 #include "fake_instances.h"
 #include "gw/log.h"
 #include "sched/config.h"
+#include "sched/describe.h"
 #include "sched/quota.h"
 #include "sched/sched.h"
 
@@ -707,6 +708,81 @@
 	printf("\n");
 }
 
+static void
+print_waits(const GArray *waits)
+{
+	for (guint i = 0; i < waits->len; i++) {
+		const sched_wait_view_t *wait =
+		    &g_array_index(waits, sched_wait_view_t, i);
+
+		printf(" %s=%u first=%u.%u.%u",
+		    sched_wait_name(wait->finding.reason), wait->tasks,
+		    wait->first.occurrence, wait->first.step,
+		    wait->first.index);
+		for (int k = 0; k < SCHED_EXCLUSIONS; k++)
+			if (wait->finding.excluded[k] > 0)
+				printf(" %s=%u",
+				    sched_exclusion_name((sched_exclusion_t)k),
+				    wait->finding.excluded[k]);
+		if (wait->left_ms > 0)
+			printf(" left_ms=%" PRIu64, wait->left_ms);
+	}
+}
+
+/* describe ID: what an operator sees of a job */
+static void
+do_describe(void)
+{
+	static const char *const places[] = {"here", "moved to", "absent"};
+	char moved_to[SCHED_NAME_BYTES] = "";
+	sched_job_view_t view;
+	sched_job_place_t place =
+	    sched_pool_describe_job(pool, words[1], &view, moved_to);
+
+	printf("%6" PRIu64 " job %s %s%s%s", now_ms(), words[1], places[place],
+	    moved_to[0] == '\0' ? "" : " ", moved_to);
+	if (place == SCHED_JOB_FOUND) {
+		printf(" %s team=%s tasks=%u done=%u runs=%u failures=%u",
+		    view.state, view.team, view.tasks, view.done,
+		    view.run_count, view.failures);
+		print_waits(view.waits);
+		for (guint i = 0; i < view.runs->len; i++) {
+			const sched_run_view_t *run =
+			    &g_array_index(view.runs, sched_run_view_t, i);
+
+			printf(" %s:%u.%u.%u:%u:%s", run->instance,
+			    run->ref.occurrence, run->ref.step, run->ref.index,
+			    run->run, run->state);
+		}
+		sched_job_view_clear(&view);
+	}
+	printf("\n");
+}
+
+/* team-views: what an operator sees of the teams */
+static void
+do_team_views(void)
+{
+	g_autoptr(GHashTable) views = sched_team_views_new();
+	g_autoptr(GPtrArray) sorted = NULL;
+
+	sched_pool_add_team_views(pool, views);
+	sorted = sched_team_views_sorted(views);
+	for (guint i = 0; i < sorted->len; i++) {
+		const sched_team_view_t *team = sorted->pdata[i];
+
+		printf("%6" PRIu64 " team %s configured=%d running=%" PRIu64
+		       " held=%" PRIu64 " quota=%" PRIu64 " lacking=%d"
+		       " waiting=%" PRIu64 " submitted=%" PRIu64
+		       " share=%" PRIu64 " overload=%" PRIu64 "\n",
+		    now_ms(), team->name, team->is_configured,
+		    team->running.cpu_millis, team->held.cpu_millis,
+		    team->quota.cpu_millis, team->is_lacking, team->waiting,
+		    team->submitted, team->refused_by_share,
+		    team->refused_by_overload);
+	}
+}
+
 static void
 do_pending(void)
 {
@@ -1153,6 +1229,8 @@
     {"load", 1, do_load},
     {"late", 1, do_late},
     {"waits", 1, do_waits},
+    {"describe", 2, do_describe},
+    {"team-views", 1, do_team_views},
     {"advance", 2, do_advance},
     {"alive", 2, do_alive},
     {"grey", 2, do_grey},
