Order jobs by priority and dominant resource, and bound starvation

A queue's priority was not used, and jobs were ordered by the CPU left. One table, sched_order_t, now orders placing, the sending of starts and admission: class, share of the team, priority, turns of teams and queues, then the least work by the larger share of CPU or memory. Admission counts as ahead only jobs in time that are not of a lower priority.

Queues of one class and priority take turns, so that the one with the largest jobs does not pay for all. While overdue jobs wait they earn a sixteenth of the work placed; the oldest is then placed first, and an instance is withheld for it. Without that, work that is overdue never ran beside endless work in time (regress/sched/order.sh, order cpu).

shares.exp changes: overdue jobs of the first load are placed out of turn, and a job in time beyond a share counts as waiting for a late one. The load, and what the test guards against, are the same.

Two parameter names are changed for the linter, which failed before.

--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -149,18 +149,21 @@
 
 /* Work that waits only for room on an instance, in core milliseconds. */
 typedef struct {
-	uint64_t in_time_cpu_ms; /* placed before a job that is in time */
-	uint64_t late_cpu_ms;
+	uint64_t ahead_cpu_ms;	 /* of jobs in time that come before this one */
+	uint64_t in_time_cpu_ms; /* of all jobs in time */
+	uint64_t all_cpu_ms;
 } backlog_t;
 
 /*
- * Sums up the waiting work, for a job that is beyond its team's share or not:
- * jobs beyond a share are placed after the others.
+ * Sums up the waiting work, for a job in time with this key. All jobs of its
+ * class, team's share and priority count as ahead: they were accepted as in
+ * time, also those that take more.
  */
 static backlog_t
-sum_backlog(const sched_pool_t *pool, bool is_beyond_share, uint64_t now_us)
+sum_backlog(
+    const sched_pool_t *pool, const sched_order_key_t *key, uint64_t now_us)
 {
-	backlog_t backlog = {0, 0};
+	backlog_t backlog = {0};
 
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
@@ -169,11 +172,14 @@
 		sched_job_add_ready(job, &ready);
 		if (ready.cpu_ms == 0 || job->long_running)
 			continue;
-		if (sched_job_update_rank(job, now_us) <= SCHED_RANK_IN_TIME &&
-		    job->is_beyond_share <= is_beyond_share)
-			backlog.in_time_cpu_ms += ready.cpu_ms;
-		else
-			backlog.late_cpu_ms += ready.cpu_ms;
+		backlog.all_cpu_ms += ready.cpu_ms;
+		if (sched_job_update_rank(pool, job, now_us) >
+		    SCHED_RANK_IN_TIME)
+			continue;
+		backlog.in_time_cpu_ms += ready.cpu_ms;
+		if (sched_order_compare_tier(pool, &job->key_in_order, key) <=
+		    0)
+			backlog.ahead_cpu_ms += ready.cpu_ms;
 	}
 	return backlog;
 }
@@ -201,11 +207,12 @@
  * machines that the next surge of another queue needs.
  *
  * A job is accepted if it can meet its objective after the waiting work that is
- * in time. A late job is accepted if it can end before it is overdue without
- * delaying jobs that are in time: none of them waits, or machines on standby
- * can be moved to the pool. A pool without a usable instance, as just after a
- * takeover, accepts every job, since it cannot estimate the wait. Jobs with a
- * schedule and long-running jobs are always accepted.
+ * in time and comes before it in the pool's order. A late job is accepted if it
+ * can end before it is overdue without delaying jobs that are in time: none of
+ * them waits, or machines on standby can be moved to the pool. A pool without a
+ * usable instance, as just after a takeover, accepts every job, since it cannot
+ * estimate the wait. Jobs with a schedule and long-running jobs are always
+ * accepted.
  */
 static bool
 admit_in_time(const sched_pool_t *pool, const Gw__JobSpec *spec,
@@ -214,6 +221,9 @@
 {
 	uint64_t critical_path_ms = sched_critical_path_ms(spec, NULL);
 	uint64_t objective_ms = sched_objective_ms(spec, critical_path_ms);
+	const sched_order_key_t key = {.rank_class = SCHED_RANK_IN_TIME,
+	    .is_beyond_share = is_beyond_share,
+	    .priority = spec->priority};
 	uint64_t wait_ms, wait_all_ms;
 	serving_t serving;
 	backlog_t backlog;
@@ -223,12 +233,12 @@
 	serving = sum_serving_cpu(pool, now_us);
 	if (serving.cpu_millis == 0)
 		return true;
-	backlog = sum_backlog(pool, is_beyond_share, now_us);
-	wait_ms = backlog.in_time_cpu_ms * 1000 / serving.cpu_millis;
+	backlog = sum_backlog(pool, &key, now_us);
+	wait_ms = backlog.ahead_cpu_ms * 1000 / serving.cpu_millis;
 	if (age_ms + wait_ms + critical_path_ms <= objective_ms)
 		return true;
-	wait_all_ms = (backlog.in_time_cpu_ms + backlog.late_cpu_ms) * 1000 /
-	    serving.with_standby_cpu_millis;
+	wait_all_ms =
+	    backlog.all_cpu_ms * 1000 / serving.with_standby_cpu_millis;
 	if (serving.has_standby)
 		wait_all_ms += pool->bounds.move_ms + SCHED_REGISTER_MARGIN_MS;
 	if ((backlog.in_time_cpu_ms == 0 || serving.has_standby) &&
@@ -239,13 +249,15 @@
 	gw_log(GW_EV_SCHED_REFUSED,
 	    "job=%s pool=%s queue=%s team=%s reason=%s age_ms=%" PRIu64
 	    " wait_ms=%" PRIu64 " chain_ms=%" PRIu64 " objective_ms=%" PRIu64
-	    " waiting_cpu_ms=%" PRIu64 " late_cpu_ms=%" PRIu64
-	    " serving_cpu=%" PRIu64 " coming=%u standby=%u retry_after_ms=%u",
+	    " priority=%u ahead_cpu_ms=%" PRIu64 " waiting_cpu_ms=%" PRIu64
+	    " late_cpu_ms=%" PRIu64 " serving_cpu=%" PRIu64
+	    " coming=%u standby=%u retry_after_ms=%u",
 	    spec->id, pool->name, spec->queue, spec->team,
 	    is_beyond_share ? "share" : "overload", age_ms, wait_ms,
-	    critical_path_ms, objective_ms, backlog.in_time_cpu_ms,
-	    backlog.late_cpu_ms, serving.cpu_millis, pool->incoming_machines,
-	    pool->standby, *retry_after_ms);
+	    critical_path_ms, objective_ms, spec->priority,
+	    backlog.ahead_cpu_ms, backlog.in_time_cpu_ms,
+	    backlog.all_cpu_ms - backlog.in_time_cpu_ms, serving.cpu_millis,
+	    pool->incoming_machines, pool->standby, *retry_after_ms);
 	return false;
 }
 
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -90,7 +90,7 @@
 	}
 	job = sched_job_new(pool, spec->id);
 	job->accepted_us = since_us;
-	job->is_beyond_share = is_beyond_share;
+	job->key_in_order.is_beyond_share = is_beyond_share;
 	sched_job_set_spec(job, copy_spec(spec));
 	sched_job_set_queue_key(pool, job, spec->queue_key);
 	sched_job_set_team(pool, job, spec->team);
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -2,8 +2,10 @@
 #define SCHED_IMPL_H
 
 #include "policy/share.h"
+#include "sched/order.h"
 #include "sched/quota.h"
 #include "sched/sched.h"
+#include "sched/turns.h"
 #include "sched/wait.h"
 #include "sched/window.h"
 
@@ -65,7 +67,6 @@
 /* A job is late until this many times its objective, then overdue. */
 #define SCHED_OVERDUE_FACTOR 3
 
-typedef struct sched_job sched_job_t;
 typedef struct sched_refusals sched_refusals_t;
 typedef struct sched_instance sched_instance_t;
 typedef struct sched_queue_use sched_queue_use_t;
@@ -195,6 +196,17 @@
 	SCHED_RANK_OVERDUE
 } sched_rank_t;
 
+/*
+ * By what jobs are ordered. Within a class the lowest rank comes first: the
+ * least work left, or the earliest submission.
+ */
+typedef struct {
+	sched_rank_t rank_class;
+	bool is_beyond_share; /* of its team, when it was submitted */
+	uint32_t priority;    /* of its queue; 0 comes first */
+	uint64_t rank;
+} sched_order_key_t;
+
 /* Estimated need of the tasks that wait only for room on an instance. */
 typedef struct {
 	uint64_t cpu_ms; /* core milliseconds: CPU times estimated run time */
@@ -253,13 +265,8 @@
 	GArray *acks;		   /* sched_ack_t */
 	GArray *waiters;	   /* sched_waiter_t */
 	uint32_t critical_path_ms; /* estimate of the longest chain of steps */
-	/*
-	 * Set by sched_job_update_rank(). Within a class the lowest rank is
-	 * placed first.
-	 */
-	sched_rank_t rank_class;
-	bool is_beyond_share; /* of its team, when it was submitted */
-	uint64_t rank;
+	sched_order_key_t key_in_order; /* by sched_job_update_rank() */
+	bool is_out_of_turn; /* placed before jobs in time, once overdue */
 };
 
 struct sched_instance {
@@ -375,8 +382,18 @@
 	uint32_t quota_parts;  /* shards among which a quota is divided */
 	const sched_quota_policy_t *quota_policy;
 	const sched_sharing_t *sharing;
+	const sched_order_t *order;
+	sched_resources_t capacity; /* of the instances in use */
+	bool overdue_waits;	    /* an overdue job, in the last round */
+	/*
+	 * Work that overdue jobs may take before others, in core milliseconds;
+	 * negative: they have taken more.
+	 */
+	int64_t overdue_credit;
 	share_t share; /* of the work placed, among the teams */
 	share_account_t no_team_account; /* of jobs without a team */
+	share_t kind_share;		 /* of the same, among queues */
+	GHashTable *kinds; /* name of a queue -> share_account_t */
 	uint64_t fence; /* of instances that have not begun again */
 	uint32_t shard_number;
 	uint32_t shard_count;
@@ -619,6 +636,10 @@
     const sched_step_t *, const Gw__JobStep *, uint64_t now_us);
 void sched_place_mark_blocked(sched_job_t *, uint64_t now_us);
 
+/* withhold.c */
+void sched_withhold_for_job(sched_pool_t *, const sched_job_t *, uint64_t);
+void sched_withhold_for_first(sched_pool_t *, const sched_job_t *, uint64_t);
+
 /* trial.c */
 uint64_t sched_trial_cost(const sched_instance_t *);
 void sched_trial_begin_round(sched_pool_t *);
@@ -656,11 +677,27 @@
     uint64_t *since_us, uint32_t *retry_after_ms);
 
 /* rank.c */
-sched_rank_t sched_job_update_rank(sched_job_t *, uint64_t now_us);
+sched_rank_t sched_job_update_rank(
+    const sched_pool_t *, sched_job_t *, uint64_t now_us);
 uint64_t sched_objective_ms(const Gw__JobSpec *, uint64_t critical_path_ms);
-int sched_compare_rank(const sched_job_t *, const sched_job_t *);
-void sched_sort_jobs(GPtrArray *jobs, uint64_t now_us);
 uint32_t sched_critical_path_ms(
     const Gw__JobSpec *, const sched_occurrence_t *);
 
+/* kind.c */
+void sched_kind_order(const sched_pool_t *, sched_job_t **jobs, guint count);
+void sched_kind_note_placed(sched_pool_t *, const sched_task_t *);
+
+/* order.c */
+bool sched_order_kinds_take_turns(const sched_pool_t *);
+void sched_order_update_capacity(sched_pool_t *, uint64_t now_us);
+uint64_t sched_order_step_work(
+    const sched_pool_t *, const Gw__JobStep *, uint64_t count);
+int sched_order_compare_tier(const sched_pool_t *, const sched_order_key_t *,
+    const sched_order_key_t *);
+int sched_order_compare(
+    const sched_pool_t *, const sched_job_t *, const sched_job_t *);
+void sched_order_sort(sched_pool_t *, GPtrArray *jobs, uint64_t now_us);
+sched_job_t *sched_order_next_overdue(sched_pool_t *, const GPtrArray *jobs);
+void sched_order_note_placed(sched_pool_t *, const sched_task_t *);
+
 #endif
--- a/lib/sched/load.c
+++ b/lib/sched/load.c
@@ -64,7 +64,8 @@
 		sched_job_t *job = pool->open->pdata[i];
 
 		sched_job_add_ready(job, &ready);
-		if (sched_job_update_rank(job, now_us) > SCHED_RANK_IN_TIME)
+		if (sched_job_update_rank(pool, job, now_us) >
+		    SCHED_RANK_IN_TIME)
 			sched_job_add_ready(job, &late);
 		load->blocked_jobs += job->blocked_since_us != 0 &&
 		    gw_elapsed_us(now_us, job->blocked_since_us) >
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -16,7 +16,8 @@
 	const GHashTable *tickets = sched_task_step_state(task)->tickets;
 
 	sched_instance_assign(instance, task);
-	task->placed_late = task->job->rank_class > SCHED_RANK_IN_TIME;
+	task->placed_late =
+	    task->job->key_in_order.rank_class > SCHED_RANK_IN_TIME;
 	sched_task_step_state(task)->waiting--;
 	task->state = SCHED_TASK_RESERVED;
 	task->run = run;
@@ -35,6 +36,8 @@
 	pool->demand_cpu_ms +=
 	    sched_step_work_cpu_ms(sched_task_step_spec(task), 1);
 	sched_share_note_placed(pool, task);
+	sched_order_note_placed(pool, task);
+	sched_kind_note_placed(pool, task);
 	task->job->blocked_since_us = 0;
 	sched_job_mark_dirty(pool, task->job);
 }
@@ -298,47 +301,20 @@
 }
 
 /*
- * Withholds an instance for each task of the step, so that all get room in the
- * time that one takes.
+ * Places the overdue job whose turn it is. If it finds no room, an instance is
+ * withheld for it: smaller tasks would take what becomes free.
  */
 static void
-withhold_for_step(sched_pool_t *pool, sched_occurrence_t *occurrence,
-    const sched_step_t *step, const Gw__JobStep *spec, uint64_t now_us)
+place_overdue(sched_pool_t *pool, const GPtrArray *jobs, uint64_t now_us)
 {
-	for (uint32_t i = 0; i < spec->count && step->waiting > 0; i++) {
-		const sched_task_t *task =
-		    &occurrence->tasks[step->first_task + i];
+	sched_job_t *job = sched_order_next_overdue(pool, jobs);
 
-		if (task->state != SCHED_TASK_WAITING ||
-		    now_us < task->not_before_us ||
-		    sched_crash_is_suspect(task))
-			continue;
-		if (!sched_quota_allows(task))
-			return;
-		if (!sched_place_withhold(pool, task, now_us))
-			return;
-	}
-}
-
-/*
- * Withholds instances for the long-running tasks of the job that have found no
- * room.
- */
-static void
-withhold_for_job(sched_pool_t *pool, const sched_job_t *job, uint64_t now_us)
-{
-	for (guint i = 0; i < job->occurrences->len; i++) {
-		sched_occurrence_t *occurrence = job->occurrences->pdata[i];
-
-		for (uint32_t k = 0; k < occurrence->step_count; k++) {
-			const Gw__JobStep *spec = job->spec->steps[k];
-
-			if (spec->lasting && !spec->gang &&
-			    sched_step_is_ready(job, occurrence, k))
-				withhold_for_step(pool, occurrence,
-				    &occurrence->steps[k], spec, now_us);
-		}
-	}
+	if (job == NULL)
+		return;
+	for (guint i = 0; i < job->occurrences->len; i++)
+		place_occurrence(pool, job, job->occurrences->pdata[i], now_us);
+	if (job->blocked_since_us != 0)
+		sched_withhold_for_first(pool, job, now_us);
 }
 
 /*
@@ -394,14 +370,15 @@
 	if (!sched_window_may_place(pool->window, pool->unsent_bytes))
 		return;
 	for (guint i = 0; i < long_running; i++)
-		withhold_for_job(pool, jobs->pdata[i], now_us);
+		sched_withhold_for_job(pool, jobs->pdata[i], now_us);
+	place_overdue(pool, jobs, now_us);
 	sched_trial_place_jobs(pool, jobs, long_running, jobs->len, now_us);
 	place_jobs(pool, jobs, long_running, jobs->len, now_us);
 }
 
 /*
  * Places the waiting tasks for which there is room, in the order of
- * sched_sort_jobs() and of the teams' shares.
+ * sched_order_sort() and of the teams' shares.
  */
 void
 sched_place_round(sched_pool_t *pool, uint64_t now_us)
@@ -417,7 +394,7 @@
 		    has_waiting(job))
 			g_ptr_array_add(jobs, job);
 	}
-	sched_sort_jobs(jobs, now_us);
+	sched_order_sort(pool, jobs, now_us);
 	sched_share_order(pool, jobs);
 	sched_quota_begin_round(pool);
 	place_all(pool, jobs, now_us);
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -34,6 +34,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->teams =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	pool->kinds =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->previous_leases =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	pool->transfers =
@@ -49,6 +51,7 @@
 	pool->quota_policy = &sched_quota_spare;
 	pool->quota_parts = 1;
 	pool->sharing = &sched_sharing_weighted;
+	pool->order = &sched_order_priority;
 	pool->admission = &sched_admission_in_time;
 	pool->refusals = sched_refusals_new();
 	pool->window = pool->own_window = sched_window_new(&sched_window_fixed);
@@ -92,6 +95,7 @@
 	g_hash_table_destroy(pool->may_lapse);
 	g_hash_table_destroy(pool->queues);
 	g_hash_table_destroy(pool->teams);
+	g_hash_table_destroy(pool->kinds);
 	g_hash_table_destroy(pool->transfers);
 	g_queue_free_full(pool->old_transfers, g_free);
 	sched_refusals_free(pool->refusals);
--- a/lib/sched/quota.h
+++ b/lib/sched/quota.h
@@ -51,7 +51,7 @@
 /* Handles that it is not known any more which part the store shows. */
 void sched_pool_forget_quota_held(sched_pool_t *, const char *team);
 /* Another shard lacks the team's quota: gives back what is not used. */
-void sched_pool_yield_quota(sched_pool_t *, const char *team);
+void sched_pool_yield_quota(sched_pool_t *, const char *name);
 
 /*
  * Returns the part that the shard can have by the record of the team's quota
--- a/lib/sched/rank.c
+++ b/lib/sched/rank.c
@@ -29,16 +29,14 @@
  * Estimates the remaining work of an occurrence, in core milliseconds.
  */
 static uint64_t
-remaining_work_cpu_ms(
-    const sched_job_t *job, const sched_occurrence_t *occurrence)
+remaining_work(const sched_pool_t *pool, const sched_job_t *job,
+    const sched_occurrence_t *occurrence)
 {
 	uint64_t work = 0;
 
-	for (uint32_t i = 0; i < occurrence->step_count; i++) {
-		const Gw__JobStep *step = job->spec->steps[i];
-
-		work += sched_step_work_cpu_ms(step, occurrence->steps[i].open);
-	}
+	for (uint32_t i = 0; i < occurrence->step_count; i++)
+		work += sched_order_step_work(
+		    pool, job->spec->steps[i], occurrence->steps[i].open);
 	return work;
 }
 
@@ -54,27 +52,30 @@
 }
 
 /*
- * Ranks a job. The order matters when a queue submits more than its pool can
- * do. After the long-running jobs come those that can still end in time, then
- * those that are late. In these two classes jobs beyond their team's share come
- * last, and of the others the job with the least work left comes first, so that
- * as many jobs as possible end in time. Overdue jobs come last. Long-running
- * and overdue jobs are placed in the order of their first submission.
+ * Sets the key by which a job is ordered; see order.c. After the long-running
+ * jobs come those that can still end in time, then those that are late. Among
+ * equals of these two classes the job with the least work left comes first, so
+ * that as many jobs as possible end in time. Overdue jobs come last.
+ * Long-running and overdue jobs are placed in the order of their first
+ * submission.
  */
 sched_rank_t
-sched_job_update_rank(sched_job_t *job, uint64_t now_us)
+sched_job_update_rank(
+    const sched_pool_t *pool, sched_job_t *job, uint64_t now_us)
 {
 	uint64_t age_ms =
 	    (gw_elapsed_us(now_us, job->accepted_us)) / GW_US_PER_MS;
 	uint64_t objective_ms =
 	    sched_objective_ms(job->spec, job->critical_path_ms);
+	sched_order_key_t *key = &job->key_in_order;
 	uint32_t critical_path_ms = 0;
 	uint64_t work = 0;
 
+	key->priority = job->spec->priority;
 	if (job->long_running) {
-		job->rank_class = SCHED_RANK_LONG_RUNNING;
-		job->rank = job->accepted_us;
-		return job->rank_class;
+		key->rank_class = SCHED_RANK_LONG_RUNNING;
+		key->rank = job->accepted_us;
+		return key->rank_class;
 	}
 	for (guint i = 0; i < job->occurrences->len; i++) {
 		const sched_occurrence_t *occurrence =
@@ -82,52 +83,17 @@
 
 		critical_path_ms = MAX(critical_path_ms,
 		    sched_critical_path_ms(job->spec, occurrence));
-		work += remaining_work_cpu_ms(job, occurrence);
+		work += remaining_work(pool, job, occurrence);
 	}
+	key->rank = work;
 	if (age_ms + critical_path_ms <= objective_ms) {
-		job->rank_class = SCHED_RANK_IN_TIME;
-		job->rank = work;
+		key->rank_class = SCHED_RANK_IN_TIME;
 	} else if (age_ms + critical_path_ms <=
 	    SCHED_OVERDUE_FACTOR * objective_ms) {
-		job->rank_class = SCHED_RANK_LATE;
-		job->rank = work;
+		key->rank_class = SCHED_RANK_LATE;
 	} else {
-		job->rank_class = SCHED_RANK_OVERDUE;
-		job->rank = job->accepted_us;
+		key->rank_class = SCHED_RANK_OVERDUE;
+		key->rank = job->accepted_us;
 	}
-	return job->rank_class;
-}
-
-/*
- * Compares two jobs by the rank that sched_job_update_rank() set; negative when
- * x comes first.
- */
-int
-sched_compare_rank(const sched_job_t *x, const sched_job_t *y)
-{
-	if (x->rank_class != y->rank_class)
-		return x->rank_class < y->rank_class ? -1 : 1;
-	if (x->is_beyond_share != y->is_beyond_share)
-		return x->is_beyond_share ? 1 : -1;
-	if (x->rank != y->rank)
-		return x->rank < y->rank ? -1 : 1;
-	return 0;
-}
-
-static gint
-compare_jobs(gconstpointer a, gconstpointer b)
-{
-	return sched_compare_rank(
-	    *(const sched_job_t *const *)a, *(const sched_job_t *const *)b);
-}
-
-/*
- * Sorts jobs into the order in which they are placed.
- */
-void
-sched_sort_jobs(GPtrArray *jobs, uint64_t now_us)
-{
-	for (guint i = 0; i < jobs->len; i++)
-		(void)sched_job_update_rank(jobs->pdata[i], now_us);
-	g_ptr_array_sort(jobs, compare_jobs);
+	return key->rank_class;
 }
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -448,7 +448,7 @@
 void sched_pool_set_sharing(sched_pool_t *, const sched_sharing_t *);
 /* Sets what a team submits to all pools, as the planner has just reported. */
 void sched_pool_set_team_rate(
-    sched_pool_t *, const char *team, uint64_t jobs_per_1000s);
+    sched_pool_t *, const char *name, uint64_t jobs_per_1000s);
 
 /*
  * Callers' requests. The callback is called once, possibly before the function
--- a/lib/sched/send.c
+++ b/lib/sched/send.c
@@ -158,12 +158,12 @@
 }
 
 static gint
-compare_tasks(gconstpointer a, gconstpointer b)
+compare_tasks(gconstpointer a, gconstpointer b, gpointer pool)
 {
 	const sched_task_t *x = *(const sched_task_t *const *)a;
 	const sched_task_t *y = *(const sched_task_t *const *)b;
 
-	return sched_compare_rank(x->job, y->job);
+	return sched_order_compare(pool, x->job, y->job);
 }
 
 /*
@@ -185,9 +185,9 @@
 	for (guint i = 0; i < tasks->len; i++) {
 		sched_task_t *task = tasks->pdata[i];
 
-		(void)sched_job_update_rank(task->job, now_us);
+		(void)sched_job_update_rank(pool, task->job, now_us);
 	}
-	g_ptr_array_sort(tasks, compare_tasks);
+	g_ptr_array_sort_with_data(tasks, compare_tasks, pool);
 	for (guint i = 0; i < tasks->len; i++) {
 		sched_task_t *task = tasks->pdata[i];
 
--- a/lib/sched/share.c
+++ b/lib/sched/share.c
@@ -61,74 +61,25 @@
 	    team->config.weight_permille;
 }
 
-/* A team's jobs while they are being ordered. */
-typedef struct {
-	const sched_team_t *team; /* NULL: jobs without one */
-	share_account_t account;
-	uint64_t weight;
-	GPtrArray *jobs; /* sched_job_t, least work first */
-	guint next;
-} lane_t;
-
-static lane_t *
-get_lane(GArray *lanes, const sched_pool_t *pool, const sched_team_t *team)
+static sched_turn_t
+team_turn(const sched_pool_t *pool, const sched_job_t *job)
 {
-	lane_t lane = {.team = team,
+	const sched_team_t *team = job->team;
+
+	return (sched_turn_t){.owner = team,
 	    .account = team == NULL ? pool->no_team_account : team->account,
 	    .weight = team != NULL && team->is_configured
 		? team->config.weight_permille
 		: NO_TEAM_WEIGHT_PERMILLE};
-
-	for (guint i = 0; i < lanes->len; i++)
-		if (g_array_index(lanes, lane_t, i).team == team)
-			return &g_array_index(lanes, lane_t, i);
-	share_activate(&pool->share, &lane.account);
-	lane.jobs = g_ptr_array_new();
-	g_array_append_val(lanes, lane);
-	return &g_array_index(lanes, lane_t, lanes->len - 1);
-}
-
-static lane_t *
-next_lane(GArray *lanes)
-{
-	lane_t *best = NULL;
-
-	for (guint i = 0; i < lanes->len; i++) {
-		lane_t *lane = &g_array_index(lanes, lane_t, i);
-
-		if (lane->next < lane->jobs->len &&
-		    (best == NULL || lane->account.tag < best->account.tag))
-			best = lane;
-	}
-	return best;
 }
 
 /*
- * Lets the teams take turns by their tags, as if each job's waiting work were
- * placed, and inside a team keeps the order.
+ * Lets the teams take turns by their tags, and inside a team keeps the order.
  */
 static void
 take_turns(const sched_pool_t *pool, sched_job_t **jobs, guint count)
 {
-	g_autoptr(GArray) lanes = g_array_new(FALSE, TRUE, sizeof(lane_t));
-	share_t share = pool->share;
-	lane_t *lane;
-	guint at = 0;
-
-	for (guint i = 0; i < count; i++)
-		g_ptr_array_add(
-		    get_lane(lanes, pool, jobs[i]->team)->jobs, jobs[i]);
-	while ((lane = next_lane(lanes)) != NULL) {
-		sched_job_t *job = lane->jobs->pdata[lane->next++];
-		sched_ready_t ready = {0};
-
-		sched_job_add_ready(job, &ready);
-		share_charge(
-		    &share, &lane->account, ready.cpu_ms, lane->weight);
-		jobs[at++] = job;
-	}
-	for (guint i = 0; i < lanes->len; i++)
-		g_ptr_array_free(g_array_index(lanes, lane_t, i).jobs, TRUE);
+	sched_turns_take(pool, &pool->share, team_turn, jobs, count);
 }
 
 const sched_sharing_t sched_sharing_none = {
@@ -166,16 +117,10 @@
 	return team != NULL && pool->sharing->is_beyond(pool, team, id, now_us);
 }
 
-static bool
-is_same_rank(const sched_job_t *x, const sched_job_t *y)
-{
-	return x->rank_class == y->rank_class &&
-	    x->is_beyond_share == y->is_beyond_share;
-}
-
 /*
- * Orders sorted jobs by their teams' shares, each class by itself. Long-running
- * and overdue jobs keep their order of submission.
+ * Orders sorted jobs by the shares of teams, and inside a team by those of
+ * queues, each class and priority by itself.
+ * Long-running and overdue jobs keep their order of submission.
  */
 void
 sched_share_order(const sched_pool_t *pool, GPtrArray *jobs)
@@ -184,11 +129,18 @@
 	guint first = 0;
 
 	for (guint i = 1; i <= jobs->len; i++) {
-		if (i < jobs->len && is_same_rank(sorted[first], sorted[i]))
+		sched_rank_t rank_class;
+
+		if (i < jobs->len &&
+		    sched_order_compare_tier(pool, &sorted[first]->key_in_order,
+			&sorted[i]->key_in_order) == 0)
 			continue;
-		if (sorted[first]->rank_class == SCHED_RANK_IN_TIME ||
-		    sorted[first]->rank_class == SCHED_RANK_LATE)
+		rank_class = sorted[first]->key_in_order.rank_class;
+		if (rank_class == SCHED_RANK_IN_TIME ||
+		    rank_class == SCHED_RANK_LATE) {
+			sched_kind_order(pool, &sorted[first], i - first);
 			pool->sharing->order(pool, &sorted[first], i - first);
+		}
 		first = i;
 	}
 }
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -12,6 +12,7 @@
 #include "fake_instances.h"
 #include "gw/log.h"
 #include "sched/config.h"
+#include "sched/order.h"
 #include "sched/quota.h"
 #include "sched/sched.h"
 
@@ -521,9 +522,9 @@
 }
 
 /*
- * submit ID [queue=NAME] [key=KEY] [team=NAME] [advice] [KEY=NUMBER...]
- * STEP...: STEP is COUNT:CPU_MILLIS:ESTIMATE_MS[:FLAG...] and depends on the
- * step before
+ * submit ID [queue=NAME] [key=KEY] [team=NAME] [advice] [memory=MIB]
+ * [KEY=NUMBER...] STEP...: STEP is COUNT:CPU_MILLIS:ESTIMATE_MS[:FLAG...] and
+ * depends on the step before
  */
 static void
 do_submit(void)
@@ -560,7 +561,7 @@
 		step->count = (uint32_t)atoi(parts[0]);
 		step->cpu_millis = (uint32_t)atoi(parts[1]);
 		step->estimate_ms = (uint32_t)atoi(parts[2]);
-		step->memory_mib = 100;
+		step->memory_mib = (uint32_t)lookup_number("memory", 100);
 		for (char **flag = parts + 3; *flag != NULL; flag++) {
 			step->lasting |= strcmp(*flag, "lasting") == 0;
 			step->gang |= strcmp(*flag, "gang") == 0;
@@ -950,6 +951,15 @@
 					  : &sched_sharing_weighted);
 }
 
+/* order cpu|priority */
+static void
+do_order(void)
+{
+	sched_pool_set_order(pool,
+	    strcmp(words[1], "cpu") == 0 ? &sched_order_cpu
+					 : &sched_order_priority);
+}
+
 /* withdrawn TEAM: by a newer configuration the team's key is gone */
 static void
 do_withdrawn(void)
@@ -1140,6 +1150,7 @@
     {"withdrawn", 2, do_withdrawn},
     {"rate", 3, do_rate},
     {"sharing", 2, do_sharing},
+    {"order", 2, do_order},
     {"quota", 1, do_quota},
     {"held", 3, do_held},
     {"yield", 2, do_yield},
