Take a job's place in the order from its key, for the operators' view

The merge of the order and of the operators' requests used names that the order had moved. No change in behaviour: regress/sched passes script by script.

--- a/lib/sched/describe.c
+++ b/lib/sched/describe.c
@@ -237,7 +237,7 @@
 	    .state = state_name(job),
 	    .is_recorded = job->spec_recorded,
 	    .rank = "",
-	    .is_beyond_share = job->is_beyond_share,
+	    .is_beyond_share = job->key_in_order.is_beyond_share,
 	    .age_ms = gw_elapsed_us(now_us, job->accepted_us) / GW_US_PER_MS,
 	    .instances = g_hash_table_size(pool->instances),
 	    .runs = g_array_new(FALSE, TRUE, sizeof(sched_run_view_t)),
@@ -247,7 +247,7 @@
 		    view->team, job->team->config.name, sizeof(view->team));
 	if (sched_job_has_ended(job) || job->spec == NULL)
 		return;
-	view->rank = rank_names[job->rank_class];
+	view->rank = rank_names[job->key_in_order.rank_class];
 	view->objective_ms =
 	    sched_objective_ms(job->spec, job->critical_path_ms);
 	add_tasks(pool, job, view, now_us);
