Order machines by a forecast of demand, and keep them over short gaps

Seen: one large job of 112 core seconds, which uses 54 cores, looks like the beginning of a steep rise, and the slope of the arrival rate ordered all machines on standby for it; machines were ordered only once the work of a rise had arrived; a new owner, to which instances come into contact one by one, had its pool's machines switched off; machines were drained for moves that a store or a platform without response could not order.

fleet_lending_forecast, beside the baselines, bounds the extrapolated rate by what the present tasks can use, raises it to the rate expected by the period of demand, and sets how many machines a pool keeps although it doesn't want them: those expected to be needed before a machine moved away could be back, and all of a pool with work until its owner has reported for 4 s. While orders can't be recorded or sent, only machines on standby are moved.

A period is used only once longer ones have been compared too: while three turns were just complete, the test with rises every 20 s found one of 18 s.

--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -13,6 +13,8 @@
 #define LOAD_INTERVAL_MS 200
 /* Two load intervals; a call without a response by then has no effect here. */
 #define CALL_TIMEOUT_MS 400
+/* A write without a response for this long delays the orders behind it. */
+#define WRITE_SLOW_MS 600
 /* Added to the platform's order_handover_ms. */
 #define ORDER_HANDOVER_MARGIN_MS 400
 
@@ -199,6 +201,19 @@
     .wave_state_changed = on_wave_state_changed,
     .wave_machine_done = on_wave_machine_done};
 
+/*
+ * Returns whether an order that is issued now is likely to be recorded and sent
+ * at once.
+ */
+static bool
+orders_are_available(const planner_t *planner, uint64_t now_us)
+{
+	return !planner->write_failed && !planner->machines_failed &&
+	    !(planner->writing &&
+		gw_elapsed_us(now_us, planner->write_sent_us) >
+		    WRITE_SLOW_MS * GW_US_PER_MS);
+}
+
 static void
 on_tick(gw_timer_t *timer, void *arg)
 {
@@ -212,6 +227,8 @@
 	}
 	if (fleet_needs_list(planner->fleet))
 		planner_list_machines(planner);
+	fleet_set_orders_available(
+	    planner->fleet, orders_are_available(planner, now_us));
 	if (planner->records_read)
 		fleet_tick(planner->fleet);
 	gw_timer_start(
@@ -246,8 +263,8 @@
 	    g_array_new(FALSE, FALSE, sizeof(recorded_order_t));
 	planner->ops = ops;
 	planner->arg = arg;
-	planner->fleet = fleet_new(
-	    gw_rt_clock(rt), &fleet_lending_rate, &times, &fleet_ops, planner);
+	planner->fleet = fleet_new(gw_rt_clock(rt), &fleet_lending_forecast,
+	    &times, &fleet_ops, planner);
 	if (settings->has_machines)
 		planner->machines_api = gw_httpc_new(rt, &settings->machines);
 	planner->pools =
--- a/gwentryd/planner_impl.h
+++ b/gwentryd/planner_impl.h
@@ -63,6 +63,8 @@
 	bool reading_list;
 	bool writing;
 	uint64_t write_sent_us; /* of the write in progress */
+	bool write_failed;	/* the last write of orders or waves */
+	bool machines_failed;	/* the last call had no response */
 	bool released;		/* planner_free() was called */
 };
 
--- a/gwentryd/planner_machines.c
+++ b/gwentryd/planner_machines.c
@@ -83,6 +83,7 @@
 
 	if (!planner_end_call(planner))
 		return;
+	planner->machines_failed = response == NULL;
 	if (response != NULL) {
 		handle_page(planner, response);
 		return;
@@ -145,9 +146,11 @@
 	gw_log(GW_EV_MACHINE_ORDER, "machine=%s status=%d err=%s",
 	    call->subject, response == NULL ? 0 : response->status,
 	    err == NULL ? "none" : gw_errc_name(err->code));
-	if (planner_end_call(planner))
+	if (planner_end_call(planner)) {
+		planner->machines_failed = response == NULL;
 		fleet_handle_order_result(
 		    planner->fleet, call->subject, result);
+	}
 	g_free(call);
 }
 
--- a/gwentryd/planner_records.c
+++ b/gwentryd/planner_records.c
@@ -106,6 +106,7 @@
 		    PLANNER_ROLE, "role-key-changed", planner->arg);
 		return;
 	}
+	planner->write_failed = err != NULL;
 	finish_wave_writes(planner, err == NULL);
 	if (err != NULL) {
 		gw_log(GW_EV_COMMIT_FAILED, "pool=%s err=%s text=\"%s\"",
--- a/lib/sched/fleet.c
+++ b/lib/sched/fleet.c
@@ -30,6 +30,7 @@
 	g_hash_table_destroy(pool->idle);
 	g_hash_table_destroy(pool->long_running_hosts);
 	g_hash_table_destroy(pool->team_counts);
+	forecast_free(pool->forecast);
 	g_free(pool);
 }
 
@@ -66,6 +67,14 @@
 	g_free(fleet);
 }
 
+void
+fleet_set_orders_available(fleet_t *fleet, bool available)
+{
+	if (fleet->orders_unavailable == available)
+		gw_log(GW_EV_POOL_WANT, "orders_available=%d", available);
+	fleet->orders_unavailable = !available;
+}
+
 /*
  * Sends the order that the machine was prepared for.
  */
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -58,6 +58,8 @@
 extern const fleet_lending_t fleet_lending_none;   /* baseline: no moves */
 extern const fleet_lending_t fleet_lending_demand; /* by the waiting work */
 extern const fleet_lending_t fleet_lending_rate;   /* by the arrival rate */
+/* By the arrival rate, and the rate that is expected by its period. */
+extern const fleet_lending_t fleet_lending_forecast;
 
 /* How long an order takes a machine out of service, from its acceptance. */
 typedef struct {
@@ -75,6 +77,11 @@
  */
 void fleet_set_pool(fleet_t *, const char *name, uint32_t group, bool standby);
 void fleet_set_load(fleet_t *, const char *name, const Gw__PoolLoad *);
+/*
+ * Sets whether orders can be recorded and sent now. While they can't, a machine
+ * that is in use is not drained for a move that may come late.
+ */
+void fleet_set_orders_available(fleet_t *, bool available);
 /* Returns the number of machines that are moving to the pool. */
 uint32_t fleet_count_incoming(const fleet_t *, const char *pool);
 /* Returns the number of machines on standby that could move to the pool. */
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -2,6 +2,7 @@
 #define SCHED_FLEET_IMPL_H
 
 #include "sched/fleet.h"
+#include "sched/forecast.h"
 
 /* The order that is being prepared or carried out. */
 typedef enum {
@@ -40,7 +41,9 @@
 	bool standby;
 	/* From the owner's last report. */
 	uint64_t load_received_us; /* 0: no report yet */
-	uint32_t instances;	   /* usable ones */
+	/* Since when it has reported without a long pause. */
+	uint64_t reporting_since_us;
+	uint32_t instances; /* usable ones */
 	uint64_t capacity_cpu_millis;
 	uint64_t used_cpu_millis;
 	uint64_t waiting_cpu_ms;     /* waiting work, in core milliseconds */
@@ -51,6 +54,7 @@
 	uint64_t demand_cpu_ms;	       /* all work that arrived so far */
 	uint64_t rate_cpu_millis;      /* arrival rate; short average */
 	uint64_t long_rate_cpu_millis; /* arrival rate; long average */
+	forecast_t *forecast;	       /* of the arrival rate */
 	uint64_t capacity_memory_mib;
 	uint64_t used_memory_mib;
 	uint64_t waiting_memory_mib_ms;
@@ -71,7 +75,9 @@
 	uint32_t in_maintenance; /* machines being drained or maintained */
 	/* Machines of the wave that run long-running tasks, not yet drained. */
 	uint32_t long_running_left;
-	uint32_t wanted_machines; /* set by the lending policy */
+	/* Both are set by the lending policy. */
+	uint32_t wanted_machines; /* moved to the pool if it has fewer */
+	uint32_t kept_machines;	  /* not moved away, even if not wanted */
 } pool_t;
 
 typedef struct {
@@ -96,12 +102,16 @@
 	GPtrArray *waves;	   /* wave_t */
 	bool has_list;		   /* a whole list of machines was read */
 	uint64_t list_read_us;	   /* 0: never, or to be read again */
+	bool orders_unavailable;   /* see fleet_set_orders_available() */
 	uint64_t wanted_logged_us; /* when log_wanted() last logged */
 };
 
 struct fleet_lending {
 	const char *name;
-	/* Sets wanted_machines of each pool that is not on standby. */
+	/*
+	 * Sets wanted_machines and kept_machines of each pool that is not on
+	 * standby.
+	 */
 	void (*set_wanted_machines)(fleet_t *, uint64_t now_us);
 };
 
@@ -120,7 +130,12 @@
 void fleet_set_team_loads(pool_t *, const Gw__PoolLoad *, uint64_t age_us);
 
 /* fleet_load.c */
-uint64_t fleet_forecast_rate(const pool_t *, uint64_t lead_us);
+bool fleet_load_is_recent(const pool_t *, uint64_t now_us);
+uint64_t fleet_extrapolate_rate(const pool_t *, uint64_t lead_us);
+uint64_t fleet_expected_rate(const pool_t *, uint64_t ahead_us);
+
+/* fleet_want.c */
+uint64_t fleet_move_lead_us(const fleet_t *);
 
 /* fleet_wave.c */
 void fleet_advance_waves(fleet_t *, uint64_t now_us);
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -3,8 +3,6 @@
 #include "gw/log.h"
 #include "sched/fleet_impl.h"
 
-/* A pool whose load report is older neither gets nor lends machines. */
-#define LOAD_AGE_MAX_US (1500 * GW_US_PER_MS)
 #define LOG_INTERVAL_US (500 * GW_US_PER_MS)
 /*
  * A surplus is moved to the standby pool once it has lasted this long. A
@@ -12,13 +10,6 @@
  */
 #define SURPLUS_AGE_MIN_US (1500 * GW_US_PER_MS)
 
-static bool
-load_is_recent(const pool_t *pool, uint64_t now_us)
-{
-	return pool->load_received_us != 0 &&
-	    gw_elapsed_us(now_us, pool->load_received_us) < LOAD_AGE_MAX_US;
-}
-
 /*
  * Returns for how long the pool has lacked room for a long-running task; 0 if
  * it does not, as far as known, or a machine is moving there.
@@ -26,7 +17,8 @@
 uint64_t
 fleet_lacking_room_us(const fleet_t *fleet, const pool_t *pool, uint64_t now_us)
 {
-	if (pool->long_running_waiting == 0 || !load_is_recent(pool, now_us) ||
+	if (pool->long_running_waiting == 0 ||
+	    !fleet_load_is_recent(pool, now_us) ||
 	    fleet_count_incoming(fleet, pool->name) > 0)
 		return 0;
 	return gw_elapsed_us(now_us, pool->long_running_waiting_since_us);
@@ -87,13 +79,17 @@
 
 /*
  * Returns how many machines the pool has beyond wanted_machines; negative when
- * it has too few.
+ * it has too few. Machines that it keeps are no surplus.
  */
 static int32_t
 count_surplus(const fleet_t *fleet, const pool_t *pool)
 {
-	return (int32_t)fleet_count_pool_machines(fleet, pool->name) -
-	    (int32_t)pool->wanted_machines;
+	uint32_t count = fleet_count_pool_machines(fleet, pool->name);
+
+	if (count < pool->wanted_machines)
+		return -(int32_t)(pool->wanted_machines - count);
+	return (int32_t)(count -
+	    MIN(count, MAX(pool->wanted_machines, pool->kept_machines)));
 }
 
 static void
@@ -118,14 +114,14 @@
 
 	if (standby != NULL)
 		machine = find_idle_machine(fleet, standby, now_us);
-	if (machine != NULL)
+	if (machine != NULL || fleet->orders_unavailable)
 		return machine;
 	g_hash_table_iter_init(&iter, fleet->pools);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
 		machine_t *found;
 
 		if (pool == to || pool->standby || pool->group != to->group ||
-		    !load_is_recent(pool, now_us) ||
+		    !fleet_load_is_recent(pool, now_us) ||
 		    count_surplus(fleet, pool) <= largest_surplus)
 			continue;
 		found = find_idle_machine(fleet, pool, now_us);
@@ -159,7 +155,8 @@
 	pool_t *standby = find_standby_pool(fleet, pool->group);
 	machine_t *machine;
 
-	if (standby == NULL || count_surplus(fleet, pool) <= 0) {
+	if (standby == NULL || fleet->orders_unavailable ||
+	    count_surplus(fleet, pool) <= 0) {
 		pool->surplus_since_us = 0;
 		return;
 	}
@@ -191,19 +188,23 @@
 	g_hash_table_iter_init(&iter, fleet->pools);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
 		gw_log(GW_EV_POOL_WANT,
-		    "pool=%s standby=%d machines=%u wanted=%u usable=%u "
+		    "pool=%s standby=%d machines=%u wanted=%u kept=%u "
+		    "usable=%u "
 		    "idle=%u long_running_hosts=%u late_hosts=%u "
 		    "used_cpu=%" PRIu64 " late_used_cpu=%" PRIu64
 		    " waiting_cpu_ms=%" PRIu64 " late_waiting_cpu_ms=%" PRIu64
-		    " rate_cpu=%" PRIu64 " load_age_ms=%" PRIu64,
+		    " rate_cpu=%" PRIu64 " expected_rate_cpu=%" PRIu64
+		    " period_ms=%" PRIu64 " load_age_ms=%" PRIu64,
 		    pool->name, pool->standby,
 		    fleet_count_pool_machines(fleet, pool->name),
-		    pool->wanted_machines, pool->instances,
+		    pool->wanted_machines, pool->kept_machines, pool->instances,
 		    g_hash_table_size(pool->idle),
 		    g_hash_table_size(pool->long_running_hosts),
 		    pool->late_instances, pool->used_cpu_millis,
 		    pool->late_used_cpu_millis, pool->waiting_cpu_ms,
 		    pool->late_waiting_cpu_ms, pool->rate_cpu_millis,
+		    fleet_expected_rate(pool, fleet_move_lead_us(fleet)),
+		    forecast_period_us(pool->forecast) / GW_US_PER_MS,
 		    gw_elapsed_us(now_us, pool->load_received_us) /
 			GW_US_PER_MS);
 }
@@ -221,10 +222,10 @@
 	log_wanted(fleet, now_us);
 	g_hash_table_iter_init(&iter, fleet->pools);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
-		if (!pool->standby && load_is_recent(pool, now_us))
+		if (!pool->standby && fleet_load_is_recent(pool, now_us))
 			fill_shortage(fleet, pool, now_us);
 	g_hash_table_iter_init(&iter, fleet->pools);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
-		if (!pool->standby && load_is_recent(pool, now_us))
+		if (!pool->standby && fleet_load_is_recent(pool, now_us))
 			return_surplus(fleet, pool, now_us);
 }
--- a/lib/sched/fleet_load.c
+++ b/lib/sched/fleet_load.c
@@ -4,6 +4,8 @@
 #define RATE_WINDOW_US (400 * GW_US_PER_MS)
 /* Window of the long average, with which the short one is compared. */
 #define LONG_RATE_WINDOW_US (1200 * GW_US_PER_MS)
+/* A load report counts for this long. */
+#define LOAD_AGE_MAX_US (1500 * GW_US_PER_MS)
 
 static void
 replace_names(GHashTable *names, char *const *from, size_t count)
@@ -34,17 +36,16 @@
 {
 	uint64_t demand = load->demand_cpu_ms + load->waiting_cpu_ms;
 	uint64_t age_us = gw_elapsed_us(now_us, pool->load_received_us);
-	uint64_t rate = 0;
+	uint64_t work = 0, rate;
 
 	/*
 	 * The demand falls when a new owner begins to count at zero, and when
 	 * waiting jobs end.
 	 */
-	if (demand > pool->demand_cpu_ms)
-		rate = (demand - pool->demand_cpu_ms) * GW_US_PER_S /
-		    MAX(age_us, 1);
-	if (pool->load_received_us == 0)
-		rate = 0;
+	if (demand > pool->demand_cpu_ms && pool->load_received_us != 0)
+		work = demand - pool->demand_cpu_ms;
+	rate = work * GW_US_PER_S / MAX(age_us, 1);
+	forecast_add(pool->forecast, work, now_us);
 	pool->demand_cpu_ms = demand;
 	pool->rate_cpu_millis =
 	    update_average(pool->rate_cpu_millis, rate, age_us, RATE_WINDOW_US);
@@ -58,7 +59,7 @@
  * their difference gives the slope. A fall is not extrapolated.
  */
 uint64_t
-fleet_forecast_rate(const pool_t *pool, uint64_t lead_us)
+fleet_extrapolate_rate(const pool_t *pool, uint64_t lead_us)
 {
 	uint64_t rise = pool->rate_cpu_millis -
 	    MIN(pool->rate_cpu_millis, pool->long_rate_cpu_millis);
@@ -68,6 +69,32 @@
 	    (LONG_RATE_WINDOW_US - RATE_WINDOW_US);
 }
 
+/*
+ * Returns the highest rate that is expected by the period of demand until
+ * ahead_us, less the error that such forecasts had; 0 if no period is known.
+ */
+uint64_t
+fleet_expected_rate(const pool_t *pool, uint64_t ahead_us)
+{
+	forecast_rate_t expected;
+
+	if (!forecast_highest(pool->forecast, 0, ahead_us, &expected))
+		return 0;
+	return expected.rate_cpu_millis -
+	    MIN(expected.rate_cpu_millis, expected.error_cpu_millis);
+}
+
+/*
+ * Returns whether the pool's load is known. If it is not, the pool neither gets
+ * nor lends machines.
+ */
+bool
+fleet_load_is_recent(const pool_t *pool, uint64_t now_us)
+{
+	return pool->load_received_us != 0 &&
+	    gw_elapsed_us(now_us, pool->load_received_us) < LOAD_AGE_MAX_US;
+}
+
 /*
  * Stores an owner's report of its pool's load.
  */
@@ -77,6 +104,8 @@
 	pool_t *pool = fleet_get_pool(fleet, name);
 	uint64_t now_us = gw_clock_now_us(fleet->clock);
 
+	if (!fleet_load_is_recent(pool, now_us))
+		pool->reporting_since_us = now_us;
 	update_demand_rate(pool, load, now_us);
 	fleet_set_team_loads(
 	    pool, load, gw_elapsed_us(now_us, pool->load_received_us));
--- a/lib/sched/fleet_machines.c
+++ b/lib/sched/fleet_machines.c
@@ -21,6 +21,7 @@
 	pool->idle =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	pool->team_counts = fleet_team_counts_new();
+	pool->forecast = forecast_new(gw_clock_now_us(fleet->clock));
 	pool->long_running_hosts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_hash_table_insert(fleet->pools, pool->name, pool);
--- a/lib/sched/fleet_want.c
+++ b/lib/sched/fleet_want.c
@@ -12,6 +12,17 @@
  * gets a machine only once a long-running task has waited this long.
  */
 #define NO_INSTANCE_WAIT_US (600 * GW_US_PER_MS)
+/*
+ * Until an owner has reported for this long, its pool keeps its machines if it
+ * has work: after all processes were lost, instances come into contact one by
+ * one and callers send again, so the load is still incomplete.
+ */
+#define REPORTS_MIN_US (4 * GW_US_PER_S)
+/*
+ * Demand is not extrapolated beyond this multiple of what present work can use:
+ * one large job that arrives looks like the beginning of a steep rise.
+ */
+#define RISE_MAX_FACTOR 3
 
 /*
  * Returns how many machines the need takes, if each has the mean capacity of
@@ -51,6 +62,15 @@
 	    pool->waiting_cpu_ms * 1000 / BACKLOG_TARGET_MS;
 }
 
+/*
+ * Returns the time from an order to the first work on the machine.
+ */
+uint64_t
+fleet_move_lead_us(const fleet_t *fleet)
+{
+	return (fleet->times.move_ms + SCHED_REGISTER_MARGIN_MS) * GW_US_PER_MS;
+}
+
 /*
  * Returns the CPU that a pool needs by the rate at which work arrives. Meant
  * for loads where a pool's demand rises within a second to several times its
@@ -64,12 +84,33 @@
 static uint64_t
 cpu_need_by_rate(const fleet_t *fleet, const pool_t *pool)
 {
-	uint64_t lead_us =
-	    (fleet->times.move_ms + SCHED_REGISTER_MARGIN_MS) * GW_US_PER_MS;
-
 	return MAX(pool->used_cpu_millis,
 		   pool->long_running_used_cpu_millis +
-		       fleet_forecast_rate(pool, lead_us)) +
+		       fleet_extrapolate_rate(
+			   pool, fleet_move_lead_us(fleet))) +
+	    MIN(pool->waiting_cpu_ms * 1000 / BACKLOG_TARGET_MS,
+		pool->waiting_cpu_millis);
+}
+
+/*
+ * Returns the CPU that a pool needs by the rate at which work arrives, as
+ * above, but with two bounds. The extrapolated rate is limited by the CPU that
+ * the present tasks can use, and raised to the rate that the period of demand
+ * lets expect until a machine that is ordered now will have arrived.
+ */
+static uint64_t
+cpu_need_by_forecast(const fleet_t *fleet, const pool_t *pool)
+{
+	uint64_t long_running =
+	    MIN(pool->used_cpu_millis, pool->long_running_used_cpu_millis);
+	uint64_t usable =
+	    pool->used_cpu_millis - long_running + pool->waiting_cpu_millis;
+	uint64_t rate =
+	    MIN(fleet_extrapolate_rate(pool, fleet_move_lead_us(fleet)),
+		RISE_MAX_FACTOR * usable);
+
+	rate = MAX(rate, fleet_expected_rate(pool, fleet_move_lead_us(fleet)));
+	return MAX(pool->used_cpu_millis, long_running + rate) +
 	    MIN(pool->waiting_cpu_ms * 1000 / BACKLOG_TARGET_MS,
 		pool->waiting_cpu_millis);
 }
@@ -153,6 +194,44 @@
 	set_wanted(fleet, cpu_need_by_rate);
 }
 
+/*
+ * Returns how many machines a pool keeps although it doesn't need them now:
+ * those that it is expected to need before a machine that is moved away could
+ * be back, and all while the load of a pool with work is incomplete.
+ */
+static uint32_t
+kept_by_forecast(const fleet_t *fleet, const pool_t *pool, uint64_t now_us)
+{
+	uint64_t expected =
+	    fleet_expected_rate(pool, 2 * fleet_move_lead_us(fleet));
+	uint32_t kept = 0;
+
+	if (expected > 0 && pool->instances > 0)
+		kept = machines_needed(pool,
+			   pool->long_running_used_cpu_millis + expected,
+			   pool->capacity_cpu_millis) +
+		    RESERVE_MACHINES;
+	if (pool->used_cpu_millis > pool->long_running_used_cpu_millis ||
+	    pool->waiting_cpu_millis > 0)
+		if (gw_elapsed_us(now_us, pool->reporting_since_us) <
+		    REPORTS_MIN_US)
+			kept = MAX(
+			    kept, fleet_count_pool_machines(fleet, pool->name));
+	return kept;
+}
+
+static void
+set_wanted_by_forecast(fleet_t *fleet, uint64_t now_us)
+{
+	GHashTableIter iter;
+	pool_t *pool;
+
+	set_wanted(fleet, cpu_need_by_forecast);
+	g_hash_table_iter_init(&iter, fleet->pools);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool))
+		pool->kept_machines = kept_by_forecast(fleet, pool, now_us);
+}
+
 static void
 set_wanted_to_current(fleet_t *fleet, uint64_t now_us)
 {
@@ -169,3 +248,5 @@
 const fleet_lending_t fleet_lending_none = {"none", set_wanted_to_current};
 const fleet_lending_t fleet_lending_demand = {"demand", set_wanted_by_backlog};
 const fleet_lending_t fleet_lending_rate = {"rate", set_wanted_by_rate};
+const fleet_lending_t fleet_lending_forecast = {
+    "forecast", set_wanted_by_forecast};
--- a/lib/sched/forecast.c
+++ b/lib/sched/forecast.c
@@ -20,6 +20,11 @@
  */
 #define ERROR_OF_MEAN_SHARE_MAX 0.5
 #define RATE_SHARE_MAX 0.4
+/*
+ * Periods longer by this must have been compared too: while the error still
+ * falls with the length, the period is longer.
+ */
+#define LONGER_INTERVALS 2
 /* Of periods whose errors differ by less, the shortest is taken. */
 #define ERROR_TOLERANCE 1.1
 
@@ -118,10 +123,11 @@
 static void
 choose_period(forecast_t *forecast)
 {
+	uint64_t longest = MIN(PERIOD_MAX_INTERVALS,
+	    (forecast->count - MIN(forecast->count, 2)) / TURNS_MIN);
+
 	forecast->period = 0;
-	for (uint32_t i = PERIOD_MIN_INTERVALS;
-	     i <= PERIOD_MAX_INTERVALS && TURNS_MIN * i + 2 <= forecast->count;
-	     i++) {
+	for (uint32_t i = PERIOD_MIN_INTERVALS; i <= longest; i++) {
 		double error = period_error(forecast, i);
 
 		if (error < 0 ||
@@ -131,6 +137,8 @@
 		forecast->period = i;
 		forecast->error = error;
 	}
+	if (forecast->period + LONGER_INTERVALS > longest)
+		forecast->period = 0;
 }
 
 static void
--- a/regress/sched/fleetplay.c
+++ b/regress/sched/fleetplay.c
@@ -95,14 +95,16 @@
     .wave_state_changed = on_wave_state_changed,
     .wave_machine_done = on_wave_machine_done};
 
-/* fleet [lend|rate]: a new fleet with that lending policy; none by default. */
+/* fleet [lend|rate|forecast]: a new fleet with that lending policy, or none. */
 static void
 do_fleet(void)
 {
 	const fleet_times_t times = {1500, 2000};
 	const fleet_lending_t *lending = &fleet_lending_none;
 
-	if (word_count > 1)
+	if (word_count > 1 && strcmp(words[1], "forecast") == 0)
+		lending = &fleet_lending_forecast;
+	else if (word_count > 1)
 		lending = strcmp(words[1], "rate") == 0 ? &fleet_lending_rate
 							: &fleet_lending_demand;
 
@@ -249,6 +251,13 @@
 	}
 }
 
+/* orders on|off: whether orders can be recorded and sent. */
+static void
+do_orders(void)
+{
+	fleet_set_orders_available(fleet, strcmp(words[1], "on") == 0);
+}
+
 static void
 do_needs_list(void)
 {
@@ -273,6 +282,7 @@
     {"ordered", 3, do_ordered},
     {"advance", 2, do_advance},
     {"needs-list", 1, do_needs_list},
+    {"orders", 2, do_orders},
 };
 
 static void
