--- a/regress/limits/crowd.c
+++ b/regress/limits/crowd.c
@@ -61,11 +61,10 @@
 static void
 add_filler(size_t size_bytes)
 {
-	g_autofree char *filler = g_malloc(size_bytes);
+	guint at = plan.bytes->len;
 
-	memset(filler, 'x', size_bytes);
-	g_byte_array_append(
-	    plan.bytes, (const guint8 *)filler, (guint)size_bytes);
+	g_byte_array_set_size(plan.bytes, at + (guint)size_bytes);
+	memset(plan.bytes->data + at, 'x', size_bytes);
 }
 
 static void
@@ -131,7 +130,7 @@
 	/* POST, http, /, and :authority as a literal. */
 	static const guint8 headers[] = "\x83\x86\x84\x41\x0cjobs.example";
 	static const guint8 cancel[] = {0, 0, 0, 8};
-	g_autofree guint8 *data = g_malloc0(CHUNK_BYTES);
+	static const guint8 data[CHUNK_BYTES];
 
 	add_text("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
 	add_http2_frame(4, 0, 0, settings, sizeof(settings));
