lib/http: keep a server's callers within a budget

libh2o reads a body into the connection's input buffer, whose capacity is what is allocated, and has no call to close a connection. The server takes the place of libh2o's read callback: before libh2o sees new bytes, the connections over the budget get an error as from a failed read, upon which libh2o closes them and frees all at once. Where libh2o doesn't read, the socket is shut down. The kernel's buffers are bounded on the listener. Only servers for which gw_httpd_guard() is called are changed; they speak HTTP/1.1 only.

--- a/lib/http/httpd.c
+++ b/lib/http/httpd.c
@@ -5,9 +5,16 @@
 #include <jansson.h>
 
 #include "gw/log.h"
+#include "http/callers.h"
 #include "http/httpd.h"
 
 #define BACKLOG 1024
+/*
+ * Of a guarded connection in the kernel, which holds up to twice as much. Also
+ * bounds what one turn of the loop can add.
+ */
+#define RECEIVE_BUFFER_BYTES 16384
+#define SEND_BUFFER_BYTES 32768
 
 /* libh2o's handler, extended by a pointer to the server. */
 typedef struct {
@@ -27,12 +34,15 @@
 	bool listening;
 	bool accept_deferred; /* deferred until a connection is closed */
 	uint32_t connections; /* open ones, idle ones included */
+	bool is_guarded;
+	callers_t callers; /* if is_guarded */
 };
 
 /* One accepted connection; libh2o owns the stream. */
 typedef struct {
 	uv_tcp_t tcp;
 	gw_httpd_t *httpd;
+	callers_conn_t caller; /* if the server is guarded */
 } http_conn_t;
 
 static int
@@ -77,6 +87,27 @@
 	return httpd;
 }
 
+/*
+ * Sets the limits on callers, also on open connections.
+ */
+void
+gw_httpd_guard(gw_httpd_t *httpd, const gw_httpd_guard_t *guard)
+{
+	if (!httpd->is_guarded)
+		callers_init(&httpd->callers, httpd->rt);
+	httpd->is_guarded = true;
+	httpd->callers.budget.limits = guard->budget;
+	httpd->callers.header_max_bytes = guard->header_max_bytes;
+	httpd->config.max_request_entity_size = guard->body_max_bytes;
+	httpd->config.http1.upgrade_to_http2 = 0;
+}
+
+gw_budget_t *
+gw_httpd_budget(gw_httpd_t *httpd)
+{
+	return &httpd->callers.budget;
+}
+
 static void accept_one(gw_httpd_t *);
 
 static void
@@ -117,11 +148,14 @@
 	httpd->connections++;
 	sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp, on_conn_closed);
 	h2o_accept(&httpd->accept, sock);
+	if (httpd->is_guarded)
+		callers_add(&httpd->callers, &conn->caller, sock);
 }
 
 /*
  * Accepts a connection, unless connections_max is reached. libuv then does not
- * poll the listener again until uv_accept() is called.
+ * poll the listener again until uv_accept() is called. A guarded server accepts
+ * it and closes another one.
  */
 static void
 on_connection(uv_stream_t *listener, int status)
@@ -130,13 +164,28 @@
 
 	if (status != 0)
 		return;
-	if (httpd->connections >= httpd->limits.connections_max) {
+	if (!httpd->is_guarded &&
+	    httpd->connections >= httpd->limits.connections_max) {
 		httpd->accept_deferred = true;
 		return;
 	}
 	accept_one(httpd);
 }
 
+/*
+ * Bounds the kernel's buffers. Accepted sockets inherit them from the listener.
+ */
+static void
+bound_buffers(gw_httpd_t *httpd)
+{
+	uv_handle_t *handle = (uv_handle_t *)&httpd->listener;
+	int receive_bytes = RECEIVE_BUFFER_BYTES;
+	int send_bytes = SEND_BUFFER_BYTES;
+
+	(void)uv_recv_buffer_size(handle, &receive_bytes);
+	(void)uv_send_buffer_size(handle, &send_bytes);
+}
+
 /*
  * Listens on addr; port 0 selects a free port. Writes the bound address to
  * bound unless that is NULL. Returns 0, or -1 with GW_ERR_SYSTEM.
@@ -154,6 +203,8 @@
 	httpd->listening = true;
 	rc = uv_tcp_bind(
 	    &httpd->listener, (const struct sockaddr *)&addr->sa, 0);
+	if (rc == 0 && httpd->is_guarded)
+		bound_buffers(httpd);
 	if (rc == 0)
 		rc = uv_listen(
 		    (uv_stream_t *)&httpd->listener, BACKLOG, on_connection);
@@ -215,6 +266,8 @@
 {
 	if (httpd == NULL || httpd->connections > 0)
 		return;
+	if (httpd->is_guarded)
+		callers_dispose(&httpd->callers);
 	(void)uv_run(gw_rt_loop(httpd->rt), UV_RUN_NOWAIT);
 	/* gw_httpd_shutdown() arms it for HTTP/2 even without a connection. */
 	h2o_timeout_unlink(&httpd->context.http2._graceful_shutdown_timeout);
@@ -274,8 +327,12 @@
     const void *body, size_t size_bytes)
 {
 	static h2o_generator_t generator = {NULL, NULL};
+	callers_conn_t *caller =
+	    callers_find(req->conn->callbacks->get_socket(req->conn));
 	h2o_iovec_t buf;
 
+	if (caller != NULL)
+		callers_charge_response(caller, size_bytes);
 	buf = h2o_strdup(&req->pool, body, size_bytes);
 	req->res.status = status;
 	req->res.reason = "";
--- a/lib/http/httpd.h
+++ b/lib/http/httpd.h
@@ -10,6 +10,7 @@
 #include "gw/addr.h"
 #include "gw/err.h"
 #include "gw/runtime.h"
+#include "http/budget.h"
 
 /* An HTTP/1.1 and HTTP/2 (prior knowledge) server on libh2o. */
 typedef struct gw_httpd gw_httpd_t;
@@ -28,8 +29,22 @@
 	uint32_t connections_max; /* more wait in the listen backlog */
 } gw_httpd_limits_t;
 
+/*
+ * Limits on callers that nobody controls. Where they are set, the server speaks
+ * HTTP/1.1 only, and closes connections instead of refusing new ones.
+ */
+typedef struct {
+	uint64_t body_max_bytes;
+	uint32_t header_max_bytes; /* a longer header gets status 431 */
+	gw_budget_limits_t budget;
+} gw_httpd_guard_t;
+
 gw_httpd_t *gw_httpd_new(
     gw_rt_t *, const gw_httpd_limits_t *, gw_http_handler_t, void *arg);
+/* Sets the limits, also on open connections; first before it listens. */
+void gw_httpd_guard(gw_httpd_t *, const gw_httpd_guard_t *);
+/* Returns what is held for callers. */
+gw_budget_t *gw_httpd_budget(gw_httpd_t *);
 int gw_httpd_listen(
     gw_httpd_t *, const gw_addr_t *, gw_addr_t *bound, gw_err_t *);
 void gw_httpd_announce_close(gw_httpd_t *);
