lib/wire: report and free partial frames

Owners can bound what incomplete frames hold. The read buffer is shared, since 64 KB for each silent connection was most of 51.7 MB for 800 of them; the bytes of a connection are freed when its close begins, and a large buffer with its frame.

--- a/gwrouted/fleet.c
+++ b/gwrouted/fleet.c
@@ -364,7 +364,8 @@
 		    RECONNECT_DELAY_US, on_reconnect, link);
 }
 
-static const gw_conn_ops_t link_ops = {on_open, on_message, on_close};
+static const gw_conn_ops_t link_ops = {
+    .on_open = on_open, .on_message = on_message, .on_close = on_close};
 
 static void
 link_connect(link_t *link)
--- a/lib/wire/conn.c
+++ b/lib/wire/conn.c
@@ -18,9 +18,11 @@
 	uint64_t sent_bytes; /* queued for sending, frame headers included */
 	uint64_t received_bytes;
 	char peer[GW_ADDR_TEXT_BYTES];
-	char read_buf[READ_BYTES];
 };
 
+/* libuv passes on what it read before it reads from another connection. */
+static __thread char read_buf[READ_BYTES];
+
 /* One frame being written to the socket. */
 typedef struct {
 	uv_write_t req;
@@ -35,12 +37,12 @@
 
 	if (conn->ops->on_close != NULL)
 		conn->ops->on_close(conn, &conn->close_err, conn->arg);
-	gw_frame_reader_clear(&conn->reader);
 	g_free(conn);
 }
 
 /*
- * Starts closing the connection; on_close is called from the loop.
+ * Starts closing the connection; on_close is called from the loop. Frees what
+ * was received at once, since many connections may be closed in one turn.
  */
 static void
 begin_close(gw_conn_t *conn)
@@ -51,6 +53,7 @@
 	gw_log(GW_EV_PEER_CLOSED, "peer=%s step=\"%s\" err=%s text=\"%s\"",
 	    conn->peer, conn->close_err.step,
 	    gw_errc_name(conn->close_err.code), conn->close_err.text);
+	gw_frame_reader_clear(&conn->reader);
 	uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
 }
 
@@ -66,10 +69,9 @@
 static void
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
-	gw_conn_t *conn = handle->data;
-
+	(void)handle;
 	(void)suggested;
-	*buf = uv_buf_init(conn->read_buf, sizeof(conn->read_buf));
+	*buf = uv_buf_init(read_buf, sizeof(read_buf));
 }
 
 /*
@@ -110,6 +112,9 @@
 	conn->received_bytes += (uint64_t)nread;
 	gw_frame_reader_feed(&conn->reader, buf->base, (size_t)nread);
 	deliver_frames(conn);
+	if (!conn->closing && conn->reader.buf->len > 0 &&
+	    conn->ops->on_partial != NULL)
+		conn->ops->on_partial(conn, conn->arg);
 }
 
 static void
@@ -316,3 +321,12 @@
 {
 	return conn->received_bytes;
 }
+
+/*
+ * Returns the number of bytes held of a frame that is not complete.
+ */
+uint64_t
+gw_conn_partial_bytes(const gw_conn_t *conn)
+{
+	return conn->closing ? 0 : conn->reader.buf->len;
+}
--- a/lib/wire/conn.h
+++ b/lib/wire/conn.h
@@ -22,6 +22,8 @@
 typedef struct {
 	void (*on_open)(gw_conn_t *, void *arg);
 	void (*on_message)(gw_conn_t *, const Gw__Envelope *, void *arg);
+	/* Part of a frame is held; optional. May close any connection. */
+	void (*on_partial)(gw_conn_t *, void *arg);
 	void (*on_close)(gw_conn_t *, const gw_err_t *, void *arg);
 } gw_conn_ops_t;
 
@@ -34,6 +36,8 @@
 void gw_conn_close(gw_conn_t *);
 const char *gw_conn_peer(const gw_conn_t *);
 uint64_t gw_conn_sent_bytes(const gw_conn_t *);
+/* Returns the bytes held of a frame that is not complete. */
+uint64_t gw_conn_partial_bytes(const gw_conn_t *);
 uint64_t gw_conn_received_bytes(const gw_conn_t *);
 
 #endif
--- a/lib/wire/frame.c
+++ b/lib/wire/frame.c
@@ -4,6 +4,9 @@
 
 #include "wire/frame.h"
 
+/* The buffer of a smaller frame is kept for the next one. */
+#define KEPT_BYTES (64 * 1024)
+
 /*
  * Initializes a reader with an empty buffer.
  */
@@ -34,6 +37,21 @@
 	g_byte_array_append(reader->buf, data, (guint)size_bytes);
 }
 
+/*
+ * Removes a frame from the buffer, which does not shrink by itself: a large one
+ * is freed once it is empty.
+ */
+static void
+remove_frame(gw_frame_reader_t *reader, uint32_t size_bytes)
+{
+	if (reader->buf->len > size_bytes || size_bytes < KEPT_BYTES) {
+		g_byte_array_remove_range(reader->buf, 0, size_bytes);
+		return;
+	}
+	g_byte_array_unref(reader->buf);
+	reader->buf = g_byte_array_new();
+}
+
 /*
  * Decodes the next frame. Returns 1 with an envelope that the caller frees with
  * gw__envelope__free_unpacked(), or 0 when more bytes are needed. Returns -1
@@ -69,8 +87,7 @@
 		    "frame of %u bytes is not a known message", size_bytes);
 		return -1;
 	}
-	g_byte_array_remove_range(
-	    reader->buf, 0, GW_FRAME_HEADER_BYTES + size_bytes);
+	remove_frame(reader, GW_FRAME_HEADER_BYTES + size_bytes);
 	return 1;
 }
 
--- a/regress/router/fake_fleet.c
+++ b/regress/router/fake_fleet.c
@@ -251,7 +251,8 @@
 	g_ptr_array_add(((fake_fleet_t *)arg)->conns, conn);
 }
 
-static const gw_conn_ops_t ops = {NULL, on_message, on_close};
+static const gw_conn_ops_t ops = {
+    .on_message = on_message, .on_close = on_close};
 
 /*
  * Starts a fake fleet daemon that listens on a port. json is the manifest of
