gwentryd: bound what callers and other processes make it hold

An entry process ran out of memory on bodies of legal size that stop short of their end: 1 MiB for each of 3,000 connections, whatever the machine has. The budget now comes from memory_mb and max_fds of the settings, less what the process needs with its registry, and counts buffers, bodies on their way to owners and responses; the configuration's four limits are served, also on open connections. Defaults where it has none are as before: 1 MiB, 60 s; new: 64 KiB of header. Ports for probes and other processes have bounds of their own.

--- a/gwentryd/dispatch.c
+++ b/gwentryd/dispatch.c
@@ -273,3 +273,9 @@
 	g_free(dispatch);
 	return NULL;
 }
+
+void
+dispatch_set_descriptors(dispatch_t *dispatch, uint32_t descriptors)
+{
+	peers_set_descriptors(dispatch->peers, descriptors);
+}
--- a/gwentryd/dispatch.h
+++ b/gwentryd/dispatch.h
@@ -16,6 +16,8 @@
 typedef void (*dispatch_handler_t)(
     const Gw__Call *, dispatch_response_cb_t, void *response_arg, void *arg);
 
+/* Bounds other processes' connections; see peers_set_descriptors(). */
+void dispatch_set_descriptors(dispatch_t *, uint32_t descriptors);
 dispatch_t *dispatch_new(gw_rt_t *, roles_t *, const gw_addr_t *listen,
     dispatch_handler_t, void *arg, gw_err_t *);
 /* Asks the process at address whether it owns the shard. */
--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -333,6 +333,8 @@
 	entry_t *entry = arg;
 
 	owners_set_instance(entry->owners, info);
+	front_set_instance_count(
+	    entry->front, view_instance_count(entry->view));
 	if (entry->planner != NULL)
 		planner_instance_up(entry->planner, info);
 }
@@ -343,6 +345,8 @@
 	entry_t *entry = arg;
 
 	owners_remove_instance(entry->owners, id);
+	front_set_instance_count(
+	    entry->front, view_instance_count(entry->view));
 	if (entry->planner != NULL)
 		planner_instance_removed(entry->planner, id);
 }
@@ -413,7 +417,8 @@
 		GW_US_PER_MS,
 	    .shards_owned = owners_count(entry->owners),
 	    .waits = owners_waits(entry->owners),
-	    .connections = front_connection_count(entry->front)};
+	    .connections = front_connection_count(entry->front),
+	    .callers = front_budget(entry->front)};
 }
 
 /* Start. */
@@ -445,6 +450,7 @@
 	    dispatch_new(rt, entry->roles, &peer, on_call, entry, err);
 	if (entry->dispatch == NULL)
 		goto fail;
+	dispatch_set_descriptors(entry->dispatch, settings->descriptors_max);
 	entry->homes = homes_new(
 	    rt, entry->store, settings->config_apply_ms, &homes_ops, entry);
 	entry->front = front_new(
--- a/gwentryd/front.c
+++ b/gwentryd/front.c
@@ -6,18 +6,13 @@
 #include "platform/job.h"
 #include "request.h"
 
-/*
- * A request with a larger body is answered with 413. max_body_bytes and
- * idle_timeout_ms of the configuration are not used here.
- */
+/* Limits on callers until a configuration has been read. */
 #define BODY_MAX_BYTES (1024 * 1024)
-/* Callers reuse their connections for later requests. */
-#define IDLE_TIMEOUT_MS 60000
-/*
- * Below the platform's limit on file descriptors; the others are for
- * connections to instances.
- */
-#define CONNECTIONS_MAX 3000
+#define HEADER_MAX_BYTES (64 * 1024)
+/* A whole request must arrive within this time; longer idle times are cut. */
+#define REQUEST_TIMEOUT_MS 60000
+/* A body that is forwarded exists decoded, packed and in a frame. */
+#define FORWARD_COPIES 3
 /*
  * Retry-After where no owner gives one: before the configuration has been read
  * from the store, and during a shutdown.
@@ -28,6 +23,7 @@
 	dispatch_t *dispatch;
 	const homes_t *homes;
 	gw_httpd_t *httpd;
+	gw_budget_host_t host;
 	const sched_config_t *config;
 	uint32_t shard_count; /* shards of each pool; 0: not known yet */
 	requests_t requests;
@@ -43,6 +39,23 @@
 	request_reply_error(request, status, reason, RETRY_AFTER_DEFAULT_MS);
 }
 
+/*
+ * Charges the copies of a body to what is held for callers. Returns false if
+ * there is no room for them.
+ */
+static bool
+charge_body(request_t *request)
+{
+	uint64_t size_bytes = FORWARD_COPIES * request->req->entity.len;
+
+	if (request->charged_bytes > 0)
+		return true; /* a request that was held */
+	if (!gw_budget_charge_forward(request->requests->budget, size_bytes))
+		return false;
+	request->charged_bytes = size_bytes;
+	return true;
+}
+
 /*
  * Forwards a request. A submission whose body is malformed is refused.
  */
@@ -60,6 +73,11 @@
 	gw_err_t err;
 
 	if (request->kind == GW__CALL_KIND__CALL_SUBMIT) {
+		if (!charge_body(request)) {
+			reply_error(
+			    request, STATUS_UNAVAILABLE, "too-many-bodies");
+			return;
+		}
 		spec = plat_job_decode(
 		    request->id, queue, body->base, body->len, &err);
 		if (spec == NULL) {
@@ -230,6 +248,30 @@
 	}
 }
 
+/*
+ * Sets the limits on callers from the settings, the registry and the
+ * configuration in force.
+ */
+static void
+set_limits(front_t *front)
+{
+	const sched_config_t *config = front->config;
+	gw_httpd_guard_t guard = {.body_max_bytes = BODY_MAX_BYTES,
+	    .header_max_bytes = HEADER_MAX_BYTES,
+	    .budget = {.header_timeout_ms = REQUEST_TIMEOUT_MS,
+		.idle_timeout_ms = REQUEST_TIMEOUT_MS}};
+
+	if (config != NULL) {
+		guard.body_max_bytes = config->body_max_bytes;
+		guard.header_max_bytes = config->header_max_bytes;
+		guard.budget.header_timeout_ms = config->header_timeout_ms;
+		guard.budget.idle_timeout_ms = config->idle_timeout_ms;
+	}
+	front->host.body_max_bytes = (uint32_t)guard.body_max_bytes;
+	gw_budget_size(&guard.budget, &front->host);
+	gw_httpd_guard(front->httpd, &guard);
+}
+
 /*
  * Listens for callers. Returns NULL and sets err on failure.
  */
@@ -237,8 +279,8 @@
 front_new(gw_rt_t *rt, dispatch_t *dispatch, const homes_t *homes,
     stats_t *stats, const plat_settings_t *settings, gw_err_t *err)
 {
-	const gw_httpd_limits_t limits = {
-	    BODY_MAX_BYTES, IDLE_TIMEOUT_MS, CONNECTIONS_MAX};
+	const gw_httpd_limits_t limits = {.body_max_bytes = BODY_MAX_BYTES,
+	    .idle_timeout_ms = REQUEST_TIMEOUT_MS};
 	front_t *front = g_new0(front_t, 1);
 
 	front->dispatch = dispatch;
@@ -247,6 +289,10 @@
 	front->value_max_bytes = settings->bounds.value_max_bytes;
 	requests_init(&front->requests, rt, stats, front);
 	front->httpd = gw_httpd_new(rt, &limits, on_request, front);
+	front->host = (gw_budget_host_t){.memory_bytes = settings->memory_bytes,
+	    .descriptors = settings->descriptors_max};
+	set_limits(front);
+	front->requests.budget = gw_httpd_budget(front->httpd);
 	if (gw_httpd_listen(front->httpd, &settings->callers, NULL, err) == 0)
 		return front;
 	gw_httpd_free(front->httpd);
@@ -262,6 +308,20 @@
 {
 	front->config = config;
 	front->requests.config_version = config->version;
+	set_limits(front);
+}
+
+void
+front_set_instance_count(front_t *front, uint32_t count)
+{
+	front->host.instances = count;
+	set_limits(front);
+}
+
+const gw_budget_t *
+front_budget(const front_t *front)
+{
+	return front->requests.budget;
 }
 
 void
--- a/gwentryd/front.h
+++ b/gwentryd/front.h
@@ -4,6 +4,7 @@
 #include "dispatch.h"
 #include "gw/runtime.h"
 #include "homes.h"
+#include "http/budget.h"
 #include "platform/settings.h"
 #include "sched/config.h"
 #include "stats.h"
@@ -18,6 +19,10 @@
     const plat_settings_t *, gw_err_t *);
 /* Sets the configuration, which must stay valid until the next call. */
 void front_set_config(front_t *, const sched_config_t *);
+/* Sets the size of the registry, which leaves less memory to callers. */
+void front_set_instance_count(front_t *, uint32_t count);
+/* Returns what is held for callers. */
+const gw_budget_t *front_budget(const front_t *);
 /* The homes have been read again. */
 void front_homes_read(front_t *);
 /* The configuration was the newest one at at_us. */
--- a/gwentryd/peers.h
+++ b/gwentryd/peers.h
@@ -30,6 +30,8 @@
 
 peers_t *peers_new(
     gw_rt_t *, const gw_addr_t *listen, peers_call_cb_t, void *arg, gw_err_t *);
+/* Bounds the connections that others open, by the process's descriptors. */
+void peers_set_descriptors(peers_t *, uint32_t descriptors);
 /*
  * Sends the call, whose number is set here. The callback is called once, from
  * the event loop, after timeout_ms at the latest.
--- a/gwentryd/probe.c
+++ b/gwentryd/probe.c
@@ -6,8 +6,15 @@
 
 /* Only the load balancer and a few scrapers connect; requests have no body. */
 #define BODY_MAX_BYTES 1024
+#define HEADER_MAX_BYTES 8192
+#define HEADER_TIMEOUT_MS 5000
 #define IDLE_TIMEOUT_MS 30000
 #define CONNECTIONS_MAX 64
+/* Fewer where descriptors are few. */
+#define CONNECTIONS_MIN 16
+#define DESCRIPTORS_DIVISOR 32
+/* For all connections; more than the answers to a few scrapers. */
+#define HELD_MAX_BYTES (1024 * 1024)
 
 struct probe {
 	gw_httpd_t *ready;
@@ -28,6 +35,7 @@
 	    &(stats_gauges_t){.shards_owned = state.shards_owned,
 		.waits = state.waits,
 		.connections = state.connections,
+		.callers = state.callers,
 		.config_version = state.config_version,
 		.config_age_ms = state.config_age_ms,
 		.lease_valid = state.lease_valid});
@@ -68,12 +76,21 @@
 }
 
 static gw_httpd_t *
-listen_on(probe_t *probe, gw_rt_t *rt, const gw_addr_t *addr, gw_err_t *err)
+listen_on(probe_t *probe, gw_rt_t *rt, const gw_addr_t *addr,
+    uint32_t descriptors, gw_err_t *err)
 {
 	const gw_httpd_limits_t limits = {
 	    BODY_MAX_BYTES, IDLE_TIMEOUT_MS, CONNECTIONS_MAX};
+	const gw_httpd_guard_t guard = {.body_max_bytes = BODY_MAX_BYTES,
+	    .header_max_bytes = HEADER_MAX_BYTES,
+	    .budget = {.held_max_bytes = HELD_MAX_BYTES,
+		.connections_max = CLAMP(descriptors / DESCRIPTORS_DIVISOR,
+		    CONNECTIONS_MIN, CONNECTIONS_MAX),
+		.header_timeout_ms = HEADER_TIMEOUT_MS,
+		.idle_timeout_ms = IDLE_TIMEOUT_MS}};
 	gw_httpd_t *httpd = gw_httpd_new(rt, &limits, on_request, probe);
 
+	gw_httpd_guard(httpd, &guard);
 	if (gw_httpd_listen(httpd, addr, NULL, err) == 0)
 		return httpd;
 	gw_httpd_free(httpd);
@@ -96,10 +113,12 @@
 	probe->stats = stats;
 	probe->read_state = read_state;
 	probe->arg = arg;
-	probe->ready = listen_on(probe, rt, &settings->ready, err);
+	probe->ready = listen_on(
+	    probe, rt, &settings->ready, settings->descriptors_max, err);
 	if (probe->ready != NULL && has_port &&
 	    gw_addr_make(&addr, settings->ip, settings->port_last, err) == 0)
-		probe->metrics = listen_on(probe, rt, &addr, err);
+		probe->metrics =
+		    listen_on(probe, rt, &addr, settings->descriptors_max, err);
 	if (probe->ready != NULL && (!has_port || probe->metrics != NULL))
 		return probe;
 	/* main() exits, which closes the sockets opened so far. */
--- a/gwentryd/probe.h
+++ b/gwentryd/probe.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 
+#include "http/budget.h"
 #include "platform/settings.h"
 #include "sched/wait.h"
 #include "stats.h"
@@ -24,6 +25,7 @@
 	uint32_t shards_owned; /* without the planner role */
 	sched_waits_t waits;
 	uint32_t connections;
+	const gw_budget_t *callers;
 } probe_state_t;
 
 typedef probe_state_t (*probe_read_t)(void *arg);
--- a/gwentryd/request.c
+++ b/gwentryd/request.c
@@ -53,6 +53,9 @@
 {
 	if (--request->refs > 0)
 		return;
+	if (request->charged_bytes > 0)
+		gw_budget_release_forward(
+		    request->requests->budget, request->charged_bytes);
 	OPENSSL_cleanse(&request->key, sizeof(request->key));
 	g_free(request);
 }
--- a/gwentryd/request.h
+++ b/gwentryd/request.h
@@ -23,7 +23,9 @@
 	uint64_t config_version; /* configuration in force, for the log */
 	/* When it is known to have been the newest one; 0: not yet. */
 	uint64_t config_current_us;
-	GQueue open;	    /* request_t, not replied to yet */
+	GQueue open; /* request_t, not replied to yet */
+	/* What is held for callers; forwarded requests are charged to it. */
+	gw_budget_t *budget;
 	uint32_t in_memory; /* requests that libh2o has not released yet */
 } requests_t;
 
@@ -44,6 +46,7 @@
 	/* From arrival; shorter than the caller's timeout. */
 	uint64_t response_timeout_ms;
 	gw_timer_t deadline;
+	uint64_t charged_bytes; /* while its body is forwarded */
 	uint32_t refs;
 	GList link;   /* in requests->open */
 	bool is_open; /* not replied to, and the caller is connected */
--- a/gwentryd/stats.c
+++ b/gwentryd/stats.c
@@ -25,6 +25,9 @@
 	gw_metric_t *tasks_waiting[SCHED_WAITS];
 	gw_metric_t *lasting_wait_ms;
 	gw_metric_t *connections;
+	gw_metric_t *held_bytes[GW_CALLER_STATES + 1]; /* forwarded ones last */
+	gw_metric_t *held_max_bytes;
+	gw_metric_t *closed[GW_CLOSE_REASONS];
 	gw_metric_t *config_version;
 	gw_metric_t *config_age_ms;
 	gw_metric_t *lease_valid;
@@ -63,6 +66,42 @@
 	    "longest time that a long-running task has not run");
 }
 
+static void
+add_callers(stats_t *stats)
+{
+	static const char *const kinds[GW_CALLER_STATES + 1] = {"new", "idle",
+	    "header", "body", "handled", "response", "forwarded"};
+	char labels[64];
+
+	for (int i = 0; i <= GW_CALLER_STATES; i++) {
+		(void)snprintf(labels, sizeof(labels), "kind=\"%s\"", kinds[i]);
+		stats->held_bytes[i] = gw_metrics_add(stats->registry,
+		    GW_METRIC_GAUGE, "gw_entry_callers_bytes", labels,
+		    "bytes held for callers");
+	}
+	stats->held_max_bytes = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
+	    "gw_entry_callers_bytes_max", "",
+	    "limit on the bytes held for callers; 0: none");
+	for (int i = 0; i < GW_CLOSE_REASONS; i++) {
+		(void)snprintf(labels, sizeof(labels), "reason=\"%s\"",
+		    gw_close_reason_name(i));
+		stats->closed[i] = gw_metrics_add(stats->registry,
+		    GW_METRIC_COUNTER, "gw_entry_callers_closed_total", labels,
+		    "callers' connections closed because of a limit");
+	}
+}
+
+static void
+set_callers(stats_t *stats, const gw_budget_t *callers)
+{
+	for (int i = 0; i < GW_CALLER_STATES; i++)
+		stats->held_bytes[i]->value = callers->held_bytes[i];
+	stats->held_bytes[GW_CALLER_STATES]->value = callers->forwarded_bytes;
+	stats->held_max_bytes->value = callers->limits.held_max_bytes;
+	for (int i = 0; i < GW_CLOSE_REASONS; i++)
+		stats->closed[i]->value = callers->closed[i];
+}
+
 stats_t *
 stats_new(void)
 {
@@ -90,6 +129,7 @@
 	add_waits(stats);
 	stats->connections = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
 	    "gw_entry_connections", "", "callers' connections");
+	add_callers(stats);
 	stats->config_version = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
 	    "gw_entry_config_version", "", "configuration in force");
 	stats->config_age_ms = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
@@ -139,6 +179,7 @@
 		stats->tasks_waiting[i]->value = gauges->waits.tasks[i];
 	stats->lasting_wait_ms->value = gauges->waits.lasting_wait_ms;
 	stats->connections->value = gauges->connections;
+	set_callers(stats, gauges->callers);
 	stats->config_version->value = gauges->config_version;
 	stats->config_age_ms->value = gauges->config_age_ms;
 	stats->lease_valid->value = gauges->lease_valid;
--- a/gwentryd/stats.h
+++ b/gwentryd/stats.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 
 #include "gw/metric.h"
+#include "http/budget.h"
 #include "sched/wait.h"
 #include "wire/gw.pb-c.h"
 
@@ -19,6 +20,7 @@
 	uint32_t shards_owned;
 	sched_waits_t waits;
 	uint32_t connections;
+	const gw_budget_t *callers;
 	uint64_t config_version;
 	uint64_t config_age_ms;
 	bool lease_valid;
--- a/gwentryd/view.c
+++ b/gwentryd/view.c
@@ -281,3 +281,9 @@
 	}
 	return largest;
 }
+
+uint32_t
+view_instance_count(const view_t *view)
+{
+	return g_hash_table_size(view->instances);
+}
--- a/gwentryd/view.h
+++ b/gwentryd/view.h
@@ -31,6 +31,8 @@
 void view_follow_instances(view_t *);
 /* Returns the instances of the largest pool; 0 before the registry was read. */
 uint32_t view_largest_pool_instances(const view_t *);
+/* Returns the number of instances in the registry, as far as it was read. */
+uint32_t view_instance_count(const view_t *);
 /* Returns the configuration in force; NULL before the first one was read. */
 const sched_config_t *view_config(const view_t *);
 uint64_t view_config_current_us(const view_t *);
--- a/lib/sched/config.h
+++ b/lib/sched/config.h
@@ -61,8 +61,12 @@
 	bool has_teams; /* it has a list of teams, so that callers need keys */
 	GArray *teams;	/* sched_team_config_t */
 	GArray *keys;	/* sched_team_key_t */
+	/* Limits on callers; 0: none on the header and on times. */
 	uint32_t body_max_bytes;
-	uint32_t idle_timeout_ms;
+	uint32_t header_max_bytes;
+	uint32_t
+	    header_timeout_ms;	  /* from the first byte to the header's end */
+	uint32_t idle_timeout_ms; /* of a connection without a request */
 } sched_config_t;
 
 /* Sets the key of a queue from its host and path_prefix. */
--- a/regress/platform/decode.sh
+++ b/regress/platform/decode.sh
@@ -24,7 +24,7 @@
 # Guards against a configuration taking effect in part when one of its routes is
 # malformed.
 decode "configurations" <<'EOT'
-config {"version":7,"routes":[{"name":"r1","host":"a.example","prefix":"/x/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":2500,"priority":0,"service":"p1","max_attempts":2,"stretch":2.2},{"name":"r2","host":"a.example","prefix":"/y/","service":"p1","target_latency_ms":600,"max_attempts":3,"stretch":1.6,"advice":{"decide_ms":10,"per_item_ms":2,"valid_ms":3000}}],"services":[{"name":"p1","enforces_capacity":true,"standby":false},{"name":"p2","standby":true}],"limits":{"max_body_bytes":1000}}
+config {"version":7,"routes":[{"name":"r1","host":"a.example","prefix":"/x/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":2500,"priority":0,"service":"p1","max_attempts":2,"stretch":2.2},{"name":"r2","host":"a.example","prefix":"/y/","service":"p1","target_latency_ms":600,"max_attempts":3,"stretch":1.6,"advice":{"decide_ms":10,"per_item_ms":2,"valid_ms":3000}}],"services":[{"name":"p1","enforces_capacity":true,"standby":false},{"name":"p2","standby":true}],"limits":{"max_body_bytes":1000,"max_header_bytes":2000,"header_timeout_ms":300,"idle_timeout_ms":400}}
 config {"version":8,"routes":[{"name":"r1"}],"services":[]}
 config {"version":-1,"routes":[],"services":[]}
 config {"version":9,"routes":[],"services":[]}
@@ -86,7 +86,7 @@
 # Guards against starting with settings that lack a required member, and against
 # an optional one being required.
 decode "settings" <<'EOT'
-settings {"node":"n1","zone":"z-a","ip":"10.1.0.9","listen":{"front":"10.1.0.9:8624","ready":"10.1.0.9:8622"},"internal_ports":[7060,7075],"bounds":{"grace_s":6,"hold_max_ms":6000,"remote_factor":1.5},"advice":"10.200.1.9:8621","platform":{"address":"10.200.1.7:8621"},"cloud":{"address":"10.200.0.107:8621"},"limits":{"max_fds":4100}}
+settings {"node":"n1","zone":"z-a","ip":"10.1.0.9","listen":{"front":"10.1.0.9:8624","ready":"10.1.0.9:8622"},"internal_ports":[7060,7075],"bounds":{"grace_s":6,"hold_max_ms":6000,"remote_factor":1.5},"advice":"10.200.1.9:8621","platform":{"address":"10.200.1.7:8621"},"cloud":{"address":"10.200.0.107:8621"},"limits":{"max_fds":4100,"memory_mb":160}}
 settings {"node":"n1","zone":"z-a","ip":"10.1.0.9","listen":{"front":"10.1.0.9:8624","ready":"10.1.0.9:8622"},"internal_ports":[7060]}
 settings {"node":"","zone":"z-a"}
 settings {"node":"n1","zone":"z-a","ip":"10.1.0.9","listen":{"front":"10.1.0.9:8624","ready":"10.1.0.9:8622"},"internal_ports":[7060,7075],"platform":{"address":"10.200.1.7:8621"},"limits":{"link_mbps":"fast"}}
--- a/regress/platform/platplay.c
+++ b/regress/platform/platplay.c
@@ -52,8 +52,9 @@
 		print_error(&error);
 		return;
 	}
-	printf("config %" PRIu64 " body=%u\n", config->version,
-	    config->body_max_bytes);
+	printf("config %" PRIu64 " body=%u header=%u header_ms=%u idle_ms=%u\n",
+	    config->version, config->body_max_bytes, config->header_max_bytes,
+	    config->header_timeout_ms, config->idle_timeout_ms);
 	for (guint i = 0; i < config->queues->len; i++) {
 		const sched_queue_t *queue =
 		    &g_array_index(config->queues, sched_queue_t, i);
@@ -214,11 +215,12 @@
 		return;
 	}
 	printf("settings node=%s dc=%s ports=%u-%u grace=%u hold_max=%u "
-	       "remote=%u machines=%d advice=%d\n",
+	       "remote=%u machines=%d advice=%d fds=%u memory=%" PRIu64 "\n",
 	    settings.node, settings.data_centre, settings.port_first,
 	    settings.port_last, settings.stop_grace_s,
 	    settings.bounds.hold_max_ms, settings.bounds.remote_permille,
-	    settings.has_machines, settings.has_advice);
+	    settings.has_machines, settings.has_advice,
+	    settings.descriptors_max, settings.memory_bytes);
 }
 
 static void
