lib/http: keep the newest connection among idle ones

At the bound on connections the only one that had sent nothing was closed first, which is an ordinary caller's new one where all others had been used before. base/budget_test (newest_stays) fails on the code before. The clock is also read only where a decision needs it.

--- a/lib/http/budget.c
+++ b/lib/http/budget.c
@@ -12,6 +12,8 @@
 #define OWN_DIVISOR 4
 /* Callers' least share, however large the registry grows. */
 #define CALLERS_DIVISOR 8
+/* A connection may send nothing for so long before idle ones go first. */
+#define SILENT_US (500 * GW_US_PER_MS)
 /* The kernel's buffer for bytes that have not been read. */
 #define KERNEL_BYTES (32 * 1024)
 /* Descriptors for files and the like, which the platform counts apart. */
@@ -215,31 +217,64 @@
 	return found;
 }
 
+/*
+ * Returns the connection to close where there are too many: one that has sent
+ * nothing for a while, then the longest idle one, then one that has just sent
+ * nothing, unless it is the newest, then the costliest.
+ */
+static gw_caller_t *
+find_dispensable(const gw_budget_t *budget, uint64_t now_us)
+{
+	gw_caller_t *silent = find_longest(budget, GW_CALLER_NEW);
+	gw_caller_t *idle;
+
+	if (silent != NULL &&
+	    gw_elapsed_us(now_us, silent->since_us) >= SILENT_US)
+		return silent;
+	idle = find_longest(budget, GW_CALLER_IDLE);
+	if (idle != NULL)
+		return idle;
+	if (silent != NULL && silent != budget->callers.tail->data)
+		return silent;
+	return find_costliest(budget, now_us);
+}
+
+static bool
+has_too_many(const gw_budget_t *budget)
+{
+	return budget->limits.connections_max > 0 &&
+	    budget->callers.length - budget->closing >
+	    budget->limits.connections_max;
+}
+
+static bool
+holds_too_much(const gw_budget_t *budget)
+{
+	return budget->limits.held_max_bytes > 0 &&
+	    gw_budget_held(budget) > budget->limits.held_max_bytes;
+}
+
+bool
+gw_budget_is_over(const gw_budget_t *budget)
+{
+	return has_too_many(budget) || holds_too_much(budget);
+}
+
 /*
  * Returns the connection to close while there are too many connections, or too
- * many bytes are held, and sets the reason. Of too many connections, those that
- * have sent nothing go first, then those between two requests.
+ * many bytes are held, and sets the reason.
  */
 gw_caller_t *
 gw_budget_next(gw_budget_t *budget, uint64_t now_us, gw_close_reason_t *reason)
 {
-	const gw_budget_limits_t *limits = &budget->limits;
-	gw_caller_t *caller = NULL;
-
-	if (limits->connections_max > 0 &&
-	    budget->callers.length - budget->closing >
-		limits->connections_max) {
+	if (has_too_many(budget)) {
 		*reason = GW_CLOSE_CONNECTIONS;
-		caller = find_longest(budget, GW_CALLER_NEW);
-		if (caller == NULL)
-			caller = find_longest(budget, GW_CALLER_IDLE);
-	} else if (limits->held_max_bytes > 0 &&
-	    gw_budget_held(budget) > limits->held_max_bytes) {
-		*reason = GW_CLOSE_BYTES;
-	} else {
-		return NULL;
+		return find_dispensable(budget, now_us);
 	}
-	return caller != NULL ? caller : find_costliest(budget, now_us);
+	if (!holds_too_much(budget))
+		return NULL;
+	*reason = GW_CLOSE_BYTES;
+	return find_costliest(budget, now_us);
 }
 
 /*
--- a/lib/http/budget.h
+++ b/lib/http/budget.h
@@ -84,6 +84,8 @@
 bool gw_budget_charge_forward(gw_budget_t *, uint64_t size_bytes);
 void gw_budget_release_forward(gw_budget_t *, uint64_t size_bytes);
 
+/* Returns whether there are too many connections, or too many bytes. */
+bool gw_budget_is_over(const gw_budget_t *);
 /* Return the next connection to close, or NULL. */
 gw_caller_t *gw_budget_next(
     gw_budget_t *, uint64_t now_us, gw_close_reason_t *);
--- a/lib/http/callers.c
+++ b/lib/http/callers.c
@@ -88,9 +88,13 @@
 	gw_close_reason_t reason;
 	gw_caller_t *caller;
 
-	while ((caller = gw_budget_next(
-		    &callers->budget, now_us(callers), &reason)) != NULL)
+	while (gw_budget_is_over(&callers->budget)) {
+		caller =
+		    gw_budget_next(&callers->budget, now_us(callers), &reason);
+		if (caller == NULL)
+			return;
 		close_conn(conn_of(caller), reason);
+	}
 }
 
 /*
@@ -124,7 +128,7 @@
 	gw_caller_state_t state =
 	    conn->has_header ? GW_CALLER_BODY : GW_CALLER_HEADER;
 
-	if (conn->sock->input->size > 0)
+	if (conn->sock->input->size > 0 && conn->caller.state != state)
 		gw_budget_set_state(&conn->callers->budget, &conn->caller,
 		    state, now_us(conn->callers));
 	account(conn);
@@ -209,7 +213,8 @@
 			g_queue_unlink(&callers->unread, &conn->unread_link);
 			conn->is_unread = false;
 			watch_reads(conn, GW_CALLER_IDLE);
-		} else if (h2o_socket_is_writing(conn->sock)) {
+		} else if (h2o_socket_is_writing(conn->sock) &&
+		    conn->caller.state != GW_CALLER_RESPONSE) {
 			gw_budget_set_state(&callers->budget, &conn->caller,
 			    GW_CALLER_RESPONSE, now_us(callers));
 		}
--- a/regress/base/budget_test.c
+++ b/regress/base/budget_test.c
@@ -71,6 +71,8 @@
 static void
 test_silent_first(void)
 {
+	const uint64_t now_us = 1000 * GW_US_PER_MS;
+
 	set_up(0, CALLERS - 4);
 	receive(0, GW_CALLER_BODY, 512 * 1024, 4 * 1024);
 	receive(1, GW_CALLER_IDLE, 4096, 0);
@@ -78,11 +80,31 @@
 	receive(4, GW_CALLER_HEADER, 4096, 100);
 	receive(5, GW_CALLER_IDLE, 4096, 0);
 	callers[3].since_us = 900;
-	g_assert_cmpint(close_next(2000, GW_CLOSE_CONNECTIONS), ==, 3);
-	g_assert_cmpint(close_next(2000, GW_CLOSE_CONNECTIONS), ==, 6);
-	g_assert_cmpint(close_next(2000, GW_CLOSE_CONNECTIONS), ==, 7);
-	g_assert_cmpint(close_next(2000, GW_CLOSE_CONNECTIONS), ==, 1);
-	g_assert_cmpint(close_next(2000, GW_CLOSE_CONNECTIONS), ==, -1);
+	g_assert_cmpint(close_next(now_us, GW_CLOSE_CONNECTIONS), ==, 3);
+	g_assert_cmpint(close_next(now_us, GW_CLOSE_CONNECTIONS), ==, 6);
+	g_assert_cmpint(close_next(now_us, GW_CLOSE_CONNECTIONS), ==, 7);
+	g_assert_cmpint(close_next(now_us, GW_CLOSE_CONNECTIONS), ==, 1);
+	g_assert_cmpint(close_next(now_us, GW_CLOSE_CONNECTIONS), ==, -1);
+}
+
+/*
+ * Guards against a caller that has just connected and is closed at once, since
+ * all others have sent something: a request, or part of one that does not end.
+ */
+static void
+test_newest_stays(void)
+{
+	const uint64_t now_us = 1000 * GW_US_PER_MS;
+
+	set_up(0, CALLERS - 3);
+	for (int i = 0; i < CALLERS - 1; i++)
+		receive(i, i < 2 ? GW_CALLER_IDLE : GW_CALLER_HEADER, 8192, 1);
+	callers[CALLERS - 1].since_us = now_us;
+	gw_budget_set_bytes(&budget, &callers[CALLERS - 1], 8192, 0);
+	g_assert_cmpint(close_next(now_us, GW_CLOSE_CONNECTIONS), ==, 0);
+	g_assert_cmpint(close_next(now_us, GW_CLOSE_CONNECTIONS), ==, 1);
+	g_assert_cmpint(close_next(now_us, GW_CLOSE_CONNECTIONS), ==, 2);
+	g_assert_cmpint(close_next(now_us, GW_CLOSE_CONNECTIONS), ==, -1);
 }
 
 /*
@@ -158,6 +180,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/budget/costliest_first", test_costliest_first);
 	g_test_add_func("/budget/silent_first", test_silent_first);
+	g_test_add_func("/budget/newest_stays", test_newest_stays);
 	g_test_add_func("/budget/timeouts", test_timeouts);
 	g_test_add_func("/budget/forwards", test_forwards);
 	g_test_add_func("/budget/size", test_size);
