--- a/gwentryd/peers.c
+++ b/gwentryd/peers.c
@@ -3,17 +3,12 @@
 #include <glib.h>
 
 #include "gw/log.h"
+#include "inbound.h"
 #include "peers.h"
 #include "wire/listener.h"
 
 /* A connection that is not established within this time is closed. */
 #define CONNECT_TIMEOUT_MS 400
-/* Of frames from other processes that have not arrived to their end, in all. */
-#define PARTIAL_MAX_BYTES (4 * GW_FRAME_MAX_BYTES)
-/* Share of the descriptors for connections that other processes open. */
-#define INBOUND_DIVISOR 16
-#define INBOUND_MIN 16
-#define LOG_INTERVAL_US (1000 * GW_US_PER_MS)
 
 /* Another entry process, and the calls to it without a response yet. */
 typedef struct {
@@ -42,15 +37,12 @@
 /* A connection that another process opened to this one. */
 typedef struct {
 	peers_t *peers;
-	gw_conn_t *conn;  /* NULL once closed, or while it is being closed */
-	uint32_t refs;	  /* the connection and each responder */
-	bool has_sent;	  /* a whole message */
-	uint64_t last_us; /* when it was accepted, or sent its last message */
-	GList link;	  /* in peers->inbound while conn is not NULL */
-} inbound_t;
+	inbound_link_t link; /* its conn is NULL once closed */
+	uint32_t refs;	     /* the connection and each responder */
+} caller_t;
 
 struct peers_responder {
-	inbound_t *inbound;
+	caller_t *caller;
 	uint64_t number;
 };
 
@@ -61,98 +53,20 @@
 	void *arg;
 	GHashTable *by_address; /* peer_t */
 	uint64_t next_number;
-	GQueue inbound; /* inbound_t */
-	uint32_t inbound_max;
-	uint64_t closed; /* connections that other processes opened */
-	uint64_t logged_us;
+	inbound_t inbound;
 };
 
 static void
-inbound_unref(inbound_t *inbound)
+caller_unref(caller_t *caller)
 {
-	if (--inbound->refs == 0)
-		g_free(inbound);
-}
-
-/*
- * Returns whether a connection is to be closed before another one: those first
- * that have not sent a whole message, of these the one that holds most, of
- * others the one that has been silent longest.
- */
-static bool
-goes_before(const inbound_t *a, const inbound_t *b)
-{
-	uint64_t a_bytes = gw_conn_partial_bytes(a->conn);
-	uint64_t b_bytes = gw_conn_partial_bytes(b->conn);
-
-	if (a->has_sent != b->has_sent)
-		return b->has_sent;
-	if (a_bytes != b_bytes)
-		return a_bytes > b_bytes;
-	return a->last_us < b->last_us;
-}
-
-static void
-forget_inbound(inbound_t *inbound)
-{
-	g_queue_unlink(&inbound->peers->inbound, &inbound->link);
-	inbound->conn = NULL;
-}
-
-/*
- * Closes the connection that costs most for what it sends.
- */
-static void
-close_worst_inbound(peers_t *peers)
-{
-	inbound_t *worst = peers->inbound.head->data;
-	uint64_t now_us = gw_rt_now_us(peers->rt);
-	gw_conn_t *conn;
-
-	for (GList *link = peers->inbound.head; link != NULL; link = link->next)
-		if (goes_before(link->data, worst))
-			worst = link->data;
-	peers->closed++;
-	if (peers->logged_us == 0 ||
-	    gw_elapsed_us(now_us, peers->logged_us) >= LOG_INTERVAL_US) {
-		gw_log(GW_EV_PEER_LIMIT,
-		    "peer=%s partial_bytes=%" PRIu64
-		    " open=%u closed_total=%" PRIu64,
-		    gw_conn_peer(worst->conn),
-		    gw_conn_partial_bytes(worst->conn), peers->inbound.length,
-		    peers->closed);
-		peers->logged_us = now_us;
-	}
-	conn = worst->conn;
-	forget_inbound(worst);
-	gw_conn_close(conn);
-}
-
-/*
- * Bounds the bytes of incomplete frames from other processes.
- */
-static void
-on_inbound_partial(gw_conn_t *conn, void *arg)
-{
-	peers_t *peers = ((inbound_t *)arg)->peers;
-	uint64_t sum_bytes;
-
-	(void)conn;
-	do {
-		sum_bytes = 0;
-		for (GList *link = peers->inbound.head; link != NULL;
-		     link = link->next)
-			sum_bytes += gw_conn_partial_bytes(
-			    ((inbound_t *)link->data)->conn);
-		if (sum_bytes > PARTIAL_MAX_BYTES)
-			close_worst_inbound(peers);
-	} while (sum_bytes > PARTIAL_MAX_BYTES);
+	if (--caller->refs == 0)
+		g_free(caller);
 }
 
 static void
 on_inbound_message(gw_conn_t *conn, const Gw__Envelope *envelope, void *arg)
 {
-	inbound_t *inbound = arg;
+	caller_t *caller = arg;
 	peers_responder_t *responder;
 
 	if (envelope->body_case != GW__ENVELOPE__BODY_CALL) {
@@ -162,25 +76,30 @@
 		gw_conn_close(conn);
 		return;
 	}
-	inbound->has_sent = true;
-	inbound->last_us = gw_rt_now_us(inbound->peers->rt);
+	inbound_record_message(&caller->link);
 	responder = g_new(peers_responder_t, 1);
-	responder->inbound = inbound;
+	responder->caller = caller;
 	responder->number = envelope->call->number;
-	inbound->refs++;
-	inbound->peers->on_call(envelope->call, responder, inbound->peers->arg);
+	caller->refs++;
+	caller->peers->on_call(envelope->call, responder, caller->peers->arg);
 }
 
 static void
 on_inbound_close(gw_conn_t *conn, const gw_err_t *err, void *arg)
 {
-	inbound_t *inbound = arg;
+	caller_t *caller = arg;
 
 	(void)conn;
 	(void)err;
-	if (inbound->conn != NULL)
-		forget_inbound(inbound);
-	inbound_unref(inbound);
+	inbound_remove(&caller->link);
+	caller_unref(caller);
+}
+
+static void
+on_inbound_partial(gw_conn_t *conn, void *arg)
+{
+	(void)conn;
+	inbound_bound_partial(&((caller_t *)arg)->peers->inbound);
 }
 
 static const gw_conn_ops_t inbound_ops = {.on_message = on_inbound_message,
@@ -190,17 +109,12 @@
 static void
 on_accept(gw_conn_t *conn, void *arg)
 {
-	inbound_t *inbound = g_new0(inbound_t, 1);
-
-	inbound->peers = arg;
-	inbound->conn = conn;
-	inbound->refs = 1;
-	inbound->last_us = gw_rt_now_us(inbound->peers->rt);
-	inbound->link.data = inbound;
-	gw_conn_set_ops(conn, &inbound_ops, inbound);
-	g_queue_push_tail_link(&inbound->peers->inbound, &inbound->link);
-	while (inbound->peers->inbound.length > inbound->peers->inbound_max)
-		close_worst_inbound(inbound->peers);
+	caller_t *caller = g_new0(caller_t, 1);
+
+	caller->peers = arg;
+	caller->refs = 1;
+	gw_conn_set_ops(conn, &inbound_ops, caller);
+	inbound_add(&caller->peers->inbound, &caller->link, conn);
 }
 
 /*
@@ -211,18 +125,18 @@
 peers_reply(peers_responder_t *responder, Gw__Reply *response)
 {
 	Gw__Envelope envelope = GW__ENVELOPE__INIT;
-	inbound_t *inbound = responder->inbound;
+	caller_t *caller = responder->caller;
 	gw_err_t err;
 
 	response->number = responder->number;
 	envelope.body_case = GW__ENVELOPE__BODY_REPLY;
 	envelope.reply = response;
-	if (inbound->conn != NULL &&
-	    gw_conn_send(inbound->conn, &envelope, &err) != 0)
+	if (caller->link.conn != NULL &&
+	    gw_conn_send(caller->link.conn, &envelope, &err) != 0)
 		gw_log(GW_EV_PEER_CLOSED,
 		    "peer=%s step=\"%s\" err=%s text=\"%s\"", err.peer,
 		    err.step, gw_errc_name(err.code), err.text);
-	inbound_unref(inbound);
+	caller_unref(caller);
 	g_free(responder);
 }
 
@@ -435,8 +349,7 @@
 	peers->rt = rt;
 	peers->on_call = on_call;
 	peers->arg = arg;
-	peers->inbound_max = INBOUND_MIN;
-	g_queue_init(&peers->inbound);
+	inbound_init(&peers->inbound, rt);
 	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	peers->listener =
 	    gw_listener_new(rt, listen, &inbound_ops, on_accept, peers, err);
@@ -450,5 +363,5 @@
 void
 peers_set_descriptors(peers_t *peers, uint32_t descriptors)
 {
-	peers->inbound_max = MAX(descriptors / INBOUND_DIVISOR, INBOUND_MIN);
+	inbound_set_descriptors(&peers->inbound, descriptors);
 }
