--- a/gwentryd/peers.c
+++ b/gwentryd/peers.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "gw/log.h"
+#include "inbound.h"
 #include "peers.h"
 #include "wire/listener.h"
 
@@ -36,12 +37,12 @@
 /* A connection that another process opened to this one. */
 typedef struct {
 	peers_t *peers;
-	gw_conn_t *conn; /* NULL once closed */
-	uint32_t refs;	 /* the connection and each responder */
-} inbound_t;
+	inbound_link_t link; /* its conn is NULL once closed */
+	uint32_t refs;	     /* the connection and each responder */
+} caller_t;
 
 struct peers_responder {
-	inbound_t *inbound;
+	caller_t *caller;
 	uint64_t number;
 };
 
@@ -52,19 +53,20 @@
 	void *arg;
 	GHashTable *by_address; /* peer_t */
 	uint64_t next_number;
+	inbound_t inbound;
 };
 
 static void
-inbound_unref(inbound_t *inbound)
+caller_unref(caller_t *caller)
 {
-	if (--inbound->refs == 0)
-		g_free(inbound);
+	if (--caller->refs == 0)
+		g_free(caller);
 }
 
 static void
 on_inbound_message(gw_conn_t *conn, const Gw__Envelope *envelope, void *arg)
 {
-	inbound_t *inbound = arg;
+	caller_t *caller = arg;
 	peers_responder_t *responder;
 
 	if (envelope->body_case != GW__ENVELOPE__BODY_CALL) {
@@ -74,36 +76,45 @@
 		gw_conn_close(conn);
 		return;
 	}
+	inbound_record_message(&caller->link);
 	responder = g_new(peers_responder_t, 1);
-	responder->inbound = inbound;
+	responder->caller = caller;
 	responder->number = envelope->call->number;
-	inbound->refs++;
-	inbound->peers->on_call(envelope->call, responder, inbound->peers->arg);
+	caller->refs++;
+	caller->peers->on_call(envelope->call, responder, caller->peers->arg);
 }
 
 static void
 on_inbound_close(gw_conn_t *conn, const gw_err_t *err, void *arg)
 {
-	inbound_t *inbound = arg;
+	caller_t *caller = arg;
 
 	(void)conn;
 	(void)err;
-	inbound->conn = NULL;
-	inbound_unref(inbound);
+	inbound_remove(&caller->link);
+	caller_unref(caller);
 }
 
-static const gw_conn_ops_t inbound_ops = {
-    .on_message = on_inbound_message, .on_close = on_inbound_close};
+static void
+on_inbound_partial(gw_conn_t *conn, void *arg)
+{
+	(void)conn;
+	inbound_bound_partial(&((caller_t *)arg)->peers->inbound);
+}
+
+static const gw_conn_ops_t inbound_ops = {.on_message = on_inbound_message,
+    .on_partial = on_inbound_partial,
+    .on_close = on_inbound_close};
 
 static void
 on_accept(gw_conn_t *conn, void *arg)
 {
-	inbound_t *inbound = g_new0(inbound_t, 1);
+	caller_t *caller = g_new0(caller_t, 1);
 
-	inbound->peers = arg;
-	inbound->conn = conn;
-	inbound->refs = 1;
-	gw_conn_set_ops(conn, &inbound_ops, inbound);
+	caller->peers = arg;
+	caller->refs = 1;
+	gw_conn_set_ops(conn, &inbound_ops, caller);
+	inbound_add(&caller->peers->inbound, &caller->link, conn);
 }
 
 /*
@@ -114,18 +125,18 @@
 peers_reply(peers_responder_t *responder, Gw__Reply *response)
 {
 	Gw__Envelope envelope = GW__ENVELOPE__INIT;
-	inbound_t *inbound = responder->inbound;
+	caller_t *caller = responder->caller;
 	gw_err_t err;
 
 	response->number = responder->number;
 	envelope.body_case = GW__ENVELOPE__BODY_REPLY;
 	envelope.reply = response;
-	if (inbound->conn != NULL &&
-	    gw_conn_send(inbound->conn, &envelope, &err) != 0)
+	if (caller->link.conn != NULL &&
+	    gw_conn_send(caller->link.conn, &envelope, &err) != 0)
 		gw_log(GW_EV_PEER_CLOSED,
 		    "peer=%s step=\"%s\" err=%s text=\"%s\"", err.peer,
 		    err.step, gw_errc_name(err.code), err.text);
-	inbound_unref(inbound);
+	caller_unref(caller);
 	g_free(responder);
 }
 
@@ -338,6 +349,7 @@
 	peers->rt = rt;
 	peers->on_call = on_call;
 	peers->arg = arg;
+	inbound_init(&peers->inbound, rt);
 	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	peers->listener =
 	    gw_listener_new(rt, listen, &inbound_ops, on_accept, peers, err);
@@ -347,3 +359,9 @@
 	g_free(peers);
 	return NULL;
 }
+
+void
+peers_set_descriptors(peers_t *peers, uint32_t descriptors)
+{
+	inbound_set_descriptors(&peers->inbound, descriptors);
+}
