--- a/gwctl/entry.c
+++ b/gwctl/entry.c
@@ -11,14 +11,6 @@
 
 #define JOB_ID_DIGITS 16
 
-static const char *
-text_of(const json_t *object, const char *name)
-{
-	const char *text = json_string_value(json_object_get(object, name));
-
-	return text == NULL ? "" : text;
-}
-
 /*
  * Returns whether an earlier process of the list gave the same answer: one
  * process may have two addresses.
@@ -28,7 +20,7 @@
 {
 	const entry_process_t *process = processes->pdata[at];
 
-	return entry_find(processes, text_of(process->body, "process")) !=
+	return entry_find(processes, entry_text(process->body, "process")) !=
 	    process;
 }
 
@@ -84,7 +76,7 @@
 static void
 add_team(json_t *teams, const json_t *team)
 {
-	const char *name = text_of(team, "team");
+	const char *name = entry_text(team, "team");
 	json_t *sums = json_object_get(teams, name);
 
 	if (sums == NULL) {
@@ -112,7 +104,7 @@
 static void
 add_shard(summary_t *summary, json_t *shard)
 {
-	const char *name = text_of(shard, "shard");
+	const char *name = entry_text(shard, "shard");
 	const json_t *team;
 	size_t i;
 
@@ -188,16 +180,16 @@
 	for (guint i = 0; i < names->len; i++) {
 		const json_t *shard =
 		    g_hash_table_lookup(missing, names->pdata[i]);
-		const char *owner = text_of(shard, "owner");
+		const char *owner = entry_text(shard, "owner");
 
 		if (*owner == '\0')
-			warnx("shard %s: no owner", text_of(shard, "shard"));
+			warnx("shard %s: no owner", entry_text(shard, "shard"));
 		else if (entry_find(processes, owner) != NULL)
 			warnx("shard %s: its owner %s did not answer for it",
-			    text_of(shard, "shard"), owner);
+			    entry_text(shard, "shard"), owner);
 		else
 			warnx("shard %s: its owner %s did not answer",
-			    text_of(shard, "shard"), owner);
+			    entry_text(shard, "shard"), owner);
 	}
 	return names->len > 0 ? EXIT_NOT_ANSWERED : EX_OK;
 }
@@ -288,7 +280,7 @@
 
 	(void)json_object_set_new(job, "id", json_string(id));
 	(void)json_object_set_new(
-	    job, "process", json_string(text_of(process->body, "process")));
+	    job, "process", json_string(entry_text(process->body, "process")));
 	(void)json_object_update(job, json_object_get(process->body, "job"));
 	if (json_object_get(process->body, "teams") != NULL)
 		(void)json_object_set(
@@ -330,7 +322,7 @@
 	g_hash_table_iter_init(&iter, summary.missing);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&shard))
 		if (knows_new_place(
-			entry_find(processes, text_of(shard, "owner"))))
+			entry_find(processes, entry_text(shard, "owner"))))
 			g_hash_table_iter_remove(&iter);
 	for (guint i = 0; i < processes->len; i++)
 		is_any |=
--- a/gwctl/entry.h
+++ b/gwctl/entry.h
@@ -29,6 +29,8 @@
 GPtrArray *entry_ask_all(
     ctl_t *, const char *path, bool (*is_enough)(const entry_process_t *));
 void entry_free_all(GPtrArray *processes);
+/* Returns a member of a JSON object that is a string, else "". */
+const char *entry_text(const json_t *, const char *name);
 /* Returns the process that answered under this address, or NULL. */
 const entry_process_t *entry_find(
     const GPtrArray *processes, const char *owner);
--- a/gwctl/entry_ask.c
+++ b/gwctl/entry_ask.c
@@ -17,8 +17,8 @@
 	gw_httpc_t *client;
 } request_t;
 
-static const char *
-text_of(const json_t *object, const char *name)
+const char *
+entry_text(const json_t *object, const char *name)
 {
 	const char *text = json_string_value(json_object_get(object, name));
 
@@ -87,7 +87,7 @@
 		process->status = response->status;
 		process->body =
 		    json_loadb(response->body, response->size_bytes, 0, NULL);
-		if (*text_of(process->body, "process") == '\0')
+		if (*entry_text(process->body, "process") == '\0')
 			gw_err_set(&process->err, GW_ERR_INVALID, "entry",
 			    process->address,
 			    "%s: status %d, not a response of gwentryd",
@@ -137,7 +137,7 @@
 		const entry_process_t *process = processes->pdata[i];
 
 		if (process->err.code == GW_OK && process->is_done &&
-		    strcmp(text_of(process->body, "process"), owner) == 0)
+		    strcmp(entry_text(process->body, "process"), owner) == 0)
 			return process;
 	}
 	return NULL;
@@ -161,12 +161,12 @@
 		json_array_foreach(
 		    json_object_get(process->body, "shards"), k, shard)
 		{
-			const char *owner = text_of(shard, "owner");
+			const char *owner = entry_text(shard, "owner");
 
 			if (*owner != '\0' &&
 			    entry_find(processes, owner) == NULL)
 				(void)add_process(processes,
-				    text_of(shard, "ask"), &unused_err);
+				    entry_text(shard, "ask"), &unused_err);
 		}
 	}
 	return processes->len > count;
--- a/gwentryd/quota.c
+++ b/gwentryd/quota.c
@@ -272,10 +272,12 @@
 	gw_log(GW_EV_QUOTA_PART,
 	    "team=%s pool=%s cpu=%" PRIu64 " memory=%" PRIu64
 	    " wanted_cpu=%" PRIu64 " wanted_memory=%" PRIu64
-	    " used_cpu=%" PRIu64 " quota_cpu=%" PRIu64,
+	    " used_cpu=%" PRIu64 " used_memory=%" PRIu64 " quota_cpu=%" PRIu64
+	    " quota_memory=%" PRIu64,
 	    change->team, quota->shard, part->cpu_millis, part->memory_mib,
 	    change->wanted.cpu_millis, change->wanted.memory_mib,
-	    change->used.cpu_millis, change->quota.cpu_millis);
+	    change->used.cpu_millis, change->used.memory_mib,
+	    change->quota.cpu_millis, change->quota.memory_mib);
 }
 
 static void
