soak: teams with keys and a quota

What a team runs is judged against the highest quota of the last versions, and a job that was handed in by a key withdrawn before.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -256,11 +256,13 @@
 	caller->arg = arg;
 	caller->sent_us = 0;
 	caller->unsent = g_strdup_printf("%s %s HTTP/1.1\r\nHost: %s\r\n"
-					 "X-Deadline-Ms: %u\r\n"
+					 "X-Deadline-Ms: %u\r\n%s%s%s"
 					 "Content-Type: application/json\r\n"
 					 "Content-Length: %zu\r\n\r\n%s",
 	    request->method, request->path, request->host, request->deadline_ms,
-	    strlen(body), body);
+	    request->key != NULL ? "X-Api-Key: " : "",
+	    request->key != NULL ? request->key : "",
+	    request->key != NULL ? "\r\n" : "", strlen(body), body);
 	gw_timer_start(caller->rt, &caller->timer,
 	    request->timeout_ms * GW_US_PER_MS, on_timeout, caller);
 	if (caller->connected)
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -38,6 +38,7 @@
 	const char *method;
 	const char *path;
 	const char *host;
+	const char *key;      /* the team's; NULL: none */
 	const char *body;     /* NULL: none */
 	uint32_t deadline_ms; /* as told to the server */
 	uint32_t timeout_ms;  /* the caller waits no longer */
--- a/soak/check.c
+++ b/soak/check.c
@@ -155,7 +155,7 @@
 
 /*
  * Reports each job that does not last and has nothing running though its pool
- * is half empty. Called once no job has been handed in for FINISH_MS.
+ * is half empty, once no job has been handed in for FINISH_MS.
  */
 static void
 on_running(const gw_http_response_t *response, const gw_err_t *err, void *arg)
@@ -166,12 +166,16 @@
 	soak_t *soak = arg;
 
 	(void)err;
-	for (guint i = 0; root != NULL && i < soak->jobs->len; i++) {
+	if (root != NULL)
+		teams_check_running(soak, tasks);
+	for (guint i = 0;
+	     root != NULL && soak->finishing && i < soak->jobs->len; i++) {
 		job_t *job = soak->jobs->pdata[i];
 
 		if (!job->accepted || job->ended || job->kind == JOB_LASTING ||
 		    job->kind == JOB_CANCELLED || runs(tasks, job) ||
-		    soak->loads[job->pool].load_percent >= HALF_PERCENT)
+		    soak->loads[job->pool].load_percent >= HALF_PERCENT ||
+		    teams_may_wait(soak, job))
 			job->idle_since_ms = 0;
 		else if (job->idle_since_ms == 0)
 			job->idle_since_ms = now_ms;
@@ -194,7 +198,7 @@
 	    CALL_TIMEOUT_MS, on_workers, soak);
 	(void)gw_httpc_call(soak->control, "GET", "/stats", NULL,
 	    CALL_TIMEOUT_MS, on_stats, soak);
-	if (soak->finishing)
+	if (soak->finishing || soak->has_teams)
 		(void)gw_httpc_call(soak->control, "GET", "/running", NULL,
 		    CALL_TIMEOUT_MS, on_running, soak);
 	gw_timer_start(soak->rt, tick, TICK_MS * GW_US_PER_MS, on_tick, soak);
--- a/soak/clients.c
+++ b/soak/clients.c
@@ -164,12 +164,13 @@
  */
 bool
 clients_send(soak_t *soak, const char *method, const char *path,
-    const char *body, caller_done_t done, void *arg)
+    const char *key, const char *body, caller_done_t done, void *arg)
 {
 	client_t *client = draw_idle();
 	caller_request_t request = {.method = method,
 	    .path = path,
 	    .host = HOST,
+	    .key = key,
 	    .body = body,
 	    .deadline_ms = DEADLINE_MS,
 	    .timeout_ms = TIMEOUT_MS};
--- a/soak/config.c
+++ b/soak/config.c
@@ -47,12 +47,15 @@
 	g_autofree char *value = NULL, *body = NULL;
 
 	soak->config_version++;
+	teams_version_begins(soak);
 	g_string_append_printf(
 	    text, "{\"version\":%u,\"routes\":[", soak->config_version);
 	append_routes(soak, text);
 	g_string_append(text, "],\"services\":[");
 	append_services(soak, text);
-	g_string_append(text, "],\"limits\":{}}");
+	g_string_append(text, "],\"limits\":{}");
+	teams_append(soak, text);
+	g_string_append(text, "}");
 	value = g_base64_encode((const guchar *)text->str, text->len);
 	body = g_strdup_printf(
 	    "{\"precondition\":[],\"writes\":[{\"key\":\"op/config\","
--- a/soak/main.c
+++ b/soak/main.c
@@ -140,6 +140,8 @@
 	if (response == NULL || response->status != 200)
 		soak_print(arg, "an operator's write failed: %s",
 		    response == NULL ? error->text : "refused");
+	else
+		teams_version_acked(arg);
 }
 
 static void
@@ -348,6 +350,7 @@
 	soak.reported =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	draw_system();
+	teams_draw(&soak, seed);
 	for (uint32_t i = 0; i < soak.entry_count; i++)
 		soak.entries[i].number = i + 1;
 	soak.store_api = soak_client(&soak, PORT_STORE);
@@ -405,9 +408,10 @@
 	    soak.answered, soak.not_sent, soak.unanswered,
 	    soak.longest_unanswered_ms, soak.timed_out);
 	(void)printf("seed %u: %u entries, %u pools, %u moves, %u upkeeps, "
-		     "planned only %d, cpu %u\n",
+		     "planned only %d, cpu %u, teams %d, most %u percent\n",
 	    seed, soak.entry_count, soak.pool_count, soak.moves, soak.upkeeps,
-	    soak.planned_only, soak.cpu_percent);
+	    soak.planned_only, soak.cpu_percent, soak.has_teams,
+	    teams_most_percent());
 	(void)printf("seed %u: %u events, %u jobs accepted, %u refused, "
 		     "longest stand %" PRIu64 " ms, %u violations\n",
 	    seed, soak.events, soak.accepted, soak.refused,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -67,7 +67,9 @@
 	char id[17];
 	uint32_t pool;
 	job_kind_t kind;
-	uint32_t tasks; /* of which an end as done is listed */
+	bool is_limited;      /* of the team that has a quota */
+	uint32_t key_version; /* whose key it was handed in with; 0: any */
+	uint32_t tasks;	      /* of which an end as done is listed */
 	bool accepted;
 	bool cancel_sent;
 	bool ended;	  /* shown as completed, failed or cancelled */
@@ -100,6 +102,7 @@
 	uint32_t entry_count;
 	uint32_t pool_count;
 	bool has_machines;    /* pools with a standby pool, and a planner */
+	bool has_teams;	      /* callers need keys; see teams.c */
 	bool planned_only;    /* no other disruption than planned work */
 	uint32_t cpu_percent; /* of the entry processes; 100: not limited */
 	gw_httpc_t *store_api, *control;
@@ -141,7 +144,7 @@
 /* clients.c */
 void clients_start(soak_t *);
 bool clients_send(soak_t *, const char *method, const char *path,
-    const char *body, caller_done_t, void *arg);
+    const char *key, const char *body, caller_done_t, void *arg);
 
 /* traffic.c */
 void traffic_start(soak_t *);
@@ -156,6 +159,18 @@
 /* config.c */
 void config_put(soak_t *);
 
+/* teams.c */
+void teams_draw(soak_t *, uint32_t seed);
+void teams_append(const soak_t *, GString *config);
+void teams_version_begins(soak_t *);
+void teams_version_acked(soak_t *);
+void teams_draw_job(const soak_t *, job_t *);
+const char *teams_key(const soak_t *, const job_t *, bool is_submission);
+void teams_check_accepted(soak_t *, const job_t *);
+void teams_check_running(soak_t *, const json_t *tasks);
+uint32_t teams_most_percent(void);
+bool teams_may_wait(const soak_t *, const job_t *);
+
 /* events.c, faults.c */
 void events_start(soak_t *);
 
--- a/soak/traffic.c
+++ b/soak/traffic.c
@@ -31,7 +31,9 @@
 
 	arg->soak = soak;
 	arg->job = job;
-	if (clients_send(soak, method, path, body, on_done, arg))
+	if (clients_send(soak, method, path,
+		teams_key(soak, job, strcmp(method, "POST") == 0), body,
+		on_done, arg))
 		return true;
 	g_free(arg);
 	return false;
@@ -49,8 +51,10 @@
 		return;
 	}
 	soak->accepted += !job->accepted;
-	if (!job->accepted)
+	if (!job->accepted) {
 		job->accepted_ms = soak_now_ms();
+		teams_check_accepted(soak, job);
+	}
 	job->accepted = true;
 }
 
@@ -179,6 +183,7 @@
 		job->tasks = 1;
 	else
 		job->tasks = (uint32_t)g_random_int_range(1, 4);
+	teams_draw_job(soak, job);
 	submit(soak, job);
 }
 
