--- a/lib/sched/quota.c
+++ b/lib/sched/quota.c
@@ -52,14 +52,6 @@
 	pool->quota_parts = parts;
 }
 
-bool
-sched_resources_equal(const sched_resources_t *x, const sched_resources_t *y)
-{
-	return x->cpu_millis == y->cpu_millis &&
-	    x->memory_mib == y->memory_mib &&
-	    x->accelerators == y->accelerators;
-}
-
 static bool
 is_any(const sched_resources_t *resources)
 {
@@ -122,7 +114,7 @@
 } member_t;
 
 /*
- * Returns what the other shards leave of the limit.
+ * Returns what is left of a limit beside what others have.
  */
 uint64_t
 sched_quota_available(uint64_t limit, uint64_t others)
@@ -214,12 +206,6 @@
 		team->lacking = (sched_resources_t){0};
 }
 
-static uint64_t
-room_left(uint64_t capacity, uint64_t used)
-{
-	return capacity - MIN(capacity, used);
-}
-
 /*
  * Returns the room on the instances that get starts.
  */
@@ -236,11 +222,11 @@
 
 		if (!sched_instance_is_usable(instance, now_us))
 			continue;
-		room.cpu_millis +=
-		    room_left(capacity->cpu_millis, instance->used.cpu_millis);
-		room.memory_mib +=
-		    room_left(capacity->memory_mib, instance->used.memory_mib);
-		room.accelerators += room_left(
+		room.cpu_millis += sched_quota_available(
+		    capacity->cpu_millis, instance->used.cpu_millis);
+		room.memory_mib += sched_quota_available(
+		    capacity->memory_mib, instance->used.memory_mib);
+		room.accelerators += sched_quota_available(
 		    capacity->accelerators, instance->used.accelerators);
 	}
 	return room;
--- a/lib/sched/quota.h
+++ b/lib/sched/quota.h
@@ -41,21 +41,21 @@
  */
 GArray *sched_pool_quota_changes(sched_pool_t *);
 /* Handles that the store shows this part, and others as the sum of the rest. */
-void sched_pool_set_quota_held(sched_pool_t *, const char *team,
-    const sched_resources_t *part, const sched_resources_t *others);
+void sched_pool_set_quota_held(sched_pool_t *, const char *name,
+    const sched_resources_t *held, const sched_resources_t *others);
 /*
  * Handles that a write of this part is about to be sent: what it gives back is
  * not used any more, whatever its outcome.
  */
 void sched_pool_limit_quota_held(
-    sched_pool_t *, const char *team, const sched_resources_t *);
+    sched_pool_t *, const char *name, const sched_resources_t *);
 /*
  * Handles that it is not known any more which part the store shows, since a
  * write of this shard may still take effect. It is written again.
  */
-void sched_pool_forget_quota_held(sched_pool_t *, const char *team);
+void sched_pool_forget_quota_held(sched_pool_t *, const char *name);
 /* Another shard lacks the team's quota: gives back what is not used. */
-void sched_pool_yield_quota(sched_pool_t *, const char *team);
+void sched_pool_yield_quota(sched_pool_t *, const char *name);
 
 /*
  * Returns the part that the shard can have by the record of the team's quota
--- a/lib/sched/quota_record.c
+++ b/lib/sched/quota_record.c
@@ -6,6 +6,14 @@
  * The record of a team's quota in the store, which has the parts of all shards.
  */
 
+bool
+sched_resources_equal(const sched_resources_t *x, const sched_resources_t *y)
+{
+	return x->cpu_millis == y->cpu_millis &&
+	    x->memory_mib == y->memory_mib &&
+	    x->accelerators == y->accelerators;
+}
+
 sched_resources_t
 sched_quota_part(const Gw__QuotaRecord *record, const char *shard)
 {
@@ -66,25 +74,26 @@
 sched_quota_encode(const Gw__QuotaRecord *from, const char *shard,
     const sched_resources_t *part)
 {
-	size_t count = from == NULL ? 0 : from->n_parts, size_bytes;
-	g_autofree Gw__QuotaPart **parts = g_new(Gw__QuotaPart *, count + 1);
+	g_autoptr(GPtrArray) parts = g_ptr_array_new();
 	Gw__QuotaRecord record = GW__QUOTA_RECORD__INIT;
 	Gw__QuotaPart own = GW__QUOTA_PART__INIT;
+	size_t size_bytes;
 	uint8_t *data;
 
-	record.parts = parts;
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; from != NULL && i < from->n_parts; i++)
 		if (strcmp(from->parts[i]->shard, shard) != 0)
-			parts[record.n_parts++] = from->parts[i];
+			g_ptr_array_add(parts, from->parts[i]);
 	own.shard = (char *)shard;
 	own.cpu_millis = part->cpu_millis;
 	own.memory_mib = part->memory_mib;
 	own.accelerators = part->accelerators;
 	if (part->cpu_millis > 0 || part->memory_mib > 0 ||
 	    part->accelerators > 0)
-		parts[record.n_parts++] = &own;
-	if (record.n_parts == 0)
+		g_ptr_array_add(parts, &own);
+	if (parts->len == 0)
 		return NULL;
+	record.parts = (Gw__QuotaPart **)parts->pdata;
+	record.n_parts = parts->len;
 	size_bytes = gw__quota_record__get_packed_size(&record);
 	data = g_malloc(size_bytes);
 	gw__quota_record__pack(&record, data);
