Start a task of more than half a quota while half of it is free

A task that takes more than its team's quota never started, and one of more than half of it waited while the team ran less than half: such a job has nothing running while its team is under half of its quota (LOST), which the rule on quotas allows with one task more. The row lets one shard at a time do so.

--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -88,9 +88,10 @@
 	bool is_held_uncertain;
 	/* What tasks lacked in the last round that had room but no quota. */
 	sched_resources_t lacking;
-	uint64_t short_since_us; /* since when tasks lack quota; 0: none */
-	uint64_t spare_since_us; /* since when too much is held; 0: not */
-	uint64_t yield_until_us; /* another shard lacks quota */
+	sched_resources_t largest; /* the most that one of them takes */
+	uint64_t short_since_us;   /* since when tasks lack quota; 0: none */
+	uint64_t spare_since_us;   /* since when too much is held; 0: not */
+	uint64_t yield_until_us;   /* another shard lacks quota */
 	/* Of the work placed here; see share.c. */
 	share_account_t account;
 	uint64_t jobs_per_1000s; /* submitted to all pools */
@@ -496,6 +497,7 @@
 
 /* quota.c */
 uint64_t sched_quota_available(uint64_t limit, uint64_t others);
+bool sched_quota_is_half_free(uint64_t limit, uint64_t others, uint64_t used);
 void sched_quota_set_limit(sched_team_t *, const sched_resources_t *);
 bool sched_quota_has_part(const sched_team_t *);
 bool sched_quota_allows(const sched_task_t *);
--- a/lib/sched/quota.c
+++ b/lib/sched/quota.c
@@ -158,6 +158,9 @@
 	uint64_t usable = MIN(
 	    member->held, sched_quota_available(member->limit, member->others));
 
+	if (sched_quota_is_half_free(
+		member->limit, member->others, member->used))
+		usable = member->held;
 	return member->limit == 0 || member->used + more <= usable;
 }
 
@@ -189,7 +192,11 @@
 	sched_resources_t takes =
 	    sched_step_resources(sched_task_step_spec(task));
 	sched_resources_t *lacking = &task->job->team->lacking;
+	sched_resources_t *largest = &task->job->team->largest;
 
+	largest->cpu_millis = MAX(largest->cpu_millis, takes.cpu_millis);
+	largest->memory_mib = MAX(largest->memory_mib, takes.memory_mib);
+	largest->accelerators = MAX(largest->accelerators, takes.accelerators);
 	lacking->cpu_millis += tasks * takes.cpu_millis;
 	lacking->memory_mib += tasks * takes.memory_mib;
 	lacking->accelerators += tasks * takes.accelerators;
@@ -203,7 +210,7 @@
 
 	g_hash_table_iter_init(&iter, pool->teams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team))
-		team->lacking = (sched_resources_t){0};
+		team->lacking = team->largest = (sched_resources_t){0};
 }
 
 /*
@@ -365,6 +372,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
 		sched_quota_change_t change = {.used = team->used,
 		    .held = team->held,
+		    .largest = team->largest,
 		    .is_lacking = is_any(&team->lacking),
 		    .must_read =
 			!team->is_held_known && !team->is_held_uncertain};
--- a/lib/sched/quota.h
+++ b/lib/sched/quota.h
@@ -31,6 +31,8 @@
 	sched_resources_t used;
 	sched_resources_t held;
 	sched_resources_t wanted;
+	sched_resources_t
+	    largest;	 /* what one of the tasks that lack it takes */
 	bool is_lacking; /* tasks have room, but wait for it */
 	bool must_read;	 /* held is not known, and no write is uncertain */
 } sched_quota_change_t;
@@ -60,7 +62,7 @@
 /*
  * Returns the part that the shard can have by the record of the team's quota
  * (NULL: there is none): no more than is free beside the other parts, but no
- * less than it uses.
+ * less than it uses, and one task more while half of the quota is free.
  */
 sched_resources_t sched_quota_grant(
     const Gw__QuotaRecord *, const char *shard, const sched_quota_change_t *);
--- a/lib/sched/quota_record.c
+++ b/lib/sched/quota_record.c
@@ -27,12 +27,27 @@
 	return part;
 }
 
+/*
+ * Returns whether half of a limit is neither used here nor held elsewhere. Then
+ * one task may run that takes more than is left: else a team that runs little
+ * would wait with a task of more than half its quota. No other shard can do the
+ * same beside it.
+ */
+bool
+sched_quota_is_half_free(uint64_t limit, uint64_t others, uint64_t used)
+{
+	return sched_quota_available(limit, others) >= used + limit - limit / 2;
+}
+
 /*
  * Returns what the shard can have of one member.
  */
 static uint64_t
-grant_member(uint64_t limit, uint64_t others, uint64_t used, uint64_t wanted)
+grant_member(uint64_t limit, uint64_t others, uint64_t used, uint64_t wanted,
+    uint64_t largest)
 {
+	if (limit != 0 && sched_quota_is_half_free(limit, others, used))
+		used += largest;
 	return limit == 0
 	    ? 0
 	    : MAX(MIN(wanted, sched_quota_available(limit, others)), used);
@@ -63,11 +78,14 @@
 
 	return (sched_resources_t){
 	    grant_member(change->quota.cpu_millis, others.cpu_millis,
-		change->used.cpu_millis, change->wanted.cpu_millis),
+		change->used.cpu_millis, change->wanted.cpu_millis,
+		change->largest.cpu_millis),
 	    grant_member(change->quota.memory_mib, others.memory_mib,
-		change->used.memory_mib, change->wanted.memory_mib),
+		change->used.memory_mib, change->wanted.memory_mib,
+		change->largest.memory_mib),
 	    grant_member(change->quota.accelerators, others.accelerators,
-		change->used.accelerators, change->wanted.accelerators)};
+		change->used.accelerators, change->wanted.accelerators,
+		change->largest.accelerators)};
 }
 
 GBytes *
