--- a/lib/sched/quota.c
+++ b/lib/sched/quota.c
@@ -52,14 +52,6 @@
 	pool->quota_parts = parts;
 }
 
-bool
-sched_resources_equal(const sched_resources_t *x, const sched_resources_t *y)
-{
-	return x->cpu_millis == y->cpu_millis &&
-	    x->memory_mib == y->memory_mib &&
-	    x->accelerators == y->accelerators;
-}
-
 static bool
 is_any(const sched_resources_t *resources)
 {
@@ -122,7 +114,7 @@
 } member_t;
 
 /*
- * Returns what the other shards leave of the limit.
+ * Returns what is left of a limit beside what others have.
  */
 uint64_t
 sched_quota_available(uint64_t limit, uint64_t others)
@@ -166,6 +158,9 @@
 	uint64_t usable = MIN(
 	    member->held, sched_quota_available(member->limit, member->others));
 
+	if (sched_quota_is_half_free(
+		member->limit, member->others, member->used))
+		usable = member->held;
 	return member->limit == 0 || member->used + more <= usable;
 }
 
@@ -197,7 +192,11 @@
 	sched_resources_t takes =
 	    sched_step_resources(sched_task_step_spec(task));
 	sched_resources_t *lacking = &task->job->team->lacking;
+	sched_resources_t *largest = &task->job->team->largest;
 
+	largest->cpu_millis = MAX(largest->cpu_millis, takes.cpu_millis);
+	largest->memory_mib = MAX(largest->memory_mib, takes.memory_mib);
+	largest->accelerators = MAX(largest->accelerators, takes.accelerators);
 	lacking->cpu_millis += tasks * takes.cpu_millis;
 	lacking->memory_mib += tasks * takes.memory_mib;
 	lacking->accelerators += tasks * takes.accelerators;
@@ -211,13 +210,7 @@
 
 	g_hash_table_iter_init(&iter, pool->teams);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team))
-		team->lacking = (sched_resources_t){0};
-}
-
-static uint64_t
-room_left(uint64_t capacity, uint64_t used)
-{
-	return capacity - MIN(capacity, used);
+		team->lacking = team->largest = (sched_resources_t){0};
 }
 
 /*
@@ -236,11 +229,11 @@
 
 		if (!sched_instance_is_usable(instance, now_us))
 			continue;
-		room.cpu_millis +=
-		    room_left(capacity->cpu_millis, instance->used.cpu_millis);
-		room.memory_mib +=
-		    room_left(capacity->memory_mib, instance->used.memory_mib);
-		room.accelerators += room_left(
+		room.cpu_millis += sched_quota_available(
+		    capacity->cpu_millis, instance->used.cpu_millis);
+		room.memory_mib += sched_quota_available(
+		    capacity->memory_mib, instance->used.memory_mib);
+		room.accelerators += sched_quota_available(
 		    capacity->accelerators, instance->used.accelerators);
 	}
 	return room;
@@ -379,6 +372,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&team)) {
 		sched_quota_change_t change = {.used = team->used,
 		    .held = team->held,
+		    .largest = team->largest,
 		    .is_lacking = is_any(&team->lacking),
 		    .must_read =
 			!team->is_held_known && !team->is_held_uncertain};
