--- a/regress/entry/operator.sh
+++ b/regress/entry/operator.sh
@@ -133,6 +133,9 @@
 
 curl -s "http://127.0.0.1:28521/teams" "http://127.0.0.1:28522/teams" \
     "http://127.0.0.1:28523/teams" >"$tmp/teams.out"
+# The search finds what is there.
+grep -q team=team-a "$tmp/entry1.out" && grep -q team-a "$tmp/gwctl.out" &&
+    grep -q team-a "$tmp/metrics.out" "$tmp/teams.out" && echo "the team is named"
 for text in secret-a secret-b nonsense-key; do
 	digest=$(printf %s "$text" | sha256sum | cut -c 1-64)
 	grep -il -e "$text" -e "$digest" "$tmp"/*.out "$tmp"/*.log
