Estimate the end of each job, and measure the estimate

Admission divided the CPU work that waits by the CPU that serves. It knew neither what runs, nor memory, nor steps wider than the pool, nor quotas, and nobody could see how good it was.

estimate.c follows the room over time: ends of runs, machines on their way, and the tasks ahead as CPU and memory allow; a team that lacks quota waits for its part.

--- a/gwentryd/stats.c
+++ b/gwentryd/stats.c
@@ -1,5 +1,6 @@
 #include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "gw/log.h"
 #include "stats.h"
@@ -24,6 +25,8 @@
 	gw_metric_t *shards_owned; /* gw_entry_pools */
 	gw_metric_t *tasks_waiting[SCHED_WAITS];
 	gw_metric_t *lasting_wait_ms;
+	gw_histogram_t *estimate_error_us[2]; /* early, late */
+	gw_metric_t *promises[2];	      /* held, broken */
 	gw_metric_t *connections;
 	gw_metric_t *config_version;
 	gw_metric_t *config_age_ms;
@@ -63,6 +66,40 @@
 	    "longest time that a long-running task has not run");
 }
 
+static void
+add_estimates(stats_t *stats)
+{
+	static const char *const ends[] = {"end=\"early\"", "end=\"late\""};
+	static const char *const promises[] = {
+	    "outcome=\"held\"", "outcome=\"broken\""};
+
+	for (int i = 0; i < 2; i++) {
+		stats->estimate_error_us[i] = gw_metrics_add_histogram(
+		    stats->registry, "gw_entry_estimate_error_us", ends[i],
+		    "how far jobs ended from the estimate of their admission");
+		stats->promises[i] = gw_metrics_add(stats->registry,
+		    GW_METRIC_COUNTER, "gw_entry_promises_total", promises[i],
+		    "refused jobs that returned after their Retry-After");
+	}
+}
+
+static void
+copy_histogram(gw_histogram_t *to, const gw_histogram_t *from)
+{
+	memcpy(to->buckets, from->buckets, sizeof(to->buckets));
+	to->count = from->count;
+	to->sum_us = from->sum_us;
+}
+
+static void
+set_estimates(stats_t *stats, const sched_estimate_errors_t *errors)
+{
+	copy_histogram(stats->estimate_error_us[0], &errors->early_us);
+	copy_histogram(stats->estimate_error_us[1], &errors->late_us);
+	stats->promises[0]->value = errors->promises_held;
+	stats->promises[1]->value = errors->promises_broken;
+}
+
 stats_t *
 stats_new(void)
 {
@@ -88,6 +125,7 @@
 	stats->shards_owned = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
 	    "gw_entry_pools", "", "shards that this process owns");
 	add_waits(stats);
+	add_estimates(stats);
 	stats->connections = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
 	    "gw_entry_connections", "", "callers' connections");
 	stats->config_version = gw_metrics_add(stats->registry, GW_METRIC_GAUGE,
@@ -138,6 +176,7 @@
 	for (int i = SCHED_WAIT_NONE + 1; i < SCHED_WAITS; i++)
 		stats->tasks_waiting[i]->value = gauges->waits.tasks[i];
 	stats->lasting_wait_ms->value = gauges->waits.lasting_wait_ms;
+	set_estimates(stats, &gauges->waits.estimates);
 	stats->connections->value = gauges->connections;
 	stats->config_version->value = gauges->config_version;
 	stats->config_age_ms->value = gauges->config_age_ms;
--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -3,106 +3,21 @@
 #include "gw/log.h"
 #include "sched/impl.h"
 
-/*
- * A job of a few seconds is overdue by then, so that the time of its first
- * submission no longer matters.
- */
-#define REFUSAL_RETENTION_US (12 * GW_US_PER_S)
-/* Bounds the memory for refusals; beyond this number the oldest is evicted. */
-#define REFUSALS_MAX 4096
 /*
  * The planner reports incoming and standby machines several times a second. A
  * report older than this comes from a planner that has stopped.
  */
 #define INCOMING_MAX_AGE_US GW_US_PER_S
-/* Limits of the delay in the Retry-After header, which has whole seconds. */
-#define RETRY_MIN_MS 1000
-#define RETRY_MAX_MS 4000
-
-/* A refused job. When it is submitted again, its age counts from first_us. */
-typedef struct {
-	char id[SCHED_JOB_ID_BYTES];
-	uint64_t first_us;
-} refusal_t;
-
-struct sched_refusals {
-	GHashTable *by_id; /* id -> refusal_t, owned by order */
-	GQueue *order;	   /* refusal_t, oldest first */
-};
-
-/*
- * Returns an empty list of refusals.
- */
-sched_refusals_t *
-sched_refusals_new(void)
-{
-	sched_refusals_t *refusals = g_new0(sched_refusals_t, 1);
-
-	refusals->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	refusals->order = g_queue_new();
-	return refusals;
-}
-
-/*
- * Frees the list of refusals.
- */
-void
-sched_refusals_free(sched_refusals_t *refusals)
-{
-	g_hash_table_destroy(refusals->by_id);
-	g_queue_free_full(refusals->order, g_free);
-	g_free(refusals);
-}
-
-static void
-evict_oldest(sched_refusals_t *refusals)
-{
-	refusal_t *oldest = g_queue_pop_head(refusals->order);
-
-	g_hash_table_remove(refusals->by_id, oldest->id);
-	g_free(oldest);
-}
-
-static void
-evict_expired(sched_refusals_t *refusals, uint64_t now_us)
-{
-	const refusal_t *oldest;
-
-	while ((oldest = g_queue_peek_head(refusals->order)) != NULL &&
-	    (gw_elapsed_us(now_us, oldest->first_us) > REFUSAL_RETENTION_US ||
-		g_queue_get_length(refusals->order) > REFUSALS_MAX))
-		evict_oldest(refusals);
-}
-
 /*
- * Returns the time at which the job was first submitted.
+ * Returns what the planner has reported within the last second.
  */
-static uint64_t
-first_attempt_us(const sched_pool_t *pool, const char *id, uint64_t now_us)
+sched_arrivals_t
+sched_arrivals(const sched_pool_t *pool, uint64_t now_us)
 {
-	const refusal_t *refusal =
-	    g_hash_table_lookup(pool->refusals->by_id, id);
-
-	return refusal == NULL ? now_us : refusal->first_us;
-}
-
-static void
-record_refusal(sched_pool_t *pool, const Gw__JobSpec *spec, uint64_t now_us)
-{
-	refusal_t *refusal;
-
-	if (g_hash_table_contains(pool->refusals->by_id, spec->id))
-		return;
-	refusal = g_new0(refusal_t, 1);
-	g_strlcpy(refusal->id, spec->id, sizeof(refusal->id));
-	refusal->first_us = now_us;
-	g_queue_push_tail(pool->refusals->order, refusal);
-	g_hash_table_insert(pool->refusals->by_id, refusal->id, refusal);
-	evict_expired(pool->refusals, now_us);
-	/* The planner counts refused work as demand. */
-	for (size_t i = 0; i < spec->n_steps; i++)
-		pool->demand_cpu_ms += sched_step_work_cpu_ms(
-		    spec->steps[i], spec->steps[i]->count);
+	if (gw_elapsed_us(now_us, pool->incoming_us) >= INCOMING_MAX_AGE_US)
+		return (sched_arrivals_t){0};
+	return (sched_arrivals_t){
+	    .coming = pool->incoming_machines, .standby = pool->standby};
 }
 
 /* CPU for jobs that are not long-running, in thousandths of a core. */
@@ -189,15 +104,15 @@
  */
 static bool
 admit_all(const sched_pool_t *pool, const Gw__JobSpec *spec,
-    bool is_beyond_share, uint64_t age_ms, uint64_t now_us,
-    uint32_t *retry_after_ms)
+    const sched_order_key_t *key, uint64_t age_ms, uint64_t now_us,
+    sched_verdict_t *verdict)
 {
 	(void)pool;
 	(void)spec;
-	(void)is_beyond_share;
+	(void)key;
 	(void)age_ms;
 	(void)now_us;
-	(void)retry_after_ms;
+	(void)verdict;
 	return true;
 }
 
@@ -216,14 +131,11 @@
  */
 static bool
 admit_in_time(const sched_pool_t *pool, const Gw__JobSpec *spec,
-    bool is_beyond_share, uint64_t age_ms, uint64_t now_us,
-    uint32_t *retry_after_ms)
+    const sched_order_key_t *key, uint64_t age_ms, uint64_t now_us,
+    sched_verdict_t *verdict)
 {
 	uint64_t critical_path_ms = sched_critical_path_ms(spec, NULL);
 	uint64_t objective_ms = sched_objective_ms(spec, critical_path_ms);
-	const sched_order_key_t key = {.rank_class = SCHED_RANK_IN_TIME,
-	    .is_beyond_share = is_beyond_share,
-	    .priority = spec->priority};
 	uint64_t wait_ms, wait_all_ms;
 	serving_t serving;
 	backlog_t backlog;
@@ -233,7 +145,7 @@
 	serving = sum_serving_cpu(pool, now_us);
 	if (serving.cpu_millis == 0)
 		return true;
-	backlog = sum_backlog(pool, &key, now_us);
+	backlog = sum_backlog(pool, key, now_us);
 	wait_ms = backlog.ahead_cpu_ms * 1000 / serving.cpu_millis;
 	if (age_ms + wait_ms + critical_path_ms <= objective_ms)
 		return true;
@@ -245,7 +157,7 @@
 	    age_ms + wait_all_ms + critical_path_ms <=
 		SCHED_OVERDUE_FACTOR * objective_ms)
 		return true;
-	*retry_after_ms = (uint32_t)CLAMP(wait_ms, RETRY_MIN_MS, RETRY_MAX_MS);
+	verdict->retry_after_ms = sched_refusal_retry_ms(wait_ms);
 	gw_log(GW_EV_SCHED_REFUSED,
 	    "job=%s pool=%s queue=%s team=%s reason=%s age_ms=%" PRIu64
 	    " wait_ms=%" PRIu64 " chain_ms=%" PRIu64 " objective_ms=%" PRIu64
@@ -253,11 +165,11 @@
 	    " late_cpu_ms=%" PRIu64 " serving_cpu=%" PRIu64
 	    " coming=%u standby=%u retry_after_ms=%u",
 	    spec->id, pool->name, spec->queue, spec->team,
-	    is_beyond_share ? "share" : "overload", age_ms, wait_ms,
+	    key->is_beyond_share ? "share" : "overload", age_ms, wait_ms,
 	    critical_path_ms, objective_ms, spec->priority,
 	    backlog.ahead_cpu_ms, backlog.in_time_cpu_ms,
 	    backlog.all_cpu_ms - backlog.in_time_cpu_ms, serving.cpu_millis,
-	    pool->incoming_machines, pool->standby, *retry_after_ms);
+	    pool->incoming_machines, pool->standby, verdict->retry_after_ms);
 	return false;
 }
 
@@ -265,27 +177,34 @@
 const sched_admission_t sched_admission_in_time = {"in-time", admit_in_time};
 
 /*
- * Returns whether a job that the pool does not have yet is accepted, and sets
- * *since_us to its first submission. If it is refused, sets *retry_after_ms.
+ * Returns whether a job that the pool does not have yet is accepted. Sets
+ * the time of its first submission; if it is refused, when it may return.
  */
 bool
 sched_admit(sched_pool_t *pool, const Gw__JobSpec *spec, bool is_beyond_share,
-    uint64_t *since_us, uint32_t *retry_after_ms)
+    sched_verdict_t *verdict)
 {
+	const sched_order_key_t key = {.rank_class = SCHED_RANK_IN_TIME,
+	    .is_beyond_share = is_beyond_share,
+	    .priority = spec->priority};
 	sched_team_t *team = sched_team_get(pool, spec->team);
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 	uint64_t age_ms;
 
-	*since_us = first_attempt_us(pool, spec->id, now_us);
-	age_ms = gw_elapsed_us(now_us, *since_us) / GW_US_PER_MS;
-	if (team != NULL && *since_us == now_us)
+	*verdict = (sched_verdict_t){
+	    .since_us = sched_refusal_first_us(pool, spec->id, now_us)};
+	age_ms = gw_elapsed_us(now_us, verdict->since_us) / GW_US_PER_MS;
+	if (team != NULL && verdict->since_us == now_us)
 		team->submitted++;
-	if (pool->admission->admit(
-		pool, spec, is_beyond_share, age_ms, now_us, retry_after_ms))
+	sched_order_update_capacity(pool, now_us);
+	if (pool->admission->admit(pool, spec, &key, age_ms, now_us, verdict)) {
+		sched_admit_estimate(pool, spec, &key, now_us, verdict);
+		sched_refusal_accepted(pool, spec->id);
 		return true;
+	}
 	if (team != NULL)
 		team->refused++;
-	record_refusal(pool, spec, now_us);
+	sched_refusal_record(pool, spec, verdict->retry_after_ms, now_us);
 	return false;
 }
 
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -53,6 +53,18 @@
     .retry_after_ms = SCHED_REFUSED_RETRY_AFTER_MS,
     .reason = "job-id-in-use"};
 
+static void
+set_estimate(
+    const sched_pool_t *pool, sched_job_t *job, const sched_verdict_t *verdict)
+{
+	uint64_t now_us = gw_clock_now_us(pool->clock);
+
+	if (verdict->is_estimated)
+		job->estimate_ms =
+		    gw_elapsed_us(now_us, verdict->since_us) / GW_US_PER_MS +
+		    verdict->estimate.wait_ms + verdict->estimate.chain_ms;
+}
+
 /*
  * Accepts or refuses a job. A job that the pool already has is accepted again,
  * whatever its state, and is not run twice. Replies to the caller once the job
@@ -67,7 +79,7 @@
 	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED, .reason = "overload"};
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, spec->id);
 	bool is_beyond_share;
-	uint64_t since_us;
+	sched_verdict_t verdict;
 
 	if (job != NULL && !sched_team_may_see(job, spec->team)) {
 		cb(&id_in_use, arg);
@@ -83,13 +95,14 @@
 	}
 	is_beyond_share = sched_share_is_beyond(
 	    pool, spec->team, spec->id, gw_clock_now_us(pool->clock));
-	if (!sched_admit(pool, spec, is_beyond_share, &since_us,
-		&refused.retry_after_ms)) {
+	if (!sched_admit(pool, spec, is_beyond_share, &verdict)) {
+		refused.retry_after_ms = verdict.retry_after_ms;
 		cb(&refused, arg);
 		return;
 	}
 	job = sched_job_new(pool, spec->id);
-	job->accepted_us = since_us;
+	job->accepted_us = verdict.since_us;
+	set_estimate(pool, job, &verdict);
 	job->key_in_order.is_beyond_share = is_beyond_share;
 	sched_job_set_spec(job, copy_spec(spec));
 	sched_job_set_queue_key(pool, job, spec->queue_key);
@@ -106,14 +119,14 @@
 	    "job=%s pool=%s queue=%s steps=%zu tasks=%u cpu_millis=%u "
 	    "lasting=%d target_ms=%u fills=%d max_unavailable=%u "
 	    "per_instance=%u chain_ms=%u objective_ms=%u priority=%u "
-	    "open_jobs=%u team=%s",
+	    "open_jobs=%u team=%s wait_ms=%" PRIu64 " estimate_ms=%" PRIu64,
 	    job->id, pool->name, job->queue, job->spec->n_steps,
 	    job->spec->steps[0]->count, job->spec->steps[0]->cpu_millis,
 	    job->long_running, job->spec->steps[0]->target_ms,
 	    job->spec->steps[0]->fills, job->spec->steps[0]->max_unavailable,
 	    job->spec->steps[0]->max_per_instance, job->critical_path_ms,
 	    job->spec->objective_ms, job->spec->priority, pool->open->len,
-	    job->spec->team);
+	    job->spec->team, verdict.estimate.wait_ms, job->estimate_ms);
 	sched_job_wait_for_record(pool, job, cb, arg);
 }
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -2,6 +2,7 @@
 #define SCHED_IMPL_H
 
 #include "policy/share.h"
+#include "sched/estimate.h"
 #include "sched/order.h"
 #include "sched/quota.h"
 #include "sched/sched.h"
@@ -266,6 +267,8 @@
 	GArray *waiters;	   /* sched_waiter_t */
 	uint32_t critical_path_ms; /* estimate of the longest chain of steps */
 	sched_order_key_t key_in_order; /* by sched_job_update_rank() */
+	/* When admission expected it to end, from accepted_us; 0: not known. */
+	uint64_t estimate_ms;
 	bool is_out_of_turn; /* placed before jobs in time, once overdue */
 };
 
@@ -350,6 +353,14 @@
 	GArray *waiters;     /* sched_waiter_t */
 };
 
+/* What admission has decided on a job. */
+typedef struct {
+	uint64_t since_us; /* its first submission */
+	uint32_t retry_after_ms;
+	bool is_estimated;
+	sched_estimate_t estimate;
+} sched_verdict_t;
+
 /*
  * Admission policy. There are several, so that a policy can be compared with
  * the baseline on the same load.
@@ -357,8 +368,8 @@
 struct sched_admission {
 	const char *name;
 	bool (*admit)(const sched_pool_t *, const Gw__JobSpec *,
-	    bool is_beyond_share, uint64_t age_ms, uint64_t now_us,
-	    uint32_t *retry_after_ms);
+	    const sched_order_key_t *, uint64_t age_ms, uint64_t now_us,
+	    sched_verdict_t *);
 };
 
 /* Trials in a pool, with the instances that are withheld for one. */
@@ -394,7 +405,7 @@
 	share_account_t no_team_account; /* of jobs without a team */
 	share_t kind_share;		 /* of the same, among queues */
 	GHashTable *kinds; /* name of a queue -> share_account_t */
-	uint64_t fence; /* of instances that have not begun again */
+	uint64_t fence;	   /* of instances that have not begun again */
 	uint32_t shard_number;
 	uint32_t shard_count;
 	/* Jobs that other shards have; see transfer.c. */
@@ -421,6 +432,7 @@
 	uint64_t demand_cpu_ms;
 	const sched_admission_t *admission;
 	sched_refusals_t *refusals;
+	sched_estimate_errors_t estimates;
 	uint32_t incoming_machines; /* moving to the pool */
 	uint32_t standby;     /* machines on standby that can be moved to it */
 	uint64_t incoming_us; /* when the planner reported these two */
@@ -670,11 +682,31 @@
 /* evacuate.c */
 void sched_evacuate(sched_instance_t *, uint64_t now_us);
 
-/* admit.c */
+/* refusal.c */
 sched_refusals_t *sched_refusals_new(void);
 void sched_refusals_free(sched_refusals_t *);
+uint64_t sched_refusal_first_us(
+    const sched_pool_t *, const char *id, uint64_t now_us);
+void sched_refusal_record(sched_pool_t *, const Gw__JobSpec *,
+    uint32_t retry_after_ms, uint64_t now_us);
+void sched_refusal_accepted(sched_pool_t *, const char *id);
+uint32_t sched_refusal_retry_ms(uint64_t wait_ms);
+
+/* admit.c */
+/* admit_estimate.c */
+void sched_admit_estimate(const sched_pool_t *, const Gw__JobSpec *,
+    const sched_order_key_t *, uint64_t now_us, sched_verdict_t *);
+
+sched_arrivals_t sched_arrivals(const sched_pool_t *, uint64_t now_us);
 bool sched_admit(sched_pool_t *, const Gw__JobSpec *, bool is_beyond_share,
-    uint64_t *since_us, uint32_t *retry_after_ms);
+    sched_verdict_t *);
+
+/* estimate.c */
+void sched_estimate_record_end(sched_pool_t *, const sched_job_t *);
+void sched_estimate_add_errors(const sched_pool_t *, sched_estimate_errors_t *);
+bool sched_estimate_job(const sched_pool_t *, const Gw__JobSpec *,
+    const sched_backlog_t *, const sched_arrivals_t *, uint64_t now_us,
+    sched_estimate_t *);
 
 /* rank.c */
 sched_rank_t sched_job_update_rank(
@@ -692,8 +724,8 @@
 void sched_order_update_capacity(sched_pool_t *, uint64_t now_us);
 uint64_t sched_order_step_work(
     const sched_pool_t *, const Gw__JobStep *, uint64_t count);
-int sched_order_compare_tier(const sched_pool_t *, const sched_order_key_t *,
-    const sched_order_key_t *);
+int sched_order_compare_tier(
+    const sched_pool_t *, const sched_order_key_t *, const sched_order_key_t *);
 int sched_order_compare(
     const sched_pool_t *, const sched_job_t *, const sched_job_t *);
 void sched_order_sort(sched_pool_t *, GPtrArray *jobs, uint64_t now_us);
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -394,14 +394,18 @@
 	stop_tasks(job);
 	sched_aside_end(pool, job);
 	sched_job_mark_dirty(pool, job);
+	if (state == GW__JOB_STATE__JOB_COMPLETED)
+		sched_estimate_record_end(pool, job);
 	gw_log(GW_EV_SCHED_ENDED,
-	    "job=%s pool=%s queue=%s state=%s age_ms=%" PRIu64, job->id,
-	    pool->name, job->queue,
+	    "job=%s pool=%s queue=%s state=%s age_ms=%" PRIu64
+	    " estimate_ms=%" PRIu64,
+	    job->id, pool->name, job->queue,
 	    state == GW__JOB_STATE__JOB_COMPLETED    ? "completed"
 		: state == GW__JOB_STATE__JOB_FAILED ? "failed"
 						     : "cancelled",
 	    gw_elapsed_us(gw_clock_now_us(pool->clock), job->accepted_us) /
-		GW_US_PER_MS);
+		GW_US_PER_MS,
+	    job->estimate_ms);
 }
 
 /*
--- a/lib/sched/order.c
+++ b/lib/sched/order.c
@@ -143,9 +143,13 @@
 	int result =
 	    sched_order_compare_tier(pool, &x->key_in_order, &y->key_in_order);
 
-	if (result != 0 || x->key_in_order.rank == y->key_in_order.rank)
+	if (result != 0)
 		return result;
-	return x->key_in_order.rank < y->key_in_order.rank ? -1 : 1;
+	if (x->key_in_order.rank != y->key_in_order.rank)
+		return x->key_in_order.rank < y->key_in_order.rank ? -1 : 1;
+	if (x->accepted_us != y->accepted_us)
+		return x->accepted_us < y->accepted_us ? -1 : 1;
+	return 0;
 }
 
 static gint
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -426,6 +426,8 @@
 extern const sched_admission_t sched_admission_all; /* baseline: accepts all */
 /* Accepts jobs that can meet their objectives. */
 extern const sched_admission_t sched_admission_in_time;
+/* The same, by an estimate of when each would end. */
+extern const sched_admission_t sched_admission_estimate;
 void sched_pool_set_admission(sched_pool_t *, const sched_admission_t *);
 /*
  * Sets how many machines are moving to the pool, and how many machines on
--- a/lib/sched/wait.c
+++ b/lib/sched/wait.c
@@ -441,4 +441,5 @@
 		sum->tasks[i] += pool->waits.tasks[i];
 	sum->lasting_wait_ms =
 	    MAX(sum->lasting_wait_ms, pool->waits.lasting_wait_ms);
+	sched_estimate_add_errors(pool, &sum->estimates);
 }
--- a/lib/sched/wait.h
+++ b/lib/sched/wait.h
@@ -3,6 +3,8 @@
 
 #include <stdint.h>
 
+#include "gw/metric.h"
+
 /*
  * Why an instance gets no start of a task: the first reason that applies. The
  * placement asks for SCHED_EXCLUDED_NOT; the log names the others.
@@ -55,6 +57,16 @@
 	SCHED_WAITS
 } sched_wait_t;
 
+/* How estimates of admission have held, since the owner has the pool. */
+typedef struct {
+	/* Jobs that were completed, by how far from their estimate. */
+	gw_histogram_t early_us;
+	gw_histogram_t late_us;
+	/* Refused jobs that were accepted later, or returned too early. */
+	uint64_t promises_held;
+	uint64_t promises_broken;
+} sched_estimate_errors_t;
+
 /* What waits, by reason, as counted a second ago at most. */
 typedef struct {
 	/*
@@ -64,6 +76,7 @@
 	uint64_t tasks[SCHED_WAITS];
 	/* The longest time that a long-running task has not run. */
 	uint64_t lasting_wait_ms;
+	sched_estimate_errors_t estimates;
 } sched_waits_t;
 
 const char *sched_wait_name(sched_wait_t);
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -599,13 +599,14 @@
 	    on_response, g_strdup(words[1]));
 }
 
-/* admission all|in-time */
+/* admission all|in-time|estimate */
 static void
 do_admission(void)
 {
 	sched_pool_set_admission(pool,
-	    strcmp(words[1], "all") == 0 ? &sched_admission_all
-					 : &sched_admission_in_time);
+	    strcmp(words[1], "all") == 0	   ? &sched_admission_all
+		: strcmp(words[1], "in-time") == 0 ? &sched_admission_in_time
+						   : &sched_admission_estimate);
 }
 
 /*
@@ -708,6 +709,23 @@
 	printf("\n");
 }
 
+/* estimates: what the pool's metrics show of ends and promises */
+static void
+do_estimates(void)
+{
+	sched_waits_t waits = {0};
+	const sched_estimate_errors_t *errors = &waits.estimates;
+
+	sched_pool_add_waits(pool, &waits);
+	printf("%6" PRIu64 " estimates early=%" PRIu64 " by_ms=%" PRIu64
+	       " late=%" PRIu64 " by_ms=%" PRIu64 " held=%" PRIu64
+	       " broken=%" PRIu64 "\n",
+	    now_ms(), errors->early_us.count,
+	    errors->early_us.sum_us / GW_US_PER_MS, errors->late_us.count,
+	    errors->late_us.sum_us / GW_US_PER_MS, errors->promises_held,
+	    errors->promises_broken);
+}
+
 static void
 do_pending(void)
 {
@@ -1164,6 +1182,7 @@
     {"load", 1, do_load},
     {"late", 1, do_late},
     {"waits", 1, do_waits},
+    {"estimates", 1, do_estimates},
     {"advance", 2, do_advance},
     {"alive", 2, do_alive},
     {"grey", 2, do_grey},
