Keep machines from standby only, not from pools that lack them

A pool that keeps machines, and an order that may come late, must not hold back machines from a pool that lacks them. Both now limit only moves to standby, and only a failed write counts, not a slow one.

--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -13,8 +13,6 @@
 #define LOAD_INTERVAL_MS 200
 /* Two load intervals; a call without a response by then has no effect here. */
 #define CALL_TIMEOUT_MS 400
-/* A write without a response for this long delays the orders behind it. */
-#define WRITE_SLOW_MS 600
 /* Added to the platform's order_handover_ms. */
 #define ORDER_HANDOVER_MARGIN_MS 400
 
@@ -201,19 +199,6 @@
     .wave_state_changed = on_wave_state_changed,
     .wave_machine_done = on_wave_machine_done};
 
-/*
- * Returns whether an order that is issued now is likely to be recorded and sent
- * at once.
- */
-static bool
-orders_are_available(const planner_t *planner, uint64_t now_us)
-{
-	return !planner->write_failed && !planner->machines_failed &&
-	    !(planner->writing &&
-		gw_elapsed_us(now_us, planner->write_sent_us) >
-		    WRITE_SLOW_MS * GW_US_PER_MS);
-}
-
 static void
 on_tick(gw_timer_t *timer, void *arg)
 {
@@ -227,8 +212,8 @@
 	}
 	if (fleet_needs_list(planner->fleet))
 		planner_list_machines(planner);
-	fleet_set_orders_available(
-	    planner->fleet, orders_are_available(planner, now_us));
+	fleet_set_orders_available(planner->fleet,
+	    !planner->write_failed && !planner->machines_failed);
 	if (planner->records_read)
 		fleet_tick(planner->fleet);
 	gw_timer_start(
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -78,8 +78,8 @@
 void fleet_set_pool(fleet_t *, const char *name, uint32_t group, bool standby);
 void fleet_set_load(fleet_t *, const char *name, const Gw__PoolLoad *);
 /*
- * Sets whether orders can be recorded and sent now. While they can't, a machine
- * that is in use is not drained for a move that may come late.
+ * Sets whether orders can be recorded and sent now. While they can't, no
+ * machine is drained for a move to standby that may come late.
  */
 void fleet_set_orders_available(fleet_t *, bool available);
 /* Returns the number of machines that are moving to the pool. */
--- a/lib/sched/fleet_impl.h
+++ b/lib/sched/fleet_impl.h
@@ -77,7 +77,7 @@
 	uint32_t long_running_left;
 	/* Both are set by the lending policy. */
 	uint32_t wanted_machines; /* moved to the pool if it has fewer */
-	uint32_t kept_machines;	  /* not moved away, even if not wanted */
+	uint32_t kept_machines;	  /* not moved to standby */
 } pool_t;
 
 typedef struct {
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -79,17 +79,26 @@
 
 /*
  * Returns how many machines the pool has beyond wanted_machines; negative when
- * it has too few. Machines that it keeps are no surplus.
+ * it has too few.
  */
 static int32_t
 count_surplus(const fleet_t *fleet, const pool_t *pool)
+{
+	return (int32_t)fleet_count_pool_machines(fleet, pool->name) -
+	    (int32_t)pool->wanted_machines;
+}
+
+/*
+ * Returns how many machines the pool has beyond those that it wants or keeps,
+ * at least 0.
+ */
+static uint32_t
+count_returnable(const fleet_t *fleet, const pool_t *pool)
 {
 	uint32_t count = fleet_count_pool_machines(fleet, pool->name);
 
-	if (count < pool->wanted_machines)
-		return -(int32_t)(pool->wanted_machines - count);
-	return (int32_t)(count -
-	    MIN(count, MAX(pool->wanted_machines, pool->kept_machines)));
+	return count -
+	    MIN(count, MAX(pool->wanted_machines, pool->kept_machines));
 }
 
 static void
@@ -114,7 +123,7 @@
 
 	if (standby != NULL)
 		machine = find_idle_machine(fleet, standby, now_us);
-	if (machine != NULL || fleet->orders_unavailable)
+	if (machine != NULL)
 		return machine;
 	g_hash_table_iter_init(&iter, fleet->pools);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&pool)) {
@@ -156,7 +165,7 @@
 	machine_t *machine;
 
 	if (standby == NULL || fleet->orders_unavailable ||
-	    count_surplus(fleet, pool) <= 0) {
+	    count_returnable(fleet, pool) == 0) {
 		pool->surplus_since_us = 0;
 		return;
 	}
@@ -164,7 +173,7 @@
 		pool->surplus_since_us = now_us;
 	if (gw_elapsed_us(now_us, pool->surplus_since_us) < SURPLUS_AGE_MIN_US)
 		return;
-	while (count_surplus(fleet, pool) > 0) {
+	while (count_returnable(fleet, pool) > 0) {
 		machine = find_idle_machine(fleet, pool, now_us);
 		if (machine == NULL)
 			return;
--- a/regress/sched/fleet_forecast.sh
+++ b/regress/sched/fleet_forecast.sh
@@ -87,22 +87,20 @@
 done
 
 # Load: a surplus while the store does not take orders. Guards against machines that
-# are drained, and so out of use, for a move that can't be ordered.
+# are drained, and so out of use, for a move to standby that can't be ordered.
 play_fleet "a pool keeps its machines while orders are unavailable" <<'EOT'
 fleet forecast
 pool p
-pool q
 pool s standby
-list m1:p:i1:up m2:p:i2:up m3:p:i3:up m4:p:i4:up m5:q:j1:up m6:q:j2:up
+list m1:p:i1:up m2:p:i2:up m3:p:i3:up m4:p:i4:up
 orders off
 load p instances=4 i1 i2 i3 i4
-load q instances=2 used=32000 waiting=60000
 advance 1000
 load p instances=4 i1 i2 i3 i4
-load q instances=2 used=32000 waiting=60000
 advance 1000
 orders on
 load p instances=4 i1 i2 i3 i4
-load q instances=2 used=32000 waiting=60000
-advance 100
+advance 1000
+load p instances=4 i1 i2 i3 i4
+advance 800
 EOT
