--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -198,7 +198,6 @@
 		team->submitted++;
 	sched_order_update_capacity(pool, now_us);
 	if (pool->admission->admit(pool, spec, &key, age_ms, now_us, verdict)) {
-		sched_admit_estimate(pool, spec, &key, now_us, verdict);
 		sched_refusal_accepted(pool, spec->id);
 		return true;
 	}
--- a/lib/sched/admit_estimate.c
+++ b/lib/sched/admit_estimate.c
@@ -145,24 +145,6 @@
 	return verdict->is_estimated;
 }
 
-/*
- * Sets the estimate of a job that another policy has accepted, so that it can
- * be compared with the end.
- */
-void
-sched_admit_estimate(const sched_pool_t *pool, const Gw__JobSpec *spec,
-    const sched_order_key_t *key, uint64_t now_us, sched_verdict_t *verdict)
-{
-	sched_arrivals_t arrivals = sched_arrivals(pool, now_us);
-	sched_backlog_t backlog;
-
-	if (verdict->is_estimated || spec->repeats > 0 ||
-	    sched_spec_is_long_running(spec))
-		return;
-	(void)estimate_job(
-	    pool, spec, key, &arrivals, now_us, &backlog, verdict);
-}
-
 /*
  * Accepts a job that is estimated to end within its objective, from what runs,
  * what waits ahead of it and machines that are coming. A late job is accepted
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -693,10 +693,6 @@
 uint32_t sched_refusal_retry_ms(uint64_t wait_ms);
 
 /* admit.c */
-/* admit_estimate.c */
-void sched_admit_estimate(const sched_pool_t *, const Gw__JobSpec *,
-    const sched_order_key_t *, uint64_t now_us, sched_verdict_t *);
-
 sched_arrivals_t sched_arrivals(const sched_pool_t *, uint64_t now_us);
 bool sched_admit(sched_pool_t *, const Gw__JobSpec *, bool is_beyond_share,
     sched_verdict_t *);
