--- a/gwentryd/planner.c
+++ b/gwentryd/planner.c
@@ -248,8 +248,8 @@
 	    g_array_new(FALSE, FALSE, sizeof(recorded_order_t));
 	planner->ops = ops;
 	planner->arg = arg;
-	planner->fleet = fleet_new(gw_rt_clock(rt), &fleet_lending_forecast,
-	    &times, &fleet_ops, planner);
+	planner->fleet = fleet_new(
+	    gw_rt_clock(rt), &fleet_lending_rate, &times, &fleet_ops, planner);
 	if (settings->has_machines)
 		planner->machines_api = gw_httpc_new(rt, &settings->machines);
 	planner->pools =
--- a/lib/sched/fleet.h
+++ b/lib/sched/fleet.h
@@ -78,8 +78,9 @@
 void fleet_set_pool(fleet_t *, const char *name, uint32_t group, bool standby);
 void fleet_set_load(fleet_t *, const char *name, const Gw__PoolLoad *);
 /*
- * Sets whether orders can be recorded and sent now. While they can't, no
- * machine is drained for a move to standby that may come late.
+ * Sets whether orders can be recorded and sent now. While they can't,
+ * fleet_lending_forecast moves no machine to standby: it would be drained for
+ * an order that may come late.
  */
 void fleet_set_orders_available(fleet_t *, bool available);
 /* Returns the number of machines that are moving to the pool. */
--- a/lib/sched/fleet_lend.c
+++ b/lib/sched/fleet_lend.c
@@ -164,8 +164,7 @@
 	pool_t *standby = find_standby_pool(fleet, pool->group);
 	machine_t *machine;
 
-	if (standby == NULL || fleet->orders_unavailable ||
-	    count_returnable(fleet, pool) == 0) {
+	if (standby == NULL || count_returnable(fleet, pool) == 0) {
 		pool->surplus_since_us = 0;
 		return;
 	}
--- a/lib/sched/fleet_want.c
+++ b/lib/sched/fleet_want.c
@@ -194,10 +194,25 @@
 	set_wanted(fleet, cpu_need_by_rate);
 }
 
+/*
+ * Returns whether the owner of a pool with work has not reported for long
+ * enough to know its load.
+ */
+static bool
+load_is_incomplete(const pool_t *pool, uint64_t now_us)
+{
+	bool has_work =
+	    pool->used_cpu_millis > pool->long_running_used_cpu_millis ||
+	    pool->waiting_cpu_millis > 0;
+
+	return has_work &&
+	    gw_elapsed_us(now_us, pool->reporting_since_us) < REPORTS_MIN_US;
+}
+
 /*
  * Returns how many machines a pool keeps although it doesn't need them now:
  * those that it is expected to need before a machine that is moved away could
- * be back, and all while the load of a pool with work is incomplete.
+ * be back, and all while its load is incomplete or orders are unavailable.
  */
 static uint32_t
 kept_by_forecast(const fleet_t *fleet, const pool_t *pool, uint64_t now_us)
@@ -211,12 +226,8 @@
 			   pool->long_running_used_cpu_millis + expected,
 			   pool->capacity_cpu_millis) +
 		    RESERVE_MACHINES;
-	if (pool->used_cpu_millis > pool->long_running_used_cpu_millis ||
-	    pool->waiting_cpu_millis > 0)
-		if (gw_elapsed_us(now_us, pool->reporting_since_us) <
-		    REPORTS_MIN_US)
-			kept = MAX(
-			    kept, fleet_count_pool_machines(fleet, pool->name));
+	if (fleet->orders_unavailable || load_is_incomplete(pool, now_us))
+		kept = MAX(kept, fleet_count_pool_machines(fleet, pool->name));
 	return kept;
 }
 
