gwentryd: allow connections from several hundred other processes

Cause: the bound on connections from other processes was a sixteenth of the descriptors, 256 of 4,100. At 300 entry instances an owner has a connection from each of the 299 others, so that the bound closed connections in use.

Change: an eighth, 512 of 4,100.

--- a/gwentryd/inbound.c
+++ b/gwentryd/inbound.c
@@ -3,8 +3,11 @@
 
 /* Of frames that have not arrived to their end, in all. */
 #define PARTIAL_MAX_BYTES (4 * GW_FRAME_MAX_BYTES)
-/* Share of the descriptors. */
-#define DESCRIPTORS_DIVISOR 16
+/*
+ * Share of the descriptors: 512 of 4,100, since each other process of a fleet
+ * of several hundred may have a connection.
+ */
+#define DESCRIPTORS_DIVISOR 8
 #define CONNECTIONS_MIN 16
 #define LOG_INTERVAL_US (1000 * GW_US_PER_MS)
 
