--- a/review/standin-3/lib.sh
+++ b/review/standin-3/lib.sh
@@ -100,6 +100,7 @@
  "listen":{"front":"127.0.0.1:$((base + 10 + $1))","ready":"127.0.0.1:$((base + 20 + $1))"},
  "internal_ports":[$((base + 30 + $1)),$((base + 30 + $1))],
  "heartbeat_ms":1500,
+ "cloud":{"address":"127.0.0.1:$((base + 40))","rate_per_s":64.0,"duty_per_s":64.0},
  "platform":{"address":"127.0.0.1:$store_port","ttl_min_ms":1000,"value_bytes":1048576},
  "bounds":{"contact_ms":3000,"grace_s":6,"hold_max_ms":6000,"stop_grace_ms":900,"cancel_ms":3000,"visible_ms":3000,"finish_s":14,"status_s":120,"notice_ms":4500,"lease_ms":3000},
  "limits":{"cpu_share":0.25,"link_mbps":1000,"max_fds":1000}}
@@ -114,7 +115,7 @@
 {
 	run workers gwworkerd --workers="$1" --store=127.0.0.1:$store_port \
 	    --listen=127.0.0.1:$((base + 41)) --control=127.0.0.1:$((base + 40)) \
-	    --work-ms="${work_ms:-200}"
+	    --work-ms=200 --machine-ms=1500
 }
 
 # start_all WORKERS: starts the system; the queue q1 allows three failed ends.
