Let the task of a start without a response wait beyond the lease

The owner counts the lease of the former life, and starts the task elsewhere 4 s later, while the worker runs it.

Cause: the deadline of the start is a time on the clock of the former life. The next life holds the longest lease, from when it carries the start out.

Change: the task of such a start, and no other one, stays placed until 13.5 s after the last request that extends a lease on the instance (finish_s less 0.5 s, the most that LOST allows once the instance is gone for good), one that lasts until 6.5 s after the instance was last alive. Starts that were certainly not sent are told apart and not waited for; starts are not repeated while the instance does not respond; later owners are told.

The plays of takeover.sh on the wait for a lease have tasks that last now; their output is the same.

--- a/gwentryd/agents.c
+++ b/gwentryd/agents.c
@@ -200,6 +200,7 @@
 	    [SCHED_RESULT_REFUSED] = "refused",
 	    [SCHED_RESULT_REPLACED] = "replaced",
 	    [SCHED_RESULT_NO_RESPONSE] = "none",
+	    [SCHED_RESULT_NOT_SENT] = "not-sent",
 	};
 
 	return names[result];
@@ -240,6 +241,8 @@
 	    request->sent_us, gw_rt_now_us(agents->rt), response != NULL);
 	if (response != NULL)
 		result = plat_instance_result_decode(response, &clock_ms);
+	else if (err->code == GW_ERR_UNAVAILABLE)
+		result = SCHED_RESULT_NOT_SENT;
 	if (result != SCHED_RESULT_OK)
 		gw_log(GW_EV_RUN_REFUSED,
 		    "job=%s task=%u.%u.%u run=%u instance=%s order=%s "
@@ -275,8 +278,7 @@
 
 /*
  * Sends queued requests while connections to the instance are free. A start
- * that may no longer be sent stays unsent, which its owner takes for one
- * without a response.
+ * that may no longer be sent stays unsent.
  */
 static void
 send_queued(agent_t *agent)
@@ -300,7 +302,7 @@
 		    agent->instance);
 		sched_window_remove(agents->window, request->size_bytes, 0,
 		    gw_rt_now_us(agents->rt), false);
-		finish_request(request, SCHED_RESULT_NO_RESPONSE);
+		finish_request(request, SCHED_RESULT_NOT_SENT);
 	}
 }
 
--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -440,6 +440,9 @@
 		    (uint32_t)(gw_elapsed_us(lease->expiry_us, now_us) /
 			    GW_US_PER_MS +
 			1);
+		list[i]->late_left_ms =
+		    (uint32_t)(gw_elapsed_us(lease->late_until_us, now_us) /
+			GW_US_PER_MS);
 	}
 	response.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
 	response.has_leases = true;
--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -224,22 +224,23 @@
 }
 
 /*
- * Counts the crash of an instance for the tasks whose runs may have been its
- * cause. Returns these tasks (sched_task_t). An instance that does not respond
- * may only be cut off, which no run has caused.
+ * Counts the crash of an instance for those of its tasks whose runs may have
+ * been its cause. Returns these tasks (sched_task_t). An instance that does not
+ * respond may only be cut off, which no run has caused.
  */
 GPtrArray *
-sched_crash_count_instance(sched_instance_t *instance, sched_loss_t loss)
+sched_crash_count_runs(
+    sched_instance_t *instance, const GPtrArray *tasks, sched_loss_t loss)
 {
 	GPtrArray *suspects = g_ptr_array_new();
 	bool is_certain;
 
-	for (guint i = 0; i < instance->tasks->len; i++)
-		sched_crash_run_survived(instance->pool,
-		    instance->tasks->pdata[i], instance->alive_us);
+	for (guint i = 0; i < tasks->len; i++)
+		sched_crash_run_survived(
+		    instance->pool, tasks->pdata[i], instance->alive_us);
 	is_certain = loss == SCHED_LOSS_CRASH && has_one_cause(instance);
-	for (guint i = 0; i < instance->tasks->len; i++) {
-		sched_task_t *task = instance->tasks->pdata[i];
+	for (guint i = 0; i < tasks->len; i++) {
+		sched_task_t *task = tasks->pdata[i];
 
 		if (!may_be_cause(task) || sched_job_has_ended(task->job))
 			continue;
--- a/lib/sched/describe.c
+++ b/lib/sched/describe.c
@@ -139,7 +139,7 @@
 	uint64_t until_us = 0;
 
 	if (reason == SCHED_WAIT_LEASE)
-		until_us = task->instance->expiry_us;
+		until_us = sched_task_lapses_us(task);
 	else if (reason == SCHED_WAIT_NOT_BEFORE)
 		until_us = task->not_before_us;
 	return gw_elapsed_us(until_us, now_us) / GW_US_PER_MS;
--- a/lib/sched/handover.c
+++ b/lib/sched/handover.c
@@ -16,6 +16,12 @@
  */
 #define ENDS_KEPT_US (60 * GW_US_PER_S)
 
+/* What earlier owners have told of an instance; see sched_lease_t. */
+typedef struct {
+	uint64_t expiry_us;
+	uint64_t late_until_us;
+} previous_lease_t;
+
 /*
  * Returns when previous owners send no more renewals. An owner whose lease has
  * ended goes on for renew_grace_ms; one that only lost its key may renew its
@@ -74,17 +80,32 @@
 sched_pool_previous_expiry_us(
     const sched_pool_t *pool, const char *instance, uint64_t now_us)
 {
-	const uint64_t *expiry_us =
+	const previous_lease_t *known =
 	    g_hash_table_lookup(pool->previous_leases, instance);
 	uint64_t renewals_end_us = pool->previous_renewals_end_us;
 
-	if (expiry_us != NULL)
-		return *expiry_us;
+	if (known != NULL)
+		return known->expiry_us;
 	if (pool->previous_gone)
 		renewals_end_us = MIN(renewals_end_us, now_us);
 	return renewals_end_us + sched_drift_bound_us(SCHED_LEASE_MS);
 }
 
+/*
+ * Returns until when a start that a previous owner sent to the instance may run
+ * without a lease, which is late_us after it was sent at most; 0: not at all.
+ */
+uint64_t
+sched_handover_late_until_us(
+    const sched_pool_t *pool, const char *instance, uint64_t late_us)
+{
+	const previous_lease_t *known =
+	    g_hash_table_lookup(pool->previous_leases, instance);
+
+	return known != NULL ? known->late_until_us
+			     : pool->created_us + late_us;
+}
+
 /*
  * Notes when a lease that a previous owner granted has expired, as told at
  * read_us or later. Each bound that is known holds, so the earliest counts. It
@@ -96,20 +117,23 @@
 {
 	const sched_instance_t *instance =
 	    g_hash_table_lookup(pool->instances, lease->instance);
-	uint64_t *known =
+	previous_lease_t *known =
 	    g_hash_table_lookup(pool->previous_leases, lease->instance);
 	uint64_t expiry_us = read_us + sched_drift_bound_us(lease->left_ms);
+	uint64_t late_until_us = read_us + lease->late_left_ms * GW_US_PER_MS;
 
 	if (instance != NULL && instance->info.born_ms > lease->born_ms &&
 	    lease->born_ms != 0)
 		return;
 	if (known == NULL) {
-		known = g_new(uint64_t, 1);
-		*known = expiry_us;
+		known = g_new(previous_lease_t, 1);
+		known->expiry_us = expiry_us;
+		known->late_until_us = late_until_us;
 		g_hash_table_insert(
 		    pool->previous_leases, g_strdup(lease->instance), known);
 	}
-	*known = MIN(*known, expiry_us);
+	known->expiry_us = MIN(known->expiry_us, expiry_us);
+	known->late_until_us = MIN(known->late_until_us, late_until_us);
 }
 
 /*
@@ -256,7 +280,9 @@
 	g_hash_table_iter_init(&iter, pool->instances);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
 		sched_lease_t lease = {.born_ms = instance->info.born_ms,
-		    .expiry_us = instance->expiry_us};
+		    .expiry_us = instance->expiry_us,
+		    .late_until_us =
+			sched_late_start_instance_until_us(instance)};
 
 		g_strlcpy(
 		    lease.instance, instance->info.id, sizeof(lease.instance));
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -48,6 +48,11 @@
  * the platform says seconds.
  */
 #define SCHED_LATE_REQUEST_MAX_MS 60000
+/*
+ * A long-running task counts as lost if it has not run for this long in calm,
+ * counted from the loss of its instance at the earliest.
+ */
+#define SCHED_LASTING_IDLE_MAX_MS 7000
 /* How long an instance that refused a start gets no starts. */
 #define SCHED_AVOID_REFUSED_US (500 * GW_US_PER_MS)
 /*
@@ -135,10 +140,12 @@
 	 * the end of the run.
 	 */
 	bool refused_as_stale;
-	bool is_unsent;		  /* its start waits in the pool's unsent */
-	uint32_t starts_sent;	  /* for this run, answered or not */
-	uint32_t starts_answered; /* of these, by whichever incarnation */
-	uint32_t stops_sent;	  /* for this run, answered or not */
+	bool is_unsent;	      /* its start waits in the pool's unsent */
+	uint32_t starts_sent; /* for this run, answered or not */
+	/* Of these, answered by whichever incarnation, or certainly not sent.
+	 */
+	uint32_t starts_settled;
+	uint32_t stops_sent; /* for this run, answered or not */
 	/* Starts and stops of this run without a result so far. */
 	uint32_t requests_in_flight;
 	uint64_t stop_answered_us; /* when the stop was answered; 0: not yet */
@@ -302,6 +309,7 @@
 	uint64_t clock_read_us;
 	uint64_t report_us;   /* when the last report was received */
 	uint64_t deadline_ms; /* end of the lease, on the instance's clock */
+	uint64_t extended_us; /* when a request with a deadline was last sent */
 	uint64_t expiry_us;   /* latest end of the lease, on the pool's clock */
 	/*
 	 * Until then a start that was meant for an earlier incarnation may run;
@@ -446,8 +454,8 @@
 	/* When previous owners send no more renewals. */
 	uint64_t previous_renewals_end_us;
 	bool previous_gone; /* the previous owner has released the pool */
-	/* Its leases: instance -> latest expiry (uint64_t *). */
-	GHashTable *previous_leases;
+	GHashTable
+	    *previous_leases;	/* instance -> what is known of its lease */
 	GPtrArray *handed_ends; /* not applied yet (Gw__EndedRun) */
 	/* Instances whose leases lapse; see lapse.c. */
 	GHashTable *lapsing;	/* in the last list taken: id -> lapsing_t */
@@ -568,6 +576,12 @@
 void sched_fence_tick(sched_pool_t *);
 void sched_fence_seen(sched_instance_t *, uint64_t now_us);
 
+/* late_start.c */
+uint32_t sched_late_start_count(const sched_task_t *);
+uint64_t sched_late_start_until_us(const sched_task_t *);
+uint64_t sched_task_lapses_us(const sched_task_t *);
+uint64_t sched_late_start_instance_until_us(const sched_instance_t *);
+
 /* lapse.c */
 bool sched_lapse_may_be_listed(const sched_instance_t *);
 void sched_lapse_tick(sched_pool_t *, uint64_t now_us);
@@ -579,6 +593,9 @@
 void sched_instance_limit_expiry(sched_instance_t *, uint64_t bound_us);
 void sched_instance_end_runs(
     sched_instance_t *, const char *reason, sched_loss_t);
+void sched_instance_lapse(sched_instance_t *, uint64_t now_us);
+bool sched_instance_waits_for_late_starts(
+    const sched_instance_t *, uint64_t now_us);
 void sched_instance_restarted(sched_instance_t *, uint64_t born_ms);
 
 /* stray.c */
@@ -616,6 +633,8 @@
 /* handover.c */
 uint64_t sched_pool_previous_expiry_us(
     const sched_pool_t *, const char *instance, uint64_t now_us);
+uint64_t sched_handover_late_until_us(
+    const sched_pool_t *, const char *instance, uint64_t late_us);
 void sched_handover_set_expiry(
     sched_pool_t *, const Gw__LeaseLeft *, uint64_t read_us);
 GPtrArray *sched_ended_runs_new(void);
@@ -684,7 +703,8 @@
     const sched_instance_t *, const sched_task_t *, uint64_t now_us);
 bool sched_crash_may_start(const sched_instance_t *, const sched_task_t *);
 void sched_crash_count(sched_task_t *, const char *instance, bool is_certain);
-GPtrArray *sched_crash_count_instance(sched_instance_t *, sched_loss_t);
+GPtrArray *sched_crash_count_runs(
+    sched_instance_t *, const GPtrArray *tasks, sched_loss_t);
 void sched_crash_give_up(sched_pool_t *, const GPtrArray *suspects);
 void sched_crash_give_up_loaded(sched_pool_t *);
 
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -243,6 +243,7 @@
 	expiry_us =
 	    now_us + left_us * (1000 + SCHED_CLOCK_DRIFT_PERMILLE) / 1000;
 	instance->expiry_us = MAX(instance->expiry_us, expiry_us);
+	instance->extended_us = now_us;
 	return instance->deadline_ms;
 }
 
@@ -440,7 +441,7 @@
 sched_instance_tick(sched_instance_t *instance, uint64_t now_us)
 {
 	if (instance->tasks->len > 0 && has_lapsed(instance, now_us))
-		sched_instance_end_runs(instance, "lapsed", SCHED_LOSS_LAPSED);
+		sched_instance_lapse(instance, now_us);
 	if (must_be_asked(instance))
 		sched_instance_schedule_renewal(
 		    instance, now_us + SCHED_RENEW_RETRY_US);
--- a/lib/sched/lapse.c
+++ b/lib/sched/lapse.c
@@ -129,6 +129,11 @@
 	lease->left_ms = (uint32_t)(gw_elapsed_us(instance->expiry_us, now_us) /
 		GW_US_PER_MS +
 	    1);
+	lease->late_left_ms =
+	    (uint32_t)(gw_elapsed_us(
+			   sched_late_start_instance_until_us(instance),
+			   now_us) /
+		GW_US_PER_MS);
 	return lease;
 }
 
--- a/lib/sched/loss.c
+++ b/lib/sched/loss.c
@@ -9,34 +9,87 @@
  */
 
 static void
-log_lost(const sched_instance_t *instance, const char *reason)
+log_lost(const sched_instance_t *instance, const char *reason, guint runs)
 {
-	if (instance->tasks->len > 0)
+	if (runs > 0)
 		gw_log(GW_EV_INSTANCE_LOST,
-		    "instance=%s pool=%s reason=%s runs=%u born=%" PRIu64,
-		    instance->info.id, instance->pool->name, reason,
-		    instance->tasks->len, instance->info.born_ms);
+		    "instance=%s pool=%s reason=%s runs=%u born=%" PRIu64
+		    " late_starts=%u",
+		    instance->info.id, instance->pool->name, reason, runs,
+		    instance->info.born_ms, instance->tasks->len - runs);
+}
+
+static void
+end_runs(sched_instance_t *instance, const GPtrArray *tasks, const char *reason,
+    sched_loss_t loss)
+{
+	g_autoptr(GPtrArray) suspects = NULL;
+
+	log_lost(instance, reason, tasks->len);
+	if (loss != SCHED_LOSS_PLANNED)
+		suspects = sched_crash_count_runs(instance, tasks, loss);
+	for (guint i = tasks->len; i-- > 0;)
+		sched_task_requeue(tasks->pdata[i], reason);
+	if (suspects != NULL)
+		sched_crash_give_up(instance->pool, suspects);
 }
 
 /*
- * Ends all runs on the instance: its incarnation has ended, or its lease has
- * expired.
+ * Ends all runs on the instance: its incarnation has ended, and no other one
+ * can have begun under its id.
  */
 void
 sched_instance_end_runs(
     sched_instance_t *instance, const char *reason, sched_loss_t loss)
 {
-	g_autoptr(GPtrArray) suspects = NULL;
+	g_autoptr(GPtrArray) tasks =
+	    g_ptr_array_copy(instance->tasks, NULL, NULL);
 
-	log_lost(instance, reason);
-	if (loss != SCHED_LOSS_PLANNED)
-		suspects = sched_crash_count_instance(instance, loss);
-	while (instance->tasks->len > 0)
-		sched_task_requeue(
-		    instance->tasks->pdata[instance->tasks->len - 1], reason);
+	end_runs(instance, tasks, reason, loss);
 	instance->renew_due_us = 0;
-	if (suspects != NULL)
-		sched_crash_give_up(instance->pool, suspects);
+}
+
+/*
+ * Ends the runs on an instance whose lease has expired, except those that an
+ * incarnation which this owner has not heard of may have begun late.
+ */
+void
+sched_instance_lapse(sched_instance_t *instance, uint64_t now_us)
+{
+	g_autoptr(GPtrArray) tasks = g_ptr_array_new();
+
+	for (guint i = 0; i < instance->tasks->len; i++) {
+		sched_task_t *task = instance->tasks->pdata[i];
+
+		if (now_us >= sched_late_start_until_us(task))
+			g_ptr_array_add(tasks, task);
+		else
+			/* What has begun on the earlier incarnation is over. */
+			task->begun_us = 0;
+	}
+	if (tasks->len == 0)
+		return;
+	end_runs(instance, tasks, "lapsed", SCHED_LOSS_LAPSED);
+	if (instance->tasks->len == 0)
+		instance->renew_due_us = 0;
+}
+
+/*
+ * Returns whether the lease of the instance has expired, and its tasks only
+ * wait for starts that may be carried out late.
+ */
+bool
+sched_instance_waits_for_late_starts(
+    const sched_instance_t *instance, uint64_t now_us)
+{
+	if (!sched_instance_has_no_contact(instance) ||
+	    now_us < instance->expiry_us)
+		return false;
+	for (guint i = 0; i < instance->tasks->len; i++)
+		if (now_us >=
+		    sched_late_start_until_us(instance->tasks->pdata[i]))
+			return false;
+	return instance->tasks->len > 0;
 }
 
 /*
@@ -107,12 +160,12 @@
 sched_instance_restarted(sched_instance_t *instance, uint64_t born_ms)
 {
 	uint64_t now_us = gw_clock_now_us(instance->pool->clock);
-	g_autoptr(GPtrArray) suspects =
-	    sched_crash_count_instance(instance, SCHED_LOSS_CRASH);
 	g_autoptr(GPtrArray) tasks =
 	    g_ptr_array_copy(instance->tasks, NULL, NULL);
+	g_autoptr(GPtrArray) suspects =
+	    sched_crash_count_runs(instance, tasks, SCHED_LOSS_CRASH);
 
-	log_lost(instance, "restarted");
+	log_lost(instance, "restarted", tasks->len);
 	begin_incarnation(instance, born_ms);
 	if (instance->has_begun_again)
 		sched_fence_raise(instance);
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -343,5 +343,6 @@
 		    "instance=%s pool=%s runs=%u for_ms=%u", id, pool->name,
 		    instance->tasks->len, for_ms);
 	instance->drain_until_us = now_us + for_ms * GW_US_PER_MS;
-	return instance->tasks->len == 0;
+	return instance->tasks->len == 0 ||
+	    sched_instance_waits_for_late_starts(instance, now_us);
 }
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -45,7 +45,7 @@
 	task->state = SCHED_TASK_WAITING;
 	task->refused_as_stale = false;
 	task->starts_sent = 0;
-	task->starts_answered = 0;
+	task->starts_settled = 0;
 	task->stops_sent = 0;
 	task->requests_in_flight = 0;
 	task->stop_answered_us = 0;
@@ -360,6 +360,8 @@
 	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
 	sched_task_t *task = sched_pool_find_task(pool, ref);
 	uint64_t now_us = gw_clock_now_us(pool->clock);
+	bool has_response = result != SCHED_RESULT_NO_RESPONSE &&
+	    result != SCHED_RESULT_NOT_SENT;
 
 	sched_instance_request_ended(pool, id);
 	if (result == SCHED_RESULT_FENCED)
@@ -371,11 +373,10 @@
 		return;
 	}
 	task->requests_in_flight -= MIN(task->requests_in_flight, 1);
-	task->starts_answered += result != SCHED_RESULT_NO_RESPONSE;
+	task->starts_settled += result != SCHED_RESULT_NO_RESPONSE;
 	/* A repeated start may have been answered to an earlier request. */
-	if (result != SCHED_RESULT_NO_RESPONSE &&
-	    result != SCHED_RESULT_REPLACED && task->starts_sent == 1 &&
-	    task->stops_sent == 0)
+	if (has_response && result != SCHED_RESULT_REPLACED &&
+	    task->starts_sent == 1 && task->stops_sent == 0)
 		instance->alive_us = MAX(instance->alive_us, task->sent_us);
 	if (task->state != SCHED_TASK_STARTING || result == SCHED_RESULT_FENCED)
 		return;
@@ -389,7 +390,7 @@
 				   : now_us + sched_renew_delay_us(pool));
 	} else if (result == SCHED_RESULT_REPLACED) {
 		sched_pool_renewal_failed(pool, id, result);
-	} else if (result == SCHED_RESULT_NO_RESPONSE) {
+	} else if (!has_response) {
 		sched_instance_schedule_renewal(instance, now_us);
 	} else if (task->starts_sent > 1 && result != SCHED_RESULT_STALE) {
 		/* Another start of this run may still be accepted. */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -150,9 +150,10 @@
 	SCHED_RESULT_LATE, /* its deadline had passed on arrival */
 	SCHED_RESULT_NO_ROOM,
 	SCHED_RESULT_BAD_TICKET,
-	SCHED_RESULT_REFUSED,	 /* not carried out: unhealthy, or malformed */
-	SCHED_RESULT_REPLACED,	 /* another incarnation has the address */
-	SCHED_RESULT_NO_RESPONSE /* may be carried out, now or later */
+	SCHED_RESULT_REFUSED,	  /* not carried out: unhealthy, or malformed */
+	SCHED_RESULT_REPLACED,	  /* another incarnation has the address */
+	SCHED_RESULT_NO_RESPONSE, /* may be carried out, now or later */
+	SCHED_RESULT_NOT_SENT	  /* will not be carried out */
 } sched_result_t;
 
 /* A request to start a run. Valid during the call. */
@@ -284,6 +285,10 @@
 	uint32_t gang_timeout_ms;
 	/* How long the state of an ended job can be queried. */
 	uint32_t status_s;
+	/*
+	 * Time after the last submission within which a job that can run must.
+	 */
+	uint32_t finish_ms;
 	/*
 	 * Run time of a task away from the rack of its data, in thousandths of
 	 * its run time in that rack.
@@ -387,6 +392,11 @@
 	char instance[SCHED_NAME_BYTES];
 	uint64_t born_ms;
 	uint64_t expiry_us; /* latest end of the lease, on the pool's clock */
+	/*
+	 * Until when starts without a response may run all the same, of tasks
+	 * that do not last; 0: there are none.
+	 */
+	uint64_t late_until_us;
 } sched_lease_t;
 /* What an owner that releases the pool has to tell later ones. */
 typedef struct {
--- a/lib/sched/send.c
+++ b/lib/sched/send.c
@@ -226,8 +226,13 @@
 
 	if (!is_start && !is_stop)
 		return;
-	if (is_start && task->instance->runs_unknown > 0)
-		return; /* until these have been stopped */
+	/*
+	 * Unknown runs are stopped first. Each repeat to an instance that does
+	 * not respond would lengthen the wait for starts that may come late.
+	 */
+	if (is_start &&
+	    (task->instance->runs_unknown > 0 || task->instance->unreachable))
+		return;
 	window = task->instance->pool->window;
 	if (!sched_window_has_room_at(
 		window, task->instance->requests_in_flight) ||
--- a/lib/sched/stray.c
+++ b/lib/sched/stray.c
@@ -40,18 +40,6 @@
 	return g_array_new(FALSE, TRUE, sizeof(stray_t));
 }
 
-/*
- * Returns how many starts of the task's run may still be carried out. One that
- * the instance has listed was carried out, even if its response was lost.
- */
-static uint32_t
-starts_outstanding(const sched_task_t *task)
-{
-	uint32_t known = MAX(task->starts_answered, task->is_listed ? 1 : 0);
-
-	return task->starts_sent - MIN(known, task->starts_sent);
-}
-
 /*
  * Handles that the task leaves its instance.
  */
@@ -61,7 +49,7 @@
 	sched_instance_t *instance = task->instance;
 	stray_t stray = {.ref = sched_task_ref(task),
 	    .run = task->run,
-	    .starts = starts_outstanding(task),
+	    .starts = sched_late_start_count(task),
 	    .born_ms = instance->info.born_ms,
 	    .forget_us = now_us + SCHED_LATE_REQUEST_MAX_MS * GW_US_PER_MS};
 
--- a/lib/sched/wait.c
+++ b/lib/sched/wait.c
@@ -131,7 +131,8 @@
 		g_string_append_printf(text,
 		    " listed=%d contacted=%d lease_left_ms=%" PRIu64,
 		    instance->listed, instance->contacted,
-		    gw_elapsed_us(instance->expiry_us, now_us) / GW_US_PER_MS);
+		    gw_elapsed_us(sched_task_lapses_us(task), now_us) /
+			GW_US_PER_MS);
 	if (reason == SCHED_WAIT_START || reason == SCHED_WAIT_STOP)
 		g_string_append_printf(text, " starts=%u stops=%u",
 		    task->starts_sent, task->stops_sent);
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -4693,7 +4693,7 @@
   (ProtobufCMessageInit) gw__pool_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__lease_left__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__lease_left__field_descriptors[4] =
 {
   {
     "instance",
@@ -4731,16 +4731,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late_left_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__LeaseLeft, late_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__lease_left__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   0,   /* field[0] = instance */
+  3,   /* field[3] = late_left_ms */
   2,   /* field[2] = left_ms */
 };
 static const ProtobufCIntRange gw__lease_left__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gw__lease_left__descriptor =
 {
@@ -4750,7 +4763,7 @@
   "Gw__LeaseLeft",
   "gw",
   sizeof(Gw__LeaseLeft),
-  3,
+  4,
   gw__lease_left__field_descriptors,
   gw__lease_left__field_indices_by_name,
   1,  gw__lease_left__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -800,10 +800,15 @@
   char *instance;
   uint64_t born_ms;
   uint32_t left_ms;
+  /*
+   * For how long starts without a response may run although the lease has
+   * expired, of tasks that do not last; 0: there are none.
+   */
+  uint32_t late_left_ms;
 };
 #define GW__LEASE_LEFT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__lease_left__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -42,6 +42,7 @@
     .stop_grace_ms = 900,
     .gang_timeout_ms = 3000,
     .status_s = 120,
+    .finish_ms = 14000,
     .remote_permille = 3000,
     .early_ms = 250,
     .restore_ms = 600,
@@ -268,7 +269,7 @@
 parse_result(const char *text)
 {
 	static const char *const names[] = {"ok", "fence", "old", "late",
-	    "room", "ticket", "refused", "replaced", "none"};
+	    "room", "ticket", "refused", "replaced", "none", "not-sent"};
 
 	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++)
 		if (strcmp(names[i], text) == 0)
@@ -295,7 +296,8 @@
 	if (window != NULL)
 		sched_window_remove(window, request_bytes,
 		    now_us - GW_US_PER_MS, now_us,
-		    result != SCHED_RESULT_NO_RESPONSE);
+		    result != SCHED_RESULT_NO_RESPONSE &&
+			result != SCHED_RESULT_NOT_SENT);
 }
 
 static void
@@ -391,14 +393,15 @@
 }
 
 /*
- * takeover [vacant=MS] [lease-ended] [certain] [previous-gone] [left ms=MS]
- * [told] [unloaded] [old-version] [registered born=]: a new owner reads the
- * store. The pool was seen without an owner for MS, and the lease of the last
- * one was seen to end. The previous one has released the pool, without leases
- * or with one on i1 that has MS left. told: as tell-ends, before the store is
- * read. The store is not read if unloaded. old-version: an owner that does not
- * know the list of lapsing leases may have written last. registered: the
- * registry has i1 before the store is read.
+ * takeover [vacant=MS] [lease-ended] [certain] [previous-gone]
+ * [left ms=MS [late=MS]] [told] [unloaded] [old-version] [registered born=]: a
+ * new owner reads the store. The pool was seen without an owner for MS, and the
+ * lease of the last one was seen to end. The previous one has released the
+ * pool, without leases or with one on i1 that has MS left, and starts that may
+ * be carried out late for MS. told: as tell-ends, before the store is read. The
+ * store is not read if unloaded. old-version: an owner that does not know the
+ * list of lapsing leases may have written last. registered: the registry has i1
+ * before the store is read.
  */
 static void
 do_takeover(void)
@@ -437,6 +440,7 @@
 
 		lease.instance = "i1";
 		lease.left_ms = (uint32_t)lookup_number("ms", 0);
+		lease.late_left_ms = (uint32_t)lookup_number("late", 0);
 		sched_pool_previous_owner_gone(pool, &list, 1);
 	}
 }
--- a/regress/sched/strays.sh
+++ b/regress/sched/strays.sh
@@ -36,8 +36,8 @@
 report i2 clock=450
 gone i1
 renew-failed i1 none
-advance 4200
-report i2 clock=4700
+advance 13200
+report i2 clock=13700
 commit
 instance i1 born=2
 tick
--- a/regress/sched/takeover.sh
+++ b/regress/sched/takeover.sh
@@ -20,7 +20,7 @@
 # partition. The previous owner may renew leases for some time after the
 # takeover, and the wait includes that time.
 play "the lease on an instance that cannot be reached expires" one <<'EOT'
-submit j1 1:1000:500
+submit j1 1:1000:500:lasting
 commit
 takeover
 instance i1
@@ -35,7 +35,7 @@
 EOT
 
 play "and earlier when the previous owner has released the pool" one <<'EOT'
-submit j1 1:1000:500
+submit j1 1:1000:500:lasting
 commit
 takeover previous-gone
 instance i1
@@ -73,7 +73,7 @@
 	ms=$1
 	shift
 	cat <<EOT
-submit j1 1:1000:500
+submit j1 1:1000:500:lasting
 commit
 takeover $*
 instance i1
--- a/regress/sched/window.sh
+++ b/regress/sched/window.sh
@@ -74,7 +74,7 @@
 # Guards against a start that waits for a connection to its instance, and is sent
 # after the task was given up there and started elsewhere: it ran twice. i1 has
 # two starts in flight, so the third waits; it is taken back when the lease of i1
-# has expired.
+# has expired. The two may be carried out late, so their tasks wait for longer.
 play "a start does not outlive the lease of its instance" one <<'EOT'
 window 100
 submit j1 3:1000:500
@@ -92,6 +92,8 @@
 report i2 clock=400 run:j1.0.0.2:2:10
 advance 4000
 commit
+advance 9200
+commit
 EOT
 
 # The baseline, which collapses on a slow link.
--- a/tools/gwworkerd/main.c
+++ b/tools/gwworkerd/main.c
@@ -161,10 +161,11 @@
 }
 
 /*
- * Sets the faults of one worker: {"worker":0,"muted":true,"failing":true,
- * "lose_starts":1,"late_starts":1,"late_ms":1500,"crash":true,"leave_ms":2300}.
- * Without "muted", "failing" or "late_ms" these stay as they are; a missing
- * count is set to 0. Returns 0, or -1 when there is no such worker.
+ * Sets the faults of one worker: {"worker":0,"muted":true,"cut":true,
+ * "failing":true,"lose_starts":1,"late_starts":1,"late_ms":1500,"crash":true,
+ * "leave_ms":2300}. Without "muted", "cut", "failing" or "late_ms" these stay
+ * as they are; a missing count is set to 0. Returns 0, or -1 when there is no
+ * such worker.
  */
 static int
 set_faults(const json_t *request)
@@ -172,6 +173,7 @@
 	json_int_t index =
 	    json_integer_value(json_object_get(request, "worker"));
 	const json_t *muted = json_object_get(request, "muted");
+	const json_t *is_cut = json_object_get(request, "cut");
 	const json_t *failing = json_object_get(request, "failing");
 	const json_t *late_ms = json_object_get(request, "late_ms");
 	const json_t *leave_ms = json_object_get(request, "leave_ms");
@@ -184,6 +186,8 @@
 		return -1;
 	if (muted != NULL)
 		worker->muted = json_is_true(muted);
+	if (is_cut != NULL)
+		worker->cut = json_is_true(is_cut);
 	if (failing != NULL)
 		worker->failing = json_is_true(failing);
 	if (late_ms != NULL)
--- a/tools/gwworkerd/worker.c
+++ b/tools/gwworkerd/worker.c
@@ -67,7 +67,7 @@
 bool
 worker_is_silent(const worker_t *worker)
 {
-	return worker->muted || worker->crashed || worker->left;
+	return worker->muted || worker->cut || worker->crashed || worker->left;
 }
 
 static void
--- a/tools/gwworkerd/worker.h
+++ b/tools/gwworkerd/worker.h
@@ -93,6 +93,7 @@
 	bool left;		  /* it has ended for good */
 	bool failing;		  /* runs started now will fail */
 	bool muted;	      /* ignores orders, and its registration expires */
+	bool cut;	      /* the same, but carries out late starts */
 	bool crashed;	      /* the same, until it starts again */
 	uint32_t lose_starts; /* next starts: applied without a response */
 	uint32_t late_starts; /* next starts: applied late without a response */
--- a/tools/gwworkerd/worker_api.c
+++ b/tools/gwworkerd/worker_api.c
@@ -115,9 +115,10 @@
 on_start_due(gw_timer_t *timer, void *arg)
 {
 	delayed_start_t *delayed = arg;
+	const worker_t *worker = delayed->worker;
 
 	(void)timer;
-	if (!worker_is_silent(delayed->worker))
+	if (!worker->muted && !worker->crashed && !worker->left)
 		(void)apply_start(delayed->worker, delayed->request);
 	json_decref(delayed->request);
 	g_free(delayed);
