Let a job go where there is room when its shard is full

Cause: a job was transferred only if no instance of its shard could hold it even when empty; what instances have left was not looked at.

Change: after a second without room the owner asks those of the other shards in turn, by CALL_ROOM. One with room offers it to one job at a time, and the job is transferred for an offer only, if none of its tasks is placed. A job with tasks that last is held for a second at most where its shard has room for some of them only, while others are asked for room for all.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -211,6 +211,13 @@
 	    &((entry_t *)arg)->transfer, shard, misfit, to);
 }
 
+static void
+on_ask_room(
+    const char *shard, const sched_misfit_t *job, const char *to, void *arg)
+{
+	transfer_ask_room(&((entry_t *)arg)->transfer, shard, job, to);
+}
+
 static void
 on_tell_adopt(const char *shard, const char *to, const char *id, void *arg)
 {
@@ -254,6 +261,7 @@
     .on_config_item = on_config_item,
     .get_refusal = get_refusal,
     .find_shard = on_find_shard,
+    .ask_room = on_ask_room,
     .tell_adopt = on_tell_adopt,
     .find_records = on_find_records,
     .ask_to_yield = ask_to_yield};
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -95,6 +95,14 @@
 	return owner->ops->find_shard(owner->shard, misfit, to, owner->arg);
 }
 
+static void
+on_ask_room(const sched_misfit_t *job, const char *to, void *arg)
+{
+	owner_t *owner = arg;
+
+	owner->ops->ask_room(owner->shard, job, to, owner->arg);
+}
+
 static void
 on_tell_adopt(const char *to, const char *id, void *arg)
 {
@@ -120,6 +128,7 @@
     .fenced = on_fenced,
     .instance_removed = on_instance_removed,
     .find_shard = on_find_shard,
+    .ask_room = on_ask_room,
     .tell_adopt = on_tell_adopt,
     .find_records = on_find_records};
 
--- a/gwentryd/owner.h
+++ b/gwentryd/owner.h
@@ -45,6 +45,8 @@
 	/* See sched_ops_t; shard is the one that is owned. */
 	bool (*find_shard)(const char *shard, const sched_misfit_t *,
 	    char to[SCHED_NAME_BYTES], void *arg);
+	void (*ask_room)(const char *shard, const sched_misfit_t *,
+	    const char *to, void *arg);
 	void (*tell_adopt)(
 	    const char *shard, const char *to, const char *id, void *arg);
 	void (*find_records)(const char *shard, const char *id, void *arg);
--- a/gwentryd/transfer.c
+++ b/gwentryd/transfer.c
@@ -8,6 +8,8 @@
 
 /* Time for the other owner's response, including a write to the store. */
 #define CALL_TIMEOUT_MS 2000
+/* Time for an answer whether there is room; later it is out of date. */
+#define ROOM_TIMEOUT_MS 300
 
 /* The room of the shards of one pool. */
 typedef struct {
@@ -52,7 +54,8 @@
 typedef struct {
 	const transfer_t *transfer;
 	char shard[SCHED_NAME_BYTES];
-	uint64_t fence; /* of this process's ownership */
+	char to[SCHED_NAME_BYTES]; /* the shard that is asked for room */
+	uint64_t fence;		   /* of this process's ownership */
 	char id[SCHED_JOB_ID_BYTES];
 	GBytes *spec; /* NULL: not read yet */
 	/* sched_pool_transfer_count() when the read began. */
@@ -101,6 +104,46 @@
 	return owner;
 }
 
+/* Asking another owner for room. */
+
+static void
+on_room_answer(const Gw__Reply *response, void *arg)
+{
+	job_call_t *request = arg;
+	owner_t *owner = request_owner(request);
+
+	if (owner != NULL) {
+		sched_pool_apply_room_answer(owner_pool(owner), request->id,
+		    request->to,
+		    response->outcome == GW__CALL_OUTCOME__CALL_OK);
+		owner_schedule_tick(owner);
+	}
+	request_free(request);
+}
+
+void
+transfer_ask_room(const transfer_t *transfer, const char *shard,
+    const sched_misfit_t *job, const char *to)
+{
+	job_call_t *request = request_new(transfer, shard, job->id);
+	uint32_t open_steps[SCHED_STEPS_MAX];
+	Gw__Call call = GW__CALL__INIT;
+
+	if (request == NULL)
+		return;
+	g_strlcpy(request->to, to, sizeof(request->to));
+	call.kind = GW__CALL_KIND__CALL_ROOM;
+	call.pool = (char *)to;
+	call.id = (char *)job->id;
+	call.spec = (Gw__JobSpec *)job->spec;
+	call.open_steps = open_steps;
+	for (uint32_t i = 0; i < job->spec->n_steps; i++)
+		if (job->is_open[i])
+			open_steps[call.n_open_steps++] = i;
+	dispatch_call(transfer->dispatch, &call, ROOM_TIMEOUT_MS,
+	    on_room_answer, request);
+}
+
 /* Telling the other owner. */
 
 static void
--- a/gwentryd/transfer.h
+++ b/gwentryd/transfer.h
@@ -25,6 +25,9 @@
  */
 bool transfer_find_shard(const transfer_t *, const char *shard,
     const sched_misfit_t *, char to[SCHED_NAME_BYTES]);
+/* Asks the owner of the shard to whether it has room for the job. */
+void transfer_ask_room(const transfer_t *, const char *shard,
+    const sched_misfit_t *, const char *to);
 /* Tells the owner of the shard to that the store has the job there. */
 void transfer_tell_adopt(
     const transfer_t *, const char *shard, const char *to, const char *id);
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -274,6 +274,12 @@
 	/* Since when the shard has been unable to run it; 0: it can. */
 	uint64_t misfit_since_us;
 	uint64_t fit_check_us; /* not checked before */
+	/* Questions to owners of other shards for room; see overflow.c. */
+	uint32_t room_asked;
+	uint32_t room_answered; /* of these */
+	uint64_t room_ask_us;	/* no question before */
+	/* Since when it waits for room for all its tasks; 0: it does not. */
+	uint64_t held_since_us;
 	/* The shard that it is being transferred to; empty: none. */
 	char move_to[SCHED_NAME_BYTES];
 	uint64_t ran_us;	   /* as that of a task, of all its tasks */
@@ -426,6 +432,11 @@
 	/* Jobs that other shards have; see transfer.c. */
 	GHashTable *transfers; /* id -> note_t */
 	uint64_t transfer_count;
+	bool is_asking_room;  /* a question to another owner is in flight */
+	uint64_t room_ask_us; /* no question before */
+	/* The job to which this shard offered room last, and until when. */
+	char offered_to[SCHED_JOB_ID_BYTES];
+	uint64_t offer_until_us;
 	GQueue *old_transfers;	/* ids whose rows are to be removed (char *) */
 	bool has_unused_queues; /* one of them may be without jobs */
 	GQueue *dirty;	  /* jobs whose record must be written (sched_job_t) */
@@ -496,6 +507,8 @@
 uint64_t sched_step_work_cpu_ms(const Gw__JobStep *, uint64_t count);
 void sched_job_add_ready(const sched_job_t *, sched_ready_t *);
 bool sched_job_has_ended(const sched_job_t *);
+void sched_job_find_open_steps(
+    const sched_job_t *, bool is_open[SCHED_STEPS_MAX]);
 void sched_step_clear_tickets(sched_step_t *);
 void sched_job_mark_dirty(sched_pool_t *, sched_job_t *);
 void sched_job_end(sched_pool_t *, sched_job_t *, Gw__JobState);
@@ -630,6 +643,10 @@
 void sched_transfer_undo_write(sched_pool_t *, const sched_write_t *);
 void sched_transfer_tick(sched_pool_t *, uint64_t now_us);
 
+/* overflow.c */
+bool sched_overflow_holds(sched_pool_t *, sched_job_t *, uint64_t now_us);
+void sched_overflow_tick(sched_pool_t *, uint64_t now_us);
+
 /* handover.c */
 uint64_t sched_pool_previous_expiry_us(
     const sched_pool_t *, const char *instance, uint64_t now_us);
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -455,3 +455,19 @@
 	g_strlcpy(ref.job, task->job->id, sizeof(ref.job));
 	return ref;
 }
+
+/*
+ * Sets is_open for each step of which a task is not done.
+ */
+void
+sched_job_find_open_steps(const sched_job_t *job, bool is_open[SCHED_STEPS_MAX])
+{
+	memset(is_open, 0, SCHED_STEPS_MAX * sizeof(is_open[0]));
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		const sched_occurrence_t *occurrence =
+		    job->occurrences->pdata[i];
+
+		for (uint32_t k = 0; k < occurrence->step_count; k++)
+			is_open[k] |= occurrence->steps[k].open > 0;
+	}
+}
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -391,7 +391,8 @@
 		sched_job_t *job = pool->open->pdata[i];
 
 		if (job->aside_until_us == 0 && job->move_to[0] == '\0' &&
-		    has_waiting(job))
+		    has_waiting(job) &&
+		    !sched_overflow_holds(pool, job, now_us))
 			g_ptr_array_add(jobs, job);
 	}
 	sched_order_sort(pool, jobs, now_us);
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -315,6 +315,7 @@
 	sched_send_starts(pool, now_us);
 	sched_transfer_tick(pool, now_us);
 	sched_place_round(pool, now_us);
+	sched_overflow_tick(pool, now_us);
 	sched_wait_tick(pool, now_us);
 	clean_up_ended(pool);
 	expire_ended_jobs(pool, now_us);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -219,7 +219,7 @@
  */
 typedef struct sched_batch sched_batch_t;
 
-/* A job that no instance of its shard can run. */
+/* A job that no instance of its shard can run, or none has room for. */
 typedef struct {
 	const char *id;
 	const Gw__JobSpec *spec;
@@ -258,6 +258,11 @@
 	 */
 	bool (*find_shard)(
 	    const sched_misfit_t *, char shard[SCHED_NAME_BYTES], void *arg);
+	/*
+	 * Asks the shard's owner whether it has room for the job now.
+	 * sched_pool_apply_room_answer() follows.
+	 */
+	void (*ask_room)(const sched_misfit_t *, const char *shard, void *arg);
 	/*
 	 * Tells the shard's owner that the store has the job there.
 	 * sched_pool_apply_adopt_result() follows.
@@ -496,6 +501,9 @@
 uint64_t sched_pool_transfer_count(const sched_pool_t *);
 int sched_pool_adopt(sched_pool_t *, const char *id, const sched_job_rows_t *,
     sched_response_cb_t, void *arg);
+bool sched_pool_offer_room(sched_pool_t *, const sched_misfit_t *);
+void sched_pool_apply_room_answer(
+    sched_pool_t *, const char *id, const char *shard, bool has_offer);
 void sched_pool_apply_adopt_result(
     sched_pool_t *, const char *id, Gw__CallOutcome);
 void sched_pool_forget_transfer(sched_pool_t *, const char *id);
--- a/lib/sched/transfer.c
+++ b/lib/sched/transfer.c
@@ -326,22 +326,6 @@
 	}
 }
 
-/*
- * Sets is_open for each step of which a task is not done.
- */
-static void
-find_open_steps(const sched_job_t *job, bool is_open[SCHED_STEPS_MAX])
-{
-	memset(is_open, 0, SCHED_STEPS_MAX * sizeof(is_open[0]));
-	for (guint i = 0; i < job->occurrences->len; i++) {
-		const sched_occurrence_t *occurrence =
-		    job->occurrences->pdata[i];
-
-		for (uint32_t k = 0; k < occurrence->step_count; k++)
-			is_open[k] |= occurrence->steps[k].open > 0;
-	}
-}
-
 /*
  * Returns whether this shard's instances can run all open steps of the job, if
  * nothing else ran there.
@@ -392,7 +376,7 @@
 	const sched_misfit_t misfit = {job->id, job->spec, is_open};
 
 	job->fit_check_us = now_us + CHECK_INTERVAL_US;
-	find_open_steps(job, is_open);
+	sched_job_find_open_steps(job, is_open);
 	if (fits_here(pool, job, is_open)) {
 		job->misfit_since_us = 0;
 		return;
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -4034,7 +4034,7 @@
   (ProtobufCMessageInit) gw__quota_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__call__field_descriptors[15] =
+static const ProtobufCFieldDescriptor gw__call__field_descriptors[16] =
 {
   {
     "number",
@@ -4216,6 +4216,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open_steps",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gw__Call, n_open_steps),
+    offsetof(Gw__Call, open_steps),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__call__field_indices_by_name[] = {
   8,   /* field[8] = coming */
@@ -4226,6 +4238,7 @@
   13,   /* field[13] = key_digest */
   1,   /* field[1] = kind */
   0,   /* field[0] = number */
+  15,   /* field[15] = open_steps */
   2,   /* field[2] = pool */
   3,   /* field[3] = queue */
   11,   /* field[11] = queue_key */
@@ -4237,7 +4250,7 @@
 static const ProtobufCIntRange gw__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gw__call__descriptor =
 {
@@ -4247,7 +4260,7 @@
   "Gw__Call",
   "gw",
   sizeof(Gw__Call),
-  15,
+  16,
   gw__call__field_descriptors,
   gw__call__field_indices_by_name,
   1,  gw__call__number_ranges,
@@ -5409,7 +5422,7 @@
   gw__job_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[10] =
+static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[11] =
 {
   { "CALL_SUBMIT", "GW__CALL_KIND__CALL_SUBMIT", 0 },
   { "CALL_STATE", "GW__CALL_KIND__CALL_STATE", 1 },
@@ -5421,11 +5434,12 @@
   { "CALL_RESUBMIT", "GW__CALL_KIND__CALL_RESUBMIT", 7 },
   { "CALL_ADOPT", "GW__CALL_KIND__CALL_ADOPT", 8 },
   { "CALL_YIELD_QUOTA", "GW__CALL_KIND__CALL_YIELD_QUOTA", 9 },
+  { "CALL_ROOM", "GW__CALL_KIND__CALL_ROOM", 10 },
 };
 static const ProtobufCIntRange gw__call_kind__value_ranges[] = {
-{0, 0},{0, 10}
+{0, 0},{0, 11}
 };
-static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[10] =
+static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[11] =
 {
   { "CALL_ADOPT", 8 },
   { "CALL_CANCEL", 2 },
@@ -5434,6 +5448,7 @@
   { "CALL_OWNS", 6 },
   { "CALL_PENDING", 3 },
   { "CALL_RESUBMIT", 7 },
+  { "CALL_ROOM", 10 },
   { "CALL_STATE", 1 },
   { "CALL_SUBMIT", 0 },
   { "CALL_YIELD_QUOTA", 9 },
@@ -5445,9 +5460,9 @@
   "CallKind",
   "Gw__CallKind",
   "gw",
-  10,
+  11,
   gw__call_kind__enum_values_by_number,
-  10,
+  11,
   gw__call_kind__enum_values_by_name,
   1,
   gw__call_kind__value_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -115,7 +115,12 @@
   /*
    * The pool gives back what it holds of the team's quota and does not use.
    */
-  GW__CALL_KIND__CALL_YIELD_QUOTA = 9
+  GW__CALL_KIND__CALL_YIELD_QUOTA = 9,
+  /*
+   * The reply is CALL_OK if the shard has room now for a job that another one
+   * has, and offers it to that; else CALL_ABSENT.
+   */
+  GW__CALL_KIND__CALL_ROOM = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__CALL_KIND)
 } Gw__CallKind;
 typedef enum _Gw__CallOutcome {
@@ -676,10 +681,15 @@
    */
   size_t n_team_rates;
   Gw__TeamRate **team_rates;
+  /*
+   * For CALL_ROOM: the steps of which a task is not done.
+   */
+  size_t n_open_steps;
+  uint32_t *open_steps;
 };
 #define GW__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__call__descriptor) \
-    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL }
+    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0,NULL }
 
 
 /*
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -216,6 +216,14 @@
 	return other_shard[0] != '\0';
 }
 
+static void
+on_ask_room(const sched_misfit_t *job, const char *shard, void *arg)
+{
+	(void)arg;
+	printf(
+	    "%6" PRIu64 " ask %s for room for %s\n", now_ms(), shard, job->id);
+}
+
 static void
 on_tell_adopt(const char *shard, const char *id, void *arg)
 {
@@ -239,6 +247,7 @@
     .fenced = on_fenced,
     .instance_removed = on_instance_removed,
     .find_shard = on_find_shard,
+    .ask_room = on_ask_room,
     .tell_adopt = on_tell_adopt,
     .find_records = on_find_records};
 
@@ -526,6 +535,29 @@
 	sched_pool_end_instance(pool, words[1], "machine-stopped");
 }
 
+/*
+ * offer ID STEP...: another shard's owner asks for room for the job, of which
+ * all steps are open
+ */
+static void
+print_offer(const Gw__JobSpec *spec)
+{
+	bool is_open[SCHED_STEPS_MAX];
+	const sched_misfit_t job = {spec->id, spec, is_open};
+
+	memset(is_open, true, sizeof(is_open));
+	printf("%6" PRIu64 " offer %s %s\n", now_ms(), spec->id,
+	    sched_pool_offer_room(pool, &job) ? "room" : "none");
+}
+
+/* room ID SHARD yes|no: the answer to a question for room */
+static void
+do_room(void)
+{
+	sched_pool_apply_room_answer(
+	    pool, words[1], words[2], strcmp(words[3], "yes") == 0);
+}
+
 /*
  * submit ID [queue=NAME] [key=KEY] [team=NAME] [advice] [memory=MIB]
  * [KEY=NUMBER...] STEP...: STEP is COUNT:CPU_MILLIS:ESTIMATE_MS[:FLAG...] and
@@ -599,6 +631,10 @@
 		}
 		list[spec.n_steps++] = step;
 	}
+	if (strcmp(words[0], "offer") == 0) {
+		print_offer(&spec);
+		return;
+	}
 	sched_key_digest(&digest, spec.team, strlen(spec.team));
 	sched_pool_submit(pool, &spec, spec.team[0] == '\0' ? NULL : &digest,
 	    on_response, g_strdup(words[1]));
@@ -1274,6 +1310,8 @@
     {"gone", 2, do_gone},
     {"ended", 2, do_ended},
     {"submit", 3, do_submit},
+    {"offer", 3, do_submit},
+    {"room", 4, do_room},
     {"teams", 1, do_teams},
     {"withdrawn", 2, do_withdrawn},
     {"rate", 3, do_rate},
