Take a start that the next incarnation answers for one without a response

A response names no incarnation; the owner took it for one under the lease that it knows.

Change: a response to a start shows the instance's clock, which begins anew with each incarnation. One that came after the start was sent and shows an earlier time counts as none, so the task waits as for a late start. The names in impl.h and late_start.c are clearer.

sched/late_starts.sh has two plays for it; on the code before, the first one starts the task elsewhere at 4150.

--- a/gwentryd/agents.c
+++ b/gwentryd/agents.c
@@ -210,15 +210,15 @@
  * Reports the result of a request and frees it.
  */
 static void
-finish_request(run_request_t *request, sched_result_t result)
+finish_request(run_request_t *request, sched_result_t result, uint64_t clock_ms)
 {
 	agents_t *agents = request->agent->agents;
 	char instance[SCHED_NAME_BYTES];
 
 	g_strlcpy(instance, request->agent->instance, sizeof(instance));
 	if (request->kind == RUN_REQUEST_START)
-		agents->ops->on_started(
-		    instance, &request->ref, request->run, result, agents->arg);
+		agents->ops->on_started(instance, &request->ref, request->run,
+		    result, clock_ms, agents->arg);
 	else
 		agents->ops->on_stopped(
 		    instance, &request->ref, request->run, result, agents->arg);
@@ -254,7 +254,7 @@
 		    response == NULL ? 0 : response->status,
 		    err == NULL ? "none" : gw_errc_name(err->code));
 	send_queued(agent);
-	finish_request(request, result);
+	finish_request(request, result, clock_ms);
 }
 
 /*
@@ -302,7 +302,7 @@
 		    agent->instance);
 		sched_window_remove(agents->window, request->size_bytes, 0,
 		    gw_rt_now_us(agents->rt), false);
-		finish_request(request, SCHED_RESULT_NOT_SENT);
+		finish_request(request, SCHED_RESULT_NOT_SENT, 0);
 	}
 }
 
--- a/gwentryd/agents.h
+++ b/gwentryd/agents.h
@@ -17,8 +17,9 @@
 	 * connection, and the process may have been suspended meanwhile.
 	 */
 	bool (*may_start)(void *arg);
+	/* clock_ms: the instance's clock at the response; 0: not known */
 	void (*on_started)(const char *instance, const sched_task_ref_t *,
-	    uint32_t run, sched_result_t, void *arg);
+	    uint32_t run, sched_result_t, uint64_t clock_ms, void *arg);
 	void (*on_stopped)(const char *instance, const sched_task_ref_t *,
 	    uint32_t run, sched_result_t, void *arg);
 	void (*on_report)(const char *instance, const sched_report_t *,
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -136,11 +136,12 @@
 
 static void
 on_started(const char *instance, const sched_task_ref_t *ref, uint32_t run,
-    sched_result_t result, void *arg)
+    sched_result_t result, uint64_t clock_ms, void *arg)
 {
 	owner_t *owner = arg;
 
-	sched_pool_apply_start_result(owner->pool, instance, ref, run, result);
+	sched_pool_apply_start_result(
+	    owner->pool, instance, ref, run, result, clock_ms);
 	owner_schedule_tick(owner);
 }
 
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -142,8 +142,7 @@
 	bool refused_as_stale;
 	bool is_unsent;	      /* its start waits in the pool's unsent */
 	uint32_t starts_sent; /* for this run, answered or not */
-	/* Of these, answered by whichever incarnation, or certainly not sent.
-	 */
+	/* Of these, with a response from any incarnation, or not sent. */
 	uint32_t starts_settled;
 	uint32_t stops_sent; /* for this run, answered or not */
 	/* Starts and stops of this run without a result so far. */
@@ -465,8 +464,8 @@
 	/* When previous owners send no more renewals. */
 	uint64_t previous_renewals_end_us;
 	bool previous_gone; /* the previous owner has released the pool */
-	GHashTable
-	    *previous_leases;	/* instance -> what is known of its lease */
+	/* What they have told of leases: instance -> previous_lease_t. */
+	GHashTable *previous_leases;
 	GPtrArray *handed_ends; /* not applied yet (Gw__EndedRun) */
 	/* Instances whose leases lapse; see lapse.c. */
 	GHashTable *lapsing;	/* in the last list taken: id -> lapsing_t */
--- a/lib/sched/late_start.c
+++ b/lib/sched/late_start.c
@@ -68,6 +68,21 @@
 	return task->stop_answered_us == 0 && sched_late_start_count(task) > 0;
 }
 
+/*
+ * Returns until when a task that lasts waits: the bound on such tasks counts
+ * from the loss of the instance, which came after its last sign of life.
+ */
+static uint64_t
+lasting_until_us(const sched_task_t *task)
+{
+	uint64_t alive_us = task->instance->alive_us;
+
+	if (!may_be_late(task) || alive_us == 0)
+		return 0;
+	return alive_us +
+	    (SCHED_LASTING_IDLE_MAX_MS - RESTART_MARGIN_MS) * GW_US_PER_MS;
+}
+
 /*
  * Returns until when the task's run may go on although the lease that was
  * granted to its instance has expired; 0: not at all.
@@ -82,11 +97,7 @@
 	if (task->job->spec == NULL || sched_task_step_spec(task)->concurrent)
 		return 0;
 	if (sched_task_step_spec(task)->lasting)
-		return !may_be_late(task) || instance->alive_us == 0
-		    ? 0
-		    : instance->alive_us +
-			(SCHED_LASTING_IDLE_MAX_MS - RESTART_MARGIN_MS) *
-			    GW_US_PER_MS;
+		return lasting_until_us(task);
 	if (is_unknown(task))
 		return sched_handover_late_until_us(
 		    pool, instance->info.id, late_us);
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -6,6 +6,8 @@
 /* Shortest time before the next run of a task that failed or was refused. */
 #define FAILED_RESTART_DELAY_US (50 * GW_US_PER_MS)
 #define REFUSED_RESTART_DELAY_US (20 * GW_US_PER_MS)
+/* Readings of a clock may differ by this much, beside its drift. */
+#define CLOCK_ERROR_MS 200
 
 static const char *
 end_name(sched_end_kind_t kind)
@@ -350,18 +352,40 @@
 }
 
 /*
- * Handles the result of a start. A start without a response is repeated by
- * sched_pool_tick(), until the instance responds or its lease has expired.
+ * Returns whether a response with this reading of the instance's clock is from
+ * another incarnation than the one whose clock is known: it came after the last
+ * start was sent, but shows an earlier time.
+ */
+static bool
+is_from_next_incarnation(const sched_task_t *task, uint64_t clock_ms)
+{
+	const sched_instance_t *instance = task->instance;
+	int64_t since_read_ms =
+	    ((int64_t)task->sent_us - (int64_t)instance->clock_read_us) /
+	    (int64_t)GW_US_PER_MS;
+	int64_t error_ms = CLOCK_ERROR_MS +
+	    ABS(since_read_ms) * SCHED_CLOCK_DRIFT_PERMILLE / 1000;
+
+	return clock_ms != 0 && instance->clock_ms != 0 &&
+	    (int64_t)clock_ms + error_ms <
+	    (int64_t)instance->clock_ms + since_read_ms;
+}
+
+/*
+ * Handles the result of a start, with the instance's clock at the response; 0:
+ * not known. A start without a response is repeated by sched_pool_tick(), until
+ * the instance responds or its lease has expired. So is one that the next
+ * incarnation has carried out: the next report shows that one.
  */
 void
 sched_pool_apply_start_result(sched_pool_t *pool, const char *id,
-    const sched_task_ref_t *ref, uint32_t run, sched_result_t result)
+    const sched_task_ref_t *ref, uint32_t run, sched_result_t result,
+    uint64_t clock_ms)
 {
 	sched_instance_t *instance = g_hash_table_lookup(pool->instances, id);
 	sched_task_t *task = sched_pool_find_task(pool, ref);
 	uint64_t now_us = gw_clock_now_us(pool->clock);
-	bool has_response = result != SCHED_RESULT_NO_RESPONSE &&
-	    result != SCHED_RESULT_NOT_SENT;
+	bool has_response;
 
 	sched_instance_request_ended(pool, id);
 	if (result == SCHED_RESULT_FENCED)
@@ -373,6 +397,11 @@
 		return;
 	}
 	task->requests_in_flight -= MIN(task->requests_in_flight, 1);
+	if (result == SCHED_RESULT_OK &&
+	    is_from_next_incarnation(task, clock_ms))
+		result = SCHED_RESULT_NO_RESPONSE;
+	has_response = result != SCHED_RESULT_NO_RESPONSE &&
+	    result != SCHED_RESULT_NOT_SENT;
 	task->starts_settled += result != SCHED_RESULT_NO_RESPONSE;
 	/* A repeated start may have been answered to an earlier request. */
 	if (has_response && result != SCHED_RESULT_REPLACED &&
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -423,7 +423,7 @@
     sched_pool_t *, const char *id, const sched_report_t *, uint64_t sent_us);
 void sched_pool_renewal_failed(sched_pool_t *, const char *id, sched_result_t);
 void sched_pool_apply_start_result(sched_pool_t *, const char *id,
-    const sched_task_ref_t *, uint32_t run, sched_result_t);
+    const sched_task_ref_t *, uint32_t run, sched_result_t, uint64_t clock_ms);
 void sched_pool_apply_stop_result(sched_pool_t *, const char *id,
     const sched_task_ref_t *, uint32_t run, sched_result_t);
 
--- a/regress/sched/fake_instances.c
+++ b/regress/sched/fake_instances.c
@@ -358,7 +358,7 @@
 
 		if (response->is_start)
 			sched_pool_apply_start_result(pool, response->instance,
-			    &response->ref, response->run, response->result);
+			    &response->ref, response->run, response->result, 0);
 		else
 			sched_pool_apply_stop_result(pool, response->instance,
 			    &response->ref, response->run, response->result);
--- a/regress/sched/late_starts.sh
+++ b/regress/sched/late_starts.sh
@@ -50,6 +50,29 @@
 $(silent "4100 200")
 EOT
 
+# Its clock begins anew. The run is not known to be on the incarnation that has the
+# lease.
+play "the next incarnation has answered the start, as its clock shows" two <<EOT
+report i1 clock=9000
+submit j1 1:1000:500
+commit
+advance 20
+started i1 j1.0.0.0 1 ok clock=30
+advance 30
+$(silent "4100 200 9000 200")
+EOT
+
+play "a response that is older than the last report is not from another one" two <<EOT
+report i1 clock=9000
+submit j1 1:1000:500
+commit
+advance 20
+report i1 clock=9025
+started i1 j1.0.0.0 1 ok clock=9010
+advance 30
+$(silent "4100 200")
+EOT
+
 play "a step that may run twice does not wait" two <<EOT
 submit j1 1:1000:500:copies
 commit
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -1232,8 +1232,8 @@
 }
 
 /*
- * started ID TASK RUN RESULT: the result of a start; stopped takes the same,
- * renew-failed takes ID RESULT
+ * started ID TASK RUN RESULT [clock=]: the result of a start; stopped takes the
+ * same, renew-failed takes ID RESULT
  */
 static void
 do_started(void)
@@ -1242,7 +1242,8 @@
 
 	leave_window(parse_result(words[4]));
 	sched_pool_apply_start_result(pool, words[1], &ref,
-	    (uint32_t)atoi(words[3]), parse_result(words[4]));
+	    (uint32_t)atoi(words[3]), parse_result(words[4]),
+	    lookup_number("clock", 0));
 }
 
 static void
