Let the soak draw late starts on cut-off lives, and full shards

In one of two cuts after a crash the worker carries out the starts that are on their way. One run of three has two shards in each pool and tasks that last which leave no room beside them.

--- a/soak/config.c
+++ b/soak/config.c
@@ -36,6 +36,24 @@
 		    text, ",{\"name\":\"" STANDBY_POOL "\",\"standby\":true}");
 }
 
+/*
+ * Sets the number of shards of each pool, before the entry processes start.
+ */
+void
+config_put_layout(soak_t *soak)
+{
+	g_autofree char *text = g_strdup_printf("%u", soak->shard_count);
+	g_autofree char *value =
+	    g_base64_encode((const guchar *)text, strlen(text));
+	g_autofree char *body = g_strdup_printf(
+	    "{\"precondition\":[],\"writes\":[{\"key\":\"gw/layout\","
+	    "\"value\":\"%s\"}],\"remove\":[]}",
+	    value);
+
+	(void)gw_httpc_call(soak->store_api, "POST", "/kv-txn", body,
+	    CALL_TIMEOUT_MS, soak_on_config, soak);
+}
+
 /*
  * Writes the next configuration, which has the queues q1 and up, one for each
  * pool.
--- a/soak/event_worker.c
+++ b/soak/event_worker.c
@@ -118,7 +118,7 @@
 {
 	soak_print(follow_up->soak, "worker %u is sound", follow_up->number);
 	events_control(follow_up->soak, follow_up->soak->control,
-	    "{\"worker\":%u,\"failing\":false,\"muted\":false}",
+	    "{\"worker\":%u,\"failing\":false,\"muted\":false,\"cut\":false}",
 	    follow_up->number);
 }
 
@@ -177,8 +177,10 @@
 
 	soak_print(soak, "worker %u is back, and silent for %u ms",
 	    follow_up->number, for_ms);
-	events_control(soak, soak->control, "{\"worker\":%u,\"muted\":true}",
-	    follow_up->number);
+	/* In one of two cuts it carries out the starts that are on their way.
+	 */
+	events_control(soak, soak->control, "{\"worker\":%u,\"%s\":true}",
+	    follow_up->number, for_ms % 2 == 0 ? "cut" : "muted");
 	events_disrupt_for(soak, for_ms, run_sound)->number = follow_up->number;
 }
 
--- a/soak/main.c
+++ b/soak/main.c
@@ -276,6 +276,7 @@
 		    &soak, &soak.workers, "workers", workers, NULL);
 		break;
 	case 1:
+		config_put_layout(&soak);
 		config_put(&soak);
 		add_workers();
 		break;
@@ -332,6 +333,10 @@
 	    soak.pool_count * (uint32_t)g_rand_int_range(soak.random, 2, 5);
 	soak.planned_only = g_rand_int_range(soak.random, 0, 4) == 0;
 	soak.cpu_percent = g_rand_int_range(soak.random, 0, 5) == 0 ? 25 : 100;
+	/* Not drawn, so that the events of a seed stay as they were. */
+	soak.shard_count = seed % 3 == 1 ? 2 : 1;
+	if (soak.shard_count > 1)
+		soak.fill_percent = WIDE_FILL_PERCENT;
 }
 
 static void
@@ -407,11 +412,12 @@
 		     "unanswered, longest %" PRIu64 " ms, %u timed out\n",
 	    soak.answered, soak.not_sent, soak.unanswered,
 	    soak.longest_unanswered_ms, soak.timed_out);
-	(void)printf("seed %u: %u entries, %u pools, %u moves, %u upkeeps, "
+	(void)printf("seed %u: %u entries, %u pools of %u shards, %u moves, "
+		     "%u upkeeps, "
 		     "planned only %d, cpu %u, teams %d, most %u percent\n",
-	    seed, soak.entry_count, soak.pool_count, soak.moves, soak.upkeeps,
-	    soak.planned_only, soak.cpu_percent, soak.has_teams,
-	    teams_most_percent());
+	    seed, soak.entry_count, soak.pool_count, soak.shard_count,
+	    soak.moves, soak.upkeeps, soak.planned_only, soak.cpu_percent,
+	    soak.has_teams, teams_most_percent());
 	(void)printf("seed %u: %u events, %u jobs accepted, %u refused, "
 		     "longest stand %" PRIu64 " ms, %u violations\n",
 	    seed, soak.events, soak.accepted, soak.refused,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -15,6 +15,13 @@
 #define POOLS_MAX 2
 #define STANDBY_POOL "sp"
 #define LASTING_TASKS 5
+/*
+ * In runs with several shards no short task fits beside one that lasts, so the
+ * load stays below what the other workers bear.
+ */
+#define WIDE_LASTING_MB 60000
+#define WIDE_SHORT_MB 6000
+#define WIDE_FILL_PERCENT 30
 #define HOST "jobs.example"
 
 /* What the rules promise, in ms. */
@@ -101,6 +108,7 @@
 	entry_t entries[ENTRIES_MAX];
 	uint32_t entry_count;
 	uint32_t pool_count;
+	uint32_t shard_count; /* of each pool */
 	bool has_machines;    /* pools with a standby pool, and a planner */
 	bool has_teams;	      /* callers need keys; see teams.c */
 	bool planned_only;    /* no other disruption than planned work */
@@ -158,6 +166,7 @@
 
 /* config.c */
 void config_put(soak_t *);
+void config_put_layout(soak_t *);
 
 /* teams.c */
 void teams_draw(soak_t *, uint32_t seed);
--- a/soak/traffic.c
+++ b/soak/traffic.c
@@ -59,16 +59,20 @@
 }
 
 static char *
-job_body(const job_t *job)
+job_body(const soak_t *soak, const job_t *job)
 {
+	bool is_wide = soak->shard_count > 1;
+
 	switch (job->kind) {
 	case JOB_LASTING:
 	case JOB_CANCELLED:
 		return g_strdup_printf(
 		    "{\"spec\":\"lasting cpu=1000\",\"steps\":[{\"count\":%u,"
-		    "\"cpu\":1000,\"mem_mb\":100,\"estimated_ms\":150,"
+		    "\"cpu\":1000,\"mem_mb\":%u,\"estimated_ms\":150,"
 		    "\"daemon\":true,\"anti_affinity\":1}]}",
-		    job->tasks);
+		    job->tasks,
+		    is_wide && job->kind == JOB_LASTING ? WIDE_LASTING_MB
+							: 100);
 	case JOB_STEPS:
 		return g_strdup("{\"spec\":\"short cpu=500 ms=400\",\"steps\":["
 				"{\"count\":2,\"cpu\":500,\"mem_mb\":100,"
@@ -83,16 +87,17 @@
 	default:
 		return g_strdup_printf(
 		    "{\"spec\":\"%s cpu=500 ms=%u\",\"steps\":[{\"count\":%u,"
-		    "\"cpu\":500,\"mem_mb\":100,\"estimated_ms\":800}]}",
+		    "\"cpu\":500,\"mem_mb\":%u,\"estimated_ms\":800}]}",
 		    job->kind == JOB_FAILING ? "failing" : "short",
-		    job->kind == JOB_FAILING ? 200 : 800, job->tasks);
+		    job->kind == JOB_FAILING ? 200 : 800, job->tasks,
+		    is_wide ? WIDE_SHORT_MB : 100);
 	}
 }
 
 static void
 submit(soak_t *soak, job_t *job)
 {
-	g_autofree char *body = job_body(job);
+	g_autofree char *body = job_body(soak, job);
 
 	if (job->sent_ms == 0)
 		job->sent_ms = soak_now_ms();
@@ -246,7 +251,7 @@
 {
 	for (guint i = 0; i < soak->lasting_count; i++)
 		new_job(soak, i % soak->pool_count, JOB_LASTING)->tasks =
-		    LASTING_TASKS;
+		    soak->shard_count > 1 ? 1 : LASTING_TASKS;
 	on_tick(&timer, soak);
 }
 
