Keep the next run on an instance that began again within a start's time

What callers would see: a start has no response, its instance begins again, the owner stops the run there and starts the task elsewhere at once.

Cause: the confirmed stop was taken for the end of the start. It binds one life.

Evidence: in sched/late_starts.sh the code before starts run 2 on i2 at 505 ms, while the start of 405 ms may come until 13.9 s.

Change: until then the next run goes to that instance only, with which it ends, unless another instance is on the machine; the job does not change its shard.

The output of sched/late_starts.sh and overflow.sh has only starts, stops, questions and transfers now, which the tests are about; the plays are the same but for longer times in two that ended before the start that they describe.

--- a/lib/sched/choose.c
+++ b/lib/sched/choose.c
@@ -81,6 +81,8 @@
 	const Gw__JobStep *step = sched_task_step_spec(task);
 	const GHashTable *tickets = sched_task_step_state(task)->tickets;
 
+	if (sched_late_start_excludes(task, instance))
+		return SCHED_EXCLUDED_STRAYS;
 	if (!has_label(instance, step->label))
 		return SCHED_EXCLUDED_LABEL;
 	if (task->job->spec->advice != NULL &&
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -163,6 +163,13 @@
 	uint32_t crashes_alone;	  /* of these, caused by the job for certain */
 	uint32_t crashes_adopted; /* of these, of a previous owner's runs */
 	uint64_t not_before_us;	  /* earliest time of the next run */
+	/*
+	 * Until then a start of an earlier run may be carried out by yet
+	 * another incarnation of this instance, so the next run goes nowhere
+	 * else.
+	 */
+	uint64_t late_until_us;
+	char late_on[SCHED_NAME_BYTES];
 	uint64_t ran_us;  /* it has not run since; see wait.c; 0: not known */
 	uint32_t percent; /* progress, from the last report */
 	/* Where the last run failed or found no room; empty: nowhere. */
@@ -277,6 +284,7 @@
 	uint32_t room_asked;
 	uint32_t room_answered; /* of these */
 	uint64_t room_ask_us;	/* no question before */
+	uint64_t late_until_us; /* the latest of its tasks */
 	/* Since when it waits for room for all its tasks; 0: it does not. */
 	uint64_t held_since_us;
 	/* The shard that it is being transferred to; empty: none. */
@@ -302,6 +310,7 @@
 	uint64_t fence_since_us; /* 0: from the beginning */
 	bool has_had_fence;	 /* a request with it was sent */
 	bool awaits_fence;    /* it needs a higher one, after the next write */
+	bool is_gone;	      /* no incarnation can begin again under its id */
 	bool has_begun_again; /* this owner knew an earlier incarnation */
 	/* The renewal in flight has a deadline, or acknowledges ends. */
 	bool renewal_has_effect;
@@ -592,6 +601,8 @@
 uint32_t sched_late_start_count(const sched_task_t *);
 uint64_t sched_late_start_until_us(const sched_task_t *);
 uint64_t sched_task_lapses_us(const sched_task_t *);
+void sched_late_start_begun_again(sched_task_t *);
+bool sched_late_start_excludes(const sched_task_t *, const sched_instance_t *);
 uint64_t sched_late_start_instance_until_us(const sched_instance_t *);
 
 /* lapse.c */
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -467,6 +467,7 @@
 	instance->renewing = false;
 	if (result == SCHED_RESULT_REPLACED) {
 		sched_instance_end_runs(instance, "replaced", SCHED_LOSS_CRASH);
+		instance->is_gone = true;
 		instance->contacted = false;
 		instance->listed = false;
 		return;
--- a/lib/sched/late_start.c
+++ b/lib/sched/late_start.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "sched/impl.h"
 
 /*
@@ -113,6 +115,45 @@
 	return MAX(task->instance->expiry_us, sched_late_start_until_us(task));
 }
 
+/*
+ * Handles that the task's instance has begun again, before the state of the
+ * former incarnation is reset. The new one is told to stop the run, and refuses
+ * its starts; a third one would not. A run there ends with the incarnation, so
+ * that the next run may go to this instance at once, but nowhere else.
+ */
+void
+sched_late_start_begun_again(sched_task_t *task)
+{
+	sched_job_t *job = task->job;
+
+	if (sched_late_start_count(task) == 0 || job->spec == NULL)
+		return;
+	task->late_until_us =
+	    MAX(task->late_until_us, sched_late_start_until_us(task));
+	g_strlcpy(
+	    task->late_on, task->instance->info.id, sizeof(task->late_on));
+	job->late_until_us = MAX(job->late_until_us, task->late_until_us);
+}
+
+/*
+ * Returns whether the next run of the task may not go to the instance, since
+ * one of its starts may still be carried out on another one.
+ */
+bool
+sched_late_start_excludes(
+    const sched_task_t *task, const sched_instance_t *instance)
+{
+	const sched_pool_t *pool = instance->pool;
+	const sched_instance_t *other;
+
+	if (task->late_until_us == 0 ||
+	    gw_clock_now_us(pool->clock) >= task->late_until_us ||
+	    strcmp(task->late_on, instance->info.id) == 0)
+		return false;
+	other = g_hash_table_lookup(pool->instances, task->late_on);
+	return other != NULL && !other->is_gone;
+}
+
 /*
  * Returns until when starts of tasks that do not last may run on the instance,
  * for the next owner, which does not know which of them had a response.
--- a/lib/sched/loss.c
+++ b/lib/sched/loss.c
@@ -99,6 +99,7 @@
 begin_incarnation(sched_instance_t *instance, uint64_t born_ms)
 {
 	instance->has_begun_again = instance->info.born_ms != 0;
+	instance->is_gone = false;
 	instance->info.born_ms = born_ms;
 	instance->renewing = false;
 	instance->contacted = false;
@@ -166,6 +167,8 @@
 	    sched_crash_count_runs(instance, tasks, SCHED_LOSS_CRASH);
 
 	log_lost(instance, "restarted", tasks->len);
+	for (guint i = 0; i < tasks->len; i++)
+		sched_late_start_begun_again(tasks->pdata[i]);
 	begin_incarnation(instance, born_ms);
 	if (instance->has_begun_again)
 		sched_fence_raise(instance);
@@ -193,6 +196,7 @@
 end_instance(sched_instance_t *instance, const char *reason, sched_loss_t loss)
 {
 	sched_instance_end_runs(instance, reason, loss);
+	instance->is_gone = true;
 	instance->listed = false;
 	instance->contacted = false;
 }
--- a/lib/sched/overflow.c
+++ b/lib/sched/overflow.c
@@ -110,14 +110,15 @@
 }
 
 /*
- * Returns whether the job is in the store here, and nothing of it is placed.
+ * Returns whether the job is in the store here, and nothing of it runs here or
+ * may yet begin.
  */
 static bool
-may_go(const sched_job_t *job)
+may_go(const sched_job_t *job, uint64_t now_us)
 {
-	return job->placed == 0 && job->spec_recorded && !job->in_batch &&
-	    job->move_to[0] == '\0' && job->aside_until_us == 0 &&
-	    !sched_job_has_ended(job);
+	return job->placed == 0 && now_us >= job->late_until_us &&
+	    job->spec_recorded && !job->in_batch && job->move_to[0] == '\0' &&
+	    job->aside_until_us == 0 && !sched_job_has_ended(job);
 }
 
 static bool
@@ -125,7 +126,7 @@
 {
 	uint64_t min_us = job->held_since_us != 0 ? 0 : BLOCKED_MIN_US;
 
-	return may_go(job) && job->blocked_since_us != 0 &&
+	return may_go(job, now_us) && job->blocked_since_us != 0 &&
 	    job->misfit_since_us == 0 &&
 	    gw_elapsed_us(now_us, job->blocked_since_us) >= min_us &&
 	    now_us >= job->room_ask_us;
@@ -189,7 +190,7 @@
 	pool->is_asking_room = false;
 	if (job != NULL)
 		job->room_answered++;
-	if (!has_offer || job == NULL || !may_go(job) ||
+	if (!has_offer || job == NULL || !may_go(job, now_us) ||
 	    job->blocked_since_us == 0)
 		return;
 	g_strlcpy(job->move_to, shard, sizeof(job->move_to));
--- a/lib/sched/transfer.c
+++ b/lib/sched/transfer.c
@@ -425,9 +425,9 @@
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
 
-		if (job->placed == 0 && job->move_to[0] == '\0' &&
-		    job->aside_until_us == 0 && !job->in_batch &&
-		    now_us >= job->fit_check_us &&
+		if (job->placed == 0 && now_us >= job->late_until_us &&
+		    job->move_to[0] == '\0' && job->aside_until_us == 0 &&
+		    !job->in_batch && now_us >= job->fit_check_us &&
 		    (job->long_running || job->blocked_since_us != 0))
 			check_job(pool, job, now_us);
 	}
--- a/regress/sched/late_starts.sh
+++ b/regress/sched/late_starts.sh
@@ -4,6 +4,12 @@
 # it and holds the longest lease, counted from then.
 . ./lib.subr
 
+# shown TITLE [SETUP]: as play, but prints only what the test is about.
+shown()
+{
+	play "$@" | grep -E '^==| (start|stop|drained)'
+}
+
 # silent: i1 does not respond from now on; i2 reports.
 silent()
 {
@@ -15,7 +21,7 @@
 	done
 }
 
-play "only the task of such a start waits beyond the lease of the instance" two <<EOT
+shown "only the task of such a start waits beyond the lease of the instance" two <<EOT
 submit j1 1:1000:500
 submit j2 1:1000:500
 commit
@@ -32,7 +38,7 @@
 commit
 EOT
 
-play "it is not repeated while the instance does not respond" one <<'EOT'
+shown "it is not repeated while the instance does not respond" one <<'EOT'
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 none
@@ -42,7 +48,7 @@
 advance 5
 EOT
 
-play "one that was not sent is not waited for" two <<EOT
+shown "one that was not sent is not waited for" two <<EOT
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 not-sent
@@ -52,7 +58,7 @@
 
 # Its clock begins anew. The run is not known to be on the incarnation that has the
 # lease.
-play "the next incarnation has answered the start, as its clock shows" two <<EOT
+shown "the next incarnation has answered the start, as its clock shows" two <<EOT
 report i1 clock=9000
 submit j1 1:1000:500
 commit
@@ -62,7 +68,7 @@
 $(silent "4100 200 9000 200")
 EOT
 
-play "a response that is older than the last report is not from another one" two <<EOT
+shown "a response that is older than the last report is not from another one" two <<EOT
 report i1 clock=9000
 submit j1 1:1000:500
 commit
@@ -73,7 +79,7 @@
 $(silent "4100 200")
 EOT
 
-play "a step that may run twice does not wait" two <<EOT
+shown "a step that may run twice does not wait" two <<EOT
 submit j1 1:1000:500:copies
 commit
 started i1 j1.0.0.0 1 none
@@ -82,7 +88,7 @@
 EOT
 
 # A renewal would lengthen the lease of the run there, too.
-play "the wait counts from the last renewal without a response" two <<EOT
+shown "the wait counts from the last renewal without a response" two <<EOT
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 none
@@ -94,7 +100,7 @@
 
 # One that has listed the run has carried its only start out; a repeat is another
 # start.
-play "a run that was listed waits for its repeats only" two <<EOT
+shown "a run that was listed waits for its repeats only" two <<EOT
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 none
@@ -103,7 +109,7 @@
 $(silent "4200 200")
 EOT
 
-play "a run of which a repeat is outstanding" two <<EOT
+shown "a run of which a repeat is outstanding" two <<EOT
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 none
@@ -115,7 +121,7 @@
 EOT
 
 # The bound on lost tasks that last counts from the crash.
-play "a task that lasts runs again 6.5 s after the instance was last heard" two <<EOT
+shown "a task that lasts runs again 6.5 s after the instance was last heard" two <<EOT
 submit j1 1:1000:500:lasting
 commit
 started i1 j1.0.0.0 1 none
@@ -123,7 +129,7 @@
 $(silent "4200 2000 100 200")
 EOT
 
-play "the members of a gang wait for each other" two <<EOT
+shown "the members of a gang wait for each other" two <<EOT
 submit j1 2:600:500:gang:apart
 commit
 started i1 j1.0.0.0 1 none
@@ -145,7 +151,7 @@
 EOT
 
 # The run counts until it is known not to be there.
-play "the quota of its team counts the run while it may run" two <<EOT
+shown "the quota of its team counts the run while it may run" two <<EOT
 teams a:1:1000
 held a 1000
 submit j1 team=a 1:1000:500
@@ -158,7 +164,7 @@
 EOT
 
 # A wave waits for the lease only, and the end of the machine ends the wait.
-play "an instance whose machine is stopped is not waited for" two <<EOT
+shown "an instance whose machine is stopped is not waited for" two <<EOT
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 none
@@ -172,7 +178,7 @@
 commit
 EOT
 
-play "another instance on the machine ends the wait, too" <<'EOT'
+shown "another instance on the machine ends the wait, too" <<'EOT'
 pool
 instance i1 machine=m1 born=5
 tick
@@ -189,7 +195,7 @@
 commit
 EOT
 
-play "the instance is back as it was: the start is repeated" two <<EOT
+shown "the instance is back as it was: the start is repeated" two <<EOT
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 none
@@ -197,10 +203,10 @@
 $(silent "4300")
 report i1 clock=4500
 commit
-advance 5
+advance 410
 EOT
 
-play "it has begun again, perhaps for the second time: the run is stopped first" two <<EOT
+shown "it has begun again, perhaps for the second time: the run is stopped first" two <<EOT
 submit j1 1:1000:500
 commit
 started i1 j1.0.0.0 1 none
@@ -211,6 +217,57 @@
 tick
 EOT
 
+# restarted: i1 has begun again after a start without a response, and has confirmed
+# the stop of the run.
+restarted()
+{
+	cat <<'EOT'
+submit j1 1:1000:500
+commit
+started i1 j1.0.0.0 1 none
+advance 500
+instance i1 machine=m1 born=2
+commit
+stopped i1 j1.0.0.0 1 ok
+advance 5
+EOT
+}
+
+# Guards against the same by a second restart: the third incarnation knows nothing of
+# the stop. A run on the second one ends with it.
+shown "the next run goes to the incarnation that was stopped, and nowhere else" two <<EOT
+$(restarted)
+report i1 clock=100 born=2
+commit
+started i1 j1.0.0.0 2 ok
+advance 100
+$(silent "4300 200 8300 600")
+EOT
+
+shown "it waits for that one for as long as the start may come" two <<EOT
+$(restarted)
+drain i1 20000
+report i1 clock=100 born=2
+commit
+advance 13390
+report i2 clock=1000
+commit
+advance 20
+report i2 clock=1000
+commit
+EOT
+
+shown "unless no further incarnation can begin" two <<EOT
+$(restarted)
+drain i1 20000
+report i1 clock=100 born=2
+commit
+ended i1
+advance 5
+report i2 clock=1000
+commit
+EOT
+
 # after TAKEOVER...: the next owner does not reach i1 either.
 after()
 {
@@ -234,26 +291,26 @@
 EOT
 }
 
-play "the next owner is told that a start had no response" two <<EOT
+shown "the next owner is told that a start had no response" two <<EOT
 $(after "" "left ms=1500 late=9000" 8900)
 EOT
 
-play "or that all had one" two <<EOT
+shown "or that all had one" two <<EOT
 $(after "" "left ms=1500" 1400)
 EOT
 
-play "it is told nothing: a start may have had no response" two <<EOT
+shown "it is told nothing: a start may have had no response" two <<EOT
 $(after "" "previous-gone" 6000)
 EOT
 
 # The list of lapsing leases, written after half a second of silence.
-play "the previous owner was lost, and the store has its list" two <<EOT
+shown "the previous owner was lost, and the store has its list" two <<EOT
 $(after "renew-failed i1 none
 advance 600
 commit" "vacant=2000 lease-ended certain" 12700)
 EOT
 
-play "an owner that was itself not told passes the wait on" two <<EOT
+shown "an owner that was itself not told passes the wait on" two <<EOT
 $(after "takeover previous-gone
 instance i1
 instance i2
--- a/regress/sched/overflow.sh
+++ b/regress/sched/overflow.sh
@@ -3,6 +3,12 @@
 # beside idle ones of another shard.
 . ./lib.subr
 
+# shown TITLE [SETUP]: as play, but prints only what the test is about.
+shown()
+{
+	play "$@" | grep -E '^==| (start|ask|tell|offer|state|remove|write p~)'
+}
+
 # Home shards of the ids, of two: j1, j3, j5 1, j2 0.
 home()
 {
@@ -34,7 +40,7 @@
 EOT
 }
 
-play "a job that has found no room for a second goes where there is room" full <<'EOT'
+shown "a job that has found no room for a second goes where there is room" full <<'EOT'
 submit j1 1:3000:300
 commit
 advance 990
@@ -51,7 +57,7 @@
 EOT
 
 # One question at a time, for the job that has waited longest.
-play "several jobs" full <<'EOT'
+shown "several jobs" full <<'EOT'
 submit j1 1:3000:300
 commit
 advance 100
@@ -65,7 +71,7 @@
 advance 300
 EOT
 
-play "nothing is asked while there is room" home <<'EOT'
+shown "nothing is asked while there is room" home <<'EOT'
 submit j1 1:3000:300
 submit j3 1:3000:300
 commit
@@ -73,7 +79,7 @@
 EOT
 
 # Guards against a job that is transferred while a run of it may go on.
-play "the answer comes too late: a task is placed here" full <<'EOT'
+shown "the answer comes too late: a task is placed here" full <<'EOT'
 submit j1 1:3000:300
 commit
 advance 1100
@@ -83,7 +89,7 @@
 commit
 EOT
 
-play "a job of which a task is placed stays, and one of which it was goes" full <<'EOT'
+shown "a job of which a task is placed stays, and one of which it was goes" full <<'EOT'
 submit j1 3:400:300
 commit
 started i1 j1.0.0.0 1 ok
@@ -99,7 +105,26 @@
 commit
 EOT
 
-play "away from its home, a job goes back there first" <<'EOT'
+# Another owner would not know of the start.
+shown "a job stays while a start of it may be carried out late" full <<'EOT'
+instance i3
+tick
+report i3 clock=100
+submit j1 1:3000:300
+commit
+started i3 j1.0.0.0 1 none
+instance i3 born=2
+commit
+stopped i3 j1.0.0.0 1 ok
+advance 5
+drain i3 60000
+report i3 clock=10 born=2
+commit
+advance 13000
+advance 1000
+EOT
+
+shown "away from its home, a job goes back there first" <<'EOT'
 pool
 admission all
 instance i1
@@ -114,7 +139,7 @@
 commit
 EOT
 
-play "a gang without room for all, and a job that only lacks its team's quota" full <<'EOT'
+shown "a gang without room for all, and a job that only lacks its team's quota" full <<'EOT'
 teams a:1:500
 held a 0
 submit j1 2:600:300:gang:apart
@@ -126,7 +151,7 @@
 EOT
 
 # The other side: offers.
-play "one offer at a time, until the job has come and runs, or for a second" home <<'EOT'
+shown "one offer at a time, until the job has come and runs, or for a second" home <<'EOT'
 offer j1 1:3000:300
 offer j1 1:3000:300
 offer j3 1:3000:300
@@ -143,14 +168,14 @@
 offer j1 1:300:300:label-x
 EOT
 
-play "no offer by an owner whose lease may have ended" home <<'EOT'
+shown "no offer by an owner whose lease may have ended" home <<'EOT'
 lease 500
 offer j1 1:3000:300
 jump 600
 offer j1 1:3000:300
 EOT
 
-play "nor on an instance that has not responded" full <<'EOT'
+shown "nor on an instance that has not responded" full <<'EOT'
 instance i3
 tick
 offer j3 1:1000:300
@@ -159,7 +184,7 @@
 EOT
 
 # Once one is placed, the job stays; the others would wait for good.
-play "tasks that last go where there is room for all of them" busy <<'EOT'
+shown "tasks that last go where there is room for all of them" busy <<'EOT'
 submit j5 4:1500:500:lasting
 commit
 tick
@@ -167,7 +192,7 @@
 commit
 EOT
 
-play "or are placed as far as there is room" busy <<'EOT'
+shown "or are placed as far as there is room" busy <<'EOT'
 submit j5 4:1500:500:lasting
 commit
 tick
@@ -176,7 +201,7 @@
 commit
 EOT
 
-play "or if no answer comes" busy <<'EOT'
+shown "or if no answer comes" busy <<'EOT'
 submit j5 4:1500:500:lasting
 commit
 advance 990
