--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -406,7 +406,9 @@
 	entry_t *entry = arg;
 
 	if (call->kind == GW__CALL_KIND__CALL_ADOPT)
-		transfer_handle_call(&entry->transfer, call, cb, response_arg);
+		transfer_handle_adopt(&entry->transfer, call, cb, response_arg);
+	else if (call->kind == GW__CALL_KIND__CALL_ROOM)
+		transfer_handle_room(&entry->transfer, call, cb, response_arg);
 	else
 		owners_handle_call(entry->owners, call,
 		    roles_lease_valid(entry->roles), cb, response_arg);
--- a/gwentryd/owners.c
+++ b/gwentryd/owners.c
@@ -298,28 +298,6 @@
 	cb(&response, arg);
 }
 
-/*
- * Replies to the owner of another shard that has no room for its job.
- */
-static void
-reply_room(owners_t *owners, owner_t *owner, const Gw__Call *call,
-    bool lease_valid, dispatch_response_cb_t cb, void *arg)
-{
-	bool is_open[SCHED_STEPS_MAX] = {false};
-	const sched_misfit_t job = {call->id, call->spec, is_open};
-	Gw__Reply response = GW__REPLY__INIT;
-
-	response.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
-	for (size_t i = 0; i < call->n_open_steps; i++)
-		if (call->open_steps[i] < SCHED_STEPS_MAX)
-			is_open[call->open_steps[i]] = true;
-	if (call->spec != NULL && call->spec->n_steps <= SCHED_STEPS_MAX &&
-	    lease_valid && !owners->closing &&
-	    sched_pool_offer_room(owner_pool(owner), &job))
-		response.outcome = GW__CALL_OUTCOME__CALL_OK;
-	cb(&response, arg);
-}
-
 /*
  * Reports the shard's load to the planner, whose call gives the numbers of
  * machines that are moving to the pool or on standby for it, and what teams
@@ -534,9 +512,6 @@
 	case GW__CALL_KIND__CALL_YIELD_QUOTA:
 		reply_yield(owner, call, cb, arg);
 		return;
-	case GW__CALL_KIND__CALL_ROOM:
-		reply_room(owners, owner, call, lease_valid, cb, arg);
-		return;
 	default:
 		if (owners->closing)
 			refuse(0, "handing-over", cb, arg);
@@ -576,6 +551,15 @@
 	owners->closing = true;
 }
 
+/*
+ * Returns whether new jobs are refused, since the shards will be released.
+ */
+bool
+owners_are_closing(const owners_t *owners)
+{
+	return owners->closing;
+}
+
 /*
  * Returns true when no shard has anything left to write.
  */
--- a/gwentryd/owners.h
+++ b/gwentryd/owners.h
@@ -36,6 +36,7 @@
  * Reads are still replied to.
  */
 void owners_refuse_changes(owners_t *);
+bool owners_are_closing(const owners_t *);
 bool owners_are_flushed(const owners_t *);
 uint32_t owners_count(const owners_t *);
 /*
--- a/gwentryd/transfer.c
+++ b/gwentryd/transfer.c
@@ -144,6 +144,29 @@
 	    on_room_answer, request);
 }
 
+/*
+ * An owner that is about to release its shards offers no room there.
+ */
+void
+transfer_handle_room(const transfer_t *transfer, const Gw__Call *call,
+    dispatch_response_cb_t cb, void *arg)
+{
+	owner_t *owner = owners_find(transfer->owners, call->pool);
+	bool is_open[SCHED_STEPS_MAX] = {false};
+	const sched_misfit_t job = {call->id, call->spec, is_open};
+	Gw__Reply response = GW__REPLY__INIT;
+
+	response.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
+	for (size_t i = 0; i < call->n_open_steps; i++)
+		if (call->open_steps[i] < SCHED_STEPS_MAX)
+			is_open[call->open_steps[i]] = true;
+	if (call->spec != NULL && call->spec->n_steps <= SCHED_STEPS_MAX &&
+	    owner != NULL && !owners_are_closing(transfer->owners) &&
+	    sched_pool_offer_room(owner_pool(owner), &job))
+		response.outcome = GW__CALL_OUTCOME__CALL_OK;
+	cb(&response, arg);
+}
+
 /* Telling the other owner. */
 
 static void
@@ -310,7 +333,7 @@
 }
 
 void
-transfer_handle_call(const transfer_t *transfer, const Gw__Call *call,
+transfer_handle_adopt(const transfer_t *transfer, const Gw__Call *call,
     dispatch_response_cb_t cb, void *arg)
 {
 	job_call_t *request = request_new(transfer, call->pool, call->id);
--- a/gwentryd/transfer.h
+++ b/gwentryd/transfer.h
@@ -37,8 +37,10 @@
  */
 void transfer_find_records(
     const transfer_t *, const char *shard, const char *id);
-/* Handles a CALL_ADOPT from another owner. */
-void transfer_handle_call(
+/* Handle a CALL_ADOPT and a CALL_ROOM from another owner. */
+void transfer_handle_adopt(
+    const transfer_t *, const Gw__Call *, dispatch_response_cb_t, void *arg);
+void transfer_handle_room(
     const transfer_t *, const Gw__Call *, dispatch_response_cb_t, void *arg);
 
 #endif
