sched: name a job without room in its shard a seeker

Change: the type is sched_seeker_t, nothing else. Measured: sched/transfer.sh, overflow.sh and late_starts.sh pass; no output changed.

--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -204,7 +204,7 @@
 }
 
 static bool
-on_find_shard(const char *shard, const sched_misfit_t *misfit,
+on_find_shard(const char *shard, const sched_seeker_t *misfit,
     char to[SCHED_NAME_BYTES], void *arg)
 {
 	return transfer_find_shard(
@@ -213,7 +213,7 @@
 
 static void
 on_ask_room(
-    const char *shard, const sched_misfit_t *job, const char *to, void *arg)
+    const char *shard, const sched_seeker_t *job, const char *to, void *arg)
 {
 	transfer_ask_room(&((entry_t *)arg)->transfer, shard, job, to);
 }
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -88,7 +88,7 @@
 
 static bool
 on_find_shard(
-    const sched_misfit_t *misfit, char to[SCHED_NAME_BYTES], void *arg)
+    const sched_seeker_t *misfit, char to[SCHED_NAME_BYTES], void *arg)
 {
 	owner_t *owner = arg;
 
@@ -96,7 +96,7 @@
 }
 
 static void
-on_ask_room(const sched_misfit_t *job, const char *to, void *arg)
+on_ask_room(const sched_seeker_t *job, const char *to, void *arg)
 {
 	owner_t *owner = arg;
 
--- a/gwentryd/owner.h
+++ b/gwentryd/owner.h
@@ -43,9 +43,9 @@
 	const char *(*get_refusal)(
 	    const char *shard, const sched_submitter_t *, void *arg);
 	/* See sched_ops_t; shard is the one that is owned. */
-	bool (*find_shard)(const char *shard, const sched_misfit_t *,
+	bool (*find_shard)(const char *shard, const sched_seeker_t *,
 	    char to[SCHED_NAME_BYTES], void *arg);
-	void (*ask_room)(const char *shard, const sched_misfit_t *,
+	void (*ask_room)(const char *shard, const sched_seeker_t *,
 	    const char *to, void *arg);
 	void (*tell_adopt)(
 	    const char *shard, const char *to, const char *id, void *arg);
--- a/gwentryd/transfer.c
+++ b/gwentryd/transfer.c
@@ -31,7 +31,7 @@
 
 bool
 transfer_find_shard(const transfer_t *transfer, const char *shard,
-    const sched_misfit_t *misfit, char to[SCHED_NAME_BYTES])
+    const sched_seeker_t *misfit, char to[SCHED_NAME_BYTES])
 {
 	uint32_t count = transfer->shard_count, found = 0;
 	rooms_t rooms = {.transfer = transfer};
@@ -123,7 +123,7 @@
 
 void
 transfer_ask_room(const transfer_t *transfer, const char *shard,
-    const sched_misfit_t *job, const char *to)
+    const sched_seeker_t *job, const char *to)
 {
 	job_call_t *request = request_new(transfer, shard, job->id);
 	uint32_t open_steps[SCHED_STEPS_MAX];
@@ -153,7 +153,7 @@
 {
 	owner_t *owner = owners_find(transfer->owners, call->pool);
 	bool is_open[SCHED_STEPS_MAX] = {false};
-	const sched_misfit_t job = {call->id, call->spec, is_open};
+	const sched_seeker_t job = {call->id, call->spec, is_open};
 	Gw__Reply response = GW__REPLY__INIT;
 
 	response.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
--- a/gwentryd/transfer.h
+++ b/gwentryd/transfer.h
@@ -24,10 +24,10 @@
  * false if there is none.
  */
 bool transfer_find_shard(const transfer_t *, const char *shard,
-    const sched_misfit_t *, char to[SCHED_NAME_BYTES]);
+    const sched_seeker_t *, char to[SCHED_NAME_BYTES]);
 /* Asks the owner of the shard to whether it has room for the job. */
 void transfer_ask_room(const transfer_t *, const char *shard,
-    const sched_misfit_t *, const char *to);
+    const sched_seeker_t *, const char *to);
 /* Tells the owner of the shard to that the store has the job there. */
 void transfer_tell_adopt(
     const transfer_t *, const char *shard, const char *to, const char *id);
--- a/lib/sched/overflow.c
+++ b/lib/sched/overflow.c
@@ -95,7 +95,7 @@
  * Answers another shard's owner whether this shard has room for its job.
  */
 bool
-sched_pool_offer_room(sched_pool_t *pool, const sched_misfit_t *job)
+sched_pool_offer_room(sched_pool_t *pool, const sched_seeker_t *job)
 {
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 
@@ -159,7 +159,7 @@
 {
 	uint32_t others = pool->shard_count - 1;
 	bool is_open[SCHED_STEPS_MAX];
-	const sched_misfit_t seeker = {job->id, job->spec, is_open};
+	const sched_seeker_t seeker = {job->id, job->spec, is_open};
 	char shard[SCHED_NAME_BYTES], name[SCHED_NAME_BYTES];
 	uint32_t number = (pool->shard_number + 1 + job->room_asked % others) %
 	    pool->shard_count;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -224,7 +224,7 @@
 	const char *id;
 	const Gw__JobSpec *spec;
 	const bool *is_open; /* for each step: it has tasks that are not done */
-} sched_misfit_t;
+} sched_seeker_t;
 
 typedef struct {
 	void (*start)(const sched_start_t *, void *arg);
@@ -257,12 +257,12 @@
 	 * false if there is none.
 	 */
 	bool (*find_shard)(
-	    const sched_misfit_t *, char shard[SCHED_NAME_BYTES], void *arg);
+	    const sched_seeker_t *, char shard[SCHED_NAME_BYTES], void *arg);
 	/*
 	 * Asks the shard's owner whether it has room for the job now.
 	 * sched_pool_apply_room_answer() follows.
 	 */
-	void (*ask_room)(const sched_misfit_t *, const char *shard, void *arg);
+	void (*ask_room)(const sched_seeker_t *, const char *shard, void *arg);
 	/*
 	 * Tells the shard's owner that the store has the job there.
 	 * sched_pool_apply_adopt_result() follows.
@@ -501,7 +501,7 @@
 uint64_t sched_pool_transfer_count(const sched_pool_t *);
 int sched_pool_adopt(sched_pool_t *, const char *id, const sched_job_rows_t *,
     sched_response_cb_t, void *arg);
-bool sched_pool_offer_room(sched_pool_t *, const sched_misfit_t *);
+bool sched_pool_offer_room(sched_pool_t *, const sched_seeker_t *);
 void sched_pool_apply_room_answer(
     sched_pool_t *, const char *id, const char *shard, bool has_offer);
 void sched_pool_apply_adopt_result(
--- a/lib/sched/transfer.c
+++ b/lib/sched/transfer.c
@@ -373,7 +373,7 @@
 {
 	bool waits_for_machine = pool->incoming_machines + pool->standby > 0;
 	bool is_open[SCHED_STEPS_MAX];
-	const sched_misfit_t misfit = {job->id, job->spec, is_open};
+	const sched_seeker_t seeker = {job->id, job->spec, is_open};
 
 	job->fit_check_us = now_us + CHECK_INTERVAL_US;
 	sched_job_find_open_steps(job, is_open);
@@ -386,7 +386,7 @@
 	if (gw_elapsed_us(now_us, job->misfit_since_us) < misfit_min_us(pool) &&
 	    (!job->long_running || waits_for_machine))
 		return;
-	if (pool->ops->find_shard(&misfit, job->move_to, pool->arg))
+	if (pool->ops->find_shard(&seeker, job->move_to, pool->arg))
 		sched_job_mark_dirty(pool, job);
 }
 
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -208,7 +208,7 @@
 
 static bool
 on_find_shard(
-    const sched_misfit_t *misfit, char shard[SCHED_NAME_BYTES], void *arg)
+    const sched_seeker_t *misfit, char shard[SCHED_NAME_BYTES], void *arg)
 {
 	(void)misfit;
 	(void)arg;
@@ -217,7 +217,7 @@
 }
 
 static void
-on_ask_room(const sched_misfit_t *job, const char *shard, void *arg)
+on_ask_room(const sched_seeker_t *job, const char *shard, void *arg)
 {
 	(void)arg;
 	printf(
@@ -543,7 +543,7 @@
 print_offer(const Gw__JobSpec *spec)
 {
 	bool is_open[SCHED_STEPS_MAX];
-	const sched_misfit_t job = {spec->id, spec, is_open};
+	const sched_seeker_t job = {spec->id, spec, is_open};
 
 	memset(is_open, true, sizeof(is_open));
 	printf("%6" PRIu64 " offer %s %s\n", now_ms(), spec->id,
