--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -398,8 +398,15 @@
 	}
 	task->requests_in_flight -= MIN(task->requests_in_flight, 1);
 	if (result == SCHED_RESULT_OK &&
-	    is_from_next_incarnation(task, clock_ms))
+	    is_from_next_incarnation(task, clock_ms)) {
+		gw_log(GW_EV_RUN_REFUSED,
+		    "job=%s task=%u.%u.%u run=%u instance=%s order=start "
+		    "answer=restarted clock_ms=%" PRIu64
+		    " known_clock_ms=%" PRIu64,
+		    ref->job, ref->occurrence, ref->step, ref->index, run, id,
+		    clock_ms, sched_instance_clock_ms(instance, now_us));
 		result = SCHED_RESULT_NO_RESPONSE;
+	}
 	has_response = result != SCHED_RESULT_NO_RESPONSE &&
 	    result != SCHED_RESULT_NOT_SENT;
 	task->starts_settled += result != SCHED_RESULT_NO_RESPONSE;
