--- a/gwentryd/entry.c
+++ b/gwentryd/entry.c
@@ -11,6 +11,7 @@
 #include "inspect.h"
 #include "layout.h"
 #include "owners.h"
+#include "part.h"
 #include "planner.h"
 #include "platform/kv.h"
 #include "previous_owner.h"
@@ -230,6 +231,12 @@
 	transfer_find_records(&((entry_t *)arg)->transfer, shard, id);
 }
 
+static void
+on_tell_part(const char *shard, const sched_part_call_t *call, void *arg)
+{
+	part_tell(&((entry_t *)arg)->transfer, shard, call);
+}
+
 static void
 on_yielded(const Gw__Reply *response, void *arg)
 {
@@ -264,6 +271,7 @@
     .ask_room = on_ask_room,
     .tell_adopt = on_tell_adopt,
     .find_records = on_find_records,
+    .tell_part = on_tell_part,
     .ask_to_yield = ask_to_yield};
 
 /* Callbacks of the view and the layout. */
@@ -409,6 +417,8 @@
 		transfer_handle_adopt(&entry->transfer, call, cb, response_arg);
 	else if (call->kind == GW__CALL_KIND__CALL_ROOM)
 		transfer_handle_room(&entry->transfer, call, cb, response_arg);
+	else if (call->kind == GW__CALL_KIND__CALL_PART)
+		part_handle_call(&entry->transfer, call, cb, response_arg);
 	else
 		owners_handle_call(entry->owners, call,
 		    roles_lease_valid(entry->roles), cb, response_arg);
--- a/gwentryd/inspect_json.c
+++ b/gwentryd/inspect_json.c
@@ -107,6 +107,10 @@
 	set_flag(object, "beyond_share", job->is_beyond_share);
 	set_number(object, "tasks", job->tasks);
 	set_number(object, "done", job->done);
+	if (job->part_of[0] != '\0')
+		set_text(object, "part_of", job->part_of);
+	if (job->away > 0)
+		set_number(object, "away", job->away);
 	set_number(object, "placed", job->placed);
 	set_number(object, "runs", job->run_count);
 	set_number(object, "failures", job->failures);
--- a/gwentryd/owner.c
+++ b/gwentryd/owner.c
@@ -119,6 +119,14 @@
 	owner->ops->find_records(owner->shard, id, owner->arg);
 }
 
+static void
+on_tell_part(const sched_part_call_t *call, void *arg)
+{
+	owner_t *owner = arg;
+
+	owner->ops->tell_part(owner->shard, call, owner->arg);
+}
+
 static const sched_ops_t pool_ops = {.start = on_start,
     .stop = on_stop,
     .renew = on_renew,
@@ -130,7 +138,8 @@
     .find_shard = on_find_shard,
     .ask_room = on_ask_room,
     .tell_adopt = on_tell_adopt,
-    .find_records = on_find_records};
+    .find_records = on_find_records,
+    .tell_part = on_tell_part};
 
 /* Callbacks of the agents: results of requests to instances. */
 
--- a/gwentryd/owner.h
+++ b/gwentryd/owner.h
@@ -50,12 +50,14 @@
 	void (*tell_adopt)(
 	    const char *shard, const char *to, const char *id, void *arg);
 	void (*find_records)(const char *shard, const char *id, void *arg);
+	void (*tell_part)(
+	    const char *shard, const sched_part_call_t *, void *arg);
 	/* Asks the owner of another shard, see quota_ops_t. */
 	void (*ask_to_yield)(const char *shard, const char *team, void *arg);
 } owner_ops_t;
 
 /* Size of the key of a record in the store. */
-#define OWNER_KEY_BYTES (ROLE_KEY_BYTES + SCHED_JOB_ID_BYTES)
+#define OWNER_KEY_BYTES (ROLE_KEY_BYTES + SCHED_ROW_BYTES)
 /* Formats the key of a record of a shard. */
 void owner_record_key(char out[OWNER_KEY_BYTES], const char *shard,
     sched_write_kind_t, const char *id);
--- a/gwentryd/owner_commit.c
+++ b/gwentryd/owner_commit.c
@@ -178,6 +178,8 @@
 	    [SCHED_WRITE_RECORD] = "gw/run/",
 	    [SCHED_WRITE_QUEUE] = HOMES_KEY_PREFIX,
 	    [SCHED_WRITE_TRANSFER] = "gw/transfer/",
+	    [SCHED_WRITE_HANDED] = "gw/part/",
+	    [SCHED_WRITE_OLD_ROW] = "gw/part/",
 	};
 
 	if (kind == SCHED_WRITE_LAPSING)
--- a/gwentryd/owner_impl.h
+++ b/gwentryd/owner_impl.h
@@ -15,6 +15,7 @@
 typedef enum {
 	LOAD_SPECS,	/* jobs as submitted */
 	LOAD_RECORDS,	/* progress of the jobs */
+	LOAD_HANDED,	/* tasks that other shards have handed to this one */
 	LOAD_TRANSFERS, /* jobs that other shards have */
 	LOAD_QUEUES,	/* queues that have jobs */
 	LOAD_SEQUENCE,	/* revision of the sequence key */
--- a/gwentryd/owner_load.c
+++ b/gwentryd/owner_load.c
@@ -19,6 +19,7 @@
 	static const sched_write_kind_t kinds[] = {
 	    [LOAD_SPECS] = SCHED_WRITE_SPEC,
 	    [LOAD_RECORDS] = SCHED_WRITE_RECORD,
+	    [LOAD_HANDED] = SCHED_WRITE_HANDED,
 	    [LOAD_TRANSFERS] = SCHED_WRITE_TRANSFER,
 	    [LOAD_QUEUES] = SCHED_WRITE_QUEUE,
 	    [LOAD_LAPSING] = SCHED_WRITE_LAPSING,
@@ -55,7 +56,10 @@
 	const char *job = item->key + strlen(prefix);
 	int rc = 0;
 
-	if (strlen(job) >= SCHED_JOB_ID_BYTES)
+	if (owner->load_step == LOAD_HANDED)
+		rc = sched_pool_receive(
+		    owner->pool, job, item->value, item->size_bytes);
+	else if (strlen(job) >= SCHED_JOB_ID_BYTES)
 		rc = -1;
 	else if (owner->load_step == LOAD_SEQUENCE)
 		load_sequence(owner, item);
--- a/gwentryd/transfer.c
+++ b/gwentryd/transfer.c
@@ -61,6 +61,7 @@
 	/* sched_pool_transfer_count() when the read began. */
 	uint64_t transfer_count;
 	bool is_call; /* from another owner */
+	bool is_part; /* room is asked for some of the job's tasks */
 	dispatch_response_cb_t cb;
 	void *arg;
 } job_call_t;
@@ -106,6 +107,18 @@
 
 /* Asking another owner for room. */
 
+/*
+ * Returns for how many tasks the answer offers room; 1 means all if it is about
+ * a whole job.
+ */
+static uint32_t
+room_in(const job_call_t *request, const Gw__Reply *response)
+{
+	if (response->outcome != GW__CALL_OUTCOME__CALL_OK)
+		return 0;
+	return request->is_part ? response->tasks : 1;
+}
+
 static void
 on_room_answer(const Gw__Reply *response, void *arg)
 {
@@ -114,8 +127,7 @@
 
 	if (owner != NULL) {
 		sched_pool_apply_room_answer(owner_pool(owner), request->id,
-		    request->to,
-		    response->outcome == GW__CALL_OUTCOME__CALL_OK);
+		    request->to, room_in(request, response));
 		owner_schedule_tick(owner);
 	}
 	request_free(request);
@@ -132,14 +144,18 @@
 	if (request == NULL)
 		return;
 	g_strlcpy(request->to, to, sizeof(request->to));
+	request->is_part = job->is_part;
 	call.kind = GW__CALL_KIND__CALL_ROOM;
+	call.part = job->is_part;
 	call.pool = (char *)to;
 	call.id = (char *)job->id;
 	call.spec = (Gw__JobSpec *)job->spec;
 	call.open_steps = open_steps;
-	for (uint32_t i = 0; i < job->spec->n_steps; i++)
+	for (uint32_t i = 0; !job->is_part && i < job->spec->n_steps; i++)
 		if (job->is_open[i])
 			open_steps[call.n_open_steps++] = i;
+	if (job->is_part)
+		open_steps[call.n_open_steps++] = job->step;
 	dispatch_call(transfer->dispatch, &call, ROOM_TIMEOUT_MS,
 	    on_room_answer, request);
 }
@@ -153,16 +169,22 @@
 {
 	owner_t *owner = owners_find(transfer->owners, call->pool);
 	bool is_open[SCHED_STEPS_MAX] = {false};
-	const sched_seeker_t job = {call->id, call->spec, is_open};
+	const sched_seeker_t job = {.id = call->id,
+	    .spec = call->spec,
+	    .is_open = is_open,
+	    .is_part = call->part,
+	    .step = call->n_open_steps == 0 ? 0 : call->open_steps[0]};
 	Gw__Reply response = GW__REPLY__INIT;
 
 	response.outcome = GW__CALL_OUTCOME__CALL_ABSENT;
 	for (size_t i = 0; i < call->n_open_steps; i++)
 		if (call->open_steps[i] < SCHED_STEPS_MAX)
 			is_open[call->open_steps[i]] = true;
-	if (call->spec != NULL && call->spec->n_steps <= SCHED_STEPS_MAX &&
-	    owner != NULL && !owners_are_closing(transfer->owners) &&
-	    sched_pool_offer_room(owner_pool(owner), &job))
+	if (call->spec != NULL && call->spec->n_steps > 0 &&
+	    call->spec->n_steps <= SCHED_STEPS_MAX && owner != NULL &&
+	    !owners_are_closing(transfer->owners))
+		response.tasks = sched_pool_offer_room(owner_pool(owner), &job);
+	if (response.tasks > 0)
 		response.outcome = GW__CALL_OUTCOME__CALL_OK;
 	cb(&response, arg);
 }
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -145,6 +145,26 @@
 	    sched_record_encode(job, pool->bounds.value_max_bytes));
 }
 
+/*
+ * Adds the row of tasks that are handed to another shard, and removes those of
+ * tasks that the job's record has now.
+ */
+static void
+add_part_rows(sched_batch_t *batch, sched_job_t *job)
+{
+	if (job->hand != NULL) {
+		add_write_to(batch, job->hand->shard, SCHED_WRITE_HANDED,
+		    job->hand->row, g_bytes_ref(job->hand->value));
+		job->hand->in_batch = true;
+	}
+	if (job->received == NULL)
+		return;
+	for (guint i = 0; i < job->received->len; i++)
+		add_write(
+		    batch, SCHED_WRITE_HANDED, job->received->pdata[i], NULL);
+	job->received_in_batch = job->received->len;
+}
+
 /*
  * Adds the acknowledgements and callers that wait for the job's writes.
  */
@@ -185,7 +205,8 @@
 		add_waiting(batch, job);
 		return;
 	}
-	if (!job->spec_recorded && !sched_job_has_ended(job))
+	if ((!job->spec_recorded || job->spec_unwritten) &&
+	    !sched_job_has_ended(job))
 		add_write(batch, SCHED_WRITE_SPEC, job->id,
 		    sched_spec_encode(job->spec));
 	else if (sched_job_has_ended(job) &&
@@ -194,6 +215,7 @@
 	add_queue(pool, batch, job);
 	add_write(batch, SCHED_WRITE_RECORD, job->id,
 	    sched_record_encode(job, pool->bounds.value_max_bytes));
+	add_part_rows(batch, job);
 	collect_starts(batch, job);
 	add_waiting(batch, job);
 }
@@ -230,6 +252,19 @@
 	}
 }
 
+/*
+ * Removes the rows of tasks that came for jobs that are gone.
+ */
+static void
+remove_old_rows(sched_pool_t *pool, sched_batch_t *batch, uint32_t writes_max)
+{
+	while (batch->writes->len < writes_max && pool->old_rows->length > 0) {
+		g_autofree char *row = g_queue_pop_head(pool->old_rows);
+
+		add_write(batch, SCHED_WRITE_OLD_ROW, row, NULL);
+	}
+}
+
 /*
  * Returns whether the next job goes into the batch.
  */
@@ -242,6 +277,7 @@
 	uint32_t needed =
 	    next->move_to[0] == '\0' ? JOB_WRITES_MAX : TRANSFER_WRITES_MAX;
 
+	needed += sched_part_count_writes(next);
 	if (batch->jobs->len == 0)
 		return true;
 	return batch->writes->len + needed <= writes_max &&
@@ -273,6 +309,7 @@
 		add_job(pool, batch, g_queue_pop_head(pool->dirty));
 	remove_unused_queues(pool, batch, writes_max);
 	remove_old_transfers(pool, batch, writes_max);
+	remove_old_rows(pool, batch, writes_max);
 	return batch;
 }
 
@@ -283,7 +320,8 @@
 sched_pool_is_dirty(const sched_pool_t *pool)
 {
 	return pool->dirty->length > 0 || pool->lapsing_is_stale ||
-	    pool->awaits_fence || pool->old_transfers->length > 0;
+	    pool->awaits_fence || pool->old_transfers->length > 0 ||
+	    pool->old_rows->length > 0;
 }
 
 /*
@@ -395,6 +433,7 @@
 		job->recorded = job->batch_state;
 		job->spec_recorded = true;
 		sched_job_clear_key(job);
+		sched_part_recorded(pool, job);
 		if (job->expired)
 			g_hash_table_remove(pool->jobs, job->id);
 		else if (job->move_to[0] != '\0')
@@ -422,6 +461,7 @@
 	    is_last ? batch->waiters->len : entry[1].first_waiter;
 
 	entry->job->in_batch = false;
+	sched_part_not_recorded(entry->job);
 	for (guint k = entry->first_ack; k < ack_end; k++)
 		g_array_append_val(entry->job->acks,
 		    g_array_index(batch->acks, sched_ack_t, k));
@@ -444,6 +484,8 @@
 			sched_queue_undo_write(pool, write);
 		if (write->kind == SCHED_WRITE_TRANSFER)
 			sched_transfer_undo_write(pool, write);
+		if (write->kind == SCHED_WRITE_OLD_ROW)
+			g_queue_push_tail(pool->old_rows, g_strdup(write->id));
 	}
 }
 
--- a/lib/sched/caller.c
+++ b/lib/sched/caller.c
@@ -73,6 +73,15 @@
     .retry_after_ms = SCHED_REFUSED_RETRY_AFTER_MS,
     .reason = "job-id-in-use"};
 
+/*
+ * The reply while the shard still has a part of a job with this id that is
+ * gone.
+ */
+static const sched_response_t part_ends = {
+    .outcome = GW__CALL_OUTCOME__CALL_REFUSED,
+    .retry_after_ms = OUTDATED_RETRY_AFTER_MS,
+    .reason = "job-moving"};
+
 static void
 set_estimate(
     const sched_pool_t *pool, sched_job_t *job, const sched_verdict_t *verdict)
@@ -97,7 +106,7 @@
 	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 	sched_response_t refused = {
 	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED, .reason = "overload"};
-	sched_job_t *job = g_hash_table_lookup(pool->jobs, spec->id);
+	sched_job_t *job = sched_pool_find_job(pool, spec->id);
 	bool is_beyond_share;
 	bool is_accepted;
 	sched_verdict_t verdict;
@@ -114,6 +123,10 @@
 		cb(&ok, arg);
 		return;
 	}
+	if (sched_pool_holds_part(pool, spec->id)) {
+		cb(&part_ends, arg);
+		return;
+	}
 	is_beyond_share = sched_share_is_beyond(
 	    pool, spec->team, spec->id, gw_clock_now_us(pool->clock));
 	is_accepted = sched_admit(pool, spec, is_beyond_share, &verdict);
@@ -161,7 +174,7 @@
 bool
 sched_pool_has_job(const sched_pool_t *pool, const char *id)
 {
-	return g_hash_table_contains(pool->jobs, id) ||
+	return sched_pool_find_job(pool, id) != NULL ||
 	    g_hash_table_contains(pool->transfers, id);
 }
 
@@ -205,7 +218,7 @@
 	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 	const sched_response_t absent = {
 	    .outcome = GW__CALL_OUTCOME__CALL_ABSENT, .reason = "no-such-job"};
-	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
+	sched_job_t *job = sched_pool_find_job(pool, id);
 
 	if (job != NULL)
 		accept_again(pool, job, cb, arg);
@@ -226,7 +239,7 @@
 find_job(
     const sched_pool_t *pool, const sched_queue_ref_t *queue, const char *id)
 {
-	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
+	sched_job_t *job = sched_pool_find_job(pool, id);
 
 	return job != NULL && is_of_queue(job, queue) &&
 		sched_team_may_see(job, queue->team)
@@ -307,6 +320,10 @@
 		cb(&absent, arg);
 		return;
 	}
+	if (job == NULL && sched_pool_holds_part(pool, id)) {
+		cb(&moving, arg);
+		return;
+	}
 	if (job == NULL)
 		job = sched_job_new(pool, id);
 	if (job->queue == NULL || job->cancelled_first) {
--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -253,8 +253,11 @@
 	return suspects;
 }
 
-static bool
-has_crashed_too_many(const sched_task_t *task)
+/*
+ * Returns whether the task has crashed too many instances.
+ */
+bool
+sched_crash_is_hopeless(const sched_task_t *task)
 {
 	return task->crashes >= CRASHES_MAX ||
 	    (task->crashes >= CRASHES_PROVEN &&
@@ -262,7 +265,8 @@
 }
 
 /*
- * Fails the jobs of the tasks that have crashed too many instances.
+ * Fails the jobs of the tasks that have crashed too many instances. Of a job
+ * that another shard has, that one does so, once it has the task again.
  */
 void
 sched_crash_give_up(sched_pool_t *pool, const GPtrArray *suspects)
@@ -270,9 +274,13 @@
 	for (guint i = 0; i < suspects->len; i++) {
 		const sched_task_t *task = suspects->pdata[i];
 
-		if (!has_crashed_too_many(task) ||
+		if (!sched_crash_is_hopeless(task) ||
 		    sched_job_has_ended(task->job))
 			continue;
+		if (sched_job_is_part(task->job)) {
+			task->job->has_hopeless = true;
+			continue;
+		}
 		gw_log(GW_EV_TASK_GIVEN_UP,
 		    "job=%s task=%u.%u.%u run=%u crashes=%u alone=%u",
 		    task->job->id, task->occurrence, task->step, task->index,
@@ -281,6 +289,29 @@
 	}
 }
 
+static void
+add_tasks(GPtrArray *tasks, const sched_job_t *job)
+{
+	for (guint k = 0; k < job->occurrences->len; k++) {
+		sched_occurrence_t *occurrence = job->occurrences->pdata[k];
+
+		for (uint32_t n = 0; n < occurrence->task_count; n++)
+			g_ptr_array_add(tasks, &occurrence->tasks[n]);
+	}
+}
+
+/*
+ * The same for all tasks of the job, whose crashes another owner has counted.
+ */
+void
+sched_crash_give_up_job(sched_pool_t *pool, const sched_job_t *job)
+{
+	g_autoptr(GPtrArray) suspects = g_ptr_array_new();
+
+	add_tasks(suspects, job);
+	sched_crash_give_up(pool, suspects);
+}
+
 /*
  * The same for all tasks of the pool, after their records have been loaded: the
  * last crash may have been counted then.
@@ -290,17 +321,7 @@
 {
 	g_autoptr(GPtrArray) suspects = g_ptr_array_new();
 
-	for (guint i = 0; i < pool->open->len; i++) {
-		const sched_job_t *job = pool->open->pdata[i];
-
-		for (guint k = 0; k < job->occurrences->len; k++) {
-			sched_occurrence_t *occurrence =
-			    job->occurrences->pdata[k];
-
-			for (uint32_t n = 0; n < occurrence->task_count; n++)
-				g_ptr_array_add(
-				    suspects, &occurrence->tasks[n]);
-		}
-	}
+	for (guint i = 0; i < pool->open->len; i++)
+		add_tasks(suspects, pool->open->pdata[i]);
 	sched_crash_give_up(pool, suspects);
 }
--- a/lib/sched/describe.c
+++ b/lib/sched/describe.c
@@ -201,6 +201,10 @@
 		view->done++;
 		return;
 	}
+	if (task->state == SCHED_TASK_AWAY) {
+		view->away++;
+		return;
+	}
 	finding = is_same_wait(last, task, now_us)
 	    ? last->finding
 	    : sched_wait_find_reason(pool, task, now_us);
@@ -237,6 +241,7 @@
 	    .state = state_name(job),
 	    .is_recorded = job->spec_recorded,
 	    .rank = "",
+	    .part_of = job->part_of,
 	    .is_beyond_share = job->key_in_order.is_beyond_share,
 	    .age_ms = gw_elapsed_us(now_us, job->accepted_us) / GW_US_PER_MS,
 	    .instances = g_hash_table_size(pool->instances),
--- a/lib/sched/describe.h
+++ b/lib/sched/describe.h
@@ -58,12 +58,14 @@
 	char team[SCHED_NAME_BYTES]; /* empty: none */
 	const char *state;	     /* as callers see it */
 	bool is_recorded;	     /* the job is in the store */
-	uint64_t age_ms;	     /* since its first submission */
+	const char *part_of; /* the shard that has the job; empty: this one */
+	uint64_t age_ms;     /* since its first submission */
 	uint64_t objective_ms;
 	const char *rank; /* class in the order of placement; empty: ended */
 	bool is_beyond_share;
 	uint32_t tasks; /* of the occurrences that are open */
 	uint32_t done;	/* of these */
+	uint32_t away;	/* of these: another shard has them */
 	uint32_t placed;
 	uint32_t run_count; /* of these tasks, up to now */
 	uint32_t failures;
--- a/lib/sched/evacuate.c
+++ b/lib/sched/evacuate.c
@@ -34,30 +34,49 @@
 	    task->percent == AVAILABLE_PERCENT;
 }
 
+/*
+ * Returns how many tasks of the step that this shard has are unavailable, apart
+ * from one.
+ */
+uint32_t
+sched_evacuate_unavailable(const sched_job_t *job,
+    const sched_occurrence_t *occurrence, uint32_t step,
+    const sched_task_t *except, uint64_t now_us)
+{
+	uint32_t first = occurrence->steps[step].first_task, unavailable = 0;
+
+	for (uint32_t i = 0; i < job->spec->steps[step]->count; i++) {
+		const sched_task_t *task = &occurrence->tasks[first + i];
+
+		unavailable += task != except &&
+		    task->state != SCHED_TASK_AWAY &&
+		    !is_available(task, now_us);
+	}
+	return unavailable;
+}
+
 /*
  * Returns whether a long-running task may be made unavailable: fewer than
  * max_unavailable of the other tasks of its step are unavailable. The task
  * itself counts as available, since it may have become so after the last
- * report.
+ * report. If the job has parts, the shard that has the job decides for all.
  */
 static bool
-may_become_unavailable(const sched_task_t *task, uint64_t now_us)
+may_become_unavailable(sched_task_t *task, uint64_t now_us)
 {
 	const Gw__JobStep *step = sched_task_step_spec(task);
 	const sched_occurrence_t *occurrence =
 	    sched_job_find_occurrence(task->job, task->occurrence);
-	uint32_t unavailable = 0;
 
 	if (!step->limits_unavailable)
 		return true;
-	for (uint32_t i = 0; i < step->count; i++) {
-		const sched_task_t *other =
-		    &occurrence
-			 ->tasks[occurrence->steps[task->step].first_task + i];
-
-		unavailable += other != task && !is_available(other, now_us);
-	}
-	return unavailable < step->max_unavailable;
+	if (sched_job_is_part(task->job))
+		return sched_part_steps_take(task, now_us);
+	return sched_evacuate_unavailable(
+		   task->job, occurrence, task->step, task, now_us) +
+	    sched_part_steps_unavailable(
+		task->job, occurrence, task->step, now_us) <
+	    step->max_unavailable;
 }
 
 /*
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -77,6 +77,8 @@
 
 /* record.c */
 GBytes *sched_record_encode(const sched_job_t *, uint64_t max_bytes);
+GBytes *sched_record_encode_handed(
+    const sched_job_t *, const char *part_of, uint64_t max_bytes);
 int sched_record_apply(sched_pool_t *, sched_job_t *, const Gw__JobRecord *);
 
 /* instance.c */
@@ -163,6 +165,44 @@
 void sched_transfer_undo_write(sched_pool_t *, const sched_write_t *);
 void sched_transfer_tick(sched_pool_t *, uint64_t now_us);
 
+/* part.c */
+bool sched_job_is_part(const sched_job_t *);
+bool sched_job_is_split(const sched_job_t *);
+sched_job_t *sched_pool_find_job(const sched_pool_t *, const char *id);
+bool sched_pool_holds_part(const sched_pool_t *, const char *id);
+void sched_part_load(sched_pool_t *, sched_job_t *, const Gw__JobRecord *);
+void sched_part_free(sched_job_t *);
+void sched_part_forget_peers(sched_pool_t *, sched_job_t *);
+bool sched_part_may_go(
+    const sched_pool_t *, const sched_job_t *, uint64_t now_us);
+void sched_part_ask(
+    sched_pool_t *, const sched_job_t *, const char *shard, uint64_t now_us);
+void sched_part_apply_offer(
+    sched_pool_t *, sched_job_t *, const char *shard, uint32_t tasks);
+uint32_t sched_part_count_writes(const sched_job_t *);
+void sched_part_recorded(sched_pool_t *, sched_job_t *);
+void sched_part_not_recorded(sched_job_t *);
+void sched_part_job_ended(sched_pool_t *, sched_job_t *);
+sched_peer_t *sched_part_find_peer(const sched_job_t *, const char *shard);
+void sched_part_tell(sched_pool_t *, sched_job_t *, const char *shard);
+void sched_part_return_hopeless(sched_pool_t *, sched_job_t *, uint64_t now_us);
+
+/* part_call.c */
+void sched_part_tick(sched_pool_t *, uint64_t now_us);
+
+/* part_steps.c */
+void sched_part_steps_report(
+    sched_peer_t *, const GArray *steps, uint64_t now_us);
+GArray *sched_part_steps_new(const sched_job_t *, uint64_t now_us);
+bool sched_part_steps_have_leaving(const GArray *steps);
+void sched_part_steps_grant(
+    const sched_job_t *, sched_peer_t *, GArray *may_stop, uint64_t now_us);
+void sched_part_steps_allow(
+    sched_job_t *, const GArray *may_stop, uint64_t sent_us, uint64_t now_us);
+bool sched_part_steps_take(sched_task_t *, uint64_t now_us);
+uint32_t sched_part_steps_unavailable(const sched_job_t *,
+    const sched_occurrence_t *, uint32_t step, uint64_t now_us);
+
 /* overflow.c */
 bool sched_overflow_holds(sched_pool_t *, sched_job_t *, uint64_t now_us);
 void sched_overflow_tick(sched_pool_t *, uint64_t now_us);
@@ -242,7 +282,9 @@
 void sched_crash_count(sched_task_t *, const char *instance, bool is_certain);
 GPtrArray *sched_crash_count_runs(
     sched_instance_t *, const GPtrArray *tasks, sched_loss_t);
+bool sched_crash_is_hopeless(const sched_task_t *);
 void sched_crash_give_up(sched_pool_t *, const GPtrArray *suspects);
+void sched_crash_give_up_job(sched_pool_t *, const sched_job_t *);
 void sched_crash_give_up_loaded(sched_pool_t *);
 
 /* wait_name.c */
@@ -255,6 +297,9 @@
 void sched_wait_tick(sched_pool_t *, uint64_t now_us);
 
 /* evacuate.c */
+uint32_t sched_evacuate_unavailable(const sched_job_t *,
+    const sched_occurrence_t *, uint32_t step, const sched_task_t *except,
+    uint64_t now_us);
 void sched_evacuate(sched_instance_t *, uint64_t now_us);
 
 /* refusal.c */
--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -88,6 +88,7 @@
 	g_array_free(job->waiters, TRUE);
 	sched_team_job_removed(job);
 	sched_job_clear_key(job);
+	sched_part_free(job);
 	g_free(job->queue);
 	g_free(job);
 }
@@ -196,7 +197,8 @@
 
 /*
  * Creates the occurrences that are due at wall_ms, and others later if they are
- * many. A job without a schedule has one occurrence, which is due at once.
+ * many. A job without a schedule has one occurrence, which is due at once. A
+ * part of a job has those of which it was given tasks.
  */
 void
 sched_job_open_occurrences(
@@ -207,6 +209,8 @@
 	const Gw__JobSpec *spec = job->spec;
 	uint32_t total = MAX(spec->repeats, 1);
 
+	if (sched_job_is_part(job))
+		return;
 	while (job->next_occurrence < total) {
 		uint64_t due_ms = spec->repeats == 0 ? 0
 						     : spec->first_due_wall_ms +
@@ -406,6 +410,7 @@
 	g_queue_push_tail(pool->ended, job);
 	g_ptr_array_add(pool->cleanup, job);
 	stop_tasks(job);
+	sched_part_job_ended(pool, job);
 	sched_aside_end(pool, job);
 	sched_job_mark_dirty(pool, job);
 	if (state == GW__JOB_STATE__JOB_COMPLETED)
--- a/lib/sched/overflow.c
+++ b/lib/sched/overflow.c
@@ -8,7 +8,8 @@
 /*
  * Jobs that this shard's instances could run, but that find them full while
  * those of another shard have room. Such a job goes where the room is, unless
- * one of its tasks is placed here. (A job that they could not run even if they
+ * one of its tasks is placed here; then those of its tasks go that last and
+ * wait (part.c). (A job that they could not run even if they
  * were empty is transferred by the registry alone; see transfer.c.)
  *
  * The owner asks those of the other shards in turn, for one job at a time. One
@@ -22,6 +23,7 @@
 #define BLOCKED_MIN_US GW_US_PER_S
 /* Least time between two questions, and between two rounds for one job. */
 #define ASK_INTERVAL_US (100 * GW_US_PER_MS)
+#define ASK_LASTING_INTERVAL_US (20 * GW_US_PER_MS)
 #define ASK_AGAIN_US (500 * GW_US_PER_MS)
 /* How long an offer holds; a transfer takes less. */
 #define OFFER_US GW_US_PER_S
@@ -79,7 +81,58 @@
 }
 
 /*
- * Returns whether room is offered to a job that has not used it yet.
+ * Returns how many tasks of the step of the job are placed on the instance.
+ */
+static uint32_t
+count_placed(const sched_instance_t *instance, const sched_seeker_t *job)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < instance->tasks->len; i++) {
+		const sched_task_t *task = instance->tasks->pdata[i];
+
+		count += task->step == job->step &&
+		    strcmp(task->job->id, job->id) == 0;
+	}
+	return count;
+}
+
+/*
+ * Returns for how many of the tasks that wait in another shard the instances
+ * have room now, beside those that this one was given before.
+ */
+static uint32_t
+count_room(const sched_pool_t *pool, const sched_seeker_t *job, uint64_t now_us)
+{
+	Gw__JobStep *step = job->spec->steps[0];
+	uint32_t apart = step->max_per_instance;
+	sched_room_t *room = sched_room_new(job->spec);
+	sched_instance_t *instance;
+	GHashTableIter iter;
+	uint64_t count;
+
+	g_hash_table_iter_init(&iter, pool->instances);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&instance)) {
+		sched_instance_info_t info = instance->info;
+		uint32_t placed = apart == 0 ? 0 : count_placed(instance, job);
+
+		if (!sched_instance_is_usable(instance, now_us) ||
+		    instance->withheld_round == pool->round ||
+		    (apart > 0 && placed >= apart))
+			continue;
+		step->max_per_instance = apart - placed;
+		info.capacity = left_on(instance);
+		sched_room_add(room, &info);
+	}
+	step->max_per_instance = apart;
+	count = MIN(sched_room_count(room, 0), step->count);
+	sched_room_free(room);
+	return step->gang && count < step->count ? 0 : (uint32_t)count;
+}
+
+/*
+ * Returns whether room is offered to a job that has not used it yet. An offer
+ * to a part ends when its tasks have come.
  */
 static bool
 is_offer_open(const sched_pool_t *pool, uint64_t now_us)
@@ -88,25 +141,33 @@
 	    g_hash_table_lookup(pool->jobs, pool->offered_to);
 
 	return now_us < pool->offer_until_us &&
-	    (job == NULL || (job->placed == 0 && !sched_job_has_ended(job)));
+	    (job == NULL || sched_job_is_part(job) ||
+		(job->placed == 0 && !sched_job_has_ended(job)));
 }
 
 /*
- * Answers another shard's owner whether this shard has room for its job.
+ * Answers another shard's owner for how many tasks of its job this shard has
+ * room.
  */
-bool
+uint32_t
 sched_pool_offer_room(sched_pool_t *pool, const sched_seeker_t *job)
 {
 	uint64_t now_us = gw_clock_now_us(pool->clock);
+	uint32_t tasks;
 
 	if (!pool->loaded || now_us >= pool->ops->lease_until_us(pool->arg) ||
 	    (is_offer_open(pool, now_us) &&
-		strcmp(pool->offered_to, job->id) != 0) ||
-	    !has_room(pool, job->spec, job->is_open, now_us))
-		return false;
+		strcmp(pool->offered_to, job->id) != 0))
+		return 0;
+	if (job->is_part)
+		tasks = count_room(pool, job, now_us);
+	else
+		tasks = has_room(pool, job->spec, job->is_open, now_us);
+	if (tasks == 0)
+		return 0;
 	g_strlcpy(pool->offered_to, job->id, sizeof(pool->offered_to));
 	pool->offer_until_us = now_us + OFFER_US;
-	return true;
+	return tasks;
 }
 
 /*
@@ -116,18 +177,20 @@
 static bool
 may_go(const sched_job_t *job, uint64_t now_us)
 {
-	return job->placed == 0 && now_us >= job->late_until_us &&
-	    job->spec_recorded && !job->in_batch && job->move_to[0] == '\0' &&
+	return job->placed == 0 && !sched_job_is_split(job) &&
+	    now_us >= job->late_until_us && job->spec_recorded &&
+	    !job->in_batch && job->move_to[0] == '\0' &&
 	    job->aside_until_us == 0 && !sched_job_has_ended(job);
 }
 
 static bool
-seeks_room(const sched_job_t *job, uint64_t now_us)
+seeks_room(const sched_pool_t *pool, const sched_job_t *job, uint64_t now_us)
 {
 	uint64_t min_us = job->held_since_us != 0 ? 0 : BLOCKED_MIN_US;
 
-	return may_go(job, now_us) && job->blocked_since_us != 0 &&
-	    job->misfit_since_us == 0 &&
+	return job->blocked_since_us != 0 &&
+	    (sched_part_may_go(pool, job, now_us) ||
+		(may_go(job, now_us) && job->misfit_since_us == 0)) &&
 	    gw_elapsed_us(now_us, job->blocked_since_us) >= min_us &&
 	    now_us >= job->room_ask_us;
 }
@@ -143,7 +206,7 @@
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
 
-		if (seeks_room(job, now_us) &&
+		if (seeks_room(pool, job, now_us) &&
 		    (first == NULL ||
 			job->blocked_since_us < first->blocked_since_us))
 			first = job;
@@ -159,7 +222,8 @@
 {
 	uint32_t others = pool->shard_count - 1;
 	bool is_open[SCHED_STEPS_MAX];
-	const sched_seeker_t seeker = {job->id, job->spec, is_open};
+	const sched_seeker_t seeker = {
+	    .id = job->id, .spec = job->spec, .is_open = is_open};
 	char shard[SCHED_NAME_BYTES], name[SCHED_NAME_BYTES];
 	uint32_t number = (pool->shard_number + 1 + job->room_asked % others) %
 	    pool->shard_count;
@@ -169,9 +233,14 @@
 	(void)shard_parse_name(pool->name, name);
 	shard_format_name(name, number, pool->shard_count, shard);
 	sched_job_find_open_steps(job, is_open);
-	pool->room_ask_us = now_us + ASK_INTERVAL_US;
+	pool->room_ask_us = now_us +
+	    (job->long_running ? ASK_LASTING_INTERVAL_US : ASK_INTERVAL_US);
 	pool->is_asking_room = true;
-	pool->ops->ask_room(&seeker, shard, pool->arg);
+	pool->is_asking_part = sched_part_may_go(pool, job, now_us);
+	if (pool->is_asking_part)
+		sched_part_ask(pool, job, shard, now_us);
+	else
+		pool->ops->ask_room(&seeker, shard, pool->arg);
 }
 
 /*
@@ -180,7 +249,7 @@
  */
 void
 sched_pool_apply_room_answer(
-    sched_pool_t *pool, const char *id, const char *shard, bool has_offer)
+    sched_pool_t *pool, const char *id, const char *shard, uint32_t tasks)
 {
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
 	uint32_t home = shard_of_id(id, pool->shard_count);
@@ -190,8 +259,10 @@
 	pool->is_asking_room = false;
 	if (job != NULL)
 		job->room_answered++;
-	if (!has_offer || job == NULL || !may_go(job, now_us) ||
-	    job->blocked_since_us == 0)
+	if (tasks > 0 && job != NULL && pool->is_asking_part)
+		sched_part_apply_offer(pool, job, shard, tasks);
+	if (tasks == 0 || job == NULL || pool->is_asking_part ||
+	    !may_go(job, now_us) || job->blocked_since_us == 0)
 		return;
 	g_strlcpy(job->move_to, shard, sizeof(job->move_to));
 	if (home != pool->shard_number) {
--- a/lib/sched/pool.c
+++ b/lib/sched/pool.c
@@ -41,6 +41,8 @@
 	pool->transfers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	pool->old_transfers = g_queue_new();
+	pool->split = g_ptr_array_new();
+	pool->old_rows = g_queue_new();
 	pool->handed_ends = sched_ended_runs_new();
 	pool->lapsing =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -98,6 +100,8 @@
 	g_hash_table_destroy(pool->kinds);
 	g_hash_table_destroy(pool->transfers);
 	g_queue_free_full(pool->old_transfers, g_free);
+	g_queue_free_full(pool->old_rows, g_free);
+	g_ptr_array_free(pool->split, TRUE);
 	sched_refusals_free(pool->refusals);
 	g_ptr_array_free(pool->open, TRUE);
 	g_ptr_array_free(pool->cleanup, TRUE);
@@ -166,6 +170,7 @@
 		sched_job_set_team(pool, job, record->team);
 	}
 	job->state = job->recorded = record->state;
+	sched_part_load(pool, job, record);
 	if (sched_job_has_ended(job))
 		load_ended(pool, job, record);
 	else
@@ -277,6 +282,11 @@
 		    job->spec != NULL)
 			return;
 		g_queue_pop_head(pool->ended);
+		if (sched_job_is_part(job))
+			sched_part_forget_peers(pool, job);
+		job->is_overdue_expiry = sched_job_is_split(job);
+		if (job->is_overdue_expiry)
+			continue; /* until its peers have been told */
 		job->expired = true;
 		sched_job_mark_dirty(pool, job);
 	}
@@ -314,6 +324,7 @@
 	sched_lapse_tick(pool, now_us);
 	sched_send_starts(pool, now_us);
 	sched_transfer_tick(pool, now_us);
+	sched_part_tick(pool, now_us);
 	sched_place_round(pool, now_us);
 	sched_overflow_tick(pool, now_us);
 	sched_wait_tick(pool, now_us);
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -8,6 +8,8 @@
 	GPtrArray *hosts;  /* Gw__HostRecord */
 	GHashTable *index; /* instance -> index in hosts + 1 */
 	bool with_checkpoints;
+	bool handed_only; /* all other tasks that are not done are away */
+	const char *part_of;
 } encoding_t;
 
 static uint32_t
@@ -38,7 +40,10 @@
 	record->crashes = task->crashes;
 	record->crashes_alone = task->crashes_alone;
 	record->crashes_adopted = task->crashes_adopted;
-	if (task->state == SCHED_TASK_DONE) {
+	if (encoding->handed_only ? !task->is_handed
+				  : task->state == SCHED_TASK_AWAY)
+		record->away = task->state != SCHED_TASK_DONE;
+	if (task->state == SCHED_TASK_DONE || record->away) {
 		record->state = GW__TASK_STATE__TASK_DONE;
 		return;
 	}
@@ -78,22 +83,43 @@
 	g_free(record);
 }
 
+/*
+ * Sets what the record says of other shards. The names belong to the job.
+ */
+static void
+encode_shards(
+    Gw__JobRecord *record, const sched_job_t *job, const encoding_t *encoding)
+{
+	record->part_of = (char *)encoding->part_of;
+	if (encoding->handed_only)
+		return;
+	record->handed = job->hand_count;
+	if (job->peers == NULL || sched_job_is_part(job))
+		return;
+	record->parts = g_new(char *, job->peers->len);
+	for (guint i = 0; i < job->peers->len; i++)
+		record->parts[record->n_parts++] =
+		    ((sched_peer_t *)job->peers->pdata[i])->shard;
+}
+
 static GBytes *
-encode(const sched_job_t *job, bool with_checkpoints)
+encode(const sched_job_t *job, encoding_t encoding)
 {
 	g_autoptr(GPtrArray) occurrences =
 	    g_ptr_array_new_with_free_func(occurrence_record_free);
-	encoding_t encoding = {g_ptr_array_new_with_free_func(g_free),
-	    g_hash_table_new(NULL, NULL), with_checkpoints};
 	Gw__JobRecord record = GW__JOB_RECORD__INIT;
 	uint8_t *data;
 	size_t size_bytes;
 
+	encoding.hosts = g_ptr_array_new_with_free_func(g_free);
+	encoding.index = g_hash_table_new(NULL, NULL);
+
 	record.state = job->state;
 	record.queue = job->queue;
 	record.queue_key = (char *)job->queue_key;
 	record.finished_wall_ms = job->finished_wall_ms;
 	record.cancelled_first = job->cancelled_first;
+	encode_shards(&record, job, &encoding);
 	if (job->team != NULL)
 		record.team = job->team->config.name;
 	record.first_open = job->next_occurrence;
@@ -108,29 +134,54 @@
 	size_bytes = gw__job_record__get_packed_size(&record);
 	data = g_malloc(size_bytes);
 	gw__job_record__pack(&record, data);
+	g_free(record.parts);
 	g_ptr_array_free(encoding.hosts, TRUE);
 	g_hash_table_destroy(encoding.index);
 	return g_bytes_new_take(data, size_bytes);
 }
 
 /*
- * Returns the job's progress in the encoding of the store. The tasks of an
- * ended job are left out: a later owner stops any runs of it that instances
- * report. So are checkpoints, whose length instances choose, if the record
- * would exceed max_bytes with them: a later owner starts those tasks from
- * scratch.
+ * Leaves out checkpoints, whose length instances choose, if the record would
+ * exceed max_bytes with them: a later owner starts those tasks from scratch.
  */
-GBytes *
-sched_record_encode(const sched_job_t *job, uint64_t max_bytes)
+static GBytes *
+encode_bounded(const sched_job_t *job, encoding_t encoding, uint64_t max_bytes)
 {
-	GBytes *value = encode(job, true);
+	GBytes *value;
 
+	encoding.with_checkpoints = true;
+	value = encode(job, encoding);
 	if (g_bytes_get_size(value) <= max_bytes)
 		return value;
 	gw_log(GW_EV_RECORD_SHORTENED, "job=%s bytes=%zu max_bytes=%" PRIu64,
 	    job->id, g_bytes_get_size(value), max_bytes);
 	g_bytes_unref(value);
-	return encode(job, false);
+	encoding.with_checkpoints = false;
+	return encode(job, encoding);
+}
+
+/*
+ * Returns the job's progress in the encoding of the store. The tasks of an
+ * ended job are left out: a later owner stops any runs of it that instances
+ * report.
+ */
+GBytes *
+sched_record_encode(const sched_job_t *job, uint64_t max_bytes)
+{
+	return encode_bounded(
+	    job, (encoding_t){.part_of = job->part_of}, max_bytes);
+}
+
+/*
+ * Returns the record of the tasks that are being handed over, for the shard
+ * that gets them. It has a part of the job that part_of has; empty: the job.
+ */
+GBytes *
+sched_record_encode_handed(
+    const sched_job_t *job, const char *part_of, uint64_t max_bytes)
+{
+	return encode_bounded(job,
+	    (encoding_t){.handed_only = true, .part_of = part_of}, max_bytes);
 }
 
 /*
@@ -186,7 +237,10 @@
 	task->job->started |= from->run > 0;
 	if (from->checkpoint[0] != '\0')
 		task->checkpoint = g_strdup(from->checkpoint);
-	if (from->state == GW__TASK_STATE__TASK_DONE) {
+	if (from->away) {
+		task->state = SCHED_TASK_AWAY;
+		step->waiting--;
+	} else if (from->state == GW__TASK_STATE__TASK_DONE) {
 		task->state = SCHED_TASK_DONE;
 		step->waiting--;
 		step->open--;
--- a/lib/sched/room.c
+++ b/lib/sched/room.c
@@ -85,6 +85,12 @@
 	return true;
 }
 
+uint64_t
+sched_room_count(const sched_room_t *room, uint32_t step)
+{
+	return room->tasks[step];
+}
+
 bool
 sched_room_choose_shard(sched_room_t *const *rooms, uint32_t count,
     uint32_t present, uint32_t home, const bool *is_open, uint32_t *shard)
--- a/lib/sched/room.h
+++ b/lib/sched/room.h
@@ -20,6 +20,8 @@
  * each step; NULL: all are.
  */
 bool sched_room_suffices(const sched_room_t *, const bool *is_open);
+/* Returns how many tasks of the step the instances can run at a time. */
+uint64_t sched_room_count(const sched_room_t *, uint32_t step);
 /*
  * Chooses the shard to which a job is transferred that its shard cannot run,
  * from the room of each shard. A job away from its home shard goes back there
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -28,6 +28,10 @@
  * checkpoint.
  */
 #define SCHED_TASK_RECORD_BYTES 100
+/* Size of the name of a row with tasks that are handed over. */
+#define SCHED_ROW_BYTES 48
+/* What such a row takes beside the specification and the record. */
+#define SCHED_ROW_OVERHEAD_BYTES 64
 /* Most steps in a job; a job with more is refused. */
 #define SCHED_STEPS_MAX 64
 
@@ -197,18 +201,20 @@
 typedef void (*sched_response_cb_t)(const sched_response_t *, void *arg);
 
 typedef enum {
-	SCHED_WRITE_SPEC,    /* a job as submitted */
-	SCHED_WRITE_RECORD,  /* its progress */
-	SCHED_WRITE_QUEUE,   /* that the pool has jobs of a queue */
-	SCHED_WRITE_LAPSING, /* the instances whose leases lapse; one value */
-	SCHED_WRITE_TRANSFER /* which shard has a job; see transfer.c */
+	SCHED_WRITE_SPEC,     /* a job as submitted */
+	SCHED_WRITE_RECORD,   /* its progress */
+	SCHED_WRITE_QUEUE,    /* that the pool has jobs of a queue */
+	SCHED_WRITE_LAPSING,  /* the instances whose leases lapse; one value */
+	SCHED_WRITE_TRANSFER, /* which shard has a job; see transfer.c */
+	SCHED_WRITE_HANDED,   /* tasks that are handed over; see part.c */
+	SCHED_WRITE_OLD_ROW   /* the same, of a job that is gone */
 } sched_write_kind_t;
 
 /* A record to write to the store or to remove from it. */
 typedef struct {
 	sched_write_kind_t kind;
-	/* Of the job, or the queue's key; empty: not needed. */
-	char id[SCHED_JOB_ID_BYTES];
+	/* Of the job, the queue's key or the row's name; empty: not needed. */
+	char id[SCHED_ROW_BYTES];
 	GBytes *value;		      /* NULL: remove the record */
 	char shard[SCHED_NAME_BYTES]; /* of the record; empty: this one */
 } sched_write_t;
@@ -224,8 +230,35 @@
 	const char *id;
 	const Gw__JobSpec *spec;
 	const bool *is_open; /* for each step: it has tasks that are not done */
+	/*
+	 * Any number of the tasks is looked for, and spec has the one step with
+	 * this number, and as many of its tasks as wait.
+	 */
+	bool is_part;
+	uint32_t step;
 } sched_seeker_t;
 
+/*
+ * The tasks of one step that a shard with a part of the job has. In an answer,
+ * unavailable is how many more it may stop on purpose.
+ */
+typedef struct {
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t tasks;
+	uint32_t unavailable; /* of these, not at work */
+	uint32_t leaving;     /* of the others, to be stopped on purpose */
+} sched_part_step_t;
+
+/* A call to the owner of another shard about a job. Valid during the call. */
+typedef struct {
+	const char *shard; /* that is called */
+	const char *id;
+	bool is_ended;	     /* the job has ended */
+	bool is_part;	     /* from a part: is the job open? */
+	const GArray *steps; /* of the part (sched_part_step_t), or NULL */
+} sched_part_call_t;
+
 typedef struct {
 	void (*start)(const sched_start_t *, void *arg);
 	void (*stop)(const char *instance, const char *address,
@@ -273,6 +306,12 @@
 	 * sched_pool_forget_transfer() if there are none.
 	 */
 	void (*find_records)(const char *id, void *arg);
+	/*
+	 * Tells the shard's owner that tasks of the job may have been handed to
+	 * it, or that the job has ended; or asks, on behalf of a part, whether
+	 * it is open. sched_pool_apply_part_result() follows.
+	 */
+	void (*tell_part)(const sched_part_call_t *, void *arg);
 } sched_ops_t;
 
 /*
@@ -501,12 +540,38 @@
 uint64_t sched_pool_transfer_count(const sched_pool_t *);
 int sched_pool_adopt(sched_pool_t *, const char *id, const sched_job_rows_t *,
     sched_response_cb_t, void *arg);
-bool sched_pool_offer_room(sched_pool_t *, const sched_seeker_t *);
+/*
+ * Returns for how many tasks the shard offers room, 0 for none; 1 means all if
+ * it is asked for a whole job.
+ */
+uint32_t sched_pool_offer_room(sched_pool_t *, const sched_seeker_t *);
 void sched_pool_apply_room_answer(
-    sched_pool_t *, const char *id, const char *shard, bool has_offer);
+    sched_pool_t *, const char *id, const char *shard, uint32_t tasks);
 void sched_pool_apply_adopt_result(
     sched_pool_t *, const char *id, Gw__CallOutcome);
 void sched_pool_forget_transfer(sched_pool_t *, const char *id);
+/*
+ * Parts of jobs; see part.c. Takes the tasks of a row that the store has for
+ * this shard, when the records are loaded or later. Returns -1 if it is
+ * malformed.
+ */
+int sched_pool_receive(
+    sched_pool_t *, const char *row, const void *, size_t size_bytes);
+/*
+ * Handle that the owner of a job has told of it, or that one of a part of it
+ * asks whether it is open, after the job's rows were received. Reply once what
+ * they have is in the store.
+ */
+void sched_pool_part_told(sched_pool_t *, const char *id, bool is_ended,
+    sched_response_cb_t, void *arg);
+/*
+ * The part is that of the shard from, with these steps (sched_part_step_t).
+ * Appends to may_stop how many tasks it may stop on purpose.
+ */
+void sched_pool_part_asks(sched_pool_t *, const char *id, const char *from,
+    const GArray *steps, GArray *may_stop, sched_response_cb_t, void *arg);
+void sched_pool_apply_part_result(sched_pool_t *, const char *id,
+    const char *shard, Gw__CallOutcome, const GArray *may_stop);
 
 /*
  * Writes to the store, one batch at a time. sched_pool_take_batch() returns
--- a/lib/sched/state.h
+++ b/lib/sched/state.h
@@ -125,7 +125,8 @@
 	SCHED_TASK_RUNNING,
 	/* Stop sent; the end has not been reported yet. */
 	SCHED_TASK_STOPPING,
-	SCHED_TASK_DONE
+	SCHED_TASK_DONE,
+	SCHED_TASK_AWAY /* another shard has it; see part.c */
 } sched_task_state_t;
 
 typedef struct {
@@ -145,6 +146,7 @@
 	 * the end of the run.
 	 */
 	bool refused_as_stale;
+	bool is_handed;	      /* by the hand-over in progress; see part.c */
 	bool is_unsent;	      /* its start waits in the pool's unsent */
 	uint32_t starts_sent; /* for this run, answered or not */
 	/* Of these, with a response from any incarnation, or not sent. */
@@ -191,6 +193,9 @@
 	uint64_t tickets_expiry_us; /* on the pool's clock */
 	uint64_t advice_retry_us;   /* no request for advice before */
 	bool advice_pending;	    /* a request for advice is in flight */
+	/* Of a part: tasks that may be stopped on purpose, and until when. */
+	uint32_t may_stop;
+	uint64_t may_stop_until_us;
 } sched_step_t;
 
 typedef struct {
@@ -214,6 +219,34 @@
 	void *arg;
 } sched_waiter_t;
 
+/* Pause after a call to another owner that did not succeed; it doubles. */
+#define SCHED_PEER_RETRY_US (200 * GW_US_PER_MS)
+/* Another shard that is told of a job; see part.c. */
+typedef struct {
+	char shard[SCHED_NAME_BYTES];
+	bool is_told;
+	bool in_flight;	       /* a call to its owner */
+	uint64_t due_us;       /* of the next call */
+	uint64_t sent_us;      /* when the last call was made */
+	uint64_t retry_us;     /* pause after the next failure */
+	uint32_t failures;     /* of calls in a row */
+	uint32_t version;      /* of what it is to be told */
+	uint32_t sent_version; /* with the last call */
+	/* What its part has reported (sched_part_step_t), and when; or NULL. */
+	GArray *steps;
+	uint64_t steps_us;
+} sched_peer_t;
+
+/* Tasks of a job that are being handed to another shard. */
+typedef struct {
+	char shard[SCHED_NAME_BYTES];
+	char row[SCHED_ROW_BYTES];
+	GBytes *value;
+	uint32_t step;
+	uint32_t tasks;
+	bool in_batch; /* the row is being written */
+} sched_hand_t;
+
 /* Classes of jobs, in the order of placement. */
 typedef enum {
 	SCHED_RANK_LONG_RUNNING, /* tasks should run at all times */
@@ -294,6 +327,22 @@
 	uint64_t held_since_us;
 	/* The shard that it is being transferred to; empty: none. */
 	char move_to[SCHED_NAME_BYTES];
+	/* Of a part: the shard that has the job; empty: this one. */
+	char part_of[SCHED_NAME_BYTES];
+	/* Shards that may have a part, or have the job (sched_peer_t); or NULL.
+	 */
+	GPtrArray *peers;
+	sched_hand_t *hand;   /* in progress, or NULL */
+	uint32_t hand_count;  /* rows written so far */
+	uint64_t hand_due_us; /* nothing is handed over before */
+	/* Rows to be removed with the next record (char *), or NULL. */
+	GPtrArray *received;
+	guint received_in_batch; /* of these */
+	/* Of a part: the specification is not in the store here yet. */
+	bool spec_unwritten;
+	bool has_hopeless; /* of a part: a task is to be given up */
+	/* The record is kept beyond status_s until all peers were told. */
+	bool is_overdue_expiry;
 	uint64_t ran_us;	   /* as that of a task, of all its tasks */
 	GArray *acks;		   /* sched_ack_t */
 	GArray *waiters;	   /* sched_waiter_t */
@@ -446,11 +495,14 @@
 	GHashTable *transfers; /* id -> note_t */
 	uint64_t transfer_count;
 	bool is_asking_room;  /* a question to another owner is in flight */
+	bool is_asking_part;  /* it is about tasks of a job */
 	uint64_t room_ask_us; /* no question before */
 	/* The job to which this shard offered room last, and until when. */
 	char offered_to[SCHED_JOB_ID_BYTES];
 	uint64_t offer_until_us;
-	GQueue *old_transfers;	/* ids whose rows are to be removed (char *) */
+	GQueue *old_transfers; /* ids whose rows are to be removed (char *) */
+	GPtrArray *split;      /* jobs with peers (sched_job_t); see part.c */
+	GQueue *old_rows; /* of jobs that are gone, to be removed (char *) */
 	bool has_unused_queues; /* one of them may be without jobs */
 	GQueue *dirty;	  /* jobs whose record must be written (sched_job_t) */
 	GPtrArray *aside; /* jobs set aside (sched_job_t); see aside.c */
--- a/lib/sched/transfer.c
+++ b/lib/sched/transfer.c
@@ -89,7 +89,7 @@
 	note = add_note(pool, id, shard, space + 1);
 	sched_queue_use(pool, note->queue_key);
 	/* The job came back, and its note was not removed yet. */
-	if (g_hash_table_contains(pool->jobs, id))
+	if (sched_pool_find_job(pool, id) != NULL)
 		sched_pool_forget_transfer(pool, id);
 	return 0;
 }
@@ -154,7 +154,7 @@
 {
 	const note_t *note = g_hash_table_lookup(pool->transfers, id);
 
-	if (note == NULL || g_hash_table_contains(pool->jobs, id))
+	if (note == NULL || sched_pool_find_job(pool, id) != NULL)
 		return false;
 	*response = (sched_response_t){
 	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED, .reason = "job-moving"};
@@ -200,7 +200,7 @@
 bool
 sched_pool_holds_job(const sched_pool_t *pool, const char *id)
 {
-	return g_hash_table_contains(pool->jobs, id);
+	return sched_pool_find_job(pool, id) != NULL;
 }
 
 uint64_t
@@ -221,11 +221,12 @@
 {
 	sched_job_t *job;
 
-	if (g_hash_table_contains(pool->jobs, id)) {
+	if (sched_pool_find_job(pool, id) != NULL) {
 		sched_pool_resubmit(pool, id, cb, arg);
 		return 0;
 	}
-	if (sched_pool_load_spec(pool, id, rows->spec, rows->spec_bytes) != 0)
+	if (sched_pool_holds_part(pool, id) ||
+	    sched_pool_load_spec(pool, id, rows->spec, rows->spec_bytes) != 0)
 		return -1;
 	job = g_hash_table_lookup(pool->jobs, id);
 	if (sched_pool_load_record(
@@ -373,7 +374,8 @@
 {
 	bool waits_for_machine = pool->incoming_machines + pool->standby > 0;
 	bool is_open[SCHED_STEPS_MAX];
-	const sched_seeker_t seeker = {job->id, job->spec, is_open};
+	const sched_seeker_t seeker = {
+	    .id = job->id, .spec = job->spec, .is_open = is_open};
 
 	job->fit_check_us = now_us + CHECK_INTERVAL_US;
 	sched_job_find_open_steps(job, is_open);
@@ -425,9 +427,10 @@
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
 
-		if (job->placed == 0 && now_us >= job->late_until_us &&
-		    job->move_to[0] == '\0' && job->aside_until_us == 0 &&
-		    !job->in_batch && now_us >= job->fit_check_us &&
+		if (job->placed == 0 && !sched_job_is_split(job) &&
+		    now_us >= job->late_until_us && job->move_to[0] == '\0' &&
+		    job->aside_until_us == 0 && !job->in_batch &&
+		    now_us >= job->fit_check_us &&
 		    (job->long_running || job->blocked_since_us != 0))
 			check_job(pool, job, now_us);
 	}
--- a/lib/sched/trial.c
+++ b/lib/sched/trial.c
@@ -243,6 +243,8 @@
 			if (!sched_crash_is_suspect(task) ||
 			    (task->crashes_alone > 0) != crashed_on_trial ||
 			    task->state != SCHED_TASK_WAITING ||
+			    (sched_job_is_part(job) &&
+				sched_crash_is_hopeless(task)) ||
 			    now_us < task->not_before_us ||
 			    sched_task_step_spec(task)->gang ||
 			    !sched_step_is_ready(job, occurrence, task->step) ||
--- a/lib/sched/wait.c
+++ b/lib/sched/wait.c
@@ -242,6 +242,7 @@
 			uint64_t waited_us;
 
 			if (task->state == SCHED_TASK_DONE ||
+			    task->state == SCHED_TASK_AWAY ||
 			    !sched_task_step_spec(task)->lasting)
 				continue;
 			waited_us = lasting_waited_us(pool, task, now_us);
@@ -272,6 +273,7 @@
 			const sched_task_t *task = &occurrence->tasks[k];
 
 			if (task->state != SCHED_TASK_DONE &&
+			    task->state != SCHED_TASK_AWAY &&
 			    sched_step_is_ready(job, occurrence, task->step))
 				return task;
 		}
--- a/lib/sched/wait_name.c
+++ b/lib/sched/wait_name.c
@@ -49,7 +49,8 @@
     [SCHED_TASK_STARTING] = "starting",
     [SCHED_TASK_RUNNING] = "running",
     [SCHED_TASK_STOPPING] = "stopping",
-    [SCHED_TASK_DONE] = "done"};
+    [SCHED_TASK_DONE] = "done",
+    [SCHED_TASK_AWAY] = "away"};
 
 /*
  * Returns the name of a reason, for logs, labels and operators' requests.
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -1042,6 +1042,51 @@
   assert(message->base.descriptor == &gw__job_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__handed_tasks__init
+                     (Gw__HandedTasks         *message)
+{
+  static const Gw__HandedTasks init_value = GW__HANDED_TASKS__INIT;
+  *message = init_value;
+}
+size_t gw__handed_tasks__get_packed_size
+                     (const Gw__HandedTasks *message)
+{
+  assert(message->base.descriptor == &gw__handed_tasks__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__handed_tasks__pack
+                     (const Gw__HandedTasks *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__handed_tasks__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__handed_tasks__pack_to_buffer
+                     (const Gw__HandedTasks *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__handed_tasks__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__HandedTasks *
+       gw__handed_tasks__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__HandedTasks *)
+     protobuf_c_message_unpack (&gw__handed_tasks__descriptor,
+                                allocator, len, data);
+}
+void   gw__handed_tasks__free_unpacked
+                     (Gw__HandedTasks *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__handed_tasks__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__quota_part__init
                      (Gw__QuotaPart         *message)
 {
@@ -1132,6 +1177,51 @@
   assert(message->base.descriptor == &gw__quota_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__part_step__init
+                     (Gw__PartStep         *message)
+{
+  static const Gw__PartStep init_value = GW__PART_STEP__INIT;
+  *message = init_value;
+}
+size_t gw__part_step__get_packed_size
+                     (const Gw__PartStep *message)
+{
+  assert(message->base.descriptor == &gw__part_step__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__part_step__pack
+                     (const Gw__PartStep *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__part_step__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__part_step__pack_to_buffer
+                     (const Gw__PartStep *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__part_step__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__PartStep *
+       gw__part_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__PartStep *)
+     protobuf_c_message_unpack (&gw__part_step__descriptor,
+                                allocator, len, data);
+}
+void   gw__part_step__free_unpacked
+                     (Gw__PartStep *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__part_step__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__call__init
                      (Gw__Call         *message)
 {
@@ -3533,7 +3623,7 @@
   (ProtobufCMessageInit) gw__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__task_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gw__task_record__field_descriptors[9] =
 {
   {
     "state",
@@ -3631,8 +3721,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "away",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__TaskRecord, away),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__task_record__field_indices_by_name[] = {
+  8,   /* field[8] = away */
   4,   /* field[4] = checkpoint */
   5,   /* field[5] = crashes */
   7,   /* field[7] = crashes_adopted */
@@ -3645,7 +3748,7 @@
 static const ProtobufCIntRange gw__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gw__task_record__descriptor =
 {
@@ -3655,7 +3758,7 @@
   "Gw__TaskRecord",
   "gw",
   sizeof(Gw__TaskRecord),
-  8,
+  9,
   gw__task_record__field_descriptors,
   gw__task_record__field_indices_by_name,
   1,  gw__task_record__number_ranges,
@@ -3764,7 +3867,7 @@
   (ProtobufCMessageInit) gw__occurrence_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[13] =
 {
   {
     "state",
@@ -3886,13 +3989,52 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_of",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobRecord, part_of),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gw__JobRecord, n_parts),
+    offsetof(Gw__JobRecord, parts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "handed",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobRecord, handed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__job_record__field_indices_by_name[] = {
   7,   /* field[7] = cancelled_first */
   4,   /* field[4] = finished_wall_ms */
   5,   /* field[5] = first_open */
+  12,   /* field[12] = handed */
   3,   /* field[3] = hosts */
   2,   /* field[2] = occurrences */
+  10,   /* field[10] = part_of */
+  11,   /* field[11] = parts */
   9,   /* field[9] = preemptions */
   1,   /* field[1] = queue */
   6,   /* field[6] = queue_key */
@@ -3902,7 +4044,7 @@
 static const ProtobufCIntRange gw__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gw__job_record__descriptor =
 {
@@ -3912,13 +4054,64 @@
   "Gw__JobRecord",
   "gw",
   sizeof(Gw__JobRecord),
-  10,
+  13,
   gw__job_record__field_descriptors,
   gw__job_record__field_indices_by_name,
   1,  gw__job_record__number_ranges,
   (ProtobufCMessageInit) gw__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gw__handed_tasks__field_descriptors[2] =
+{
+  {
+    "spec",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__HandedTasks, spec),
+    &gw__job_spec__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "record",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__HandedTasks, record),
+    &gw__job_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__handed_tasks__field_indices_by_name[] = {
+  1,   /* field[1] = record */
+  0,   /* field[0] = spec */
+};
+static const ProtobufCIntRange gw__handed_tasks__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__handed_tasks__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.HandedTasks",
+  "HandedTasks",
+  "Gw__HandedTasks",
+  "gw",
+  sizeof(Gw__HandedTasks),
+  2,
+  gw__handed_tasks__field_descriptors,
+  gw__handed_tasks__field_indices_by_name,
+  1,  gw__handed_tasks__number_ranges,
+  (ProtobufCMessageInit) gw__handed_tasks__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gw__quota_part__field_descriptors[4] =
 {
   {
@@ -4034,7 +4227,97 @@
   (ProtobufCMessageInit) gw__quota_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__call__field_descriptors[16] =
+static const ProtobufCFieldDescriptor gw__part_step__field_descriptors[5] =
+{
+  {
+    "occurrence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PartStep, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PartStep, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PartStep, tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unavailable",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PartStep, unavailable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__PartStep, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__part_step__field_indices_by_name[] = {
+  4,   /* field[4] = leaving */
+  0,   /* field[0] = occurrence */
+  1,   /* field[1] = step */
+  2,   /* field[2] = tasks */
+  3,   /* field[3] = unavailable */
+};
+static const ProtobufCIntRange gw__part_step__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gw__part_step__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.PartStep",
+  "PartStep",
+  "Gw__PartStep",
+  "gw",
+  sizeof(Gw__PartStep),
+  5,
+  gw__part_step__field_descriptors,
+  gw__part_step__field_indices_by_name,
+  1,  gw__part_step__number_ranges,
+  (ProtobufCMessageInit) gw__part_step__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__call__field_descriptors[19] =
 {
   {
     "number",
@@ -4228,17 +4511,56 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Call, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Call, from),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_steps",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Call, n_part_steps),
+    offsetof(Gw__Call, part_steps),
+    &gw__part_step__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__call__field_indices_by_name[] = {
   8,   /* field[8] = coming */
   10,   /* field[10] = config_version */
   7,   /* field[7] = ended */
+  17,   /* field[17] = from */
   4,   /* field[4] = id */
   6,   /* field[6] = instance */
   13,   /* field[13] = key_digest */
   1,   /* field[1] = kind */
   0,   /* field[0] = number */
   15,   /* field[15] = open_steps */
+  16,   /* field[16] = part */
+  18,   /* field[18] = part_steps */
   2,   /* field[2] = pool */
   3,   /* field[3] = queue */
   11,   /* field[11] = queue_key */
@@ -4250,7 +4572,7 @@
 static const ProtobufCIntRange gw__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gw__call__descriptor =
 {
@@ -4260,7 +4582,7 @@
   "Gw__Call",
   "gw",
   sizeof(Gw__Call),
-  16,
+  19,
   gw__call__field_descriptors,
   gw__call__field_indices_by_name,
   1,  gw__call__number_ranges,
@@ -4911,7 +5233,7 @@
   (ProtobufCMessageInit) gw__ended_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__reply__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gw__reply__field_descriptors[14] =
 {
   {
     "number",
@@ -5057,6 +5379,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tasks",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Reply, tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_steps",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Reply, n_part_steps),
+    offsetof(Gw__Reply, part_steps),
+    &gw__part_step__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__reply__field_indices_by_name[] = {
   6,   /* field[6] = drained */
@@ -5067,15 +5413,17 @@
   11,   /* field[11] = moved_to */
   0,   /* field[0] = number */
   1,   /* field[1] = outcome */
+  13,   /* field[13] = part_steps */
   3,   /* field[3] = pending */
   5,   /* field[5] = reason */
   4,   /* field[4] = retry_after_ms */
   2,   /* field[2] = state */
+  12,   /* field[12] = tasks */
 };
 static const ProtobufCIntRange gw__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor gw__reply__descriptor =
 {
@@ -5085,7 +5433,7 @@
   "Gw__Reply",
   "gw",
   sizeof(Gw__Reply),
-  12,
+  14,
   gw__reply__field_descriptors,
   gw__reply__field_indices_by_name,
   1,  gw__reply__number_ranges,
@@ -5422,7 +5770,7 @@
   gw__job_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[11] =
+static const ProtobufCEnumValue gw__call_kind__enum_values_by_number[12] =
 {
   { "CALL_SUBMIT", "GW__CALL_KIND__CALL_SUBMIT", 0 },
   { "CALL_STATE", "GW__CALL_KIND__CALL_STATE", 1 },
@@ -5435,17 +5783,19 @@
   { "CALL_ADOPT", "GW__CALL_KIND__CALL_ADOPT", 8 },
   { "CALL_YIELD_QUOTA", "GW__CALL_KIND__CALL_YIELD_QUOTA", 9 },
   { "CALL_ROOM", "GW__CALL_KIND__CALL_ROOM", 10 },
+  { "CALL_PART", "GW__CALL_KIND__CALL_PART", 11 },
 };
 static const ProtobufCIntRange gw__call_kind__value_ranges[] = {
-{0, 0},{0, 11}
+{0, 0},{0, 12}
 };
-static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[11] =
+static const ProtobufCEnumValueIndex gw__call_kind__enum_values_by_name[12] =
 {
   { "CALL_ADOPT", 8 },
   { "CALL_CANCEL", 2 },
   { "CALL_DRAIN", 4 },
   { "CALL_LOAD", 5 },
   { "CALL_OWNS", 6 },
+  { "CALL_PART", 11 },
   { "CALL_PENDING", 3 },
   { "CALL_RESUBMIT", 7 },
   { "CALL_ROOM", 10 },
@@ -5460,9 +5810,9 @@
   "CallKind",
   "Gw__CallKind",
   "gw",
-  11,
+  12,
   gw__call_kind__enum_values_by_number,
-  11,
+  12,
   gw__call_kind__enum_values_by_name,
   1,
   gw__call_kind__value_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -38,8 +38,10 @@
 typedef struct Gw__HostRecord Gw__HostRecord;
 typedef struct Gw__OccurrenceRecord Gw__OccurrenceRecord;
 typedef struct Gw__JobRecord Gw__JobRecord;
+typedef struct Gw__HandedTasks Gw__HandedTasks;
 typedef struct Gw__QuotaPart Gw__QuotaPart;
 typedef struct Gw__QuotaRecord Gw__QuotaRecord;
+typedef struct Gw__PartStep Gw__PartStep;
 typedef struct Gw__Call Gw__Call;
 typedef struct Gw__TeamRate Gw__TeamRate;
 typedef struct Gw__TeamLoad Gw__TeamLoad;
@@ -120,7 +122,14 @@
    * The reply is CALL_OK if the shard has room now for a job that another one
    * has, and offers it to that; else CALL_ABSENT.
    */
-  GW__CALL_KIND__CALL_ROOM = 10
+  GW__CALL_KIND__CALL_ROOM = 10,
+  /*
+   * Tasks of the job may have been handed to the pool, which has recorded them
+   * once it replies CALL_OK. If ended is set the job has ended. A call from a
+   * shard with a part of the job (part) has the reply CALL_ABSENT if the job is
+   * not open.
+   */
+  GW__CALL_KIND__CALL_PART = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__CALL_KIND)
 } Gw__CallKind;
 typedef enum _Gw__CallOutcome {
@@ -535,10 +544,15 @@
   uint32_t crashes;
   uint32_t crashes_alone;
   uint32_t crashes_adopted;
+  /*
+   * Another shard has the task, or it is on its way there. The state is
+   * TASK_DONE then, so that a process that does not know this starts nothing.
+   */
+  protobuf_c_boolean away;
 };
 #define GW__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__task_record__descriptor) \
-    , GW__TASK_STATE__TASK_WAITING, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , GW__TASK_STATE__TASK_WAITING, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Gw__HostRecord
@@ -602,10 +616,39 @@
    * How often tasks of the job were stopped for more urgent ones.
    */
   uint32_t preemptions;
+  /*
+   * The shard that has the job, of which this one has some tasks; empty: this
+   * one has the job.
+   */
+  char *part_of;
+  /*
+   * Shards that may have tasks of the job.
+   */
+  size_t n_parts;
+  char **parts;
+  /*
+   * Number of HandedTasks written to other shards so far.
+   */
+  uint32_t handed;
 };
 #define GW__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__job_record__descriptor) \
-    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+
+
+/*
+ * Tasks on their way from one shard to another, which removes this with the
+ * write of its own record. They are the tasks of the record that are waiting.
+ */
+struct  Gw__HandedTasks
+{
+  ProtobufCMessage base;
+  Gw__JobSpec *spec;
+  Gw__JobRecord *record;
+};
+#define GW__HANDED_TASKS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__handed_tasks__descriptor) \
+    , NULL, NULL }
 
 
 /*
@@ -636,6 +679,30 @@
     , 0,NULL }
 
 
+/*
+ * The tasks of one step that a shard with a part of a job has. In the reply,
+ * unavailable is how many more may be stopped on purpose.
+ */
+struct  Gw__PartStep
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t tasks;
+  /*
+   * Of these, not at work.
+   */
+  uint32_t unavailable;
+  /*
+   * Of the others, to be stopped on purpose.
+   */
+  uint32_t leaving;
+};
+#define GW__PART_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__part_step__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 struct  Gw__Call
 {
   ProtobufCMessage base;
@@ -686,10 +753,22 @@
    */
   size_t n_open_steps;
   uint32_t *open_steps;
+  /*
+   * For CALL_ROOM: spec has the one step open_steps, and as many of its tasks as
+   * wait, of which some may be handed to the pool. For CALL_PART: see there.
+   */
+  protobuf_c_boolean part;
+  /*
+   * For CALL_PART with part: the shard, and its tasks of the steps that limit how
+   * many may be unavailable.
+   */
+  char *from;
+  size_t n_part_steps;
+  Gw__PartStep **part_steps;
 };
 #define GW__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__call__descriptor) \
-    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0,NULL }
+    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /*
@@ -888,10 +967,19 @@
    * Of a call that is refused: the pool that has the job.
    */
   char *moved_to;
+  /*
+   * For CALL_ROOM with part: for how many of the tasks there is room.
+   */
+  uint32_t tasks;
+  /*
+   * For CALL_PART with part.
+   */
+  size_t n_part_steps;
+  Gw__PartStep **part_steps;
 };
 #define GW__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__reply__descriptor) \
-    , 0, GW__CALL_OUTCOME__CALL_OK, GW__JOB_STATE__JOB_QUEUED, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, GW__CALL_OUTCOME__CALL_OK, GW__JOB_STATE__JOB_QUEUED, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 typedef enum {
@@ -1374,6 +1462,25 @@
 void   gw__job_record__free_unpacked
                      (Gw__JobRecord *message,
                       ProtobufCAllocator *allocator);
+/* Gw__HandedTasks methods */
+void   gw__handed_tasks__init
+                     (Gw__HandedTasks         *message);
+size_t gw__handed_tasks__get_packed_size
+                     (const Gw__HandedTasks   *message);
+size_t gw__handed_tasks__pack
+                     (const Gw__HandedTasks   *message,
+                      uint8_t             *out);
+size_t gw__handed_tasks__pack_to_buffer
+                     (const Gw__HandedTasks   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__HandedTasks *
+       gw__handed_tasks__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__handed_tasks__free_unpacked
+                     (Gw__HandedTasks *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__QuotaPart methods */
 void   gw__quota_part__init
                      (Gw__QuotaPart         *message);
@@ -1412,6 +1519,25 @@
 void   gw__quota_record__free_unpacked
                      (Gw__QuotaRecord *message,
                       ProtobufCAllocator *allocator);
+/* Gw__PartStep methods */
+void   gw__part_step__init
+                     (Gw__PartStep         *message);
+size_t gw__part_step__get_packed_size
+                     (const Gw__PartStep   *message);
+size_t gw__part_step__pack
+                     (const Gw__PartStep   *message,
+                      uint8_t             *out);
+size_t gw__part_step__pack_to_buffer
+                     (const Gw__PartStep   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__PartStep *
+       gw__part_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__part_step__free_unpacked
+                     (Gw__PartStep *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Call methods */
 void   gw__call__init
                      (Gw__Call         *message);
@@ -1654,12 +1780,18 @@
 typedef void (*Gw__JobRecord_Closure)
                  (const Gw__JobRecord *message,
                   void *closure_data);
+typedef void (*Gw__HandedTasks_Closure)
+                 (const Gw__HandedTasks *message,
+                  void *closure_data);
 typedef void (*Gw__QuotaPart_Closure)
                  (const Gw__QuotaPart *message,
                   void *closure_data);
 typedef void (*Gw__QuotaRecord_Closure)
                  (const Gw__QuotaRecord *message,
                   void *closure_data);
+typedef void (*Gw__PartStep_Closure)
+                 (const Gw__PartStep *message,
+                  void *closure_data);
 typedef void (*Gw__Call_Closure)
                  (const Gw__Call *message,
                   void *closure_data);
@@ -1722,8 +1854,10 @@
 extern const ProtobufCMessageDescriptor gw__host_record__descriptor;
 extern const ProtobufCMessageDescriptor gw__occurrence_record__descriptor;
 extern const ProtobufCMessageDescriptor gw__job_record__descriptor;
+extern const ProtobufCMessageDescriptor gw__handed_tasks__descriptor;
 extern const ProtobufCMessageDescriptor gw__quota_part__descriptor;
 extern const ProtobufCMessageDescriptor gw__quota_record__descriptor;
+extern const ProtobufCMessageDescriptor gw__part_step__descriptor;
 extern const ProtobufCMessageDescriptor gw__call__descriptor;
 extern const ProtobufCMessageDescriptor gw__team_rate__descriptor;
 extern const ProtobufCMessageDescriptor gw__team_load__descriptor;
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -35,6 +35,7 @@
 static fake_instances_t *fake;	     /* respond by themselves; NULL: none */
 static const char *other_shard = ""; /* can run what this one cannot */
 static uint32_t shard_number, shard_count;
+static char shard_name[SCHED_NAME_BYTES] = "p"; /* of the pool */
 static const char *watched = ""; /* prefix of the jobs that are printed */
 static char *words[WORDS_MAX];
 static int word_count;
@@ -220,8 +221,10 @@
 on_ask_room(const sched_seeker_t *job, const char *shard, void *arg)
 {
 	(void)arg;
-	printf(
-	    "%6" PRIu64 " ask %s for room for %s\n", now_ms(), shard, job->id);
+	printf("%6" PRIu64 " ask %s for room for %s", now_ms(), shard, job->id);
+	if (job->is_part)
+		printf(" %u of step %u", job->spec->steps[0]->count, job->step);
+	printf("\n");
 }
 
 static void
@@ -238,6 +241,35 @@
 	printf("%6" PRIu64 " find %s\n", now_ms(), id);
 }
 
+/* Prints the steps (sched_part_step_t) of a part, or what it may stop. */
+static void
+print_part_steps(const GArray *steps)
+{
+	for (guint i = 0; i < steps->len; i++) {
+		const sched_part_step_t *step =
+		    &g_array_index(steps, sched_part_step_t, i);
+
+		printf(" %u.%u:%u:%u:%u", step->occurrence, step->step,
+		    step->tasks, step->unavailable, step->leaving);
+	}
+	printf("\n");
+}
+
+static void
+on_tell_part(const sched_part_call_t *call, void *arg)
+{
+	(void)arg;
+	if (call->is_part) {
+		printf("%6" PRIu64 " ask %s for the state of %s", now_ms(),
+		    call->shard, call->id);
+		print_part_steps(call->steps);
+	} else {
+		printf("%6" PRIu64 " tell %s of %s of %s\n", now_ms(),
+		    call->shard, call->is_ended ? "the end" : "tasks",
+		    call->id);
+	}
+}
+
 static const sched_ops_t ops = {.start = on_start,
     .stop = on_stop,
     .renew = on_renew,
@@ -249,7 +281,8 @@
     .find_shard = on_find_shard,
     .ask_room = on_ask_room,
     .tell_adopt = on_tell_adopt,
-    .find_records = on_find_records};
+    .find_records = on_find_records,
+    .tell_part = on_tell_part};
 
 static void
 on_response(const sched_response_t *response, void *arg)
@@ -270,7 +303,11 @@
 do_pool(void)
 {
 	bounds.value_max_bytes = (uint32_t)lookup_number("value", 1048576);
-	pool = sched_pool_new("p", "dc-a", &clock_state, &bounds, &ops, NULL);
+	if (pool != NULL)
+		sched_pool_free(pool);
+	pool = sched_pool_new(
+	    shard_name, "dc-a", &clock_state, &bounds, &ops, NULL);
+	sched_pool_set_shard(pool, shard_number, shard_count);
 	sched_pool_finish_load(pool);
 }
 
@@ -424,7 +461,8 @@
 	batch = NULL;
 	batches_written = 0;
 	sched_pool_free(pool);
-	pool = sched_pool_new("p", "dc-a", &clock_state, &bounds, &ops, NULL);
+	pool = sched_pool_new(
+	    shard_name, "dc-a", &clock_state, &bounds, &ops, NULL);
 	sched_pool_set_shard(pool, shard_number, shard_count);
 	if (vacant_ms != 0)
 		vacancy.vacant_since_us =
@@ -438,6 +476,7 @@
 		return;
 	load("spec/", sched_pool_load_spec);
 	load("record/", sched_pool_load_record);
+	load("handed/", sched_pool_receive);
 	load("transfer/", load_transfer);
 	load("queue/", load_queue);
 	load("lapsing/", load_lapsing);
@@ -501,6 +540,135 @@
 		printf("%6" PRIu64 " bad records of %s\n", now_ms(), words[1]);
 }
 
+/*
+ * Renames the rows of the shard that is left, and those of the one that the
+ * script goes on with.
+ */
+static void
+rename_rows(const char *to)
+{
+	g_autofree char *old_prefix = g_strdup_printf("%s:", shard_name);
+	g_autofree char *new_prefix = g_strdup_printf("%s:", to);
+	GList *keys = g_hash_table_get_keys(store);
+
+	for (GList *link = keys; link != NULL; link = link->next) {
+		const char *key = link->data;
+		GBytes *value = g_bytes_ref(g_hash_table_lookup(store, key));
+		char *renamed = NULL;
+
+		if (g_str_has_prefix(key, new_prefix))
+			renamed = g_strdup(key + strlen(new_prefix));
+		else if (strchr(key, ':') == NULL)
+			renamed = g_strconcat(old_prefix, key, NULL);
+		if (renamed == NULL) {
+			g_bytes_unref(value);
+			continue;
+		}
+		g_hash_table_remove(store, key);
+		g_hash_table_replace(store, renamed, value);
+	}
+	g_list_free(keys);
+	g_strlcpy(shard_name, to, sizeof(shard_name));
+}
+
+/*
+ * owner SHARD NUMBER [as for takeover]: the script goes on with a new owner of
+ * another shard, which knows what the store has
+ */
+static void
+do_owner(void)
+{
+	rename_rows(words[1]);
+	shard_number = (uint32_t)atoi(words[2]);
+	do_takeover();
+}
+
+/* Receives the rows that the store has of the job. */
+static void
+receive_rows(const char *id)
+{
+	g_autofree char *prefix = g_strdup_printf("handed/%s.", id);
+	GList *keys = g_hash_table_get_keys(store);
+
+	keys = g_list_sort(keys, (GCompareFunc)strcmp);
+	for (GList *link = keys; link != NULL; link = link->next) {
+		const char *key = link->data;
+		gsize size_bytes;
+		const void *data;
+
+		if (!g_str_has_prefix(key, prefix))
+			continue;
+		data = g_bytes_get_data(
+		    g_hash_table_lookup(store, key), &size_bytes);
+		if (sched_pool_receive(
+			pool, key + strlen("handed/"), data, size_bytes) != 0)
+			printf("%6" PRIu64 " bad row %s\n", now_ms(), key);
+	}
+	g_list_free(keys);
+}
+
+/* told ID [ended]: the owner of the job tells of it, once its rows are read */
+static void
+do_told(void)
+{
+	receive_rows(words[1]);
+	sched_pool_part_told(
+	    pool, words[1], has_word("ended"), on_response, g_strdup(words[1]));
+}
+
+/* Reads OCCURRENCE.STEP:TASKS:UNAVAILABLE:LEAVING of the words. */
+static GArray *
+parse_part_steps(void)
+{
+	GArray *steps = g_array_new(FALSE, FALSE, sizeof(sched_part_step_t));
+
+	for (int i = 1; i < word_count; i++) {
+		sched_part_step_t step;
+
+		if (sscanf(words[i], "%u.%u:%u:%u:%u", &step.occurrence,
+			&step.step, &step.tasks, &step.unavailable,
+			&step.leaving) == 5)
+			g_array_append_val(steps, step);
+	}
+	return steps;
+}
+
+/*
+ * asked ID [from=SHARD] [STEP...]: the owner of a part asks whether the job is
+ * open
+ */
+static void
+do_asked(void)
+{
+	g_autoptr(GArray) steps = parse_part_steps();
+	g_autoptr(GArray) may_stop =
+	    g_array_new(FALSE, FALSE, sizeof(sched_part_step_t));
+
+	receive_rows(words[1]);
+	sched_pool_part_asks(pool, words[1], lookup_value("from", "p~0"), steps,
+	    may_stop, on_response, g_strdup(words[1]));
+	if (may_stop->len > 0) {
+		printf("%6" PRIu64 " may stop", now_ms());
+		print_part_steps(may_stop);
+	}
+}
+
+/*
+ * answered ID SHARD ok|absent|refused [STEP...]: the response to a call about a
+ * part
+ */
+static void
+do_answered(void)
+{
+	static const char *const names[] = {"ok", "absent", "refused"};
+	g_autoptr(GArray) may_stop = parse_part_steps();
+
+	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++)
+		if (strcmp(names[i], words[3]) == 0)
+			sched_pool_apply_part_result(pool, words[1], words[2],
+			    (Gw__CallOutcome)i, may_stop);
+}
+
 /* adopted ID ok|absent|refused: what the other owner says; forget ID */
 static void
 do_adopted(void)
@@ -536,26 +704,34 @@
 }
 
 /*
- * offer ID STEP...: another shard's owner asks for room for the job, of which
- * all steps are open
+ * offer ID [part] STEP...: another shard's owner asks for room for the job, of
+ * which all steps are open, or for any number of the tasks of one step
  */
 static void
 print_offer(const Gw__JobSpec *spec)
 {
 	bool is_open[SCHED_STEPS_MAX];
-	const sched_seeker_t job = {spec->id, spec, is_open};
+	const sched_seeker_t job = {.id = spec->id,
+	    .spec = spec,
+	    .is_open = is_open,
+	    .is_part = has_word("part")};
+	uint32_t tasks;
 
 	memset(is_open, true, sizeof(is_open));
-	printf("%6" PRIu64 " offer %s %s\n", now_ms(), spec->id,
-	    sched_pool_offer_room(pool, &job) ? "room" : "none");
+	tasks = sched_pool_offer_room(pool, &job);
+	printf("%6" PRIu64 " offer %s %s", now_ms(), spec->id,
+	    tasks > 0 ? "room" : "none");
+	if (job.is_part)
+		printf(" for %u", tasks);
+	printf("\n");
 }
 
-/* room ID SHARD yes|no: the answer to a question for room */
+/* room ID SHARD yes|no|TASKS: the answer to a question for room */
 static void
 do_room(void)
 {
-	sched_pool_apply_room_answer(
-	    pool, words[1], words[2], strcmp(words[3], "yes") == 0);
+	sched_pool_apply_room_answer(pool, words[1], words[2],
+	    strcmp(words[3], "yes") == 0 ? 1 : (uint32_t)atoi(words[3]));
 }
 
 /*
@@ -818,6 +994,10 @@
 		printf(" %s team=%s tasks=%u done=%u runs=%u failures=%u",
 		    view.state, view.team, view.tasks, view.done,
 		    view.run_count, view.failures);
+		if (view.away > 0)
+			printf(" away=%u", view.away);
+		if (view.part_of[0] != '\0')
+			printf(" part-of=%s", view.part_of);
 		print_waits(view.waits);
 		for (guint i = 0; i < view.runs->len; i++) {
 			const sched_run_view_t *run =
@@ -952,8 +1132,8 @@
 static void
 send_batch(bool is_refused)
 {
-	static const char *const kinds[] = {
-	    "spec", "record", "queue", "lapsing", "transfer"};
+	static const char *const kinds[] = {"spec", "record", "queue",
+	    "lapsing", "transfer", "handed", "handed"};
 
 	batch = sched_pool_take_batch(pool, 28);
 	if (batch == NULL) {
@@ -1305,6 +1485,10 @@
     {"tell-ends", 1, do_tell_ends},
     {"instance", 2, do_instance},
     {"shard", 3, do_shard},
+    {"owner", 3, do_owner},
+    {"told", 2, do_told},
+    {"asked", 2, do_asked},
+    {"answered", 4, do_answered},
     {"adopt", 2, do_adopt},
     {"adopted", 3, do_adopted},
     {"forget", 2, do_forget},
