sched: an ended part that an older owner wrote as a job ends, too

An owner that knows no parts writes a part's record without the shard that has the job. The next owner then took it for a job of its own, which the end of the job did not reach. Such a shard is still told of the end, and ends it. A row with placed tasks is malformed, and a record that is not taken over leaves no job in the list of split ones.

--- a/lib/sched/part_call.c
+++ b/lib/sched/part_call.c
@@ -41,10 +41,11 @@
 	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
 
-	if (job == NULL || !sched_job_is_part(job)) {
+	if (job == NULL || (!sched_job_is_part(job) && !is_ended)) {
 		cb(&ok, arg);
 		return;
 	}
+	/* An owner that knows no parts wrote it as a job of this shard. */
 	if (is_ended)
 		end_part(pool, job);
 	reply_recorded(pool, job, cb, arg);
--- a/lib/sched/part_receive.c
+++ b/lib/sched/part_receive.c
@@ -67,7 +67,7 @@
 {
 	sched_job_t *job;
 
-	if (!sched_spec_is_valid(handed->spec))
+	if (!sched_spec_is_valid(handed->spec) || handed->record->n_hosts > 0)
 		return NULL;
 	job = sched_job_new(pool, id);
 	sched_job_set_spec(job, g_steal_pointer(&handed->spec));
--- a/lib/sched/transfer.c
+++ b/lib/sched/transfer.c
@@ -231,6 +231,7 @@
 	job = g_hash_table_lookup(pool->jobs, id);
 	if (sched_pool_load_record(
 		pool, id, rows->record, rows->record_bytes) != 0) {
+		sched_part_forget_peers(pool, job);
 		sched_queue_job_removed(pool, job);
 		g_hash_table_remove(pool->jobs, id);
 		return -1;
