--- a/gwentryd/part.c
+++ b/gwentryd/part.c
@@ -85,31 +85,41 @@
 	}
 }
 
-/*
- * Returns the steps in the form of a message, in one block that the caller
- * frees.
- */
-static Gw__PartStep **
-format_steps(const GArray *steps)
+/* Steps in the form of a message. */
+typedef struct {
+	Gw__PartStep *rows;
+	Gw__PartStep **list;
+	size_t count;
+} message_steps_t;
+
+static message_steps_t
+message_steps_new(const GArray *steps)
 {
-	guint count = steps == NULL ? 0 : steps->len;
-	Gw__PartStep **list =
-	    g_malloc((count + 1) * (sizeof(*list) + sizeof(**list)));
-	Gw__PartStep *rows = (Gw__PartStep *)(list + count + 1);
+	message_steps_t message = {.count = steps == NULL ? 0 : steps->len};
 
-	for (guint i = 0; i < count; i++) {
+	message.rows = g_new(Gw__PartStep, message.count + 1);
+	message.list = g_new(Gw__PartStep *, message.count + 1);
+	for (size_t i = 0; i < message.count; i++) {
 		const sched_part_step_t *step =
 		    &g_array_index(steps, sched_part_step_t, i);
-
-		list[i] = &rows[i];
-		gw__part_step__init(list[i]);
-		rows[i].occurrence = step->occurrence;
-		rows[i].step = step->step;
-		rows[i].tasks = step->tasks;
-		rows[i].unavailable = step->unavailable;
-		rows[i].leaving = step->leaving;
+		Gw__PartStep *row = &message.rows[i];
+
+		gw__part_step__init(row);
+		row->occurrence = step->occurrence;
+		row->step = step->step;
+		row->tasks = step->tasks;
+		row->unavailable = step->unavailable;
+		row->leaving = step->leaving;
+		message.list[i] = row;
 	}
-	return list;
+	return message;
+}
+
+static void
+message_steps_clear(message_steps_t *message)
+{
+	g_free(message->rows);
+	g_free(message->list);
 }
 
 /* The caller. */
@@ -135,22 +145,25 @@
     const sched_part_call_t *from)
 {
 	part_call_t *sent = call_new(transfer, shard, from->id);
-	g_autofree Gw__PartStep **steps = format_steps(from->steps);
+	message_steps_t steps;
 	Gw__Call call = GW__CALL__INIT;
 
 	if (sent == NULL)
 		return;
+	steps = message_steps_new(from->steps);
 	g_strlcpy(sent->to, from->shard, sizeof(sent->to));
 	call.kind = GW__CALL_KIND__CALL_PART;
 	call.pool = (char *)from->shard;
 	call.id = (char *)from->id;
 	call.ended = from->is_ended;
 	call.part = from->is_part;
+	call.has_rows = from->has_rows;
 	call.from = (char *)shard;
-	call.n_part_steps = from->steps == NULL ? 0 : from->steps->len;
-	call.part_steps = steps;
+	call.n_part_steps = steps.count;
+	call.part_steps = steps.list;
 	dispatch_call(
 	    transfer->dispatch, &call, CALL_TIMEOUT_MS, on_told, sent);
+	message_steps_clear(&steps);
 }
 
 /* The owner that is called. */
@@ -158,14 +171,15 @@
 static void
 end_call(part_call_t *call, Gw__CallOutcome outcome, const char *reason)
 {
-	g_autofree Gw__PartStep **steps = format_steps(call->may_stop);
+	message_steps_t steps = message_steps_new(call->may_stop);
 	Gw__Reply response = GW__REPLY__INIT;
 
 	response.outcome = outcome;
 	response.reason = (char *)reason;
-	response.n_part_steps = call->may_stop->len;
-	response.part_steps = steps;
+	response.n_part_steps = steps.count;
+	response.part_steps = steps.list;
 	call->cb(&response, call->arg);
+	message_steps_clear(&steps);
 	call_free(call);
 }
 
@@ -270,5 +284,8 @@
 	g_strlcpy(row, call->id, sizeof(row));
 	(void)g_strlcat(row, ".", sizeof(row));
 	owner_record_key(call->prefix, call->shard, SCHED_WRITE_HANDED, row);
-	read_rows(call);
+	if (from->has_rows)
+		read_rows(call);
+	else
+		answer(call, call_owner(call));
 }
--- a/lib/sched/aside.c
+++ b/lib/sched/aside.c
@@ -87,6 +87,7 @@
 	undo_mark_dirty(pool, job);
 	job->move_to[0] = '\0';
 	job->aside_until_us = gw_clock_now_us(pool->clock) + ASIDE_US;
+	job->hand_due_us = job->aside_until_us + SCHED_HAND_PAUSE_US;
 	g_ptr_array_add(pool->aside, job);
 }
 
--- a/lib/sched/batch.c
+++ b/lib/sched/batch.c
@@ -159,10 +159,11 @@
 	}
 	if (job->received == NULL)
 		return;
-	for (guint i = 0; i < job->received->len; i++)
+	job->received_in_batch =
+	    MIN(job->received->len, SCHED_ROWS_REMOVED_MAX);
+	for (guint i = 0; i < job->received_in_batch; i++)
 		add_write(
 		    batch, SCHED_WRITE_HANDED, job->received->pdata[i], NULL);
-	job->received_in_batch = job->received->len;
 }
 
 /*
@@ -451,7 +452,7 @@
  * batch.
  */
 static void
-return_job(const sched_batch_t *batch, guint i)
+return_job(sched_pool_t *pool, const sched_batch_t *batch, guint i)
 {
 	const sched_batch_job_t *entry =
 	    &g_array_index(batch->jobs, sched_batch_job_t, i);
@@ -461,7 +462,7 @@
 	    is_last ? batch->waiters->len : entry[1].first_waiter;
 
 	entry->job->in_batch = false;
-	sched_part_not_recorded(entry->job);
+	sched_part_not_recorded(pool, entry->job);
 	for (guint k = entry->first_ack; k < ack_end; k++)
 		g_array_append_val(entry->job->acks,
 		    g_array_index(batch->acks, sched_ack_t, k));
@@ -500,7 +501,7 @@
 {
 	undo_writes(pool, batch);
 	for (guint i = 0; i < batch->jobs->len; i++) {
-		return_job(batch, i);
+		return_job(pool, batch, i);
 		sched_job_mark_dirty(
 		    pool, g_array_index(batch->jobs, sched_batch_job_t, i).job);
 	}
@@ -522,7 +523,7 @@
 		sched_job_t *job =
 		    g_array_index(batch->jobs, sched_batch_job_t, i).job;
 
-		return_job(batch, i);
+		return_job(pool, batch, i);
 		job->write_alone = true;
 		if (is_alone)
 			sched_aside_add(pool, job);
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -173,21 +173,22 @@
 void sched_part_load(sched_pool_t *, sched_job_t *, const Gw__JobRecord *);
 void sched_part_free(sched_job_t *);
 void sched_part_forget_peers(sched_pool_t *, sched_job_t *);
-bool sched_part_may_go(
+uint64_t sched_part_blocked_since_us(
     const sched_pool_t *, const sched_job_t *, uint64_t now_us);
 void sched_part_ask(
-    sched_pool_t *, const sched_job_t *, const char *shard, uint64_t now_us);
+    sched_pool_t *, sched_job_t *, const char *shard, uint64_t now_us);
 void sched_part_apply_offer(
     sched_pool_t *, sched_job_t *, const char *shard, uint32_t tasks);
 uint32_t sched_part_count_writes(const sched_job_t *);
 void sched_part_recorded(sched_pool_t *, sched_job_t *);
-void sched_part_not_recorded(sched_job_t *);
+void sched_part_not_recorded(sched_pool_t *, sched_job_t *);
 void sched_part_job_ended(sched_pool_t *, sched_job_t *);
 sched_peer_t *sched_part_find_peer(const sched_job_t *, const char *shard);
 void sched_part_tell(sched_pool_t *, sched_job_t *, const char *shard);
 void sched_part_return_hopeless(sched_pool_t *, sched_job_t *, uint64_t now_us);
 
 /* part_call.c */
+bool sched_part_may_start(const sched_job_t *, uint64_t now_us);
 void sched_part_tick(sched_pool_t *, uint64_t now_us);
 
 /* part_steps.c */
@@ -256,6 +257,7 @@
 void sched_place_gang(sched_pool_t *, sched_occurrence_t *,
     const sched_step_t *, const Gw__JobStep *, uint64_t now_us);
 void sched_place_mark_blocked(sched_job_t *, uint64_t now_us);
+void sched_place_mark_task_blocked(sched_task_t *, uint64_t now_us);
 
 /* withhold.c */
 void sched_withhold_for_job(sched_pool_t *, const sched_job_t *, uint64_t);
--- a/lib/sched/overflow.c
+++ b/lib/sched/overflow.c
@@ -19,8 +19,6 @@
  * does not go to and fro. An owner whose lease may have ended makes none.
  */
 
-/* How long a job finds no room here before others are asked. */
-#define BLOCKED_MIN_US GW_US_PER_S
 /* Least time between two questions, and between two rounds for one job. */
 #define ASK_INTERVAL_US (100 * GW_US_PER_MS)
 #define ASK_LASTING_INTERVAL_US (20 * GW_US_PER_MS)
@@ -161,6 +159,8 @@
 		return 0;
 	if (job->is_part)
 		tasks = count_room(pool, job, now_us);
+	else if (sched_pool_holds_part(pool, job->id))
+		tasks = 0;
 	else
 		tasks = has_room(pool, job->spec, job->is_open, now_us);
 	if (tasks == 0)
@@ -183,16 +183,27 @@
 	    job->aside_until_us == 0 && !sched_job_has_ended(job);
 }
 
-static bool
-seeks_room(const sched_pool_t *pool, const sched_job_t *job, uint64_t now_us)
+/*
+ * Returns since when the job, or some of its tasks, has found no room here, if
+ * owners of other shards are to be asked now; else 0.
+ */
+static uint64_t
+seeks_since_us(
+    const sched_pool_t *pool, const sched_job_t *job, uint64_t now_us)
 {
-	uint64_t min_us = job->held_since_us != 0 ? 0 : BLOCKED_MIN_US;
+	uint64_t min_us = job->held_since_us != 0 ? 0 : SCHED_BLOCKED_MIN_US;
+	uint64_t since_us;
 
-	return job->blocked_since_us != 0 &&
-	    (sched_part_may_go(pool, job, now_us) ||
-		(may_go(job, now_us) && job->misfit_since_us == 0)) &&
-	    gw_elapsed_us(now_us, job->blocked_since_us) >= min_us &&
-	    now_us >= job->room_ask_us;
+	if (now_us < job->room_ask_us)
+		return 0;
+	since_us = sched_part_blocked_since_us(pool, job, now_us);
+	if (since_us != 0)
+		return since_us;
+	if (!may_go(job, now_us) || job->blocked_since_us == 0 ||
+	    job->misfit_since_us != 0 ||
+	    gw_elapsed_us(now_us, job->blocked_since_us) < min_us)
+		return 0;
+	return job->blocked_since_us;
 }
 
 /*
@@ -202,14 +213,16 @@
 find_seeker(const sched_pool_t *pool, uint64_t now_us)
 {
 	sched_job_t *first = NULL;
+	uint64_t first_us = 0;
 
 	for (guint i = 0; i < pool->open->len; i++) {
 		sched_job_t *job = pool->open->pdata[i];
+		uint64_t since_us = seeks_since_us(pool, job, now_us);
 
-		if (seeks_room(pool, job, now_us) &&
-		    (first == NULL ||
-			job->blocked_since_us < first->blocked_since_us))
-			first = job;
+		if (since_us == 0 || (first != NULL && since_us >= first_us))
+			continue;
+		first = job;
+		first_us = since_us;
 	}
 	return first;
 }
@@ -228,15 +241,18 @@
 	uint32_t number = (pool->shard_number + 1 + job->room_asked % others) %
 	    pool->shard_count;
 
-	if (++job->room_asked % others == 0)
-		job->room_ask_us = now_us + ASK_AGAIN_US;
 	(void)shard_parse_name(pool->name, name);
 	shard_format_name(name, number, pool->shard_count, shard);
 	sched_job_find_open_steps(job, is_open);
 	pool->room_ask_us = now_us +
 	    (job->long_running ? ASK_LASTING_INTERVAL_US : ASK_INTERVAL_US);
 	pool->is_asking_room = true;
-	pool->is_asking_part = sched_part_may_go(pool, job, now_us);
+	pool->is_asking_part =
+	    sched_part_blocked_since_us(pool, job, now_us) != 0;
+	if (++job->room_asked % others == 0) {
+		job->room_ask_us = now_us + ASK_AGAIN_US;
+		job->room_rounds++;
+	}
 	if (pool->is_asking_part)
 		sched_part_ask(pool, job, shard, now_us);
 	else
--- a/lib/sched/part.c
+++ b/lib/sched/part.c
@@ -114,7 +114,8 @@
 {
 	if (job->peers == NULL)
 		return;
-	g_clear_pointer(&job->peers, g_ptr_array_unref);
+	g_ptr_array_unref(job->peers);
+	job->peers = NULL;
 	g_ptr_array_remove_fast(pool->split, job);
 }
 
@@ -125,8 +126,11 @@
 sched_part_load(
     sched_pool_t *pool, sched_job_t *job, const Gw__JobRecord *record)
 {
-	job->hand_count = record->handed;
-	g_strlcpy(job->part_of, record->part_of, sizeof(job->part_of));
+	/* An owner that knows no parts leaves the specification as it is. */
+	g_strlcpy(job->part_of,
+	    record->part_of[0] == '\0' && job->spec != NULL ? job->spec->part_of
+							    : record->part_of,
+	    sizeof(job->part_of));
 	if (sched_job_is_part(job))
 		sched_part_tell(pool, job, job->part_of);
 	for (size_t i = 0; i < record->n_parts; i++)
@@ -134,18 +138,22 @@
 }
 
 static void
-hand_free(sched_hand_t *hand)
+clear_hand(sched_job_t *job)
 {
-	g_bytes_unref(hand->value);
-	g_free(hand);
+	g_bytes_unref(job->hand->value);
+	g_free(job->hand);
+	job->hand = NULL;
 }
 
 void
 sched_part_free(sched_job_t *job)
 {
-	g_clear_pointer(&job->peers, g_ptr_array_unref);
-	g_clear_pointer(&job->hand, hand_free);
-	g_clear_pointer(&job->received, g_ptr_array_unref);
+	if (job->peers != NULL)
+		g_ptr_array_unref(job->peers);
+	if (job->hand != NULL)
+		clear_hand(job);
+	if (job->received != NULL)
+		g_ptr_array_unref(job->received);
 }
 
 /* Handing tasks over. */
@@ -162,63 +170,81 @@
  * start together, so all of them go or none.
  */
 static uint32_t
-count_handable(const sched_occurrence_t *occurrence, const sched_step_t *step,
-    const Gw__JobStep *spec, uint64_t now_us)
+count_handable(const sched_job_t *job, const sched_occurrence_t *occurrence,
+    uint32_t number, uint64_t now_us)
 {
+	const Gw__JobStep *spec = job->spec->steps[number];
+	const sched_step_t *step = &occurrence->steps[number];
 	uint32_t count = 0;
 
+	if (!spec->lasting || step->waiting == 0)
+		return 0;
 	for (uint32_t i = 0; i < spec->count; i++)
 		count += may_be_handed(
 		    &occurrence->tasks[step->first_task + i], now_us);
 	return spec->gang && count < spec->count ? 0 : count;
 }
 
+/* A step of which tasks may be handed over. */
+typedef struct {
+	sched_occurrence_t *occurrence;
+	uint32_t step;
+	uint32_t count; /* of these tasks; 0: there is no such step */
+	uint64_t blocked_since_us;
+} found_t;
+
 /*
- * Finds the first step of the job with tasks that may be handed over. Returns
- * their number, 0 if there are none.
+ * Finds a step with tasks that have found no room for SCHED_BLOCKED_MIN_US. Of
+ * several, each is found in its turn, as others may have room for some only.
  */
-static uint32_t
-find_step(const sched_job_t *job, uint64_t now_us,
-    sched_occurrence_t **occurrence, uint32_t *step)
+static found_t
+find_step(const sched_job_t *job, uint64_t now_us)
 {
+	found_t found[SCHED_STEPS_MAX] = {0};
+	uint32_t steps = 0;
+
 	for (guint i = 0; i < job->occurrences->len; i++) {
-		*occurrence = job->occurrences->pdata[i];
-		for (*step = 0; *step < (*occurrence)->step_count; (*step)++) {
-			const Gw__JobStep *spec = job->spec->steps[*step];
+		sched_occurrence_t *occurrence = job->occurrences->pdata[i];
+
+		for (uint32_t k = 0; k < occurrence->step_count; k++) {
+			uint64_t since_us =
+			    occurrence->steps[k].blocked_since_us;
 			uint32_t count;
 
-			if (!spec->lasting ||
-			    (*occurrence)->steps[*step].waiting == 0 ||
-			    !sched_step_is_ready(job, *occurrence, *step))
+			if (steps == SCHED_STEPS_MAX || since_us == 0 ||
+			    gw_elapsed_us(now_us, since_us) <
+				SCHED_BLOCKED_MIN_US)
 				continue;
-			count = count_handable(*occurrence,
-			    &(*occurrence)->steps[*step], spec, now_us);
+			count = count_handable(job, occurrence, k, now_us);
 			if (count > 0)
-				return count;
+				found[steps++] =
+				    (found_t){occurrence, k, count, since_us};
 		}
 	}
-	return 0;
+	return found[steps == 0 ? 0 : job->room_rounds % steps];
 }
 
 /*
- * Returns whether tasks of the job may be handed to another shard now. A job of
- * which nothing is placed goes as a whole if a shard has room for all of it.
+ * Returns since when tasks of the job that may be handed to another shard now
+ * have found no room; 0: there are none. A job of which nothing is placed goes
+ * as a whole if a shard has room for all of it. Rows that were received are
+ * removed first, since their tasks would be taken again.
  */
-bool
-sched_part_may_go(
+uint64_t
+sched_part_blocked_since_us(
     const sched_pool_t *pool, const sched_job_t *job, uint64_t now_us)
 {
-	sched_occurrence_t *occurrence;
-	uint32_t step;
 	bool stays = job->placed > 0 || sched_job_is_part(job) ||
 	    sched_job_is_split(job) ||
 	    job->room_answered + 1 >= pool->shard_count;
 
-	return stays && job->long_running && job->spec_recorded &&
-	    !job->in_batch && job->move_to[0] == '\0' &&
-	    job->aside_until_us == 0 && job->hand == NULL &&
-	    !sched_job_has_ended(job) && now_us >= job->hand_due_us &&
-	    find_step(job, now_us, &occurrence, &step) > 0;
+	if (!stays || !job->long_running || !job->spec_recorded ||
+	    job->in_batch || job->move_to[0] != '\0' ||
+	    job->aside_until_us != 0 || job->hand != NULL ||
+	    (job->received != NULL && job->received->len > 0) ||
+	    sched_job_has_ended(job) || now_us < job->hand_due_us)
+		return 0;
+	return find_step(job, now_us).blocked_since_us;
 }
 
 /*
@@ -226,23 +252,23 @@
  * answer may come at once.
  */
 void
-sched_part_ask(sched_pool_t *pool, const sched_job_t *job, const char *shard,
-    uint64_t now_us)
+sched_part_ask(
+    sched_pool_t *pool, sched_job_t *job, const char *shard, uint64_t now_us)
 {
+	const found_t found = find_step(job, now_us);
 	Gw__JobSpec spec = GW__JOB_SPEC__INIT;
-	sched_occurrence_t *occurrence;
-	uint32_t number;
-	uint32_t count = find_step(job, now_us, &occurrence, &number);
-	Gw__JobStep step = *job->spec->steps[number];
+	Gw__JobStep step = *job->spec->steps[found.step];
 	Gw__JobStep *steps[] = {&step};
 	const bool is_open[SCHED_STEPS_MAX] = {true};
 	const sched_seeker_t seeker = {.id = job->id,
 	    .spec = &spec,
 	    .is_open = is_open,
 	    .is_part = true,
-	    .step = number};
+	    .step = found.step};
 
-	step.count = count;
+	job->asked_occurrence = found.occurrence->number;
+	job->asked_step = found.step;
+	step.count = found.count;
 	step.n_after = 0;
 	step.after = NULL;
 	spec.id = (char *)job->id;
@@ -253,24 +279,30 @@
 }
 
 /*
- * Marks up to count tasks of the step as away.
+ * Marks up to count tasks of the step as away; of a part, only those that are
+ * to be given up if is_hopeless is set.
  */
 static uint32_t
-mark_handed(sched_occurrence_t *occurrence, sched_step_t *step, uint32_t tasks,
-    uint32_t count, uint64_t now_us)
+mark_handed(sched_occurrence_t *occurrence, uint32_t step, uint32_t count,
+    bool is_hopeless, uint64_t now_us)
 {
-	uint32_t marked = 0;
+	sched_step_t *state = &occurrence->steps[step];
+	sched_task_t *first = &occurrence->tasks[state->first_task];
+	uint32_t tasks = sched_task_step_spec(first)->count, marked = 0;
 
 	for (uint32_t i = 0; i < tasks && marked < count; i++) {
-		sched_task_t *task = &occurrence->tasks[step->first_task + i];
+		sched_task_t *task = &first[i];
 
-		if (!may_be_handed(task, now_us))
+		if (!may_be_handed(task, now_us) ||
+		    (is_hopeless && !sched_crash_is_hopeless(task)))
 			continue;
 		task->state = SCHED_TASK_AWAY;
 		task->is_handed = true;
-		step->waiting--;
+		state->waiting--;
 		marked++;
 	}
+	if (state->waiting == 0)
+		state->blocked_since_us = 0;
 	return marked;
 }
 
@@ -330,45 +362,41 @@
 }
 
 /*
- * Begins to hand up to count tasks of the step to the shard.
+ * Begins to hand the marked tasks of the step to the shard.
  */
 static void
 hand_over(sched_pool_t *pool, sched_job_t *job, const char *shard,
-    sched_occurrence_t *occurrence, uint32_t step, uint32_t count,
-    uint64_t now_us)
+    uint32_t step, uint32_t tasks, uint64_t now_us)
 {
-	sched_hand_t *hand = g_new0(sched_hand_t, 1);
+	GBytes *value = encode_row(pool, job);
+	sched_hand_t *hand;
 
-	hand->tasks = mark_handed(occurrence, &occurrence->steps[step],
-	    job->spec->steps[step]->count, count, now_us);
-	hand->value = encode_row(pool, job);
-	if (hand->value == NULL) {
+	if (value == NULL) {
 		gw_log(GW_EV_TASKS_HANDED,
 		    "job=%s pool=%s to=%s tasks=0 step=%u "
 		    "text=\"too large for a row\"",
 		    job->id, pool->name, shard, step);
-		job->hand_due_us = now_us + TOO_LARGE_US;
+		job->hand_due_us = now_us + SCHED_HAND_PAUSE_US;
 		settle_handed(job, true);
-		g_free(hand);
 		return;
 	}
+	hand = g_new0(sched_hand_t, 1);
+	hand->value = value;
 	hand->step = step;
+	hand->tasks = tasks;
 	g_strlcpy(hand->shard, shard, sizeof(hand->shard));
-	job->hand_count++;
-	(void)snprintf(hand->row, sizeof(hand->row), "%s.%u.%u", job->id,
-	    pool->shard_number, job->hand_count);
+	(void)snprintf(hand->row, sizeof(hand->row), "%s.%u.%" PRIu64 ".%u",
+	    job->id, pool->shard_number, pool->fence, ++pool->hand_count);
 	job->hand = hand;
 	/* Named in the record that says that the tasks are away. */
 	sched_part_tell(pool, job, shard);
 	sched_part_find_peer(job, shard)->is_told = true;
-	if (find_step(job, now_us, &occurrence, &step) == 0)
-		job->blocked_since_us = 0;
 	sched_job_mark_dirty(pool, job);
 }
 
 /*
- * Handles that the shard has room for some of the job's tasks. Those of a part
- * go back to the shard that has the job.
+ * Handles that the shard has room for some of the tasks that it was asked
+ * about. Those of a part go back to the shard that has the job.
  */
 void
 sched_part_apply_offer(
@@ -377,18 +405,48 @@
 	uint64_t now_us = gw_clock_now_us(pool->clock);
 	const char *to = sched_job_is_part(job) ? job->part_of : shard;
 	sched_occurrence_t *occurrence;
-	uint32_t step, count;
+	uint32_t step = job->asked_step, count;
+	uint64_t since_us;
 
-	if (!sched_part_may_go(pool, job, now_us) || job->blocked_since_us == 0)
+	if (sched_part_blocked_since_us(pool, job, now_us) == 0)
 		return;
-	count = find_step(job, now_us, &occurrence, &step);
-	if (job->spec->steps[step]->gang && tasks < count)
+	occurrence = sched_job_find_occurrence(job, job->asked_occurrence);
+	count = occurrence == NULL
+	    ? 0
+	    : count_handable(job, occurrence, step, now_us);
+	if (count == 0 || (job->spec->steps[step]->gang && tasks < count))
 		return;
+	since_us = occurrence->steps[step].blocked_since_us;
 	gw_log(GW_EV_ROOM_OFFERED,
 	    "job=%s pool=%s by=%s to=%s waited_ms=%" PRIu64 " tasks=%u",
 	    job->id, pool->name, shard, to,
-	    gw_elapsed_us(now_us, job->blocked_since_us) / GW_US_PER_MS, tasks);
-	hand_over(pool, job, to, occurrence, step, tasks, now_us);
+	    since_us == 0 ? 0 : gw_elapsed_us(now_us, since_us) / GW_US_PER_MS,
+	    tasks);
+	hand_over(pool, job, to, step,
+	    mark_handed(occurrence, step, tasks, false, now_us), now_us);
+}
+
+/*
+ * Returns whether tasks of a part wait that have crashed too many instances.
+ * Sets their step.
+ */
+static bool
+find_hopeless(const sched_job_t *job, sched_occurrence_t **occurrence,
+    uint32_t *step, uint64_t now_us)
+{
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		*occurrence = job->occurrences->pdata[i];
+		for (uint32_t k = 0; k < (*occurrence)->task_count; k++) {
+			const sched_task_t *task = &(*occurrence)->tasks[k];
+
+			if (!may_be_handed(task, now_us) ||
+			    !sched_crash_is_hopeless(task))
+				continue;
+			*step = task->step;
+			return true;
+		}
+	}
+	return false;
 }
 
 /*
@@ -402,11 +460,14 @@
 	sched_occurrence_t *occurrence;
 	uint32_t step, count;
 
-	if (!job->has_hopeless || !sched_part_may_go(pool, job, now_us))
+	if (!job->has_hopeless || job->in_batch || job->hand != NULL ||
+	    job->aside_until_us != 0 || sched_job_has_ended(job) ||
+	    (job->received != NULL && job->received->len > 0) ||
+	    !find_hopeless(job, &occurrence, &step, now_us))
 		return;
-	count = find_step(job, now_us, &occurrence, &step);
-	hand_over(pool, job, job->part_of, occurrence, step, count, now_us);
-	job->has_hopeless = false;
+	count = mark_handed(occurrence, step, UINT32_MAX,
+	    !job->spec->steps[step]->gang, now_us);
+	hand_over(pool, job, job->part_of, step, count, now_us);
 }
 
 /* Writes. */
@@ -418,7 +479,9 @@
 sched_part_count_writes(const sched_job_t *job)
 {
 	return (job->hand != NULL) +
-	    (job->received == NULL ? 0 : job->received->len);
+	    (job->received == NULL
+		    ? 0
+		    : MIN(job->received->len, SCHED_ROWS_REMOVED_MAX));
 }
 
 /*
@@ -433,6 +496,8 @@
 		g_ptr_array_remove_range(
 		    job->received, 0, job->received_in_batch);
 		job->received_in_batch = 0;
+		if (job->received->len > 0)
+			sched_job_mark_dirty(pool, job);
 		/* A list of rows that was asked for earlier has them still. */
 		pool->transfer_count++;
 	}
@@ -443,29 +508,31 @@
 	    job->id, pool->name, hand->shard, hand->tasks, hand->step);
 	settle_handed(job, false);
 	sched_part_tell(pool, job, hand->shard);
-	g_clear_pointer(&job->hand, hand_free);
+	clear_hand(job);
 }
 
 /*
- * Takes back the hand-over in progress, of which nothing is in the store.
+ * Takes back the hand-over in progress, of which nothing is in the store. The
+ * shard may have been about to be told of an earlier one.
  */
 static void
-undo_hand(sched_job_t *job)
+undo_hand(sched_pool_t *pool, sched_job_t *job)
 {
 	if (job->hand == NULL)
 		return;
+	sched_part_tell(pool, job, job->hand->shard);
 	settle_handed(job, true);
-	g_clear_pointer(&job->hand, hand_free);
+	clear_hand(job);
 }
 
 /*
  * Handles that the store has refused the batch with the job's record.
  */
 void
-sched_part_not_recorded(sched_job_t *job)
+sched_part_not_recorded(sched_pool_t *pool, sched_job_t *job)
 {
 	job->received_in_batch = 0;
-	undo_hand(job);
+	undo_hand(pool, job);
 }
 
 /*
@@ -475,7 +542,7 @@
 sched_part_job_ended(sched_pool_t *pool, sched_job_t *job)
 {
 	if (job->hand != NULL && !job->hand->in_batch)
-		undo_hand(job);
+		undo_hand(pool, job);
 	if (sched_job_is_part(job))
 		return;
 	for (guint i = 0; job->peers != NULL && i < job->peers->len; i++)
--- a/lib/sched/part_call.c
+++ b/lib/sched/part_call.c
@@ -11,6 +11,13 @@
  */
 #define RECHECK_US GW_US_PER_S
 #define RECHECK_LEAVING_US (250 * GW_US_PER_MS)
+/*
+ * A part starts nothing unless its job was known to be open within this time,
+ * so that a cancel takes effect even if the part cannot be told.
+ */
+#define CONFIRMED_MAX_US (3 * GW_US_PER_S)
+/* A call may take this long to arrive. */
+#define CALL_AGE_MAX_US (2 * GW_US_PER_S)
 
 static void
 end_part(sched_pool_t *pool, sched_job_t *job)
@@ -28,12 +35,37 @@
 {
 	const sched_response_t ok = {.outcome = GW__CALL_OUTCOME__CALL_OK};
 
-	if (job->dirty || job->in_batch || job->aside_until_us != 0)
+	if (!job->expired &&
+	    (job->dirty || job->in_batch || job->aside_until_us != 0))
 		sched_job_wait_for_record(pool, job, cb, arg);
 	else
 		cb(&ok, arg);
 }
 
+static void
+confirm(sched_job_t *job, uint64_t at_us)
+{
+	sched_peer_t *peer = job->peers->pdata[0];
+
+	peer->confirmed_us = MAX(peer->confirmed_us, at_us);
+}
+
+/*
+ * Returns whether the job is known to be open as far as this shard is
+ * concerned.
+ */
+bool
+sched_part_may_start(const sched_job_t *job, uint64_t now_us)
+{
+	const sched_peer_t *peer;
+
+	if (!sched_job_is_part(job) || job->peers == NULL)
+		return true;
+	peer = job->peers->pdata[0];
+	return peer->confirmed_us != 0 &&
+	    gw_elapsed_us(now_us, peer->confirmed_us) < CONFIRMED_MAX_US;
+}
+
 void
 sched_pool_part_told(sched_pool_t *pool, const char *id, bool is_ended,
     sched_response_cb_t cb, void *arg)
@@ -48,6 +80,8 @@
 	/* An owner that knows no parts wrote it as a job of this shard. */
 	if (is_ended)
 		end_part(pool, job);
+	else
+		confirm(job, gw_clock_now_us(pool->clock) - CALL_AGE_MAX_US);
 	reply_recorded(pool, job, cb, arg);
 }
 
@@ -78,12 +112,18 @@
 {
 	const sched_response_t absent = {
 	    .outcome = GW__CALL_OUTCOME__CALL_ABSENT, .reason = "no-such-job"};
+	const sched_response_t moving = {
+	    .outcome = GW__CALL_OUTCOME__CALL_REFUSED, .reason = "job-moving"};
 	sched_job_t *job = sched_pool_find_job(pool, id);
 
 	if (job == NULL || job->recorded >= GW__JOB_STATE__JOB_COMPLETED) {
 		cb(&absent, arg);
 		return;
 	}
+	if (job->move_to[0] != '\0') {
+		cb(&moving, arg);
+		return;
+	}
 	take_report(pool, job, from, steps, may_stop);
 	reply_recorded(pool, job, cb, arg);
 }
@@ -115,6 +155,13 @@
 		log_told(pool, job, peer, GW__CALL_OUTCOME__CALL_OK);
 	peer->failures = 0;
 	peer->retry_us = SCHED_PEER_RETRY_US;
+	if (sched_job_is_part(job)) {
+		confirm(job, peer->sent_us);
+	} else if (!sched_job_has_ended(job)) {
+		/* The other shard has recorded the tasks, and runs them. */
+		job->started = true;
+		job->state = GW__JOB_STATE__JOB_RUNNING;
+	}
 	if (peer->version != peer->sent_version)
 		return;
 	peer->is_told = true;
@@ -172,6 +219,7 @@
 	    .id = job->id,
 	    .is_ended = sched_job_has_ended(job),
 	    .is_part = sched_job_is_part(job),
+	    .has_rows = !peer->is_told,
 	    .steps = steps};
 
 	peer->in_flight = true;
--- a/lib/sched/part_receive.c
+++ b/lib/sched/part_receive.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "gw/log.h"
@@ -26,36 +27,74 @@
 }
 
 /*
- * Takes the waiting tasks of the record that are away here. Returns their
- * number, or -1 if the record is not one of this job.
+ * Returns the occurrence with this number; a part gets one, with all tasks
+ * away, if it has none yet. NULL if it is over.
  */
-static int32_t
-receive_tasks(sched_job_t *job, const Gw__JobRecord *record)
+static sched_occurrence_t *
+get_occurrence(sched_job_t *job, uint32_t number)
 {
-	int32_t count = 0;
+	sched_occurrence_t *occurrence = sched_job_find_occurrence(job, number);
+	guint at = 0;
+
+	if (occurrence != NULL || !sched_job_is_part(job))
+		return occurrence;
+	occurrence = sched_occurrence_new(job, number);
+	for (uint32_t i = 0; i < occurrence->task_count; i++)
+		occurrence->tasks[i].state = SCHED_TASK_AWAY;
+	for (uint32_t i = 0; i < occurrence->step_count; i++)
+		occurrence->steps[i].waiting = 0;
+	while (at < job->occurrences->len &&
+	    ((sched_occurrence_t *)job->occurrences->pdata[at])->number <
+		number)
+		at++;
+	g_ptr_array_insert(job->occurrences, (gint)at, occurrence);
+	return occurrence;
+}
 
+/*
+ * Sets the tasks of earlier steps that are done by now: a part has none of
+ * them.
+ */
+static void
+receive_done(sched_occurrence_t *occurrence, sched_task_t *task)
+{
+	task->state = SCHED_TASK_DONE;
+	occurrence->steps[task->step].open--;
+	occurrence->open--;
+}
+
+/*
+ * Takes the waiting tasks of the record that are away here. Returns -1 if the
+ * record is not one of this job.
+ */
+static int
+receive_tasks(sched_job_t *job, const Gw__JobRecord *record)
+{
 	for (size_t i = 0; i < record->n_occurrences; i++) {
 		const Gw__OccurrenceRecord *from = record->occurrences[i];
 		sched_occurrence_t *occurrence =
-		    sched_job_find_occurrence(job, from->number);
+		    get_occurrence(job, from->number);
 
-		if (occurrence == NULL ||
-		    from->n_tasks != occurrence->task_count)
+		if (occurrence == NULL)
+			continue;
+		if (from->n_tasks != occurrence->task_count)
 			return -1;
 		for (uint32_t k = 0; k < occurrence->task_count; k++) {
 			sched_task_t *task = &occurrence->tasks[k];
+			const Gw__TaskRecord *row = from->tasks[k];
 
-			if (from->tasks[k]->away ||
-			    from->tasks[k]->state !=
-				GW__TASK_STATE__TASK_WAITING ||
-			    task->state != SCHED_TASK_AWAY)
+			if (row->away || task->state != SCHED_TASK_AWAY)
+				continue;
+			if (row->state == GW__TASK_STATE__TASK_DONE) {
+				if (sched_job_is_part(job))
+					receive_done(occurrence, task);
 				continue;
-			receive_task(task, from->tasks[k]);
+			}
+			receive_task(task, row);
 			occurrence->steps[task->step].waiting++;
-			count++;
 		}
 	}
-	return count;
+	return 0;
 }
 
 /*
@@ -79,6 +118,10 @@
 		return NULL;
 	}
 	g_strlcpy(job->part_of, handed->record->part_of, sizeof(job->part_of));
+	/* Kept by an owner that knows no parts, unlike that in the record. */
+	if (job->spec->part_of != protobuf_c_empty_string)
+		free(job->spec->part_of);
+	job->spec->part_of = strdup(job->part_of);
 	job->state = GW__JOB_STATE__JOB_RUNNING;
 	job->started = true;
 	/* Accepted by the shard that has the job. */
@@ -111,6 +154,17 @@
 	sched_job_mark_dirty(pool, job);
 }
 
+/*
+ * Removes the row of a job that is gone.
+ */
+static void
+drop_row(sched_pool_t *pool, const char *row)
+{
+	if (g_queue_find_custom(pool->old_rows, row, (GCompareFunc)strcmp) ==
+	    NULL)
+		g_queue_push_tail(pool->old_rows, g_strdup(row));
+}
+
 /*
  * Takes the tasks of a row that was found in the store. Those of a job that has
  * ended are dropped. Returns -1 if the row is malformed, or not for this shard.
@@ -121,23 +175,23 @@
 {
 	sched_job_t *job = g_hash_table_lookup(pool->jobs, id);
 	bool is_part = handed->record->part_of[0] != '\0';
-	int32_t tasks = 0;
+	int rc = 0;
 
 	if (job != NULL && has_row(job, row))
 		return 0;
-	if (job == NULL && !is_part) {
-		g_queue_push_tail(pool->old_rows, g_strdup(row));
+	if (job == NULL ? !is_part : job->expired) {
+		drop_row(pool, row);
 		return 0;
 	}
 	if (job == NULL) {
 		job = new_part(pool, id, handed);
-		tasks = job == NULL ? -1 : 0;
+		rc = job == NULL ? -1 : 0;
 	} else if (strcmp(job->part_of, handed->record->part_of) != 0) {
-		return -1;
+		rc = -1;
 	} else if (!sched_job_has_ended(job)) {
-		tasks = receive_tasks(job, handed->record);
+		rc = receive_tasks(job, handed->record);
 	}
-	if (tasks < 0)
+	if (rc != 0)
 		return -1;
 	if (strcmp(pool->offered_to, id) == 0)
 		pool->offer_until_us = 0;
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -13,12 +13,15 @@
 take_room(sched_pool_t *pool, sched_task_t *task, sched_instance_t *instance,
     uint32_t run)
 {
-	const GHashTable *tickets = sched_task_step_state(task)->tickets;
+	sched_step_t *step = sched_task_step_state(task);
+	const GHashTable *tickets = step->tickets;
 
 	sched_instance_assign(instance, task);
 	task->placed_late =
 	    task->job->key_in_order.rank_class > SCHED_RANK_IN_TIME;
-	sched_task_step_state(task)->waiting--;
+	step->waiting--;
+	if (step->waiting == 0)
+		step->blocked_since_us = 0;
 	task->state = SCHED_TASK_RESERVED;
 	task->run = run;
 	sched_send_reserved(pool, task);
@@ -108,6 +111,19 @@
 		job->blocked_since_us = now_us;
 }
 
+/*
+ * The same, for the task's step, of which tasks may be handed to another shard.
+ */
+void
+sched_place_mark_task_blocked(sched_task_t *task, uint64_t now_us)
+{
+	sched_step_t *step = sched_task_step_state(task);
+
+	sched_place_mark_blocked(task->job, now_us);
+	if (step->blocked_since_us == 0)
+		step->blocked_since_us = now_us;
+}
+
 static void
 place_tasks(sched_pool_t *pool, sched_occurrence_t *occurrence,
     const sched_step_t *step, uint32_t count, uint64_t now_us)
@@ -123,7 +139,7 @@
 			continue; /* by sched_trial_place_jobs() */
 		instance = sched_place_find_instance(pool, task, NULL, now_us);
 		if (instance == NULL) {
-			sched_place_mark_blocked(task->job, now_us);
+			sched_place_mark_task_blocked(task, now_us);
 			if (!sched_task_step_spec(task)->lasting ||
 			    sched_place_takes_last_choice(task, now_us))
 				return; /* nor does the next one */
@@ -241,8 +257,8 @@
 			pool, occurrence, step, spec->count, rack, now_us))
 			return;
 	if (!reserve_gang(pool, occurrence, step, spec->count, NULL, now_us))
-		sched_place_mark_blocked(
-		    occurrence->tasks[step->first_task].job, now_us);
+		sched_place_mark_task_blocked(
+		    &occurrence->tasks[step->first_task], now_us);
 }
 
 static void
@@ -391,7 +407,7 @@
 		sched_job_t *job = pool->open->pdata[i];
 
 		if (job->aside_until_us == 0 && job->move_to[0] == '\0' &&
-		    has_waiting(job) &&
+		    has_waiting(job) && sched_part_may_start(job, now_us) &&
 		    !sched_overflow_holds(pool, job, now_us))
 			g_ptr_array_add(jobs, job);
 	}
--- a/lib/sched/record.c
+++ b/lib/sched/record.c
@@ -93,7 +93,6 @@
 	record->part_of = (char *)encoding->part_of;
 	if (encoding->handed_only)
 		return;
-	record->handed = job->hand_count;
 	if (job->peers == NULL || sched_job_is_part(job))
 		return;
 	record->parts = g_new(char *, job->peers->len);
@@ -237,7 +236,10 @@
 	task->job->started |= from->run > 0;
 	if (from->checkpoint[0] != '\0')
 		task->checkpoint = g_strdup(from->checkpoint);
-	if (from->away) {
+	/* Of a step that lasts, none is done: another owner left out 'away'. */
+	if (from->away ||
+	    (from->state == GW__TASK_STATE__TASK_DONE &&
+		sched_task_step_spec(task)->lasting)) {
 		task->state = SCHED_TASK_AWAY;
 		step->waiting--;
 	} else if (from->state == GW__TASK_STATE__TASK_DONE) {
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -29,7 +29,7 @@
  */
 #define SCHED_TASK_RECORD_BYTES 100
 /* Size of the name of a row with tasks that are handed over. */
-#define SCHED_ROW_BYTES 48
+#define SCHED_ROW_BYTES 64
 /* What such a row takes beside the specification and the record. */
 #define SCHED_ROW_OVERHEAD_BYTES 64
 /* Most steps in a job; a job with more is refused. */
@@ -256,6 +256,7 @@
 	const char *id;
 	bool is_ended;	     /* the job has ended */
 	bool is_part;	     /* from a part: is the job open? */
+	bool has_rows;	     /* tasks may have been handed to the shard */
 	const GArray *steps; /* of the part (sched_part_step_t), or NULL */
 } sched_part_call_t;
 
--- a/lib/sched/state.h
+++ b/lib/sched/state.h
@@ -75,6 +75,13 @@
  */
 #define SCHED_WAITING_TASKS_MAX 1024
 
+/* How long a job finds no room before owners of other shards are asked. */
+#define SCHED_BLOCKED_MIN_US GW_US_PER_S
+/* How long a job is not split after a row of it was refused or too large. */
+#define SCHED_HAND_PAUSE_US (60 * GW_US_PER_S)
+/* Most rows that are removed with one record. */
+#define SCHED_ROWS_REMOVED_MAX 8
+
 /* A job is late until this many times its objective, then overdue. */
 #define SCHED_OVERDUE_FACTOR 3
 
@@ -193,6 +200,8 @@
 	uint64_t tickets_expiry_us; /* on the pool's clock */
 	uint64_t advice_retry_us;   /* no request for advice before */
 	bool advice_pending;	    /* a request for advice is in flight */
+	/* Since when a task of it has found no room; 0: all that wait may. */
+	uint64_t blocked_since_us;
 	/* Of a part: tasks that may be stopped on purpose, and until when. */
 	uint32_t may_stop;
 	uint64_t may_stop_until_us;
@@ -235,6 +244,8 @@
 	/* What its part has reported (sched_part_step_t), and when; or NULL. */
 	GArray *steps;
 	uint64_t steps_us;
+	/* Of a part: when its job was last known to be open; 0: never. */
+	uint64_t confirmed_us;
 } sched_peer_t;
 
 /* Tasks of a job that are being handed to another shard. */
@@ -321,6 +332,10 @@
 	/* Questions to owners of other shards for room; see overflow.c. */
 	uint32_t room_asked;
 	uint32_t room_answered; /* of these */
+	uint32_t room_rounds;	/* in which all others were asked */
+	/* The step that a question for room for some tasks is about. */
+	uint32_t asked_occurrence;
+	uint32_t asked_step;
 	uint64_t room_ask_us;	/* no question before */
 	uint64_t late_until_us; /* the latest of its tasks */
 	/* Since when it waits for room for all its tasks; 0: it does not. */
@@ -333,7 +348,6 @@
 	 */
 	GPtrArray *peers;
 	sched_hand_t *hand;   /* in progress, or NULL */
-	uint32_t hand_count;  /* rows written so far */
 	uint64_t hand_due_us; /* nothing is handed over before */
 	/* Rows to be removed with the next record (char *), or NULL. */
 	GPtrArray *received;
@@ -502,7 +516,8 @@
 	uint64_t offer_until_us;
 	GQueue *old_transfers; /* ids whose rows are to be removed (char *) */
 	GPtrArray *split;      /* jobs with peers (sched_job_t); see part.c */
-	GQueue *old_rows; /* of jobs that are gone, to be removed (char *) */
+	GQueue *old_rows;    /* of jobs that are gone, to be removed (char *) */
+	uint32_t hand_count; /* rows written by this owner */
 	bool has_unused_queues; /* one of them may be without jobs */
 	GQueue *dirty;	  /* jobs whose record must be written (sched_job_t) */
 	GPtrArray *aside; /* jobs set aside (sched_job_t); see aside.c */
--- a/lib/sched/transfer.c
+++ b/lib/sched/transfer.c
@@ -193,6 +193,7 @@
 		    pool, &g_array_index(job->acks, sched_ack_t, i));
 	if (job->dirty)
 		(void)g_queue_remove(pool->dirty, job);
+	sched_part_forget_peers(pool, job);
 	g_ptr_array_remove_fast(pool->open, job);
 	g_hash_table_remove(pool->jobs, job->id);
 }
--- a/lib/sched/trial.c
+++ b/lib/sched/trial.c
@@ -180,11 +180,11 @@
 	/* Or the task joins a trial of its job. */
 	is_new = instance == NULL || instance->trials == 0;
 	if (is_new && !may_try(pool, task, instance)) {
-		sched_place_mark_blocked(task->job, now_us);
+		sched_place_mark_task_blocked(task, now_us);
 		return;
 	}
 	if (instance == NULL) {
-		sched_place_mark_blocked(task->job, now_us);
+		sched_place_mark_task_blocked(task, now_us);
 		withhold_for_trial(pool, task, now_us);
 		return;
 	}
--- a/lib/sched/wait.c
+++ b/lib/sched/wait.c
@@ -84,6 +84,8 @@
 
 	if (task->job->aside_until_us != 0)
 		return SCHED_WAIT_ASIDE;
+	if (!sched_part_may_start(task->job, now_us))
+		return SCHED_WAIT_HOME;
 	if (!sched_step_is_ready(task->job, occurrence, task->step))
 		return SCHED_WAIT_STEP;
 	if (spec->gang && step->waiting < spec->count)
--- a/lib/sched/wait.h
+++ b/lib/sched/wait.h
@@ -44,6 +44,7 @@
 	SCHED_WAIT_OWNER,  /* the owner's own lease may have expired */
 	/* It waits for an instance. */
 	SCHED_WAIT_ASIDE,      /* the store refuses the job's record */
+	SCHED_WAIT_HOME,       /* the shard with the job has not responded */
 	SCHED_WAIT_STEP,       /* earlier steps are not done */
 	SCHED_WAIT_NOT_BEFORE, /* a pause after a failure */
 	SCHED_WAIT_ADVICE,     /* no valid tickets */
--- a/lib/sched/wait_name.c
+++ b/lib/sched/wait_name.c
@@ -11,6 +11,7 @@
     [SCHED_WAIT_LINK] = "link",
     [SCHED_WAIT_OWNER] = "owner",
     [SCHED_WAIT_ASIDE] = "aside",
+    [SCHED_WAIT_HOME] = "home",
     [SCHED_WAIT_STEP] = "step",
     [SCHED_WAIT_NOT_BEFORE] = "not-before",
     [SCHED_WAIT_ADVICE] = "advice",
--- a/lib/wire/gw.pb-c.c
+++ b/lib/wire/gw.pb-c.c
@@ -3403,7 +3403,7 @@
   (ProtobufCMessageInit) gw__job_advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__job_spec__field_descriptors[15] =
+static const ProtobufCFieldDescriptor gw__job_spec__field_descriptors[16] =
 {
   {
     "id",
@@ -3585,6 +3585,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_of",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__JobSpec, part_of),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__job_spec__field_indices_by_name[] = {
   12,   /* field[12] = advice */
@@ -3593,6 +3605,7 @@
   6,   /* field[6] = interval_ms */
   8,   /* field[8] = max_attempts */
   9,   /* field[9] = objective_ms */
+  15,   /* field[15] = part_of */
   2,   /* field[2] = payload */
   7,   /* field[7] = priority */
   1,   /* field[1] = queue */
@@ -3606,7 +3619,7 @@
 static const ProtobufCIntRange gw__job_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gw__job_spec__descriptor =
 {
@@ -3616,7 +3629,7 @@
   "Gw__JobSpec",
   "gw",
   sizeof(Gw__JobSpec),
-  15,
+  16,
   gw__job_spec__field_descriptors,
   gw__job_spec__field_indices_by_name,
   1,  gw__job_spec__number_ranges,
@@ -3867,7 +3880,7 @@
   (ProtobufCMessageInit) gw__occurrence_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gw__job_record__field_descriptors[12] =
 {
   {
     "state",
@@ -4013,24 +4026,11 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "handed",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gw__JobRecord, handed),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned gw__job_record__field_indices_by_name[] = {
   7,   /* field[7] = cancelled_first */
   4,   /* field[4] = finished_wall_ms */
   5,   /* field[5] = first_open */
-  12,   /* field[12] = handed */
   3,   /* field[3] = hosts */
   2,   /* field[2] = occurrences */
   10,   /* field[10] = part_of */
@@ -4044,7 +4044,7 @@
 static const ProtobufCIntRange gw__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gw__job_record__descriptor =
 {
@@ -4054,7 +4054,7 @@
   "Gw__JobRecord",
   "gw",
   sizeof(Gw__JobRecord),
-  13,
+  12,
   gw__job_record__field_descriptors,
   gw__job_record__field_indices_by_name,
   1,  gw__job_record__number_ranges,
@@ -4317,7 +4317,7 @@
   (ProtobufCMessageInit) gw__part_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__call__field_descriptors[19] =
+static const ProtobufCFieldDescriptor gw__call__field_descriptors[20] =
 {
   {
     "number",
@@ -4547,12 +4547,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_rows",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Call, has_rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__call__field_indices_by_name[] = {
   8,   /* field[8] = coming */
   10,   /* field[10] = config_version */
   7,   /* field[7] = ended */
   17,   /* field[17] = from */
+  19,   /* field[19] = has_rows */
   4,   /* field[4] = id */
   6,   /* field[6] = instance */
   13,   /* field[13] = key_digest */
@@ -4572,7 +4585,7 @@
 static const ProtobufCIntRange gw__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor gw__call__descriptor =
 {
@@ -4582,7 +4595,7 @@
   "Gw__Call",
   "gw",
   sizeof(Gw__Call),
-  19,
+  20,
   gw__call__field_descriptors,
   gw__call__field_indices_by_name,
   1,  gw__call__number_ranges,
--- a/lib/wire/gw.pb-c.h
+++ b/lib/wire/gw.pb-c.h
@@ -516,10 +516,14 @@
    * Of the key that the job was submitted with; empty: it came without one.
    */
   char *team;
+  /*
+   * JobRecord.part_of.
+   */
+  char *part_of;
 };
 #define GW__JOB_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__job_spec__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Gw__TaskRecord
@@ -626,14 +630,10 @@
    */
   size_t n_parts;
   char **parts;
-  /*
-   * Number of HandedTasks written to other shards so far.
-   */
-  uint32_t handed;
 };
 #define GW__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__job_record__descriptor) \
-    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+    , GW__JOB_STATE__JOB_QUEUED, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /*
@@ -765,10 +765,14 @@
   char *from;
   size_t n_part_steps;
   Gw__PartStep **part_steps;
+  /*
+   * For CALL_PART: HandedTasks may have been written since the last such call.
+   */
+  protobuf_c_boolean has_rows;
 };
 #define GW__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__call__descriptor) \
-    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, GW__CALL_KIND__CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 /*
--- a/regress/sched/parts.sh
+++ b/regress/sched/parts.sh
@@ -55,6 +55,7 @@
 instance i3
 instance i4 dc=dc-b
 tick
+answered j1 p ok
 report i3 clock=100
 report i4 clock=100
 EOT
@@ -278,10 +279,193 @@
 instance i3
 instance i4 dc=dc-b
 tick
+answered j1 p ok
+report i3 clock=100
+report i4 clock=100
+commit
+describe j1
+EOT
+
+# A cancel must take effect even if the part cannot be told.
+shown "a part starts nothing unless the job is known to be open" handed <<'EOT'
+owner p~0 0
+instance i3
+instance i4 dc=dc-b
+tick
 report i3 clock=100
 report i4 clock=100
 commit
 describe j1
+answered j1 p ok
+commit
+EOT
+
+shown "nor later, if that was long ago" other <<'EOT'
+commit
+started i3 j1.0.0.2 1 ok
+started i4 j1.0.0.3 1 ok
+advance 3100
+ended i4
+gone i4
+tick
+instance i5
+tick
+report i5 clock=100
+commit
+describe j1
+EOT
+
+shown "tasks of a later occurrence go to a part that is there" home <<'EOT'
+submit j1 repeats=2 interval=2000 3:3000:500:lasting
+commit
+room j1 p~0 no
+tick
+commit
+started i1 j1.0.0.0 1 ok
+started i2 j1.0.0.1 1 ok
+advance 1100
+room j1 p~0 1
+commit
+advance 1000
+advance 1200
+room j1 p~0 2
+commit
+owner p~0 0
+instance i3 cpu=16000
+tick
+answered j1 p ok
+report i3 clock=100
+commit
+describe j1
+EOT
+
+shown "a shard is told of a row although the next one was refused" split <<'EOT'
+room j1 p~0 1
+commit
+tick
+advance 600
+room j1 p~0 1
+outdated
+answered j1 p~0 refused
+advance 1000
+EOT
+
+shown "room is asked for although tasks of the step are placed again and again" split <<'EOT'
+report i1 clock=1200 end:1:j1.0.0.0:1:failed
+report i2 clock=1200 run:j1.0.0.1:1:100
+commit
+advance 60
+commit
+started i1 j1.0.0.2 1 ok
+room j1 p~0 no
+advance 400
+report i1 clock=1800 end:2:j1.0.0.2:1:failed
+report i2 clock=1800 run:j1.0.0.1:1:100
+commit
+advance 60
+commit
+advance 100
+EOT
+
+# crashed: a task of the part has crashed three instances.
+crashed()
+{
+	other
+	cat <<'EOT'
+commit
+started i3 j1.0.0.2 1 ok
+started i4 j1.0.0.3 1 ok
+EOT
+	for run in 1 2 3; do
+		cat <<EOT
+instance i3 born=$((run + 1))
+tick
+report i3 clock=0 born=$((run + 1))
+stopped i3 j1.0.0.2 $run ok
+advance 5
+report i3 clock=5 born=$((run + 1))
+EOT
+		[ $run = 3 ] || printf '%s\n' commit "started i3 j1.0.0.2 $((run + 1)) ok"
+	done
+}
+
+shown "a hopeless task goes back, so that the job fails where it is" crashed <<'EOT'
+tick
+outdated
+commit
+owner p 1
+commit
+state j1
+EOT
+
+shown "a part is told while its record is being removed" other <<'EOT'
+commit
+started i3 j1.0.0.2 1 ok
+started i4 j1.0.0.3 1 ok
+told j1 ended
+commit
+ended i3
+gone i3
+ended i4
+gone i4
+commit
+advance 125000
+take
+told j1 ended
+done
+tick
+EOT
+
+shown "a row that is read twice is removed once" other <<'EOT'
+commit
+started i3 j1.0.0.2 1 ok
+started i4 j1.0.0.3 1 ok
+ended i3
+gone i3
+advance 1100
+room j1 p 1
+commit
+owner p 1 unloaded
+pool
+told j1
+told j1
+commit
+EOT
+
+# An owner of an earlier version writes no field that it does not know.
+shown "a part is one after an earlier version had it" other <<'EOT'
+commit
+started i3 j1.0.0.2 1 ok
+started i4 j1.0.0.3 1 ok
+older
+takeover
+tick
+describe j1
+offer j1 1:3000:300
+EOT
+
+shown "tasks come back to a job that an earlier version had" other <<'EOT'
+commit
+started i3 j1.0.0.2 1 ok
+started i4 j1.0.0.3 1 ok
+ended i4
+gone i4
+advance 1100
+room j1 p 1
+commit
+owner p 1
+older
+takeover
+instance i1
+instance i2 dc=dc-b
+instance i5
+tick
+asked j1
+report i1 clock=3000 run:j1.0.0.0:1:100
+report i2 clock=3000 run:j1.0.0.1:1:100
+report i5 clock=100
+commit
+describe j1
 EOT
 
 # The tasks of one step of which one may be unavailable.
@@ -345,12 +529,12 @@
 instance i3
 instance i4 dc=dc-b
 tick
+answered j1 p ok
 report i3 clock=100
 report i4 clock=100
 commit
 started i3 j1.0.0.2 1 ok
 started i4 j1.0.0.3 1 ok
-answered j1 p ok
 advance 1500
 report i3 clock=1600 run:j1.0.0.2:1:100
 report i4 clock=1600 run:j1.0.0.3:1:100
--- a/regress/sched/schedplay.c
+++ b/regress/sched/schedplay.c
@@ -583,6 +583,46 @@
 	do_takeover();
 }
 
+/* Writes a record as an owner that knows no parts would. */
+static GBytes *
+encode_older(GBytes *value)
+{
+	gsize size_bytes;
+	const void *data = g_bytes_get_data(value, &size_bytes);
+	Gw__JobRecord *record = gw__job_record__unpack(NULL, size_bytes, data);
+	char *part_of = record->part_of;
+	size_t parts = record->n_parts;
+	uint8_t *older;
+
+	record->part_of = (char *)"";
+	record->n_parts = 0;
+	for (size_t i = 0; i < record->n_occurrences; i++)
+		for (size_t k = 0; k < record->occurrences[i]->n_tasks; k++)
+			record->occurrences[i]->tasks[k]->away = false;
+	older = g_malloc(gw__job_record__get_packed_size(record));
+	size_bytes = gw__job_record__pack(record, older);
+	record->part_of = part_of;
+	record->n_parts = parts;
+	gw__job_record__free_unpacked(record, NULL);
+	return g_bytes_new_take(older, size_bytes);
+}
+
+/* older: an owner that knows no parts writes all records of this shard */
+static void
+do_older(void)
+{
+	GList *keys = g_hash_table_get_keys(store);
+
+	for (GList *link = keys; link != NULL; link = link->next) {
+		const char *key = link->data;
+
+		if (g_str_has_prefix(key, "record/"))
+			g_hash_table_replace(store, g_strdup(key),
+			    encode_older(g_hash_table_lookup(store, key)));
+	}
+	g_list_free(keys);
+}
+
 /* Receives the rows that the store has of the job. */
 static void
 receive_rows(const char *id)
@@ -1486,6 +1526,7 @@
     {"instance", 2, do_instance},
     {"shard", 3, do_shard},
     {"owner", 3, do_owner},
+    {"older", 1, do_older},
     {"told", 2, do_told},
     {"asked", 2, do_asked},
     {"answered", 4, do_answered},
