sched: a job is not blocked any more once its tasks are handed over

Change: it is reset with the hand-over; the next round sets it again if others of the job's tasks find no room. sched/parts.sh, "nothing is blocked any more", prints blocked=1 without it.

--- a/lib/sched/part.c
+++ b/lib/sched/part.c
@@ -388,6 +388,8 @@
 	(void)snprintf(hand->row, sizeof(hand->row), "%s.%u.%" PRIu64 ".%u",
 	    job->id, pool->shard_number, pool->fence, ++pool->hand_count);
 	job->hand = hand;
+	/* The next round shows whether others of its tasks find no room. */
+	job->blocked_since_us = 0;
 	/* Named in the record that says that the tasks are away. */
 	sched_part_tell(pool, job, shard);
 	sched_part_find_peer(job, shard)->is_told = true;
--- a/regress/sched/parts.sh
+++ b/regress/sched/parts.sh
@@ -66,6 +66,10 @@
 describe j1
 EOT
 
+# The planner would bring one machine after the other.
+echo "== nothing is blocked any more"
+{ handed; printf '%s\n' tick load; } | play '' | grep -o 'blocked=[0-9]*'
+
 shown "one if there is room for one; the other shard is told once more then" split <<'EOT'
 room j1 p~0 1
 commit
