sched: a start that an instance refused is no crash of that instance

What callers saw: after some 45 instances had been replaced while the core was cut, one to three jobs with sound tasks failed (LOST).

Cause: when an instance is found to have been replaced, each run there that had not lasted was suspected if a start of it had been sent, whatever had become of the start. A 421 from the next instance at the address, a refused connection and a start that was merely in flight counted like a start without a response. Five such answers ended the job.

Change: starts_refused counts the starts that were certainly not carried out. A run with only such starts is not suspected, and is no second cause beside one that had begun. A run whose starts are all in flight when its instance is found to be gone ends at once, as before, and is counted with the result of its start: not if that is a refusal. What was accepted, or had no response, counts as before, so that a deadly task is given up.

Test: sched/crash.sh has nine more plays.

--- a/lib/sched/crash.c
+++ b/lib/sched/crash.c
@@ -174,13 +174,42 @@
 	return true;
 }
 
+/*
+ * Returns whether the result shows that the instance has not carried out the
+ * start, and will not.
+ */
+bool
+sched_crash_is_refusal(sched_result_t result)
+{
+	return result != SCHED_RESULT_OK && result != SCHED_RESULT_STALE &&
+	    result != SCHED_RESULT_NO_RESPONSE;
+}
+
 /* Returns whether the run may have crashed its instance. */
 static bool
 may_be_cause(const sched_task_t *task)
 {
+	if (task->has_lasted)
+		return false;
 	/* Of a run from the records it is not known when it was started. */
-	return !task->has_lasted &&
-	    (task->starts_sent > 0 || task->state != SCHED_TASK_RESERVED);
+	if (task->starts_sent == 0)
+		return task->state != SCHED_TASK_RESERVED;
+	return task->begun_us != 0 || task->is_listed ||
+	    task->starts_sent > task->starts_refused;
+}
+
+/*
+ * Returns whether the starts in flight, all that may have been carried out,
+ * tell whether the run may be the cause: at the address of an instance that is
+ * gone, another one refuses them.
+ */
+static bool
+awaits_results(const sched_task_t *task)
+{
+	return task->instance->is_gone && task->state == SCHED_TASK_STARTING &&
+	    task->begun_us == 0 && task->requests_in_flight > 0 &&
+	    task->starts_refused + task->requests_in_flight ==
+	    task->starts_sent;
 }
 
 /*
@@ -205,24 +234,52 @@
 	return cause != NULL;
 }
 
-/*
- * Counts a crash for a task whose run may have been its cause.
- */
-void
-sched_crash_count(sched_task_t *task, const char *instance, bool is_certain)
+static void
+count_crash(sched_task_t *task, uint32_t run, const char *instance,
+    bool is_certain, bool is_adopted)
 {
 	task->crashes++;
 	task->crashes_alone += is_certain;
-	task->crashes_adopted += task->starts_sent == 0;
+	task->crashes_adopted += is_adopted;
 	task->job->has_suspect |= sched_crash_is_suspect(task);
 	gw_log(GW_EV_TASK_SUSPECTED,
 	    "job=%s task=%u.%u.%u run=%u instance=%s crashes=%u alone=%u "
 	    "adopted=%u",
-	    task->job->id, task->occurrence, task->step, task->index, task->run,
+	    task->job->id, task->occurrence, task->step, task->index, run,
 	    instance, task->crashes, task->crashes_alone,
 	    task->crashes_adopted);
 }
 
+/*
+ * Counts a crash for a task whose run may have been its cause.
+ */
+void
+sched_crash_count(sched_task_t *task, const char *instance, bool is_certain)
+{
+	count_crash(
+	    task, task->run, instance, is_certain, task->starts_sent == 0);
+}
+
+/*
+ * The same for a run that is over, once the results of its starts show that it
+ * may have been the cause.
+ */
+void
+sched_crash_count_ended(sched_pool_t *pool, const sched_task_ref_t *ref,
+    uint32_t run, const char *instance)
+{
+	sched_task_t *task = sched_pool_find_task(pool, ref);
+	g_autoptr(GPtrArray) suspects = g_ptr_array_new();
+
+	if (task == NULL || task->state == SCHED_TASK_DONE ||
+	    task->state == SCHED_TASK_AWAY || sched_job_has_ended(task->job))
+		return;
+	count_crash(task, run, instance, false, false);
+	sched_job_mark_dirty(pool, task->job);
+	g_ptr_array_add(suspects, task);
+	sched_crash_give_up(pool, suspects);
+}
+
 /*
  * Counts the crash of an instance for those of its tasks whose runs may have
  * been its cause. Returns these tasks (sched_task_t). An instance that does not
@@ -244,6 +301,10 @@
 
 		if (!may_be_cause(task) || sched_job_has_ended(task->job))
 			continue;
+		if (awaits_results(task)) {
+			task->is_crash_open = true;
+			continue;
+		}
 		/* A start without a response may have come after the crash. */
 		sched_crash_count(
 		    task, instance->info.id, is_certain && task->begun_us != 0);
--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -280,6 +280,9 @@
     const sched_instance_t *, const sched_task_t *, uint64_t now_us);
 bool sched_crash_may_start(const sched_instance_t *, const sched_task_t *);
 void sched_crash_count(sched_task_t *, const char *instance, bool is_certain);
+void sched_crash_count_ended(sched_pool_t *, const sched_task_ref_t *,
+    uint32_t run, const char *instance);
+bool sched_crash_is_refusal(sched_result_t);
 GPtrArray *sched_crash_count_runs(
     sched_instance_t *, const GPtrArray *tasks, sched_loss_t);
 bool sched_crash_is_hopeless(const sched_task_t *);
--- a/lib/sched/instance.c
+++ b/lib/sched/instance.c
@@ -466,8 +466,8 @@
 		return;
 	instance->renewing = false;
 	if (result == SCHED_RESULT_REPLACED) {
-		sched_instance_end_runs(instance, "replaced", SCHED_LOSS_CRASH);
 		instance->is_gone = true;
+		sched_instance_end_runs(instance, "replaced", SCHED_LOSS_CRASH);
 		instance->contacted = false;
 		instance->listed = false;
 		return;
--- a/lib/sched/loss.c
+++ b/lib/sched/loss.c
@@ -195,8 +195,8 @@
 static void
 end_instance(sched_instance_t *instance, const char *reason, sched_loss_t loss)
 {
-	sched_instance_end_runs(instance, reason, loss);
 	instance->is_gone = true;
+	sched_instance_end_runs(instance, reason, loss);
 	instance->listed = false;
 	instance->contacted = false;
 }
--- a/lib/sched/run.c
+++ b/lib/sched/run.c
@@ -48,6 +48,8 @@
 	task->refused_as_stale = false;
 	task->starts_sent = 0;
 	task->starts_settled = 0;
+	task->starts_refused = 0;
+	task->is_crash_open = false;
 	task->stops_sent = 0;
 	task->requests_in_flight = 0;
 	task->stop_answered_us = 0;
@@ -410,6 +412,7 @@
 	has_response = result != SCHED_RESULT_NO_RESPONSE &&
 	    result != SCHED_RESULT_NOT_SENT;
 	task->starts_settled += result != SCHED_RESULT_NO_RESPONSE;
+	task->starts_refused += sched_crash_is_refusal(result);
 	/* A repeated start may have been answered to an earlier request. */
 	if (has_response && result != SCHED_RESULT_REPLACED &&
 	    task->starts_sent == 1 && task->stops_sent == 0)
--- a/lib/sched/state.h
+++ b/lib/sched/state.h
@@ -151,7 +151,8 @@
 	uint32_t starts_sent; /* for this run, answered or not */
 	/* Of these, with a response from any incarnation, or not sent. */
 	uint32_t starts_settled;
-	uint32_t stops_sent; /* for this run, answered or not */
+	uint32_t starts_refused; /* of these, known not to be carried out */
+	uint32_t stops_sent;	 /* for this run, answered or not */
 	/* Starts and stops of this run without a result so far. */
 	uint32_t requests_in_flight;
 	uint64_t stop_answered_us; /* when the stop was answered; 0: not yet */
@@ -165,6 +166,8 @@
 	/* The placed run has lasted beyond its start. */
 	bool has_lasted;
 	bool on_trial; /* no other start goes to the instance; see crash.c */
+	/* The results of its starts tell whether it may be the cause. */
+	bool is_crash_open;
 	/* Instances that ended just after they had started the task. */
 	uint32_t crashes;
 	uint32_t crashes_alone;	  /* of these, caused by the job for certain */
--- a/lib/sched/stray.c
+++ b/lib/sched/stray.c
@@ -32,6 +32,7 @@
 	sched_team_t *team;
 	sched_resources_t takes;
 	uint64_t refused_from_us;
+	bool is_crash_open; /* the results tell whether it counts */
 } stray_t;
 
 GArray *
@@ -51,6 +52,7 @@
 	    .run = task->run,
 	    .starts = sched_late_start_count(task),
 	    .born_ms = instance->info.born_ms,
+	    .is_crash_open = task->is_crash_open,
 	    .forget_us = now_us + SCHED_LATE_REQUEST_MAX_MS * GW_US_PER_MS};
 
 	if (stray.starts == 0)
@@ -111,9 +113,15 @@
 {
 	stray_t *stray = find(instance, ref, run);
 
-	if (stray != NULL && result != SCHED_RESULT_NO_RESPONSE &&
-	    stray->starts > 0)
+	if (stray == NULL)
+		return;
+	if (result != SCHED_RESULT_NO_RESPONSE && stray->starts > 0)
 		stray->starts--;
+	if (stray->is_crash_open && !sched_crash_is_refusal(result)) {
+		stray->is_crash_open = false;
+		sched_crash_count_ended(
+		    instance->pool, ref, run, instance->info.id);
+	}
 }
 
 /*
--- a/regress/sched/crash.sh
+++ b/regress/sched/crash.sh
@@ -466,3 +466,75 @@
 commit
 state j1
 EOT
+
+# five_replaced LINE...: j1 is started on five instances that another one has replaced.
+five_replaced()
+{
+	printf '%s\n' pool 'submit j1 1:1000:500'
+	for n in 1 2 3 4 5; do
+		printf '%s\n' "instance i$n" tick "report i$n clock=100" \
+		    commit
+		for line; do
+			echo "$line" | sed "s/INSTANCE/i$n/g; s/RUN/$n/g"
+		done
+	done
+	printf '%s\n' commit 'state j1'
+}
+
+# Guards against a job that is given up because instances were replaced before
+# its starts arrived.
+five_replaced 'started INSTANCE j1.0.0.0 RUN replaced' |
+    play "a start that another instance refuses is no crash"
+
+# Guards against the same, if the renewal is refused before the start.
+five_replaced 'renew-failed INSTANCE replaced' \
+    'started INSTANCE j1.0.0.0 RUN replaced' |
+    play "a start is refused after the renewal"
+
+# Guards against the same, if the registry shows the other instance first.
+five_replaced 'instance nINSTANCE machine=mINSTANCE born=2' \
+    'started INSTANCE j1.0.0.0 RUN replaced' 'gone nINSTANCE' |
+    sed 's/^instance i\([0-9]\)$/instance i\1 machine=mi\1/' |
+    play "a start is refused after the registry shows the next instance"
+
+# Guards against the same, if nothing listens at the address.
+five_replaced 'started INSTANCE j1.0.0.0 RUN not-sent' \
+    'renew-failed INSTANCE none' 'advance 6000' |
+    play "a start that was not sent is no crash once the lease has expired"
+
+# Guards against a crash that does not count because another instance is found
+# at the address.
+five_replaced 'started INSTANCE j1.0.0.0 RUN none' \
+    'renew-failed INSTANCE replaced' |
+    play "a start without a response counts when the instance is replaced"
+
+# Guards against the same, if the response is still awaited then.
+five_replaced 'renew-failed INSTANCE replaced' \
+    'started INSTANCE j1.0.0.0 RUN none' |
+    play "a start counts once it is known to have no response"
+
+# Guards against the same, if the response comes after the loss.
+five_replaced 'renew-failed INSTANCE replaced' \
+    'started INSTANCE j1.0.0.0 RUN ok' |
+    play "a start that is accepted before the loss counts"
+
+# Guards against the same, for runs that are known to have begun.
+five_replaced 'started INSTANCE j1.0.0.0 RUN ok' \
+    'renew-failed INSTANCE replaced' |
+    play "a run that had begun counts when the instance is replaced"
+
+# Guards against a crash that is charged to a start which was refused beside it.
+play "a refused start is not suspected beside the cause" two <<'EOT'
+submit j1 1:1000:500
+submit j2 1:1000:500
+commit
+started i1 j1.0.0.0 1 ok
+started i1 j2.0.0.0 1 replaced
+commit
+started i2 j1.0.0.0 2 ok
+advance 260
+report i2 clock=360 run:j1.0.0.0:2:50
+# j2 is not on trial, so that j3 is started beside it.
+submit j3 1:1000:500
+commit
+EOT
