--- a/lib/sched/impl.h
+++ b/lib/sched/impl.h
@@ -172,7 +172,12 @@
 bool sched_pool_holds_part(const sched_pool_t *, const char *id);
 void sched_part_load(sched_pool_t *, sched_job_t *, const Gw__JobRecord *);
 void sched_part_free(sched_job_t *);
+void sched_part_clear_hand(sched_job_t *);
+sched_peer_t *sched_part_find_peer(const sched_job_t *, const char *shard);
+void sched_part_tell(sched_pool_t *, sched_job_t *, const char *shard);
 void sched_part_forget_peers(sched_pool_t *, sched_job_t *);
+
+/* part_hand.c */
 uint64_t sched_part_blocked_since_us(
     const sched_pool_t *, const sched_job_t *, uint64_t now_us);
 void sched_part_ask(
@@ -183,8 +188,6 @@
 void sched_part_recorded(sched_pool_t *, sched_job_t *);
 void sched_part_not_recorded(sched_pool_t *, sched_job_t *);
 void sched_part_job_ended(sched_pool_t *, sched_job_t *);
-sched_peer_t *sched_part_find_peer(const sched_job_t *, const char *shard);
-void sched_part_tell(sched_pool_t *, sched_job_t *, const char *shard);
 void sched_part_return_hopeless(sched_pool_t *, sched_job_t *, uint64_t now_us);
 
 /* part_call.c */
