--- a/lib/sched/part.c
+++ b/lib/sched/part.c
@@ -18,9 +18,6 @@
  * knows of all parts.
  */
 
-/* How long a job is not split whose specification no row can hold. */
-#define TOO_LARGE_US (60 * GW_US_PER_S)
-
 bool
 sched_job_is_part(const sched_job_t *job)
 {
